--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,23 @@
+import gts from 'gts/build/src/index.js';
+
+export default [
+  {
+    ignores: [
+      'build/**',
+      'node_modules/**',
+      'src/peer/gen/**',
+      'tools/**',
+      'eslint.config.js',
+    ],
+  },
+  ...gts,
+  {
+    rules: {
+      'n/no-unpublished-import': 'off',
+      'n/no-missing-import': 'off',
+      'n/no-extraneous-import': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      '@typescript-eslint/no-explicit-any': 'error',
+    },
+  },
+];
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,3 @@
+export * from './errors.js';
+export * from './keys.js';
+export * from './platform.js';
--- /dev/null
+++ b/src/platform/platform.ts
@@ -0,0 +1,49 @@
+/** One object of the platform's object API. */
+export interface StoredObject {
+  readonly key: string;
+  /** JSON text of the value. */
+  readonly value: string;
+  /** Revision of the store at which the object last changed. */
+  readonly version: number;
+}
+
+/** One change seen by a watch. A deleted object has no value. */
+export interface Change {
+  readonly key: string;
+  readonly value?: string;
+  readonly version: number;
+}
+
+/** All objects under a prefix, as of one revision of the store. */
+export interface Listing {
+  readonly revision: number;
+  readonly objects: readonly StoredObject[];
+}
+
+/** Result of a conditional write that got its answer. */
+export type WriteResult =
+  | {readonly kind: 'stored'; readonly version: number}
+  | {readonly kind: 'conflict'; readonly current?: StoredObject};
+
+/**
+ * The platform's object API. Each method rejects with `UnavailableError`
+ * when the call certainly had no effect, and with `AnswerLostError` when a
+ * write may have taken effect.
+ */
+export interface Platform {
+  readonly get: (key: string) => Promise<StoredObject | undefined>;
+  readonly list: (prefix: string) => Promise<Listing>;
+  /** Writes when the object's version is `expected`; 0 means that it must not exist. */
+  readonly put: (
+    key: string,
+    value: string,
+    expected: number,
+  ) => Promise<WriteResult>;
+  readonly delete: (key: string, expected: number) => Promise<WriteResult>;
+  /** Yields the changes under a prefix that are newer than a revision, until aborted. */
+  readonly watch: (
+    prefix: string,
+    after: number,
+    signal: AbortSignal,
+  ) => AsyncIterable<Change>;
+}
--- /dev/null
+++ b/src/telemetry/index.ts
@@ -0,0 +1,1 @@
+export * from './log.js';
