Add the platform stand-in

Cause: the daemon's modules need an object API with faults to be tested against. Ruled out: one mutable map in the server, because tests of other modules need the same rules without a socket; the store is pure and an in-memory platform shares it. Before: none. Conclusion: usable as the platform of other modules' tests.

--- /dev/null
+++ b/src/model/parse-address.ts
@@ -0,0 +1,24 @@
+import {isIP} from 'node:net';
+import type {Address} from './address.js';
+
+/** Largest TCP or UDP port. */
+const MAX_PORT = 65535;
+
+/**
+ * Parses `host:port`, where the host is an IP number and an IPv6 host stands
+ * in brackets. Port 0 is accepted.
+ *
+ * @throws {RangeError} when the text is not such an address.
+ *
+ * @example
+ * parseAddress('127.0.0.1:80'); // {host: '127.0.0.1', port: 80}
+ */
+export function parseAddress(text: string): Address {
+  const match = /^(?:\[([^\]]+)\]|([^:[\]]+)):(\d{1,5})$/.exec(text);
+  const host = match?.[1] ?? match?.[2] ?? '';
+  const port = Number(match?.[3] ?? NaN);
+  if (isIP(host) === 0 || !(port <= MAX_PORT)) {
+    throw new RangeError(`not an IP number and port: ${text}`);
+  }
+  return {host, port};
+}
--- /dev/null
+++ b/standin/platform/holder.ts
@@ -0,0 +1,35 @@
+import type {Change, WriteResult} from '../../src/platform/platform.js';
+import {EMPTY_STORE, applyWrite, type Store, type Write} from './store.js';
+
+/** Holds the current store and tells watchers of its changes. */
+export interface Holder {
+  readonly store: () => Store;
+  readonly write: (write: Write) => WriteResult;
+  /** Calls back for each change; returns the function that ends this. */
+  readonly subscribe: (listener: (change: Change) => void) => () => void;
+}
+
+/**
+ * Creates a holder of an empty store.
+ *
+ * @example
+ * createHolder().write({key: 'a', value: '1', expected: 0}); // {kind: 'stored', version: 1}
+ */
+export function createHolder(): Holder {
+  let store = EMPTY_STORE;
+  const listeners = new Set<(change: Change) => void>();
+  return {
+    store: () => store,
+    write: write => {
+      const written = applyWrite(store, write);
+      store = written.store;
+      const {change} = written;
+      if (change) for (const listener of [...listeners]) listener(change);
+      return written.result;
+    },
+    subscribe: listener => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+}
--- /dev/null
+++ b/standin/platform/server.ts
@@ -0,0 +1,191 @@
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Change, WriteResult} from '../../src/platform/platform.js';
+import {createCallCounter, type CallCounter} from './calls.js';
+import {createHolder, type Holder} from './holder.js';
+import {MAX_VALUE_BYTES, changesAfter, listObjects} from './store.js';
+
+/** Time between keep-alive lines of a watch. */
+const KEEP_ALIVE_INTERVAL_MS = 1000;
+
+/** Path of the call that sets faults; it works while the platform is down. */
+const FAULTS_PATH = '/faults';
+
+/** Faults that `POST /faults` sets; those that are left out stay as they are. */
+export interface PlatformFaults {
+  /** Resets every connection, also those of standing watches. */
+  readonly down?: boolean;
+  /** Delay of every call before it takes effect, in milliseconds. */
+  readonly slowMs?: number;
+  /** Number of writes that take effect and whose connection is then reset. */
+  readonly loseAnswers?: number;
+}
+
+interface Context {
+  readonly holder: Holder;
+  readonly counter: CallCounter;
+  readonly sockets: Set<Socket>;
+  faults: Required<PlatformFaults>;
+}
+
+interface Call {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+}
+
+/**
+ * Creates the HTTP server of the platform stand-in; the caller lets it listen.
+ *
+ * @example
+ * createPlatformServer().listen(0, '127.0.0.1');
+ */
+export function createPlatformServer(): Server {
+  const context: Context = {
+    holder: createHolder(),
+    counter: createCallCounter(),
+    sockets: new Set(),
+    faults: {down: false, slowMs: 0, loseAnswers: 0},
+  };
+  const server = createServer((request, response) => {
+    const url = new URL(request.url ?? '/', 'http://platform');
+    handle(context, {request, response, url}).catch(() =>
+      request.socket.destroy(),
+    );
+  });
+  server.on('connection', (socket: Socket) => {
+    context.sockets.add(socket);
+    socket.on('close', () => context.sockets.delete(socket));
+  });
+  return server;
+}
+
+async function handle(context: Context, call: Call): Promise<void> {
+  const {request, response, url} = call;
+  if (url.pathname === FAULTS_PATH) return setFaults(context, call);
+  if (url.pathname === '/calls') {
+    return answer(response, 200, context.counter.counts());
+  }
+  if (context.faults.down) return void request.socket.destroy();
+  const body = await readBody(request);
+  if (context.faults.slowMs > 0) await delay(context.faults.slowMs);
+  if (context.faults.down) return void request.socket.destroy();
+  const route = `${request.method} ${url.pathname}`;
+  if (route === 'GET /objects') return read(context, call);
+  if (route === 'PUT /objects') return put(context, call, body);
+  if (route === 'DELETE /objects') return remove(context, call);
+  if (route === 'GET /watch') return watch(context, call);
+  answer(response, 404, {message: `no such call: ${route}`});
+}
+
+async function setFaults(context: Context, call: Call): Promise<void> {
+  const body = await readBody(call.request);
+  const faults = JSON.parse(body.toString()) as PlatformFaults;
+  context.faults = {...context.faults, ...faults};
+  if (faults.down) {
+    for (const socket of context.sockets) {
+      if (socket !== call.request.socket) socket.resetAndDestroy();
+    }
+  }
+  answer(call.response, 200, context.faults);
+}
+
+function read(context: Context, {response, url}: Call): void {
+  const prefix = url.searchParams.get('prefix');
+  context.counter.count(prefix === null ? 'get' : 'list', Date.now());
+  const store = context.holder.store();
+  if (prefix !== null) return answer(response, 200, listObjects(store, prefix));
+  const found = store.objects.get(url.searchParams.get('key') ?? '');
+  if (found) return answer(response, 200, found);
+  answer(response, 404, {message: 'no such object'});
+}
+
+function put(context: Context, call: Call, body: Buffer): void {
+  context.counter.count('put', Date.now());
+  const {response, url} = call;
+  const key = url.searchParams.get('key');
+  const expected = Number(url.searchParams.get('expected') ?? NaN);
+  if (body.length > MAX_VALUE_BYTES) {
+    return answer(response, 413, {message: 'the value is too large'});
+  }
+  const value = body.toString();
+  if (!key || !Number.isInteger(expected) || !isJson(value)) {
+    return answer(response, 400, {message: 'key, expected or value is wrong'});
+  }
+  answerWrite(context, call, context.holder.write({key, value, expected}));
+}
+
+function remove(context: Context, call: Call): void {
+  context.counter.count('delete', Date.now());
+  const key = call.url.searchParams.get('key');
+  const expected = Number(call.url.searchParams.get('expected') ?? NaN);
+  if (!key || !Number.isInteger(expected)) {
+    return answer(call.response, 400, {message: 'key or expected is wrong'});
+  }
+  answerWrite(context, call, context.holder.write({key, expected}));
+}
+
+function answerWrite(context: Context, call: Call, result: WriteResult): void {
+  const {faults} = context;
+  if (faults.loseAnswers > 0) {
+    context.faults = {...faults, loseAnswers: faults.loseAnswers - 1};
+    call.request.socket.destroy();
+    return;
+  }
+  if (result.kind === 'stored') {
+    return answer(call.response, 200, {version: result.version});
+  }
+  answer(call.response, 409, {current: result.current});
+}
+
+function watch(context: Context, {response, url}: Call): void {
+  context.counter.count('watch', Date.now());
+  const prefix = url.searchParams.get('prefix') ?? '';
+  const after = Number(url.searchParams.get('after') ?? 0);
+  const past = changesAfter(context.holder.store(), prefix, after);
+  if (!past) {
+    return answer(response, 410, {message: `revision ${after} is too old`});
+  }
+  response.writeHead(200, {'content-type': 'application/x-ndjson'});
+  response.flushHeaders();
+  const send = (change: Change) => {
+    if (!change.key.startsWith(prefix)) return;
+    response.write(JSON.stringify(change) + '\n');
+  };
+  past.forEach(send);
+  const unsubscribe = context.holder.subscribe(send);
+  const timer = setInterval(() => response.write('\n'), KEEP_ALIVE_INTERVAL_MS);
+  response.on('close', () => {
+    unsubscribe();
+    clearInterval(timer);
+  });
+}
+
+async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  return Buffer.concat(parts);
+}
+
+function answer(response: ServerResponse, status: number, body: object): void {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+function isJson(text: string): boolean {
+  try {
+    JSON.parse(text);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+function delay(timeMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, timeMs));
+}
