Add the upstream stand-in

Cause: requests need an upstream that fences, sheds, drains and records what it executed, so that answers can be checked against executions. Ruled out: a shared record between stand-ins, because each runs as its own process. Before: none.

--- /dev/null
+++ b/standin/upstream/answer.ts
@@ -0,0 +1,93 @@
+import type {ServerResponse} from 'node:http';
+
+/** Pieces and pauses of a slow answer. */
+const SLOW_PIECES = 5;
+const SLOW_PAUSE_MS = 100;
+
+/** Defect of an answer, asked for by `?fault=`. */
+export type AnswerFault = 'none' | 'short' | 'reset' | 'stall' | 'slow';
+
+/** Body of an answer; it proves which request it answers. */
+export interface Proof {
+  readonly upstream: string;
+  readonly request: string;
+  readonly key: string;
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  readonly bodyBytes: number;
+  /** SHA-256 of the request's body in hexadecimal digits. */
+  readonly bodyHash: string;
+  /** Text that makes the answer as long as `?pad=` asked for. */
+  readonly padding?: string;
+}
+
+/** Reads the defect that a request asks for. */
+export function readFault(url: URL): AnswerFault {
+  const name = url.searchParams.get('fault');
+  const faults: readonly AnswerFault[] = ['short', 'reset', 'stall', 'slow'];
+  return faults.find(fault => fault === name) ?? 'none';
+}
+
+/** Sends the proof with the status and the defect that the request asked for. */
+export async function sendProof(
+  response: ServerResponse,
+  proof: Proof,
+  url: URL,
+): Promise<void> {
+  const status = Number(url.searchParams.get('status') ?? 200);
+  const fault = readFault(url);
+  if (fault === 'reset') return void response.socket?.resetAndDestroy();
+  if (status === 204 || status === 304) {
+    response.writeHead(status).end();
+    return;
+  }
+  const body = Buffer.from(JSON.stringify(proof));
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': body.length,
+  });
+  if (proof.method === 'HEAD') return void response.end();
+  await sendBody(response, body, fault);
+}
+
+async function sendBody(
+  response: ServerResponse,
+  body: Buffer,
+  fault: AnswerFault,
+): Promise<void> {
+  if (fault === 'none') return void response.end(body);
+  const half = body.subarray(0, body.length >> 1);
+  if (fault === 'stall') return void response.write(half);
+  if (fault === 'short') {
+    response.write(half, () => response.socket?.destroy());
+    return;
+  }
+  const size = Math.ceil(body.length / SLOW_PIECES);
+  for (let sent = 0; sent < body.length; sent += size) {
+    response.write(body.subarray(sent, sent + size));
+    await delay(SLOW_PAUSE_MS);
+  }
+  response.end();
+}
+
+/** Sends a JSON value. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: object,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...headers,
+  });
+  response.end(text);
+}
+
+/** Waits for a time in milliseconds. */
+export function delay(timeMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, timeMs));
+}
--- /dev/null
+++ b/standin/upstream/execute.ts
@@ -0,0 +1,163 @@
+import {createHash} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {delay, sendJson, sendProof, type Proof} from './answer.js';
+import type {Execution, ExecutionOutcome} from './execution.js';
+import {
+  isShedding,
+  mayExecute,
+  serviceTimeMs,
+  type Upstream,
+} from './upstream.js';
+
+/** Header that tells a daemon that its grant did not cover the request. */
+const FENCED_HEADERS = {'vanillaspool-fenced': 'true'};
+
+/** Headers of an answer that sheds load. */
+const SHED_HEADERS = {'vanillaspool-shed': 'true', 'retry-after': '1'};
+
+interface Upload {
+  readonly bytes: number;
+  readonly hash: string;
+}
+
+/** Executes one request of the service and answers it. */
+export async function execute(
+  upstream: Upstream,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  if (isShedding(upstream)) {
+    return sendJson(response, 503, {message: 'shed'}, SHED_HEADERS);
+  }
+  const deadlineMs = performance.now() + readDeadline(request);
+  const url = new URL(request.url ?? '/', 'http://upstream');
+  const started = describe(upstream, request, url);
+  const number = upstream.journal.begin(started);
+  const refusal = () => refusalOf(upstream, request, started, deadlineMs);
+  let outcome: ExecutionOutcome = 'cancelled';
+  let upload: Upload = {bytes: 0, hash: ''};
+  await upstream.slots.take();
+  try {
+    outcome = refusal() ?? 'running';
+    if (outcome === 'running') {
+      upload = await receive(request);
+      await serve(upstream, request);
+      outcome = refusal() ?? 'committed';
+    }
+  } catch {
+    outcome = 'cancelled';
+  } finally {
+    upstream.slots.free();
+    upstream.journal.end(number, outcome, Date.now());
+  }
+  const padding = paddingOf(url);
+  const proof = {...proofOf(upstream, started, upload), padding};
+  await respond(response, outcome, proof, url);
+}
+
+function readDeadline(request: IncomingMessage): number {
+  const text = request.headers['vanillaspool-deadline'];
+  return text === undefined ? Infinity : Number(text);
+}
+
+function describe(
+  upstream: Upstream,
+  request: IncomingMessage,
+  url: URL,
+): Execution {
+  const {headers} = request;
+  const header = headers[upstream.options.keyHeader];
+  const segment = url.pathname.split('/')[2] ?? '';
+  return {
+    id: textOf(headers['vanillaspool-request']) ?? '',
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    key: textOf(header) ?? decodeURIComponent(segment),
+    idempotencyKey: textOf(headers['idempotency-key']),
+    slice: numberOf(headers['vanillaspool-slice']),
+    epoch: numberOf(headers['vanillaspool-epoch']),
+    started: Date.now(),
+    outcome: 'running',
+  };
+}
+
+function textOf(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function numberOf(value: string | string[] | undefined): number | undefined {
+  const text = textOf(value);
+  return text === undefined ? undefined : Number(text);
+}
+
+function refusalOf(
+  upstream: Upstream,
+  request: IncomingMessage,
+  {slice, epoch}: Execution,
+  deadlineMs: number,
+): ExecutionOutcome | undefined {
+  if (request.socket.destroyed) return 'cancelled';
+  if (!mayExecute(upstream, slice, epoch)) return 'fenced';
+  if (performance.now() >= deadlineMs) return 'expired';
+  return undefined;
+}
+
+async function receive(request: IncomingMessage): Promise<Upload> {
+  const hash = createHash('sha256');
+  let bytes = 0;
+  for await (const part of request) {
+    bytes += (part as Buffer).length;
+    hash.update(part as Buffer);
+  }
+  return {bytes, hash: hash.digest('hex')};
+}
+
+async function serve(
+  upstream: Upstream,
+  request: IncomingMessage,
+): Promise<void> {
+  let cancel = () => {};
+  const cancelled = new Promise<void>(resolve => {
+    cancel = resolve;
+  });
+  request.socket.once('close', cancel);
+  await Promise.race([delay(serviceTimeMs(upstream)), cancelled]);
+  request.socket.off('close', cancel);
+}
+
+function proofOf(
+  upstream: Upstream,
+  execution: Execution,
+  upload: Upload,
+): Proof {
+  return {
+    upstream: upstream.name,
+    request: execution.id,
+    key: execution.key,
+    method: execution.method,
+    path: execution.path,
+    bodyBytes: upload.bytes,
+    bodyHash: upload.hash,
+  };
+}
+
+function paddingOf(url: URL): string | undefined {
+  const length = Number(url.searchParams.get('pad') ?? 0);
+  return length > 0 ? '.'.repeat(length) : undefined;
+}
+
+async function respond(
+  response: ServerResponse,
+  outcome: ExecutionOutcome,
+  proof: Proof,
+  url: URL,
+): Promise<void> {
+  if (outcome === 'committed') return sendProof(response, proof, url);
+  if (outcome === 'fenced') {
+    return sendJson(response, 409, {message: 'fenced'}, FENCED_HEADERS);
+  }
+  if (outcome === 'expired') {
+    return sendJson(response, 504, {message: 'the deadline has passed'});
+  }
+  response.destroy();
+}
--- /dev/null
+++ b/standin/upstream/execution.ts
@@ -0,0 +1,65 @@
+/** How an execution ended; only a committed one changed the state of its key. */
+export type ExecutionOutcome =
+  'running' | 'committed' | 'cancelled' | 'expired' | 'fenced';
+
+/** What an upstream stand-in records of one request that it began to execute. */
+export interface Execution {
+  /** Request identifier given by the daemon. */
+  readonly id: string;
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  readonly key: string;
+  readonly idempotencyKey?: string;
+  readonly slice?: number;
+  readonly epoch?: number;
+  /** Wall-clock time in milliseconds. */
+  readonly started: number;
+  /** Wall-clock time of the end in milliseconds, whatever the outcome. */
+  readonly ended?: number;
+  /** Wall-clock time of the commit in milliseconds. */
+  readonly committed?: number;
+  readonly outcome: ExecutionOutcome;
+}
+
+/** Executions kept by one upstream stand-in. */
+const EXECUTION_LIMIT = 500_000;
+
+/** The executions of one upstream, in order of their start. */
+export interface Journal {
+  /** Records the start of an execution and returns its number. */
+  readonly begin: (execution: Execution) => number;
+  readonly end: (
+    number: number,
+    outcome: ExecutionOutcome,
+    nowMs: number,
+  ) => void;
+  readonly executions: () => readonly Execution[];
+}
+
+/**
+ * Creates an empty journal.
+ *
+ * @throws {RangeError} from `begin` when the journal is full.
+ *
+ * @example
+ * const journal = createJournal();
+ * journal.end(journal.begin(execution), 'committed', Date.now());
+ */
+export function createJournal(): Journal {
+  const executions: Execution[] = [];
+  return {
+    begin: execution => {
+      if (executions.length === EXECUTION_LIMIT) {
+        throw new RangeError('the journal is full');
+      }
+      return executions.push(execution) - 1;
+    },
+    end: (number, outcome, nowMs) => {
+      const committed = outcome === 'committed' ? nowMs : undefined;
+      const ended = {...executions[number], outcome, ended: nowMs, committed};
+      executions[number] = ended;
+    },
+    executions: () => executions,
+  };
+}
--- /dev/null
+++ b/standin/upstream/index.ts
@@ -0,0 +1,7 @@
+export * from './answer.js';
+export * from './execution.js';
+export * from './fence.js';
+export * from './options.js';
+export * from './server.js';
+export * from './start.js';
+export * from './upstream.js';
--- /dev/null
+++ b/standin/upstream/slots.ts
@@ -0,0 +1,42 @@
+/** Grants a fixed number of slots in order of arrival. */
+export interface Slots {
+  /** Resolves once a slot is held. */
+  readonly take: () => Promise<void>;
+  readonly free: () => void;
+  readonly inUse: () => number;
+  readonly queued: () => number;
+}
+
+/**
+ * Creates a set of slots.
+ *
+ * @throws {RangeError} when the count is not a positive integer.
+ *
+ * @example
+ * const slots = createSlots(1);
+ * await slots.take();
+ * slots.inUse(); // 1
+ */
+export function createSlots(count: number): Slots {
+  if (!Number.isInteger(count) || count < 1) {
+    throw new RangeError(`not a number of slots: ${count}`);
+  }
+  const waiting: Array<() => void> = [];
+  let inUse = 0;
+  return {
+    take: async () => {
+      if (inUse < count) {
+        inUse += 1;
+        return;
+      }
+      await new Promise<void>(resolve => waiting.push(resolve));
+    },
+    free: () => {
+      const next = waiting.shift();
+      if (next) next();
+      else inUse -= 1;
+    },
+    inUse: () => inUse,
+    queued: () => waiting.length,
+  };
+}
