--- /dev/null
+++ b/src/platform/client.ts
@@ -0,0 +1,158 @@
+import {Pool, type Dispatcher} from 'undici';
+import {formatAddress, type Address} from '../model/index.js';
+import {AnswerLostError, UnavailableError} from './errors.js';
+import {exchange, type Call, type Reply} from './exchange.js';
+import type {Listing, Platform, StoredObject, WriteResult} from './platform.js';
+import {watchChanges} from './watch.js';
+
+/** Bounds of a client of the platform. */
+export interface ClientOptions {
+  /** Connections for calls other than watches. */
+  readonly connections?: number;
+  /** Time limit of a call other than a watch, in milliseconds. */
+  readonly timeoutMs?: number;
+  /** Longest silence of a watch, in milliseconds. */
+  readonly watchSilenceMs?: number;
+}
+
+/** A platform reached over the network. */
+export interface PlatformClient extends Platform {
+  /** Closes every connection; calls in progress fail. */
+  readonly close: () => Promise<void>;
+}
+
+const DEFAULT_OPTIONS: Required<ClientOptions> = {
+  connections: 4,
+  timeoutMs: 2000,
+  watchSilenceMs: 4000,
+};
+
+/** Connections for watches. */
+const WATCH_CONNECTIONS = 8;
+
+/** Time limit for opening a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1000;
+
+/**
+ * Creates a client of the platform's object API.
+ *
+ * A watch throws when its stream ends: `RevisionGoneError` asks for a new list,
+ * after `UnavailableError` the caller may watch again from the last version
+ * that it saw.
+ *
+ * @throws {RangeError} when an option is not a positive number.
+ *
+ * @example
+ * const platform = createPlatform({host: '127.0.0.1', port: 7000});
+ * const object = await platform.get('configuration/current');
+ */
+export function createPlatform(
+  address: Address,
+  options: ClientOptions = {},
+): PlatformClient {
+  const limits = {...DEFAULT_OPTIONS, ...options};
+  checkLimits(limits);
+  const origin = `http://${formatAddress(address)}`;
+  const calls = createPool(origin, limits.connections);
+  const watches = createPool(origin, WATCH_CONNECTIONS);
+  const send = (call: Call) => exchange(calls, call, limits.timeoutMs);
+  return {
+    get: async key => readObject(await send(read({key}))),
+    list: async prefix => readListing(await send(read({prefix}))),
+    put: async (key, value, expected) => {
+      const path = pathOf('/objects', {key, expected: checked(expected)});
+      return readWrite(await send({method: 'PUT', path, body: value}));
+    },
+    delete: async (key, expected) => {
+      const path = pathOf('/objects', {key, expected: checked(expected)});
+      return readWrite(await send({method: 'DELETE', path}));
+    },
+    watch: (prefix, after, signal) => {
+      const path = pathOf('/watch', {prefix, after: checked(after)});
+      return watchChanges(watches, path, limits.watchSilenceMs, signal);
+    },
+    close: async () => {
+      await Promise.all([calls.destroy(), watches.destroy()]);
+    },
+  };
+}
+
+function checkLimits(limits: Required<ClientOptions>): void {
+  for (const [name, value] of Object.entries(limits)) {
+    if (!(value > 0)) throw new RangeError(`${name} is not positive: ${value}`);
+  }
+}
+
+function createPool(origin: string, connections: number): Dispatcher {
+  return new Pool(origin, {
+    connections,
+    pipelining: 1,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+  });
+}
+
+function pathOf(
+  path: string,
+  query: Readonly<Record<string, string | number>>,
+): string {
+  const search = new URLSearchParams();
+  for (const [name, value] of Object.entries(query)) {
+    search.append(name, String(value));
+  }
+  return `${path}?${search}`;
+}
+
+function read(query: Readonly<Record<string, string>>): Call {
+  return {method: 'GET', path: pathOf('/objects', query)};
+}
+
+function checked(version: number): number {
+  if (!Number.isInteger(version) || version < 0) {
+    throw new RangeError(`not a version: ${version}`);
+  }
+  return version;
+}
+
+function readObject({status, body}: Reply): StoredObject | undefined {
+  if (status === 404) return undefined;
+  if (status === 200) return readJson<StoredObject>(body, UnavailableError);
+  throw new UnavailableError(`the platform answered ${status}`);
+}
+
+function readListing({status, body}: Reply): Listing {
+  if (status === 200) return readJson<Listing>(body, UnavailableError);
+  throw new UnavailableError(`the platform answered ${status}`);
+}
+
+function readWrite({status, body}: Reply): WriteResult {
+  if (status === 200) {
+    const {version} = readJson<{version: number}>(body, AnswerLostError);
+    return {kind: 'stored', version};
+  }
+  if (status === 409) {
+    const {current} = readJson<{current?: StoredObject}>(
+      body,
+      UnavailableError,
+    );
+    return {kind: 'conflict', current};
+  }
+  if (isRefusal(status)) {
+    throw new UnavailableError(`the platform answered ${status}`);
+  }
+  throw new AnswerLostError(`the platform answered ${status}`);
+}
+
+function isRefusal(status: number): boolean {
+  return (status >= 400 && status < 500) || status === 503;
+}
+
+function readJson<T>(
+  body: string,
+  Failure: typeof UnavailableError | typeof AnswerLostError,
+): T {
+  try {
+    return JSON.parse(body) as T;
+  } catch (cause) {
+    throw new Failure('the answer is not JSON', {cause});
+  }
+}
--- /dev/null
+++ b/src/platform/exchange.ts
@@ -0,0 +1,86 @@
+import type {Dispatcher} from 'undici';
+import {AnswerLostError, UnavailableError} from './errors.js';
+
+/** One HTTP request to the platform. */
+export interface Call {
+  readonly method: 'GET' | 'PUT' | 'DELETE';
+  /** Path with its query. */
+  readonly path: string;
+  readonly body?: string;
+}
+
+/** A complete answer of the platform. */
+export interface Reply {
+  readonly status: number;
+  readonly body: string;
+}
+
+/**
+ * Sends one request and collects its answer. The request is abandoned when the
+ * time is up; one that still waited for a connection is then never sent.
+ *
+ * @param timeoutMs Time limit from this call to the end of the answer.
+ * @throws {UnavailableError} when the request was certainly not sent, or is a
+ * read.
+ * @throws {AnswerLostError} when a write was sent and got no complete answer.
+ *
+ * @example
+ * const reply = await exchange(pool, {method: 'GET', path: '/objects?key=a'}, 1000);
+ */
+export function exchange(
+  dispatcher: Dispatcher,
+  call: Call,
+  timeoutMs: number,
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let status = 0;
+    let isSettled = false;
+    let running: Dispatcher.DispatchController | undefined;
+
+    const fail = (cause: Error) => {
+      if (isSettled) return;
+      isSettled = true;
+      clearTimeout(timer);
+      reject(failureOf(call, running !== undefined, cause));
+    };
+    const timer = setTimeout(() => {
+      const cause = new Error(`no answer within ${timeoutMs} ms`);
+      fail(cause);
+      running?.abort(cause);
+    }, timeoutMs);
+
+    const handler: Dispatcher.DispatchHandler = {
+      onRequestStart: controller => {
+        if (isSettled) return controller.abort(new Error('abandoned'));
+        running = controller;
+      },
+      onResponseStart: (_controller, statusCode) => {
+        status = statusCode;
+      },
+      onResponseData: (_controller, part) => {
+        parts.push(part);
+      },
+      onResponseEnd: () => {
+        if (isSettled) return;
+        isSettled = true;
+        clearTimeout(timer);
+        resolve({status, body: Buffer.concat(parts).toString()});
+      },
+      onResponseError: (_controller, error) => fail(error),
+    };
+    try {
+      dispatcher.dispatch({...call}, handler);
+    } catch (error) {
+      fail(error as Error);
+    }
+  });
+}
+
+function failureOf(call: Call, wasSent: boolean, cause: Error): Error {
+  const what = `${call.method} ${call.path}`;
+  if (wasSent && call.method !== 'GET') {
+    return new AnswerLostError(`${what}: the answer was lost`, {cause});
+  }
+  return new UnavailableError(`${what}: the platform is unreachable`, {cause});
+}
--- /dev/null
+++ b/src/platform/update.ts
@@ -0,0 +1,147 @@
+import {AnswerLostError, UnavailableError} from './errors.js';
+import type {Platform, StoredObject, WriteResult} from './platform.js';
+
+/** Writes that one update tries. */
+const ATTEMPT_LIMIT = 8;
+
+/**
+ * Computes the JSON text of the next value, or undefined to leave the object
+ * as it is.
+ */
+export type ValueChange = (
+  current: StoredObject | undefined,
+) => string | undefined;
+
+/** Result of an update whose outcome is certain. */
+export type UpdateResult =
+  /** The change is part of this object. */
+  | {readonly kind: 'stored'; readonly object: StoredObject}
+  /** The change asked for nothing, and nothing was written. */
+  | {readonly kind: 'unchanged'; readonly object?: StoredObject}
+  /** Others wrote first at every attempt, and nothing was written. */
+  | {readonly kind: 'conflict'; readonly object?: StoredObject};
+
+/**
+ * What is known of the writes of an update. A write whose answer was lost may
+ * still take effect for as long as the object has the version it expects.
+ */
+interface Attempt {
+  readonly current: StoredObject | undefined;
+  /** Version that the write with the lost answer expects. */
+  readonly lostAt?: number;
+}
+
+type Step = {readonly result: UpdateResult} | {readonly next: Attempt};
+
+/**
+ * Reads an object, changes it and writes it back under the condition that
+ * nobody wrote in between. A conflict is tried again on the newer value; a
+ * lost answer is resolved by reading back. The change takes effect at most
+ * once, also when a failed update is called again.
+ *
+ * @param isOwn Tells whether a value already contains this very change. It has
+ * to hold for the changed value and for every later value built on it.
+ * @throws {UnavailableError} when the change certainly did not take effect.
+ * @throws {AnswerLostError} when the change may have taken effect, or may yet.
+ * @throws {RangeError} when the limit is not a positive integer.
+ *
+ * @example
+ * const result = await update(
+ *   platform,
+ *   'configuration/current',
+ *   current => JSON.stringify({...next, version: versionOf(current) + 1}),
+ *   value => JSON.parse(value).change === next.change,
+ * );
+ */
+export async function update(
+  platform: Platform,
+  key: string,
+  change: ValueChange,
+  isOwn: (value: string) => boolean,
+  attemptLimit = ATTEMPT_LIMIT,
+): Promise<UpdateResult> {
+  if (!Number.isInteger(attemptLimit) || attemptLimit < 1) {
+    throw new RangeError(`not a number of attempts: ${attemptLimit}`);
+  }
+  let attempt: Attempt = {current: await platform.get(key)};
+  for (let count = 0; count < attemptLimit; count++) {
+    const step = await tryOnce(platform, key, attempt, change, isOwn);
+    if ('result' in step) return step.result;
+    attempt = step.next;
+  }
+  return giveUp(attempt, isOwn);
+}
+
+async function tryOnce(
+  platform: Platform,
+  key: string,
+  attempt: Attempt,
+  change: ValueChange,
+  isOwn: (value: string) => boolean,
+): Promise<Step> {
+  const {current} = attempt;
+  if (current && isOwn(current.value)) {
+    return {result: {kind: 'stored', object: current}};
+  }
+  const value = change(current);
+  if (value === undefined) {
+    refusePending(attempt);
+    return {result: {kind: 'unchanged', object: current}};
+  }
+  const expected = current?.version ?? 0;
+  try {
+    const result = await platform.put(key, value, expected);
+    return afterWrite(attempt, key, value, result);
+  } catch (error) {
+    if (error instanceof AnswerLostError)
+      return readBack(platform, key, expected);
+    refusePending(attempt, error);
+    throw error;
+  }
+}
+
+function afterWrite(
+  attempt: Attempt,
+  key: string,
+  value: string,
+  result: WriteResult,
+): Step {
+  if (result.kind === 'stored') {
+    const object = {key, value, version: result.version};
+    return {result: {kind: 'stored', object}};
+  }
+  return {next: {...attempt, current: result.current}};
+}
+
+async function readBack(
+  platform: Platform,
+  key: string,
+  lostAt: number,
+): Promise<Step> {
+  try {
+    return {next: {current: await platform.get(key), lostAt}};
+  } catch (cause) {
+    throw new AnswerLostError(`${key}: the lost answer is not resolved`, {
+      cause,
+    });
+  }
+}
+
+function giveUp(
+  attempt: Attempt,
+  isOwn: (value: string) => boolean,
+): UpdateResult {
+  const {current} = attempt;
+  if (current && isOwn(current.value)) {
+    return {kind: 'stored', object: current};
+  }
+  refusePending(attempt);
+  return {kind: 'conflict', object: current};
+}
+
+function refusePending({current, lostAt}: Attempt, cause?: unknown): void {
+  if (lostAt === undefined || lostAt !== (current?.version ?? 0)) return;
+  throw new AnswerLostError('a write whose answer was lost may take effect', {
+    cause: cause instanceof Error ? cause : new UnavailableError('no answer'),
+  });
+}
--- a/standin/platform/calls.ts
+++ b/standin/platform/calls.ts
@@ -1,5 +1,4 @@
-/** Kinds of calls that the platform counts. */
-export type CallKind = 'get' | 'list' | 'put' | 'delete' | 'watch';
+import type {CallKind} from '../../src/platform/index.js';
 
 /** Number of calls, and the highest number in any one second. */
 export interface CallCount {
--- a/standin/platform/memory.ts
+++ b/standin/platform/memory.ts
@@ -1,5 +1,6 @@
 import {
   AnswerLostError,
+  RevisionGoneError,
   UnavailableError,
   type Change,
   type Platform,
@@ -94,7 +95,7 @@
     wake();
   });
   try {
-    if (!past) throw new UnavailableError(`revision ${after} is too old`);
+    if (!past) throw new RevisionGoneError(`revision ${after} is too old`);
     yield* past;
     while (isOpen && !signal.aborted) {
       while (pending.length > 0) yield pending.shift()!;
