--- a/standin/upstream/index.ts
+++ b/standin/upstream/index.ts
@@ -3,5 +3,6 @@
 export * from './fence.js';
 export * from './options.js';
 export * from './server.js';
+export * from './slots.js';
 export * from './start.js';
 export * from './upstream.js';
