Add the load tool

Cause: daemons have to be driven as callers would, with every answer checked. Ruled out: a closed loop, because it sends less just when answers are slow; autocannon and its kin, because they do not check whose answer came. Conclusion: usable by the demo and by measurements.

--- /dev/null
+++ b/src/load/caller.ts
@@ -0,0 +1,95 @@
+import type {Address} from '../model/index.js';
+import {mayRepeat, type Verdict} from './answer.js';
+import type {Hints} from './hints.js';
+import type {PlannedRequest} from './plan.js';
+import type {Attempt, Sender} from './sender.js';
+
+/** Pause before a repeat for which no other pause was asked for. */
+const REPEAT_PAUSE_MS = 50;
+
+/** How a caller treats its requests. */
+export interface CallerOptions {
+  readonly targets: readonly Address[];
+  /** Time limit of a request with its repeats, in milliseconds. */
+  readonly deadlineMs: number;
+  /** Attempts for one request; 1 repeats nothing. */
+  readonly attempts: number;
+}
+
+/** What one request came to. Times are milliseconds after the start. */
+export interface Result {
+  readonly request: PlannedRequest;
+  readonly verdict: Verdict;
+  readonly status?: number;
+  readonly reason?: string;
+  readonly attempts: number;
+  readonly target: Address;
+  readonly startedMs: number;
+  readonly endedMs: number;
+}
+
+/** What a caller works with. */
+export interface CallerTools {
+  readonly sender: Sender;
+  readonly hints: Hints;
+  /** Time in milliseconds after the start. */
+  readonly now: () => number;
+  readonly sleep: (timeMs: number) => Promise<void>;
+}
+
+/**
+ * Gets one request answered: sends it to the owner as far as it is known, and
+ * repeats it at the next daemon while that is safe and there is time.
+ *
+ * @example
+ * const result = await callOnce(tools, options, request);
+ */
+export async function callOnce(
+  tools: CallerTools,
+  options: CallerOptions,
+  request: PlannedRequest,
+): Promise<Result> {
+  const startedMs = tools.now();
+  const endMs = startedMs + options.deadlineMs;
+  for (let count = 1; ; count++) {
+    const target = chooseTarget(tools.hints, options.targets, request, count);
+    const leftMs = endMs - tools.now();
+    const attempt = await tools.sender.send(request, target, leftMs);
+    learn(tools.hints, request, attempt);
+    const pauseMs = attempt.retryAfterMs ?? REPEAT_PAUSE_MS;
+    const isLast = count === options.attempts || tools.now() + pauseMs >= endMs;
+    if (isLast || !mayRepeat(request, attempt.verdict)) {
+      const {verdict, status, reason} = attempt;
+      const endedMs = tools.now();
+      return {
+        request,
+        verdict,
+        status,
+        reason,
+        attempts: count,
+        target,
+        startedMs,
+        endedMs,
+      };
+    }
+    await tools.sleep(pauseMs);
+  }
+}
+
+function chooseTarget(
+  hints: Hints,
+  targets: readonly Address[],
+  {key, entry}: PlannedRequest,
+  count: number,
+): Address {
+  const hint = key === undefined ? undefined : hints.find(key);
+  if (hint) return hint;
+  const first = Math.floor(entry * targets.length);
+  return targets[(first + count - 1) % targets.length];
+}
+
+function learn(hints: Hints, {key}: PlannedRequest, attempt: Attempt): void {
+  if (key === undefined) return;
+  if (attempt.owner) hints.learn(key, attempt.owner);
+  else if (attempt.verdict !== 'ok') hints.forget(key);
+}
