Add ownership decisions and the peer protocol

A slice has a chain of terms; a term begins when every earlier term of another lease has ended, by release or by proof that the lease can't be renewed. One rule serves moves, drains and losses.

--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,1 @@
+export * from './choose.js';
--- a/src/model/chart.ts
+++ b/src/model/chart.ts
@@ -1,3 +1,4 @@
+import {readFileSync} from 'node:fs';
 import {createMachine, getInitialSnapshot, getNextSnapshot} from 'xstate';
 
 /** A state chart as written in its JSON file: flat states with transitions. */
@@ -51,6 +52,16 @@
   };
 }
 
+/**
+ * Reads and interprets a chart file that lies beside a module.
+ *
+ * @example
+ * const chart = readChart(new URL('./charts/term.json', import.meta.url));
+ */
+export function readChart(url: URL): Chart {
+  return loadChart(JSON.parse(readFileSync(url, 'utf8')) as ChartFile);
+}
+
 function checkTargets(file: ChartFile): void {
   for (const [name, state] of Object.entries(file.states)) {
     for (const target of Object.values(state.on ?? {})) {
--- a/src/model/member.ts
+++ b/src/model/member.ts
@@ -16,6 +16,8 @@
 /** One process that promises to observe the renewals of a lease. */
 export interface Witness {
   readonly instance: string;
+  /** Generation of the witness when it was chosen. */
+  readonly generation: number;
   /** Random identifier of the start of the witness's process. */
   readonly process: string;
   readonly address: Address;
@@ -42,6 +44,8 @@
   /** Random identifier of the start of the daemon's process. */
   readonly process: string;
   readonly state: MemberState;
+  /** Set with `ended` when the process itself is known to have ended. */
+  readonly processEnded?: boolean;
   readonly service: string;
   readonly site: string;
   readonly region: string;
@@ -54,8 +58,6 @@
   /** Connections that the upstream accepts. */
   readonly connections: number;
   readonly witnesses: WitnessSet;
-  /** The set being replaced, until a majority of it has noted the new one. */
-  readonly previousWitnesses?: WitnessSet;
 }
 
 /**
--- /dev/null
+++ b/src/ownership/renewal.ts
@@ -0,0 +1,233 @@
+import {chooseWitnesses} from '../membership/index.js';
+import {leaseOf} from '../model/index.js';
+import type {Member, Witness, WitnessSet} from '../model/index.js';
+import {leaseValid, stepHolder} from './holder.js';
+import type {Holder, HolderEvent} from './holder.js';
+import {holderMs} from './settings.js';
+import type {Effect, State, Step} from './state.js';
+import {unchanged} from './state.js';
+import {leaseEnded} from './view.js';
+
+/** Time between reviews of the witness set, in milliseconds. */
+export const REVIEW_MS = 500;
+
+/** Time without an answer after which a witness is replaced, in milliseconds. */
+export const WITNESS_SILENCE_MS = 1_500;
+
+/** Time out of force after which a lease is given up for a new one, in milliseconds. */
+export const REACQUIRE_MS = 1_000;
+
+/** Time between attempts to register, in milliseconds. */
+export const REGISTER_RETRY_MS = 300;
+
+/** Applies an event to the holder of the state's lease. */
+export function withHolder(state: State, event: HolderEvent): State {
+  const holder = stepHolder(state.holder, event, state.settings);
+  return holder === state.holder ? state : {...state, holder};
+}
+
+/** Registers the instance under its next generation when it has no lease. */
+export function register(state: State, now: number): Step {
+  const {holder, upstream} = state;
+  if (holder.state !== 'unregistered' || !upstream || state.draining) {
+    return unchanged(state);
+  }
+  const due = now - state.registeredAt >= REGISTER_RETRY_MS;
+  if (!due || !state.platformReachable) return unchanged(state);
+  const member = nextRecord(state, upstream.service);
+  const lease = leaseOf(member);
+  const registered = withHolder(state, {kind: 'register', lease});
+  return {
+    state: {...registered, registeredAt: now, attempts: state.attempts + 1},
+    effects: [{kind: 'store', member}],
+  };
+}
+
+/** Advances the lease with time and sends the renewals that are due. */
+export function renewLease(state: State, now: number): Step {
+  const ticked = withHolder(state, {kind: 'tick', now});
+  const {holder} = ticked;
+  const active = holder.state === 'acquiring' || holder.state === 'valid';
+  if (!active) return settleEnding(ticked, now);
+  if (leaseEnded(ticked.view, holder.lease)) return endLease(ticked, now);
+  if (isHopeless(ticked, now)) return endLease(ticked, now);
+  if (now - ticked.renewedAt < ticked.settings.renewMs) {
+    return unchanged(ticked);
+  }
+  const witnesses = askedWitnesses(holder);
+  const {lease} = holder;
+  const effects = witnesses.map((witness): Effect => ({
+    kind: 'send',
+    to: witness.address,
+    message: {kind: 'renew', lease, sentAt: now},
+  }));
+  const noted = [...effects, ...supersedeEffects(holder)];
+  return {state: {...ticked, renewedAt: now}, effects: noted};
+}
+
+/** Replaces the witness set when a witness is gone or a better one exists. */
+export function replaceWitnesses(state: State, now: number): Step {
+  const {holder} = state;
+  if (holder.replacement === 'preparing') return proposeSet(state, now);
+  const due = now - state.reviewedAt >= REVIEW_MS;
+  if (!due || !leaseValid(holder, now)) return unchanged(state);
+  const reviewed = {...state, reviewedAt: now, attempts: 0};
+  if (holder.replacement === 'recording') {
+    return {state: reviewed, effects: storeNext(reviewed)};
+  }
+  if (holder.replacement !== 'stable') return unchanged(reviewed);
+  const candidate = betterSet(reviewed, now);
+  if (!candidate) return unchanged(reviewed);
+  return unchanged(withHolder(reviewed, {kind: 'prepare', candidate}));
+}
+
+/** Ends the lease of this daemon; a new one is registered once it is safe. */
+export function endLease(state: State, now: number): Step {
+  const lease = state.holder.lease;
+  const ended = withHolder(state, {kind: 'ended'});
+  const step = settleEnding(ended, now);
+  return {
+    state: step.state,
+    effects: [{kind: 'leaseEnded', lease}, ...step.effects],
+  };
+}
+
+/** Builds the record of the state's own registration with changed fields. */
+export function ownRecord(
+  state: State,
+  change: Partial<Member>,
+): Member | undefined {
+  const {record} = state;
+  return record ? {...record, ...change} : undefined;
+}
+
+function settleEnding(state: State, now: number): Step {
+  if (state.holder.state !== 'ending') return unchanged(state);
+  if (state.grant.latestUntil > now) return unchanged(state);
+  return unchanged(withHolder(state, {kind: 'settled'}));
+}
+
+function nextRecord(state: State, service: string): Member {
+  const {self, upstream, view} = state;
+  const known = view.members.get(self.instance);
+  const generation =
+    Math.max(known?.generation ?? 0, state.holder.lease.generation) + 1;
+  const witnesses = chooseWitnesses(
+    self,
+    liveMembers(state),
+    state.settings.witnesses,
+  );
+  return {
+    ...self,
+    generation,
+    state: 'serving',
+    service,
+    slots: upstream?.slots ?? 0,
+    connections: upstream?.connections ?? 0,
+    witnesses: {number: 1, witnesses},
+  };
+}
+
+function liveMembers(state: State): readonly Member[] {
+  return [...state.view.members.values()].filter(
+    member => !leaseEnded(state.view, leaseOf(member)),
+  );
+}
+
+function isHopeless(state: State, now: number): boolean {
+  const {holder} = state;
+  if (holder.state !== 'acquiring' || !state.platformReachable) return false;
+  const backoff = 2 ** Math.min(state.attempts, 4);
+  const lastInForce = Math.max(holder.since, holder.until);
+  return now - lastInForce > REACQUIRE_MS * backoff;
+}
+
+function askedWitnesses(holder: Holder): readonly Witness[] {
+  const sets = [holder.current, holder.candidate, holder.next];
+  const byProcess = new Map<string, Witness>();
+  for (const set of sets) {
+    for (const witness of set?.witnesses ?? []) {
+      byProcess.set(witness.process, witness);
+    }
+  }
+  return [...byProcess.values()];
+}
+
+function supersedeEffects(holder: Holder): readonly Effect[] {
+  const {next, lease} = holder;
+  if (holder.replacement !== 'noting' || !next) return [];
+  return holder.current.witnesses
+    .filter(witness => !holder.noted.has(witness.process))
+    .map(witness => ({
+      kind: 'send',
+      to: witness.address,
+      message: {kind: 'supersede', lease, next},
+    }));
+}
+
+function proposeSet(state: State, now: number): Step {
+  const proposed = withHolder(state, {kind: 'propose', now});
+  if (proposed.holder.replacement === 'recording') {
+    return {
+      state: {...proposed, reviewedAt: now},
+      effects: storeNext(proposed),
+    };
+  }
+  const waited = now - state.reviewedAt;
+  if (waited < 2 * REVIEW_MS) return unchanged(proposed);
+  return unchanged(withHolder(proposed, {kind: 'unrecorded'}));
+}
+
+function storeNext(state: State): readonly Effect[] {
+  const member = ownRecord(state, {witnesses: state.holder.next});
+  return member ? [{kind: 'store', member}] : [];
+}
+
+function betterSet(state: State, now: number): WitnessSet | undefined {
+  const {holder, self, settings} = state;
+  if (!state.platformReachable) return undefined;
+  const lost = new Set(
+    holder.current.witnesses
+      .filter(witness => isLost(state, witness, now))
+      .map(witness => witness.instance),
+  );
+  const candidates = liveMembers(state).filter(
+    member => !isSilentProcess(lost, holder, member),
+  );
+  const chosen = chooseWitnesses(self, candidates, settings.witnesses);
+  const worthwhile =
+    lost.size > 0 || chosen.length > holder.current.witnesses.length;
+  if (!worthwhile || sameWitnesses(chosen, holder.current.witnesses)) {
+    return undefined;
+  }
+  if (chosen.length === 0) return undefined;
+  return {number: holder.current.number + 1, witnesses: chosen};
+}
+
+function isLost(state: State, witness: Witness, now: number): boolean {
+  const answer = state.holder.answers.get(witness.process);
+  if (answer?.refused) return true;
+  const member = state.view.members.get(witness.instance);
+  if (member && member.process !== witness.process) return true;
+  if (member && member.state !== 'serving') return true;
+  const since = Math.max(answer?.renewedAt ?? 0, state.holder.since);
+  return now - since > holderMs(state.settings) + WITNESS_SILENCE_MS;
+}
+
+function isSilentProcess(
+  lost: ReadonlySet<string>,
+  holder: Holder,
+  member: Member,
+): boolean {
+  if (!lost.has(member.instance)) return false;
+  return holder.current.witnesses.some(
+    witness => witness.process === member.process,
+  );
+}
+
+function sameWitnesses(a: readonly Witness[], b: readonly Witness[]): boolean {
+  const processes = new Set(b.map(witness => witness.process));
+  return (
+    a.length === b.length && a.every(witness => processes.has(witness.process))
+  );
+}
--- /dev/null
+++ b/src/ownership/takeover.ts
@@ -0,0 +1,190 @@
+import {formatLease} from '../model/index.js';
+import type {LeaseId, Member, WitnessSet} from '../model/index.js';
+import {hasMajority} from './holder.js';
+import type {SealAnswer} from './messages.js';
+
+/** The collection of proof that one lease has ended. */
+export interface Takeover {
+  readonly lease: LeaseId;
+  readonly startedAt: number;
+  /** Processes of witnesses whose promises have lapsed. */
+  readonly lapsed: ReadonlySet<string>;
+  /** Processes of witnesses that have sealed the lease. */
+  readonly sealed: ReadonlySet<string>;
+  /** A newer witness set than the recorded one, told by a witness. */
+  readonly newer?: WitnessSet;
+  readonly askedAt: number;
+  /** When a fresh read of the registration record was last asked for. */
+  readonly readAt: number;
+  /** Processes of witnesses that had ended when the read was asked for. */
+  readonly gone: ReadonlySet<string>;
+}
+
+/** Running takeovers, by lease. */
+export type Takeovers = ReadonlyMap<string, Takeover>;
+
+/** What a takeover asks for next. */
+export type TakeoverAction = 'seal' | 'read' | 'none';
+
+/** Time between two requests to seal the same lease, in milliseconds. */
+export const SEAL_REPEAT_MS = 100;
+
+/** Time after which a fresh read of the record is worth a call, in milliseconds. */
+export const READ_AFTER_MS = 250;
+
+/** Time after which a takeover without result is forgotten, in milliseconds. */
+export const TAKEOVER_LIMIT_MS = 10_000;
+
+/** Starts a takeover unless it is running. */
+export function startTakeover(
+  takeovers: Takeovers,
+  lease: LeaseId,
+  now: number,
+): Takeovers {
+  const key = formatLease(lease);
+  if (takeovers.has(key)) return takeovers;
+  const started = {
+    lease,
+    startedAt: now,
+    lapsed: new Set<string>(),
+    sealed: new Set<string>(),
+    askedAt: -Infinity,
+    readAt: -Infinity,
+    gone: new Set<string>(),
+  };
+  return new Map(takeovers).set(key, started);
+}
+
+/** Notes that the promise of a witness has lapsed. */
+export function noteLapse(
+  takeovers: Takeovers,
+  lease: LeaseId,
+  process: string,
+  now: number,
+): Takeovers {
+  const started = startTakeover(takeovers, lease, now);
+  return change(started, lease, takeover => ({
+    ...takeover,
+    lapsed: new Set(takeover.lapsed).add(process),
+  }));
+}
+
+/** Notes the answer of a witness to a request to seal. */
+export function noteSealAnswer(
+  takeovers: Takeovers,
+  answer: SealAnswer,
+  process: string,
+): Takeovers {
+  return change(takeovers, answer.lease, takeover => {
+    const {newer} = answer;
+    if (newer && newer.number > (takeover.newer?.number ?? 0)) {
+      return {...takeover, newer, askedAt: -Infinity};
+    }
+    if (!answer.sealed) return takeover;
+    return {...takeover, sealed: new Set(takeover.sealed).add(process)};
+  });
+}
+
+/** Returns the newest witness set that is known for the lease of a takeover. */
+export function witnessesOf(
+  takeover: Takeover,
+  member: Member | undefined,
+): WitnessSet | undefined {
+  const recorded =
+    member?.generation === takeover.lease.generation
+      ? member.witnesses
+      : undefined;
+  const {newer} = takeover;
+  if (!recorded) return newer;
+  return newer && newer.number > recorded.number ? newer : recorded;
+}
+
+/** Tells whether the seals alone prove that the lease has ended. */
+export function provedBySeals(
+  takeover: Takeover,
+  member: Member | undefined,
+): boolean {
+  const set = witnessesOf(takeover, member);
+  if (!set || set.witnesses.length === 0) return false;
+  return hasMajority(set, witness => takeover.sealed.has(witness.process));
+}
+
+/**
+ * Tells whether a fresh read of the record, together with the seals and the
+ * witnesses that had ended before the read, proves that the lease has ended.
+ * A witness that ended may have noted a newer set, which only the record tells.
+ */
+export function provedByRecord(takeover: Takeover, fresh: Member): boolean {
+  const {lease} = takeover;
+  if (fresh.generation > lease.generation) return true;
+  if (fresh.generation < lease.generation) return false;
+  if (fresh.state === 'ended') return true;
+  const set = witnessesOf(takeover, fresh);
+  if (!set || set.witnesses.length === 0) return false;
+  return hasMajority(
+    set,
+    ({process}) => takeover.sealed.has(process) || takeover.gone.has(process),
+  );
+}
+
+/** Returns what a takeover asks for now. */
+export function nextAction(
+  takeover: Takeover,
+  set: WitnessSet | undefined,
+  now: number,
+): TakeoverAction {
+  const waited = now - takeover.startedAt >= READ_AFTER_MS;
+  if (waited && now - takeover.readAt >= 4 * READ_AFTER_MS) return 'read';
+  if (now - takeover.askedAt < SEAL_REPEAT_MS) return 'none';
+  if (!set) return 'none';
+  const lapsed = hasMajority(set, witness =>
+    takeover.lapsed.has(witness.process),
+  );
+  return lapsed || waited ? 'seal' : 'none';
+}
+
+/** Marks that the witnesses were asked to seal. */
+export function noteAsked(
+  takeovers: Takeovers,
+  lease: LeaseId,
+  now: number,
+): Takeovers {
+  return change(takeovers, lease, takeover => ({...takeover, askedAt: now}));
+}
+
+/** Marks that a fresh read was asked for, and which witnesses had ended then. */
+export function noteRead(
+  takeovers: Takeovers,
+  lease: LeaseId,
+  gone: ReadonlySet<string>,
+  now: number,
+): Takeovers {
+  return change(takeovers, lease, takeover => ({
+    ...takeover,
+    readAt: now,
+    gone,
+  }));
+}
+
+/** Forgets a takeover. */
+export function endTakeover(takeovers: Takeovers, lease: LeaseId): Takeovers {
+  const key = formatLease(lease);
+  if (!takeovers.has(key)) return takeovers;
+  const rest = new Map(takeovers);
+  rest.delete(key);
+  return rest;
+}
+
+function change(
+  takeovers: Takeovers,
+  lease: LeaseId,
+  next: (takeover: Takeover) => Takeover,
+): Takeovers {
+  const key = formatLease(lease);
+  const takeover = takeovers.get(key);
+  if (!takeover) return takeovers;
+  const changed = next(takeover);
+  return changed === takeover
+    ? takeovers
+    : new Map(takeovers).set(key, changed);
+}
--- /dev/null
+++ b/src/ownership/tenure.ts
@@ -0,0 +1,414 @@
+import {chooseStewards} from '../membership/index.js';
+import {
+  formatLease,
+  formatSlice,
+  leaseOf,
+  readChart,
+  sameLease,
+} from '../model/index.js';
+import type {Address, SliceRecord, Term} from '../model/index.js';
+import {grantKey, prepareGrant} from './grant.js';
+import {leaseValid} from './holder.js';
+import type {SliceEpoch} from './messages.js';
+import type {Effect, Holding, State, Step} from './state.js';
+import {unchanged} from './state.js';
+import {leaseEnded, termEnded, withBegan, withReleased} from './view.js';
+
+const TERM = readChart(new URL('./charts/term.json', import.meta.url));
+
+/** Time between two notices of the same release, in milliseconds. */
+export const RELEASE_REPEAT_MS = 250;
+
+/** Stewards of a chunk that are told of releases. */
+const RELEASE_STEWARDS = 2;
+
+/** Tells whether this daemon may serve any slice now. */
+export function mayServe(state: State, now: number): boolean {
+  return state.upstream?.healthy === true && leaseValid(state.holder, now);
+}
+
+/** Applies the term rules to every slice in which this daemon has a part. */
+export function reviewTerms(
+  state: State,
+  now: number,
+  busy: ReadonlySet<string>,
+): Step {
+  const began: SliceEpoch[] = [];
+  const released: SliceEpoch[] = [];
+  const holdings = new Map<string, Holding>();
+  for (const [id, {record}] of state.own) {
+    const before = state.holdings.get(id) ?? newHolding(id, record);
+    const after = reviewTerm(state, record, before, now, busy.has(id));
+    holdings.set(id, after);
+    if (hasBegun(before, after)) began.push(entryOf(after, after.epoch));
+    if (after.releasedUpTo > before.releasedUpTo) {
+      released.push(entryOf(after, after.releasedUpTo));
+    }
+  }
+  const next = {...state, holdings};
+  return announce(next, began, released, now);
+}
+
+/** Sends a new grant when its entries changed or a renewal is due. */
+export function renewGrant(state: State, now: number): Step {
+  const {upstream, grant} = state;
+  if (!upstream || upstream.fencing === 'ignored') return unchanged(state);
+  if (grant.waiting) return unchanged(state);
+  const entries = mayServe(state, now) ? grantEntries(state) : [];
+  const changed =
+    entries.length !== grant.sent.size ||
+    entries.some(entry => !grant.sent.has(grantKey(entry)));
+  const due = now - grant.sentAt >= state.settings.renewMs;
+  const needed = changed || entries.length > 0 || !grant.reading;
+  if (!(changed && grant.reading) && !(due && needed)) return unchanged(state);
+  const until = Math.min(state.holder.until, now + state.settings.durationMs);
+  const {driftShare} = state.settings;
+  const prepared = prepareGrant(grant, entries, until, driftShare, now);
+  return {
+    state: {...state, grant: prepared.grant},
+    effects: [{kind: 'grant', request: prepared.request}],
+  };
+}
+
+/** Repeats the releases that the records still wait for. */
+export function repeatReleases(state: State, now: number): Step {
+  const due = [...state.holdings].filter(
+    ([id, holding]) =>
+      now - holding.toldAt >= RELEASE_REPEAT_MS &&
+      isAwaited(state, id, holding),
+  );
+  if (due.length === 0) return unchanged(state);
+  const holdings = new Map(state.holdings);
+  for (const [id, holding] of due) holdings.set(id, {...holding, toldAt: now});
+  const entries = due.map(([, holding]) =>
+    entryOf(holding, holding.releasedUpTo),
+  );
+  return {
+    state: {...state, holdings},
+    effects: releaseEffects(state, entries),
+  };
+}
+
+/** Tells whether this daemon serves a slice under an epoch, as of now. */
+export function holdsTerm(
+  state: State,
+  service: string,
+  slice: number,
+  epoch: number,
+  now: number,
+): boolean {
+  const holding = state.holdings.get(formatSlice({service, slice}));
+  if (!holding || holding.epoch !== epoch) return false;
+  const active = holding.state === 'serving' || holding.state === 'draining';
+  if (!active || !mayServe(state, now)) return false;
+  return (
+    state.upstream?.fencing === 'ignored' || now < state.grant.confirmedUntil
+  );
+}
+
+function reviewTerm(
+  state: State,
+  record: SliceRecord,
+  holding: Holding,
+  now: number,
+  busy: boolean,
+): Holding {
+  switch (holding.state) {
+    case 'granting':
+    case 'serving':
+      return reviewActive(state, record, holding, now, busy);
+    case 'draining':
+      return reviewDraining(state, holding, now, busy);
+    default:
+      return reviewStanding(state, record, holding, now);
+  }
+}
+
+function reviewActive(
+  state: State,
+  record: SliceRecord,
+  holding: Holding,
+  now: number,
+  busy: boolean,
+): Holding {
+  const releaseTo = releaseTarget(state, record, holding);
+  if (releaseTo > 0) {
+    const draining = move({...holding, releaseTo}, 'RELEASE');
+    return reviewDraining(state, draining, now, busy);
+  }
+  if (holding.state === 'granting' && isGranted(state, holding)) {
+    return move(holding, 'GRANTED');
+  }
+  return holding;
+}
+
+/**
+ * Returns the epoch up to which an active term is to be released, or 0. A term
+ * is released when the record wants another instance, or when this daemon is
+ * leaving and another live instance stands behind it.
+ */
+function releaseTarget(
+  state: State,
+  record: SliceRecord,
+  holding: Holding,
+): number {
+  const {service, slice} = holding;
+  const live = record.terms.filter(
+    term => !termEnded(state.view, service, slice, term),
+  );
+  const wanted = live.find(term => term.epoch >= record.wantedFrom);
+  const isWanted = !wanted || sameLease(wanted.lease, state.holder.lease);
+  if (!isWanted && holding.epoch < record.wantedFrom) {
+    return record.wantedFrom - 1;
+  }
+  const leaving = state.draining || state.upstream?.healthy !== true;
+  const hasSuccessor = live.some(
+    term => !sameLease(term.lease, state.holder.lease),
+  );
+  return leaving && hasSuccessor ? lastOwnEpoch(state, record) : 0;
+}
+
+/**
+ * Releases a draining term once its requests have finished and the upstream has
+ * confirmed a grant without it, or once every grant has lapsed.
+ */
+function reviewDraining(
+  state: State,
+  holding: Holding,
+  now: number,
+  busy: boolean,
+): Holding {
+  const noted = holding.busy === busy ? holding : {...holding, busy};
+  const fenced = state.upstream?.fencing === 'enforced';
+  const {grant} = state;
+  const key = grantKey(holding);
+  const withdrawn = !grant.sent.has(key) && !grant.confirmed.has(key);
+  const lapsed = fenced && now > grant.latestUntil;
+  const finished = !busy && (!fenced || withdrawn);
+  if (!lapsed && !finished) return noted;
+  const released = move(noted, 'IDLE');
+  return {...released, releasedUpTo: holding.releaseTo, toldAt: now};
+}
+
+function reviewStanding(
+  state: State,
+  record: SliceRecord,
+  holding: Holding,
+  now: number,
+): Holding {
+  const retired = releaseUnwanted(state, record, holding, now);
+  const term = state.draining
+    ? undefined
+    : termToBegin(state, record, retired.releasedUpTo);
+  if (!term || !mayServe(state, now)) return retired;
+  const standing = move(retired, 'STAND');
+  const begun = move({...standing, epoch: term.epoch}, 'BEGIN');
+  return isGranted(state, begun) ? move(begun, 'GRANTED') : begun;
+}
+
+function releaseUnwanted(
+  state: State,
+  record: SliceRecord,
+  holding: Holding,
+  now: number,
+): Holding {
+  const target = state.draining
+    ? lastOwnEpoch(state, record)
+    : lastUnwantedEpoch(state, record);
+  if (target <= holding.releasedUpTo) return holding;
+  return {...holding, releasedUpTo: target, toldAt: now};
+}
+
+/**
+ * Returns the first own term that may begin: it is not released, and every
+ * earlier term of another lease has ended.
+ */
+function termToBegin(
+  state: State,
+  record: SliceRecord,
+  releasedUpTo: number,
+): Term | undefined {
+  const {slice, service} = sliceOf(state, record);
+  for (const term of record.terms) {
+    if (sameLease(term.lease, state.holder.lease)) {
+      if (term.epoch > releasedUpTo) return term;
+    } else if (!termEnded(state.view, service, slice, term)) {
+      return undefined;
+    }
+  }
+  return undefined;
+}
+
+function lastUnwantedEpoch(state: State, record: SliceRecord): number {
+  const unwanted = record.terms.filter(
+    term =>
+      sameLease(term.lease, state.holder.lease) &&
+      term.epoch < record.wantedFrom,
+  );
+  return unwanted.at(-1)?.epoch ?? 0;
+}
+
+function lastOwnEpoch(state: State, record: SliceRecord): number {
+  const own = record.terms.filter(term =>
+    sameLease(term.lease, state.holder.lease),
+  );
+  return own.at(-1)?.epoch ?? 0;
+}
+
+function isGranted(state: State, holding: Holding): boolean {
+  if (state.upstream?.fencing !== 'enforced') return true;
+  return state.grant.confirmed.has(grantKey(holding));
+}
+
+function grantEntries(state: State): readonly SliceEpoch[] {
+  return [...state.holdings.values()]
+    .filter(holding => isGrantable(holding))
+    .map(holding => entryOf(holding, holding.epoch));
+}
+
+function isGrantable(holding: Holding): boolean {
+  if (holding.state === 'draining') return holding.busy;
+  return holding.state === 'granting' || holding.state === 'serving';
+}
+
+function hasBegun(before: Holding, after: Holding): boolean {
+  return before.state !== 'serving' && after.state === 'serving';
+}
+
+function announce(
+  state: State,
+  began: readonly SliceEpoch[],
+  released: readonly SliceEpoch[],
+  now: number,
+): Step {
+  const {lease} = state.holder;
+  const effects: Effect[] = [];
+  let {view} = state;
+  if (began.length > 0) {
+    const ended = endedPredecessors(state, began);
+    const message = {kind: 'began', lease, slices: began, ended} as const;
+    view = withBegan(view, message);
+    effects.push({kind: 'broadcast', message}, {kind: 'began', slices: began});
+  }
+  if (released.length > 0) {
+    view = withReleased(view, {kind: 'released', lease, slices: released});
+    effects.push(...releaseEffects(state, released));
+    effects.push({kind: 'released', slices: released});
+  }
+  return renewGrant({...state, view}, now).effects.length > 0
+    ? withGrant({...state, view}, effects, now)
+    : {state: {...state, view}, effects};
+}
+
+function withGrant(
+  state: State,
+  effects: readonly Effect[],
+  now: number,
+): Step {
+  const step = renewGrant(state, now);
+  return {state: step.state, effects: [...effects, ...step.effects]};
+}
+
+function endedPredecessors(
+  state: State,
+  began: readonly SliceEpoch[],
+): Extract<Effect, {kind: 'markEnded'}>['lease'][] {
+  const ended = new Map<string, Term['lease']>();
+  for (const entry of began) {
+    const part = state.own.get(formatSlice(entry));
+    for (const {lease} of part?.record.terms ?? []) {
+      if (leaseEnded(state.view, lease)) ended.set(formatLease(lease), lease);
+    }
+  }
+  return [...ended.values()];
+}
+
+/** Sends releases to the other instances of the chains and to the stewards. */
+function releaseEffects(
+  state: State,
+  entries: readonly SliceEpoch[],
+): readonly Effect[] {
+  const byTarget = new Map<string, SliceEpoch[]>();
+  for (const entry of entries) {
+    for (const target of releaseTargets(state, entry)) {
+      const list = byTarget.get(target) ?? [];
+      list.push(entry);
+      byTarget.set(target, list);
+    }
+  }
+  const {lease} = state.holder;
+  const effects: Effect[] = [];
+  for (const [instance, slices] of byTarget) {
+    const to = peersOf(state, instance);
+    const message = {kind: 'released', lease, slices} as const;
+    if (to) effects.push({kind: 'send', to, message});
+  }
+  return effects;
+}
+
+function releaseTargets(state: State, entry: SliceEpoch): ReadonlySet<string> {
+  const id = formatSlice(entry);
+  const part = state.own.get(id);
+  const instances = (part?.record.terms ?? []).map(term => term.lease.instance);
+  const subject = chunkSubject(entry.service, part?.chunk ?? 0);
+  const live = [...state.view.members.values()].filter(
+    member => !leaseEnded(state.view, leaseOf(member)),
+  );
+  const stewards = chooseStewards(subject, live, RELEASE_STEWARDS);
+  const all = new Set([...instances, ...stewards.map(s => s.instance)]);
+  all.delete(state.self.instance);
+  return all;
+}
+
+/**
+ * Names a chunk as a subject of rendezvous hashing.
+ *
+ * @example
+ * chunkSubject('rota-display', 3); // 'chunk rota-display/3'
+ */
+export function chunkSubject(service: string, index: number): string {
+  return `chunk ${service}/${index}`;
+}
+
+function peersOf(state: State, instance: string): Address | undefined {
+  return state.view.members.get(instance)?.peers;
+}
+
+function isAwaited(state: State, id: string, holding: Holding): boolean {
+  if (holding.releasedUpTo === 0) return false;
+  const terms = state.own.get(id)?.record.terms ?? [];
+  return terms.some(
+    term =>
+      sameLease(term.lease, state.holder.lease) &&
+      term.epoch <= holding.releasedUpTo,
+  );
+}
+
+function sliceOf(
+  state: State,
+  record: SliceRecord,
+): {readonly service: string; readonly slice: number} {
+  return {service: state.upstream?.service ?? '', slice: record.slice};
+}
+
+function newHolding(id: string, record: SliceRecord): Holding {
+  const service = id.slice(0, id.lastIndexOf('/'));
+  return {
+    service,
+    slice: record.slice,
+    epoch: 0,
+    state: TERM.initial,
+    releasedUpTo: 0,
+    releaseTo: 0,
+    busy: false,
+    toldAt: 0,
+  };
+}
+
+function entryOf(holding: Holding, epoch: number): SliceEpoch {
+  return {service: holding.service, slice: holding.slice, epoch};
+}
+
+function move(holding: Holding, event: string): Holding {
+  return {...holding, state: TERM.next(holding.state, event)};
+}
