--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,1 +1,2 @@
 export * from './choose.js';
+export * from './mirror.js';
