Load daemon settings with every finding at its place

Cause: a daemon learns its addresses, domain and lease timing from a file, and an operator should see all its faults at once. Ruled out: JSON.parse with zod alone, which loses the place of a value and stops at the first fault of syntax; stopping at the first finding. Before: no settings.

--- /dev/null
+++ b/src/settings/fields.ts
@@ -0,0 +1,76 @@
+import {isIP} from 'node:net';
+import {z} from 'zod';
+import type {Address} from '../model/index.js';
+
+/** Highest TCP or UDP port. */
+const PORT_MAX = 65_535;
+
+const ADDRESS_TEXT = /^(?:\[(?<v6>[^\]]+)\]|(?<v4>[^:\]]+)):(?<port>\d{1,5})$/;
+
+const ADDRESS_HELP =
+  'expected "host:port" with an IP number, such as "127.0.0.1:8080"';
+
+/**
+ * Reads an address from `host:port` or `[host]:port`; undefined when the host
+ * is not an IP number or the port is not from 1 to 65535.
+ *
+ * @example
+ * parseAddress('[::1]:80'); // {host: '::1', port: 80}
+ */
+export function parseAddress(text: string): Address | undefined {
+  const parts = ADDRESS_TEXT.exec(text)?.groups;
+  if (!parts) return undefined;
+  const host = parts.v6 ?? parts.v4;
+  const port = Number(parts.port);
+  const known = isIP(host) === (parts.v6 === undefined ? 4 : 6);
+  return known && port >= 1 && port <= PORT_MAX ? {host, port} : undefined;
+}
+
+const addressText = z.string().transform((text, context): Address => {
+  const address = parseAddress(text);
+  if (address) return address;
+  context.addIssue({code: 'custom', message: ADDRESS_HELP});
+  return z.NEVER;
+});
+
+const addressObject = z.strictObject({
+  host: z.string().refine(host => isIP(host) !== 0, 'expected an IP number'),
+  port: z.int().min(1).max(PORT_MAX),
+});
+
+/** An address by IP number, as `host:port` text or as an object. */
+export const address = z
+  .union([addressText, addressObject])
+  .describe('Address by IP number: "host:port" or {host, port}.');
+
+/** A name of an instance, service, site, region or failure domain. */
+export const name = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9._-]{0,62}$/,
+    'expected a name of lower-case letters, digits, ".", "_" and "-"',
+  );
+
+/** A positive whole number of milliseconds. */
+export const milliseconds = z.int().min(1).max(86_400_000);
+
+/** A share from 0 to 1. */
+export const share = z.number().min(0).max(1);
+
+/** A URL path that begins with a slash. */
+export const path = z
+  .string()
+  .regex(/^\/[^?#\s]*$/, 'expected a path that begins with "/"');
+
+/** A power of two up to a limit. */
+export function powerOfTwo(limit: number) {
+  return z
+    .int()
+    .min(1)
+    .max(limit)
+    .refine(isPowerOfTwo, 'expected a power of two');
+}
+
+function isPowerOfTwo(value: number): boolean {
+  return value > 0 && (value & (value - 1)) === 0;
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,5 @@
+export * from './daemon.js';
+export * from './finding.js';
+export * from './merge.js';
+export * from './suggest.js';
+export * from './tree.js';
--- /dev/null
+++ b/src/settings/merge.ts
@@ -0,0 +1,67 @@
+import {findingAt, type Finding} from './finding.js';
+import {suggest} from './suggest.js';
+import {fieldOf, type Field, type ObjectTree, type Tree} from './tree.js';
+
+/**
+ * Merges an overlay into a base: objects merge by field, null removes a field,
+ * and every other value of the overlay replaces that of the base. The places
+ * of the values are kept.
+ *
+ * @example
+ * mergeOverlay(tree('{"a": {"b": 1, "c": 2}}'), tree('{"a": {"c": null}}'));
+ * // {"a": {"b": 1}}
+ */
+export function mergeOverlay(base: Tree, overlay: Tree): Tree {
+  if (overlay.kind !== 'object') return overlay;
+  const onto = base.kind === 'object' ? base : {...overlay, fields: []};
+  return {...onto, fields: mergeFields(onto, overlay)};
+}
+
+function mergeFields(base: ObjectTree, overlay: ObjectTree): readonly Field[] {
+  const fields = new Map(base.fields.map(field => [field.name, field]));
+  for (const field of overlay.fields) {
+    const below = fields.get(field.name);
+    if (isNull(field.value)) {
+      fields.delete(field.name);
+    } else if (below) {
+      const value = mergeOverlay(below.value, field.value);
+      const place = value.place.file === below.place.file ? below : field;
+      fields.set(field.name, {...place, value});
+    } else {
+      const empty: ObjectTree = {...overlay, fields: []};
+      fields.set(field.name, {
+        ...field,
+        value: mergeOverlay(empty, field.value),
+      });
+    }
+  }
+  return [...fields.values()];
+}
+
+/**
+ * Finds the nulls of an overlay that remove nothing, as a misspelt name would.
+ *
+ * @example
+ * idleRemovals(tree('{"a": 1}'), tree('{"b": null}')).length; // 1
+ */
+export function idleRemovals(base: Tree, overlay: Tree): readonly Finding[] {
+  if (overlay.kind !== 'object') return [];
+  return overlay.fields.flatMap(field => {
+    const below = fieldOf(base, field.name);
+    if (below) return idleRemovals(below.value, field.value);
+    if (!isNull(field.value)) return [];
+    return [idleRemoval(base, field)];
+  });
+}
+
+function idleRemoval(base: Tree, field: Field): Finding {
+  const names = base.kind === 'object' ? base.fields.map(f => f.name) : [];
+  const near = suggest(field.name, names);
+  const message = `null removes "${field.name}", which the base does not have`;
+  const hint = near === undefined ? undefined : `did you mean "${near}"?`;
+  return findingAt(field.place, message, hint);
+}
+
+function isNull(tree: Tree): boolean {
+  return tree.kind === 'scalar' && tree.value === null;
+}
--- /dev/null
+++ b/src/settings/tree.ts
@@ -0,0 +1,204 @@
+import {
+  parseTree,
+  printParseErrorCode,
+  type Node,
+  type ParseError,
+} from 'jsonc-parser';
+import {findingAt, type Finding, type Place} from './finding.js';
+
+/** A named value of an object, with the place of its name. */
+export interface Field {
+  readonly name: string;
+  readonly place: Place;
+  readonly value: Tree;
+}
+
+/** An object of a settings file. */
+export interface ObjectTree {
+  readonly kind: 'object';
+  readonly place: Place;
+  readonly fields: readonly Field[];
+}
+
+/** A list of a settings file. */
+export interface ListTree {
+  readonly kind: 'list';
+  readonly place: Place;
+  readonly items: readonly Tree[];
+}
+
+/** A text, number, truth value or null of a settings file. */
+export interface ScalarTree {
+  readonly kind: 'scalar';
+  readonly place: Place;
+  readonly value: string | number | boolean | null;
+}
+
+/** A parsed value in which every part knows its place in the file. */
+export type Tree = ObjectTree | ListTree | ScalarTree;
+
+/** The result of parsing one file; without a tree there are findings. */
+export interface Parse {
+  readonly tree?: Tree;
+  readonly findings: readonly Finding[];
+}
+
+/** Steps from the root of a tree to one of its values. */
+export type Path = readonly PropertyKey[];
+
+/**
+ * Parses JSON with comments and trailing commas. A file with faults of syntax
+ * has no tree; a field that stands twice in an object is a finding.
+ *
+ * @example
+ * parseText('a.jsonc', '{"site": "brussels"} // one site').findings; // []
+ */
+export function parseText(file: string, text: string): Parse {
+  const locate = locator(file, text);
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, {allowTrailingComma: true});
+  if (errors.length > 0 || !root) {
+    return {findings: errors.map(error => syntaxFinding(error, locate))};
+  }
+  const tree = convert(root, locate);
+  return {tree, findings: repeatedFields(tree)};
+}
+
+/**
+ * Returns the value of a tree without its places.
+ *
+ * @example
+ * plainValue(parseText('a.jsonc', '[1, /* two *\/ 2]').tree!); // [1, 2]
+ */
+export function plainValue(tree: Tree): unknown {
+  switch (tree.kind) {
+    case 'scalar':
+      return tree.value;
+    case 'list':
+      return tree.items.map(plainValue);
+    case 'object':
+      return Object.fromEntries(
+        tree.fields.map(field => [field.name, plainValue(field.value)]),
+      );
+  }
+}
+
+/**
+ * Returns the field of an object by name, if the tree is an object and has it.
+ *
+ * @example
+ * fieldOf(parseText('a.jsonc', '{"a": 1}').tree!, 'a')?.place.column; // 2
+ */
+export function fieldOf(tree: Tree, name: PropertyKey): Field | undefined {
+  if (tree.kind !== 'object') return undefined;
+  return tree.fields.findLast(field => field.name === name);
+}
+
+/**
+ * Returns the place of the value at a path, or of the nearest enclosing value
+ * that exists.
+ *
+ * @example
+ * placeOf(parseText('a.jsonc', '{"a": [1, 2]}').tree!, ['a', 1]).column; // 11
+ */
+export function placeOf(tree: Tree, path: Path): Place {
+  const child = path.length === 0 ? undefined : childOf(tree, path[0]);
+  return child ? placeOf(child, path.slice(1)) : tree.place;
+}
+
+/**
+ * Returns the place of the name of the field at a path.
+ *
+ * @example
+ * namePlaceOf(parseText('a.jsonc', '{"a": 1}').tree!, ['a']).column; // 2
+ */
+export function namePlaceOf(tree: Tree, path: Path): Place {
+  const parent = treeAt(tree, path.slice(0, -1));
+  const field = parent && fieldOf(parent, path[path.length - 1]);
+  return field ? field.place : placeOf(tree, path);
+}
+
+/**
+ * Returns the tree at a path, or undefined where there is none.
+ *
+ * @example
+ * treeAt(parseText('a.jsonc', '{"a": 1}').tree!, ['b']); // undefined
+ */
+export function treeAt(tree: Tree, path: Path): Tree | undefined {
+  if (path.length === 0) return tree;
+  const child = childOf(tree, path[0]);
+  return child && treeAt(child, path.slice(1));
+}
+
+function childOf(tree: Tree, step: PropertyKey): Tree | undefined {
+  if (tree.kind === 'list') return tree.items[Number(step)];
+  return fieldOf(tree, step)?.value;
+}
+
+type Locate = (offset: number) => Place;
+
+function locator(file: string, text: string): Locate {
+  const starts = [0];
+  for (let i = 0; i < text.length; i++) {
+    if (text[i] === '\n') starts.push(i + 1);
+  }
+  return offset => {
+    const next = starts.findIndex(start => start > offset);
+    const line = next < 0 ? starts.length : next;
+    return {file, line, column: offset - starts[line - 1] + 1};
+  };
+}
+
+function convert(node: Node, locate: Locate): Tree {
+  const place = locate(node.offset);
+  const children = node.children ?? [];
+  switch (node.type) {
+    case 'object':
+      return {
+        kind: 'object',
+        place,
+        fields: children.map(child => convertField(child, locate)),
+      };
+    case 'array':
+      return {
+        kind: 'list',
+        place,
+        items: children.map(child => convert(child, locate)),
+      };
+    default:
+      return {kind: 'scalar', place, value: node.value as ScalarTree['value']};
+  }
+}
+
+function convertField(property: Node, locate: Locate): Field {
+  const [name, value] = property.children as Node[];
+  return {
+    name: name.value as string,
+    place: locate(name.offset),
+    value: convert(value, locate),
+  };
+}
+
+function syntaxFinding(error: ParseError, locate: Locate): Finding {
+  const words = printParseErrorCode(error.error)
+    .replaceAll(/([A-Z])/g, ' $1')
+    .trim()
+    .toLowerCase();
+  return findingAt(locate(error.offset), `syntax: ${words}`);
+}
+
+function repeatedFields(tree: Tree): readonly Finding[] {
+  if (tree.kind === 'scalar') return [];
+  if (tree.kind === 'list') return tree.items.flatMap(repeatedFields);
+  const seen = new Set<string>();
+  const findings: Finding[] = [];
+  for (const field of tree.fields) {
+    if (seen.has(field.name)) {
+      const message = `field "${field.name}" stands twice`;
+      findings.push(findingAt(field.place, message));
+    }
+    seen.add(field.name);
+    findings.push(...repeatedFields(field.value));
+  }
+  return findings;
+}
