Route requests to the owner over one hop at most

Cause: the daemon had no request path. Before: nothing listens for callers. After: a caller's request is given to the upstream beside the daemon or forwarded once, signed, to the owner's daemon; every failure says not-run or unknown; only not-run and idempotent requests are sent again. Ruled out: undici's request and stream APIs, which make promises and streams for each answer; the dispatch handler writes straight to the response. Checking the term before handing the request to the pool: the check runs when the connection is about to be written.

--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,110 @@
+import type {Failure} from '../model/index.js';
+import type {
+  Accept,
+  AnswerHead,
+  Call,
+  ExchangeResult,
+} from '../upstream/index.js';
+import {exchange} from '../upstream/index.js';
+import type {Dispatcher} from 'undici';
+import {unknown} from './failure.js';
+import type {Pass} from './pass.js';
+
+/** How one attempt to get an answer ended. */
+export type Attempt =
+  /** The caller has the whole answer. */
+  | {readonly kind: 'answered'; readonly status: number}
+  /** The answer broke off; nothing more can be told to the caller. */
+  | {readonly kind: 'broken'; readonly error: Error}
+  | FailedTry;
+
+/** An attempt that ended without passing anything on. */
+export interface FailedTry {
+  readonly kind: 'failed';
+  readonly failure: Failure;
+  /** Another attempt could end differently. */
+  readonly alternative: boolean;
+  /** Time to wait before the next attempt, in milliseconds. */
+  readonly pauseMs?: number;
+  /** The next attempt is no retry: nothing was sent to another process. */
+  readonly free?: boolean;
+}
+
+/**
+ * Describes a failed attempt after which there is nothing else to try.
+ *
+ * @example
+ * return failed(notRun('no-owner', 'no instance serves the slice'));
+ */
+export function failed(failure: Failure): FailedTry {
+  return {kind: 'failed', failure, alternative: false};
+}
+
+/** Judges an answer that is held back: what it means for the request. */
+export type Judge = (head: AnswerHead) => FailedTry | undefined;
+
+/** What varies between the exchanges with an upstream and with a peer. */
+export interface Manner {
+  /** Called immediately before the request is written; false to give it up. */
+  readonly ready?: () => boolean;
+  /** Holds an answer back by returning what it means. */
+  readonly judge: Judge;
+  /** Name and value of each header to add to an answer that is passed on. */
+  readonly extra: (head: AnswerHead) => readonly string[];
+  /** What it means that the request was certainly not sent. */
+  readonly unsent: (error: Error) => FailedTry;
+  /** Another attempt could end differently after a reset. */
+  readonly resetAlternative: boolean;
+}
+
+/**
+ * Runs one exchange for a pass and describes how it ended.
+ *
+ * @example
+ * const attempt = await runExchange(pass, pool, call, manner);
+ */
+export async function runExchange(
+  pass: Pass,
+  pool: Dispatcher,
+  call: Call,
+  manner: Manner,
+): Promise<Attempt> {
+  let judged: FailedTry | undefined;
+  const accept: Accept = head => {
+    judged = manner.judge(head);
+    if (judged) return undefined;
+    for (const part of manner.extra(head)) head.headers.push(part);
+    return head.headers;
+  };
+  const {response, state} = pass;
+  const running = exchange(pool, call, response, accept, manner.ready);
+  state.giveUp = () => running.abort(new Error('request given up'));
+  const result = await running.result;
+  state.giveUp = undefined;
+  return describe(result, judged, manner);
+}
+
+function describe(
+  result: ExchangeResult,
+  judged: FailedTry | undefined,
+  manner: Manner,
+): Attempt {
+  switch (result.kind) {
+    case 'answered':
+    case 'broken':
+      return result;
+    case 'held':
+      return judged ?? afterReset('the answer was refused', manner);
+    case 'failed':
+      if (!result.sent) return manner.unsent(result.error);
+      return afterReset(result.error.message, manner);
+  }
+}
+
+function afterReset(message: string, manner: Manner): FailedTry {
+  return {
+    kind: 'failed',
+    failure: unknown('upstream-reset', `no whole answer: ${message}`),
+    alternative: manner.resetAlternative,
+  };
+}
--- /dev/null
+++ b/src/gateway/context.ts
@@ -0,0 +1,50 @@
+import type {Address, Configuration, Ownership} from '../model/index.js';
+import type {Log} from '../telemetry/index.js';
+import type {Pools, Upstream} from '../upstream/index.js';
+import type {Admit} from './admission.js';
+import type {ObservedLoads} from './observed.js';
+import type {Signer} from './signature.js';
+import type {Trace} from './trace.js';
+
+/** How other daemons and callers know this daemon. */
+export interface Self {
+  readonly instance: string;
+  /** Random identifier of the start of this process. */
+  readonly process: string;
+  /** Address at which callers reach this daemon. */
+  readonly callers: Address;
+}
+
+/** What the request path asks of the rest of the daemon. */
+export interface GatewayOptions {
+  /** Configuration in force; undefined before the first. */
+  readonly configuration: () => Configuration | undefined;
+  readonly ownership: Ownership;
+  readonly self: Self;
+  readonly admit: Admit;
+  /** Takes one retry out of the budget, or tells that none is left. */
+  readonly retryAllowed: () => boolean;
+  /** The upstream beside this daemon, once it has announced itself. */
+  readonly upstream: () => Upstream | undefined;
+  readonly signer: Signer;
+  /** Monotonic time in milliseconds. */
+  readonly clock: () => number;
+  /** Time in milliseconds since 1970. */
+  readonly wallClock: () => number;
+  /** Random number from 0 (included) to 1 (excluded). */
+  readonly random: () => number;
+  readonly log: Log;
+  readonly trace: Trace;
+  /** Reports that the upstream shed a request and asked to wait. */
+  readonly shed?: (service: string, retryAfterMs: number) => void;
+}
+
+/** Options and shared state of one gateway. */
+export interface Context extends GatewayOptions {
+  readonly upstreamPools: Pools;
+  readonly peerPools: Pools;
+  readonly oldPools: Pools;
+  /** Numbers for request identifiers and hops. */
+  readonly nextNumber: () => number;
+  readonly loads: ObservedLoads;
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,6 @@
+export * from './admission.js';
+export type {GatewayOptions, Self} from './context.js';
+export * from './events.js';
+export * from './gateway.js';
+export * from './signature.js';
+export * from './trace.js';
--- /dev/null
+++ b/src/gateway/local.ts
@@ -0,0 +1,205 @@
+import {formatAddress} from '../model/index.js';
+import type {AnswerHead, Upstream} from '../upstream/index.js';
+import {failed, runExchange, type Attempt, type FailedTry} from './attempt.js';
+import type {Context} from './context.js';
+import {notRun, unknown} from './failure.js';
+import {bodyOf, signalOf, type Pass} from './pass.js';
+import {isSafe} from './retry.js';
+
+/** Header that tells callers the address of the owner's daemon. */
+export const OWNER_HEADER = 'vanillaspool-owner';
+
+/** Header that carries the identifier of a request. */
+export const REQUEST_HEADER = 'vanillaspool-request';
+
+const DEFAULT_SHED_MS = 1000;
+const FENCED_PAUSE_MS = 50;
+const MS_PER_SECOND = 1000;
+
+/**
+ * Sends a request to the upstream beside this daemon, once it is admitted.
+ *
+ * @param epoch Epoch of the term under which this daemon owns the slice; 0 for
+ *     a service without keys.
+ *
+ * @example
+ * const attempt = await sendLocal(context, pass, route.epoch);
+ */
+export async function sendLocal(
+  context: Context,
+  pass: Pass,
+  epoch: number,
+): Promise<Attempt> {
+  const {service, key, deadlineAt, caller, state} = pass;
+  const admitted = await context.admit({
+    service: service.name,
+    priority: service.priority,
+    deadlineAt,
+    caller,
+    key,
+    get signal() {
+      return signalOf(state);
+    },
+  });
+  if (admitted.kind === 'refused') {
+    const {reason, retryAfterMs} = admitted;
+    return refused(pass, notRun(reason, 'no slot is free', retryAfterMs));
+  }
+  try {
+    return await sendAdmitted(context, pass, epoch);
+  } finally {
+    admitted.release();
+  }
+}
+
+function refused(pass: Pass, failure: FailedTry['failure']): FailedTry {
+  const alternative = pass.key === undefined && !pass.hop;
+  return {kind: 'failed', failure, alternative};
+}
+
+async function sendAdmitted(
+  context: Context,
+  pass: Pass,
+  epoch: number,
+): Promise<Attempt> {
+  const {service, slice, state} = pass;
+  if (state.stopped) return failed(state.stopped);
+  const upstream = context.upstream();
+  if (!upstream || upstream.service !== service.name) {
+    return refused(pass, notRun('upstream-refused', 'no upstream is ready'));
+  }
+  if (slice < 0) return sendTo(context, pass, upstream, epoch);
+  const leave = context.ownership.enter(service.name, slice);
+  try {
+    return await sendTo(context, pass, upstream, epoch);
+  } finally {
+    leave();
+  }
+}
+
+function sendTo(
+  context: Context,
+  pass: Pass,
+  upstream: Upstream,
+  epoch: number,
+): Promise<Attempt> {
+  const {service, slice, request} = pass;
+  const pool = context.upstreamPools.to(upstream.address, upstream.connections);
+  const call = {
+    method: request.method ?? 'GET',
+    path: pass.target,
+    headers: upstreamHeaders(context, pass, epoch),
+    body: bodyOf(pass),
+  };
+  const holds = () => context.ownership.holds(service.name, slice, epoch);
+  let lapsed = false;
+  return runExchange(pass, pool, call, {
+    ready: () => {
+      lapsed = slice >= 0 && !holds();
+      return !lapsed;
+    },
+    judge: head => judge(context, pass, head, holds),
+    extra: () => ownerHeaders(context, pass),
+    unsent: error => (lapsed ? termLapsed() : unreachable(pass, error)),
+    resetAlternative: true,
+  });
+}
+
+function upstreamHeaders(
+  context: Context,
+  pass: Pass,
+  epoch: number,
+): string[] {
+  const {head, slice, deadlineAt} = pass;
+  const left = Math.max(1, Math.floor(deadlineAt - context.clock()));
+  const headers = head.headers.slice();
+  headers.push('traceparent', pass.span.traceparent);
+  headers.push('vanillaspool-deadline', String(left));
+  headers.push(REQUEST_HEADER, pass.id);
+  if (slice >= 0) {
+    headers.push('vanillaspool-slice', String(slice));
+    headers.push('vanillaspool-epoch', String(epoch));
+  }
+  return headers;
+}
+
+function ownerHeaders(context: Context, pass: Pass): readonly string[] {
+  const headers: string[] = [];
+  if (pass.slice >= 0) {
+    headers.push(OWNER_HEADER, formatAddress(context.self.callers));
+  }
+  if (pass.hop) headers.push(REQUEST_HEADER, pass.id);
+  return headers;
+}
+
+/**
+ * Judges the head of the upstream's answer. For an upstream that does not fence,
+ * a term that has lapsed by now leaves open whether the request was executed
+ * within it, so the answer is not passed on.
+ */
+function judge(
+  context: Context,
+  pass: Pass,
+  head: AnswerHead,
+  holds: () => boolean,
+): FailedTry | undefined {
+  const {own, status} = head;
+  if (status === 409 && own.get('vanillaspool-fenced') === 'true') {
+    return fenced();
+  }
+  if (status === 503 && own.get('vanillaspool-shed') === 'true') {
+    return shed(context, pass, head.retryAfter);
+  }
+  const echoed = own.get(REQUEST_HEADER);
+  if (echoed !== undefined && echoed !== pass.id) {
+    return failed(unknown('upstream-reset', 'answer to another request'));
+  }
+  const {fencing} = pass.service;
+  if (pass.slice >= 0 && fencing === 'ignored' && !holds()) {
+    return answerTooLate(pass);
+  }
+  return undefined;
+}
+
+function shed(
+  context: Context,
+  pass: Pass,
+  retryAfter: string | undefined,
+): FailedTry {
+  const seconds = Number(retryAfter);
+  const stated = retryAfter !== undefined && seconds >= 0;
+  const retryAfterMs = stated ? seconds * MS_PER_SECOND : DEFAULT_SHED_MS;
+  context.shed?.(pass.service.name, retryAfterMs);
+  const failure = notRun('overloaded', 'the upstream sheds load', retryAfterMs);
+  return refused(pass, failure);
+}
+
+function answerTooLate(pass: Pass): FailedTry {
+  const message = 'the term lapsed before the answer';
+  const failure = unknown('lease-lost', message);
+  return {
+    kind: 'failed',
+    failure,
+    alternative: isSafe(pass.request.method ?? 'GET'),
+  };
+}
+
+function termLapsed(): FailedTry {
+  const failure = notRun('lease-lost', 'the term has ended');
+  return {kind: 'failed', failure, alternative: true, free: true};
+}
+
+function fenced(): FailedTry {
+  const failure = notRun('lease-lost', 'the upstream refused the epoch');
+  return {
+    kind: 'failed',
+    failure,
+    alternative: true,
+    pauseMs: FENCED_PAUSE_MS,
+  };
+}
+
+function unreachable(pass: Pass, error: Error): FailedTry {
+  const message = `the upstream was not reached: ${error.message}`;
+  return refused(pass, notRun('upstream-refused', message));
+}
--- /dev/null
+++ b/src/gateway/pass.ts
@@ -0,0 +1,161 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Failure, Service} from '../model/index.js';
+import {keepBody, streamBody, type BodyLimits, type BodyMode} from './body.js';
+import {notRun} from './failure.js';
+import type {RequestHead} from './head.js';
+import type {Hop} from './hop.js';
+import type {Span} from './trace.js';
+
+/** The life of one request in this daemon, from its headers to its answer. */
+export interface Pass {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly id: string;
+  readonly head: RequestHead;
+  readonly service: Service;
+  /** Request target in origin form. */
+  readonly target: string;
+  readonly key?: string;
+  /** Slice of the key; -1 without a key. */
+  readonly slice: number;
+  /** Present when another daemon forwarded the request. */
+  readonly hop?: Hop;
+  /** IP number of the caller. */
+  readonly caller: string;
+  /** Time by which the answer is due, by the gateway's clock. */
+  readonly deadlineAt: number;
+  readonly span: Span;
+  readonly bodyMode: BodyMode;
+  readonly limits: BodyLimits;
+  /** Ends the pass early: for its deadline, a cancellation or a limit. */
+  readonly stop: (failure: Failure) => void;
+  readonly state: PassState;
+}
+
+/** What changes during a pass. */
+export interface PassState {
+  /** Why the pass was stopped early. */
+  stopped?: Failure;
+  /** Gives up what the pass currently waits for. */
+  giveUp?: () => void;
+  controller?: AbortController;
+  kept?: Buffer;
+  /** A part of a streamed body has been taken. */
+  consumed: boolean;
+  timer?: NodeJS.Timeout;
+}
+
+/**
+ * Returns a function that stops a pass: it remembers the first reason and gives
+ * up what the pass waits for.
+ *
+ * @example
+ * const stop = stopper(state);
+ * stop(notRun('deadline', 'the deadline has passed'));
+ */
+export function stopper(state: PassState): (failure: Failure) => void {
+  return failure => {
+    if (state.stopped) return;
+    state.stopped = failure;
+    state.controller?.abort();
+    state.giveUp?.();
+  };
+}
+
+/**
+ * Returns a signal that is aborted when the pass is stopped.
+ *
+ * @example
+ * admit({signal: signalOf(pass.state), ...rest});
+ */
+export function signalOf(state: PassState): AbortSignal {
+  if (!state.controller) {
+    state.controller = new AbortController();
+    if (state.stopped) state.controller.abort();
+  }
+  return state.controller.signal;
+}
+
+/**
+ * Waits for a promise until the pass is stopped.
+ *
+ * @example
+ * await untilStopped(pass, ownership.changed('rota-display', 7));
+ */
+export function untilStopped(
+  pass: Pass,
+  event: Promise<unknown>,
+): Promise<void> {
+  const {state} = pass;
+  return new Promise(resolve => {
+    const end = () => {
+      state.giveUp = undefined;
+      resolve();
+    };
+    if (state.stopped) return end();
+    state.giveUp = end;
+    event.then(end, end);
+  });
+}
+
+/**
+ * Reads the body of a pass into memory if it is one that is kept. Does nothing
+ * when that has been done before.
+ *
+ * @returns false when the body did not arrive whole.
+ *
+ * @example
+ * if (!(await prepareBody(pass))) return;
+ */
+export async function prepareBody(pass: Pass): Promise<boolean> {
+  const {request, state} = pass;
+  if (pass.bodyMode !== 'kept' || state.kept) return true;
+  continueBody(pass);
+  try {
+    const reading = keepBody(request, pass.limits);
+    void reading.then(kept => (state.kept = kept)).catch(() => {});
+    await untilStopped(pass, reading);
+  } finally {
+    if (!state.kept) {
+      pass.stop(notRun('cancelled', 'the body did not arrive whole'));
+    }
+  }
+  return state.kept !== undefined;
+}
+
+/**
+ * Returns the body to send with one attempt. A streamed body can be taken once.
+ *
+ * @example
+ * const call = {method, path, headers, body: bodyOf(pass)};
+ */
+export function bodyOf(pass: Pass): Buffer | AsyncIterable<Uint8Array> | null {
+  switch (pass.bodyMode) {
+    case 'none':
+      return null;
+    case 'kept':
+      return pass.state.kept ?? null;
+    case 'streamed':
+      return takeBody(pass);
+  }
+}
+
+async function* takeBody(pass: Pass): AsyncGenerator<Buffer> {
+  pass.state.consumed = true;
+  continueBody(pass);
+  yield* streamBody(pass.request, pass.limits);
+}
+
+function continueBody(pass: Pass): void {
+  if (pass.head.expectsContinue) pass.response.writeContinue();
+}
+
+/**
+ * Tells whether the request can be sent once more with its whole body.
+ *
+ * @example
+ * isReplayable(pass); // true until a part of a streamed body is taken
+ */
+export function isReplayable(pass: Pass): boolean {
+  return !pass.state.consumed;
+}
--- /dev/null
+++ b/src/gateway/remote.ts
@@ -0,0 +1,150 @@
+import type {FailureReason, Member} from '../model/index.js';
+import type {AnswerHead} from '../upstream/index.js';
+import {runExchange, type Attempt, type FailedTry} from './attempt.js';
+import type {Context} from './context.js';
+import {OUTCOME_HEADER, REASON_HEADER, notRun, unknown} from './failure.js';
+import {HOP_HEADER, SIGNATURE_HEADER} from './head.js';
+import {formatHop, signHop, type Hop} from './hop.js';
+import {OWNER_HEADER, REQUEST_HEADER} from './local.js';
+import {bodyOf, type Pass} from './pass.js';
+
+/** Most connections from one daemon to one other. */
+const PEER_CONNECTIONS = 64;
+
+/** Reasons of a peer for which another daemon may still run the request. */
+const ELSEWHERE: ReadonlySet<string> = new Set<FailureReason>([
+  'not-owner',
+  'lease-lost',
+  'draining',
+]);
+
+/** Further reasons that hold for one instance of a service without keys. */
+const INSTANCE_ONLY: ReadonlySet<string> = new Set<FailureReason>([
+  'overloaded',
+  'upstream-refused',
+]);
+
+/**
+ * Forwards a request to another daemon, which runs it or says that it did not.
+ *
+ * @param epoch Highest epoch that this daemon knows for the slice.
+ *
+ * @example
+ * const attempt = await sendRemote(context, pass, route.candidates[0], route.epoch);
+ */
+export async function sendRemote(
+  context: Context,
+  pass: Pass,
+  member: Member,
+  epoch: number,
+): Promise<Attempt> {
+  const span = context.trace.start('forward', pass.span.traceparent, {
+    to: member.instance,
+  });
+  const pool = context.peerPools.to(member.peers, PEER_CONNECTIONS);
+  const call = {
+    method: pass.request.method ?? 'GET',
+    path: pass.target,
+    headers: peerHeaders(context, pass, member, epoch, span.traceparent),
+    body: bodyOf(pass),
+  };
+  const attempt = await runExchange(pass, pool, call, {
+    judge: head => judge(pass, head),
+    extra: answerHeaders,
+    unsent: error => unreachable(context, member, error),
+    resetAlternative: true,
+  });
+  span.end({result: attempt.kind});
+  return attempt;
+}
+
+function peerHeaders(
+  context: Context,
+  pass: Pass,
+  member: Member,
+  epoch: number,
+  traceparent: string,
+): string[] {
+  const method = pass.request.method ?? 'GET';
+  const text = formatHop(hopTo(context, pass, member, epoch));
+  const subject = {method, target: pass.target, traceparent};
+  const headers = pass.head.headers.slice();
+  headers.push('traceparent', traceparent, HOP_HEADER, text);
+  headers.push(SIGNATURE_HEADER, signHop(context.signer, text, subject));
+  return headers;
+}
+
+function hopTo(
+  context: Context,
+  pass: Pass,
+  member: Member,
+  epoch: number,
+): Hop {
+  const left = Math.floor(pass.deadlineAt - context.clock());
+  return {
+    to: member.process,
+    from: context.self.process,
+    sequence: context.nextNumber(),
+    sentAt: Math.floor(context.wallClock()),
+    deadlineMs: Math.max(1, left),
+    epoch,
+    count: 1,
+    request: pass.id,
+    caller: pass.caller,
+  };
+}
+
+/**
+ * Judges the head of a peer's answer. An answer without the identifier of this
+ * request belongs to another one.
+ */
+function judge(pass: Pass, head: AnswerHead): FailedTry | undefined {
+  const {own} = head;
+  if (own.get(REQUEST_HEADER) !== pass.id) return crossed();
+  const reason = own.get(REASON_HEADER);
+  if (reason === undefined || own.get(OUTCOME_HEADER) !== 'not-run') {
+    return undefined;
+  }
+  if (!runsElsewhere(pass, reason)) return undefined;
+  return {
+    kind: 'failed',
+    failure: notRun(reason as FailureReason, 'the peer did not run it'),
+    alternative: true,
+  };
+}
+
+function runsElsewhere(pass: Pass, reason: string): boolean {
+  if (ELSEWHERE.has(reason)) return true;
+  return pass.key === undefined && INSTANCE_ONLY.has(reason);
+}
+
+function crossed(): FailedTry {
+  return {
+    kind: 'failed',
+    failure: unknown('upstream-reset', 'answer to another request'),
+    alternative: true,
+  };
+}
+
+function answerHeaders(head: AnswerHead): readonly string[] {
+  const headers: string[] = [];
+  for (const name of [OWNER_HEADER, OUTCOME_HEADER]) {
+    const value = head.own.get(name);
+    if (value !== undefined) headers.push(name, value);
+  }
+  return headers;
+}
+
+function unreachable(
+  context: Context,
+  member: Member,
+  error: Error,
+): FailedTry {
+  context.ownership.unreachable(member.instance);
+  const message = `${member.instance} was not reached: ${error.message}`;
+  return {
+    kind: 'failed',
+    failure: notRun('no-owner', message),
+    alternative: true,
+  };
+}
--- /dev/null
+++ b/src/gateway/serve.ts
@@ -0,0 +1,230 @@
+import type {Failure, Member} from '../model/index.js';
+import {failed, type Attempt, type FailedTry} from './attempt.js';
+import type {Context} from './context.js';
+import {GATEWAY_EVENTS} from './events.js';
+import {notRun, unknown} from './failure.js';
+import {sendLocal} from './local.js';
+import {isReplayable, prepareBody, untilStopped, type Pass} from './pass.js';
+import {sendRemote} from './remote.js';
+import {decideRetry, isIdempotent} from './retry.js';
+
+/** Most attempts to get an answer for one request. */
+const ATTEMPT_LIMIT = 8;
+
+/** Longest wait for an owner where none is known, in milliseconds. */
+const OWNER_WAIT_LIMIT_MS = 3000;
+
+const RETRY_AFTER_MS = 1000;
+
+/** How a pass ended. */
+export type PassResult = Exclude<Attempt, FailedTry> | FailedPass;
+
+/** A pass of which the caller is still to be told. */
+export interface FailedPass {
+  readonly kind: 'failed';
+  readonly failure: Failure;
+}
+
+/** What the attempts of one pass have shown so far. */
+interface Progress {
+  /** Instances that did not run the request, since the route last changed. */
+  readonly tried: Set<string>;
+  attempts: number;
+  /** Time until which the pass waits where no owner is known. */
+  waitUntil: number;
+}
+
+/**
+ * Gets an answer for a request: tries where the route leads, and again where
+ * that is safe, until the answer is passed on or the request is given up.
+ *
+ * @example
+ * const result = await serve(context, pass);
+ * if (result.kind === 'failed') sendFailure(response, result.failure, pass.id);
+ */
+export async function serve(context: Context, pass: Pass): Promise<PassResult> {
+  if (!(await prepareBody(pass))) return stoppedResult(pass, undefined);
+  const progress: Progress = {
+    tried: new Set(),
+    attempts: 0,
+    waitUntil: Math.min(pass.deadlineAt, context.clock() + OWNER_WAIT_LIMIT_MS),
+  };
+  for (;;) {
+    if (pass.state.stopped) return stoppedResult(pass, undefined);
+    const attempt = await nextAttempt(context, pass, progress);
+    if (attempt === 'waited') continue;
+    if (attempt.kind !== 'failed') return attempt;
+    if (pass.state.stopped) return stoppedResult(pass, attempt);
+    if (!retries(context, pass, progress, attempt)) return attempt;
+    if (attempt.pauseMs) await pause(pass, attempt.pauseMs);
+  }
+}
+
+function nextAttempt(
+  context: Context,
+  pass: Pass,
+  progress: Progress,
+): Promise<Attempt | 'waited'> {
+  if (pass.slice < 0) return attemptUnkeyed(context, pass, progress);
+  return attemptKeyed(context, pass, progress);
+}
+
+async function attemptKeyed(
+  context: Context,
+  pass: Pass,
+  progress: Progress,
+): Promise<Attempt | 'waited'> {
+  const {ownership} = context;
+  const {service, slice, hop} = pass;
+  const route = ownership.route(service.name, slice);
+  switch (route.kind) {
+    case 'local':
+      if (ownership.holds(service.name, slice, route.epoch)) {
+        return sendLocal(context, pass, route.epoch);
+      }
+      return waitForChange(context, pass, pass.deadlineAt);
+    case 'wait':
+      return waitForChange(context, pass, pass.deadlineAt);
+    case 'none':
+      if (hop) return failed(notOwner());
+      return waitForOwner(context, pass, progress);
+    case 'remote': {
+      if (hop) return failed(notOwner());
+      const {tried} = progress;
+      const next = route.candidates.find(m => !tried.has(m.instance));
+      if (!next) return waitForOwner(context, pass, progress);
+      tried.add(next.instance);
+      return sendRemote(context, pass, next, route.epoch);
+    }
+  }
+}
+
+function notOwner(): Failure {
+  return notRun('not-owner', 'this daemon does not own the slice');
+}
+
+async function waitForOwner(
+  context: Context,
+  pass: Pass,
+  progress: Progress,
+): Promise<FailedTry | 'waited'> {
+  if (context.clock() >= progress.waitUntil) {
+    const message = 'no owner of the slice is known';
+    return failed(notRun('no-owner', message, RETRY_AFTER_MS));
+  }
+  await waitForChange(context, pass, progress.waitUntil);
+  progress.tried.clear();
+  return 'waited';
+}
+
+async function waitForChange(
+  context: Context,
+  pass: Pass,
+  until: number,
+): Promise<'waited'> {
+  const {service, slice} = pass;
+  const changed = context.ownership.changed(service.name, slice);
+  await untilStoppedOrTime(context, pass, changed, until);
+  return 'waited';
+}
+
+async function untilStoppedOrTime(
+  context: Context,
+  pass: Pass,
+  event: Promise<unknown>,
+  until: number,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const time = new Promise(resolve => {
+    timer = setTimeout(resolve, Math.max(1, until - context.clock()));
+  });
+  await untilStopped(pass, Promise.race([event, time]));
+  clearTimeout(timer);
+}
+
+async function pause(pass: Pass, timeMs: number): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const time = new Promise(resolve => {
+    timer = setTimeout(resolve, timeMs);
+  });
+  await untilStopped(pass, time);
+  clearTimeout(timer);
+}
+
+async function attemptUnkeyed(
+  context: Context,
+  pass: Pass,
+  progress: Progress,
+): Promise<Attempt> {
+  const chosen = chooseInstance(context, pass, progress);
+  if (!chosen) {
+    const message = 'no instance of the service is known';
+    return failed(notRun('no-owner', message, RETRY_AFTER_MS));
+  }
+  progress.tried.add(chosen.instance);
+  const leave = context.loads.enter(chosen.instance);
+  try {
+    if (chosen.instance === context.self.instance) {
+      return await sendLocal(context, pass, 0);
+    }
+    return await sendRemote(context, pass, chosen as Member, 0);
+  } finally {
+    leave();
+  }
+}
+
+function chooseInstance(
+  context: Context,
+  pass: Pass,
+  progress: Progress,
+): Pick<Member, 'instance'> | undefined {
+  const {self, ownership, loads} = context;
+  const upstream = context.upstream();
+  const beside = upstream?.service === pass.service.name;
+  const localTried = progress.tried.has(self.instance);
+  if (pass.hop) return localTried ? undefined : self;
+  if (beside && !localTried && loads.inFlight(self.instance) < upstream.slots) {
+    return self;
+  }
+  const untried = ownership
+    .members(pass.service.name)
+    .filter(member => member.state === 'serving')
+    .filter(member => !progress.tried.has(member.instance));
+  return loads.choose(untried) ?? (beside && !localTried ? self : undefined);
+}
+
+function retries(
+  context: Context,
+  pass: Pass,
+  progress: Progress,
+  attempt: FailedTry,
+): boolean {
+  progress.attempts += 1;
+  if (progress.attempts >= ATTEMPT_LIMIT) return false;
+  const {failure, alternative, free} = attempt;
+  const idempotent = isIdempotent(pass.request.method ?? 'GET');
+  const replayable = isReplayable(pass);
+  const verdict = decideRetry(
+    {failure, alternative, idempotent, replayable},
+    free ? () => true : context.retryAllowed,
+  );
+  if (verdict === 'give-up') return false;
+  const {reason, message} = failure;
+  context.log(GATEWAY_EVENTS.retried, {request: pass.id, reason, message});
+  return true;
+}
+
+/**
+ * Describes a stopped pass: it is unknown whether the request was run if the
+ * attempt that was given up had been sent.
+ */
+function stoppedResult(pass: Pass, attempt: FailedTry | undefined): FailedPass {
+  const {stopped} = pass.state;
+  if (!stopped) throw new TypeError('the pass was not stopped');
+  if (attempt?.failure.outcome !== 'unknown') {
+    return {kind: 'failed', failure: stopped};
+  }
+  const {reason, message, status} = stopped;
+  const failure = {...unknown(reason, message), status};
+  return {kind: 'failed', failure};
+}
--- /dev/null
+++ b/src/upstream/answer.ts
@@ -0,0 +1,88 @@
+/** Names of headers that hold for one connection only, in lower case. */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Prefix of the names of vanillaspool's own headers. */
+export const OWN_HEADER_PREFIX = 'vanillaspool-';
+
+/** What the headers of an answer say. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Name and value of each header in turn that may be passed on. */
+  readonly headers: string[];
+  /** Values of vanillaspool's own headers by their name in lower case. */
+  readonly own: ReadonlyMap<string, string>;
+  readonly retryAfter?: string;
+  readonly chunked: boolean;
+}
+
+const NO_OWN_HEADERS: ReadonlyMap<string, string> = new Map();
+
+/**
+ * Reads the headers of an answer: keeps those that may be passed on and takes
+ * out those of the connection and vanillaspool's own.
+ *
+ * @param raw Name and value of each header in turn.
+ *
+ * @example
+ * readAnswerHead(200, [Buffer.from('Connection'), Buffer.from('close')]).headers; // []
+ */
+export function readAnswerHead(
+  status: number,
+  raw: readonly Buffer[],
+): AnswerHead {
+  const headers: string[] = [];
+  let own: Map<string, string> | undefined;
+  let retryAfter: string | undefined;
+  let listed = '';
+  let chunked = false;
+  for (let i = 0; i < raw.length; i += 2) {
+    const name = raw[i].toString('latin1');
+    const value = raw[i + 1].toString('latin1');
+    const lower = name.toLowerCase();
+    if (CONNECTION_HEADERS.has(lower)) {
+      if (lower === 'connection') listed += `,${value}`;
+      if (lower === 'transfer-encoding') chunked = true;
+    } else if (lower.startsWith(OWN_HEADER_PREFIX)) {
+      own ??= new Map();
+      own.set(lower, value);
+    } else {
+      if (lower === 'retry-after') retryAfter = value;
+      headers.push(name, value);
+    }
+  }
+  dropListed(headers, listed);
+  return {status, headers, own: own ?? NO_OWN_HEADERS, retryAfter, chunked};
+}
+
+/**
+ * Removes the headers that a Connection header lists.
+ *
+ * @param headers Name and value of each header in turn; changed in place.
+ * @param listed Values of the Connection headers, joined with commas.
+ *
+ * @example
+ * dropListed(['X-A', '1'], ',close,x-a'); // leaves an empty array
+ */
+export function dropListed(headers: string[], listed: string): void {
+  if (!listed) return;
+  const names = listed.split(',').map(name => name.trim().toLowerCase());
+  const dropped = new Set(names);
+  let kept = 0;
+  for (let i = 0; i < headers.length; i += 2) {
+    if (dropped.has(headers[i].toLowerCase())) continue;
+    headers[kept] = headers[i];
+    headers[kept + 1] = headers[i + 1];
+    kept += 2;
+  }
+  headers.length = kept;
+}
--- /dev/null
+++ b/src/upstream/pools.ts
@@ -0,0 +1,68 @@
+import {Pool, type Dispatcher} from 'undici';
+import {formatAddress, type Address} from '../model/index.js';
+
+/** Settings of the connections to one address. */
+export interface Connections {
+  readonly limit: number;
+  readonly connectTimeoutMs: number;
+  /** Shorter than the time for which the other side keeps an idle connection. */
+  readonly keepAliveMs: number;
+}
+
+/** The connection pools of a daemon, one for each address. */
+export interface Pools {
+  /** Returns the pool of an address. A changed limit replaces the pool. */
+  readonly to: (address: Address, limit: number) => Dispatcher;
+  /** Closes every pool once its requests have ended. */
+  readonly close: () => Promise<void>;
+}
+
+interface Entry {
+  readonly limit: number;
+  readonly pool: Pool;
+}
+
+/**
+ * Creates an empty set of connection pools.
+ *
+ * @throws {RangeError} when a time is not positive.
+ *
+ * @example
+ * const pools = createPools({connectTimeoutMs: 500, keepAliveMs: 4000});
+ * pools.to({host: '127.0.0.1', port: 8080}, 130);
+ */
+export function createPools(options: Omit<Connections, 'limit'>): Pools {
+  const {connectTimeoutMs, keepAliveMs} = options;
+  if (!(connectTimeoutMs > 0 && keepAliveMs > 0)) {
+    throw new RangeError('connection times must be positive');
+  }
+  const entries = new Map<string, Entry>();
+  return {
+    to: (address, limit) => {
+      const name = formatAddress(address);
+      const entry = entries.get(name);
+      if (entry?.limit === limit) return entry.pool;
+      void entry?.pool.close();
+      const pool = createPool(name, {limit, ...options});
+      entries.set(name, {limit, pool});
+      return pool;
+    },
+    close: async () => {
+      const open = [...entries.values()];
+      entries.clear();
+      await Promise.all(open.map(entry => entry.pool.close()));
+    },
+  };
+}
+
+function createPool(name: string, options: Connections): Pool {
+  return new Pool(`http://${name}`, {
+    connections: options.limit,
+    pipelining: 1,
+    connect: {timeout: options.connectTimeoutMs},
+    keepAliveTimeout: options.keepAliveMs,
+    keepAliveMaxTimeout: options.keepAliveMs,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
--- /dev/null
+++ b/test/gateway/fixture.ts
@@ -0,0 +1,288 @@
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import net, {type AddressInfo, type Socket} from 'node:net';
+import {
+  createGateway,
+  createSigner,
+  passTrace,
+  type Gateway,
+  type GatewayOptions,
+} from '../../src/gateway/index.js';
+import type {
+  Address,
+  Configuration,
+  Member,
+  Ownership,
+  Route,
+  Service,
+} from '../../src/model/index.js';
+
+/** Returns a keyed service; the given fields replace the defaults. */
+export function service(fields: Partial<Service> = {}): Service {
+  return {
+    name: 'rota',
+    pathPrefix: '/rota',
+    key: {path: '/rota/{key}'},
+    slices: 1,
+    chunks: 1,
+    priority: 1,
+    deadlineMs: 10_000,
+    fencing: 'enforced',
+    successors: 1,
+    ...fields,
+  };
+}
+
+/** Returns a configuration of some services. */
+export function configuration(
+  services: readonly Service[],
+  limits: Partial<Configuration['limits']> = {},
+): Configuration {
+  return {
+    site: 'newsroom',
+    services,
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1_000_000,
+      connections: 100,
+      headerTimeoutMs: 10_000,
+      bodyTimeoutMs: 10_000,
+      queue: 100,
+      retryShare: 1,
+      ...limits,
+    },
+    weights: {imbalance: 1, churn: 1, unavailable: 1},
+  };
+}
+
+/** A listening server and how to stop it. */
+export interface Listening {
+  readonly address: Address;
+  readonly stop: () => Promise<void>;
+}
+
+/** Listens on a free loopback port. */
+export async function listen(server: net.Server): Promise<Listening> {
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const stop = () =>
+    new Promise<void>(resolve => {
+      server.close(() => resolve());
+      for (const socket of sockets) socket.destroy();
+    });
+  return {address: {host: '127.0.0.1', port}, stop};
+}
+
+/** The ownership state of a fake fleet, shared by its daemons. */
+export interface Terms {
+  /** Instance that owns every slice; undefined while nobody does. */
+  owner?: string;
+  epoch: number;
+  /** Instances that believe themselves to be the owner although they are not. */
+  readonly believers: Set<string>;
+  /** Instances that every other daemon believes to be the owner, in order. */
+  believed?: readonly string[];
+  readonly waiters: (() => void)[];
+}
+
+/** Changes the terms and wakes what waits for a change. */
+export function changeTerms(terms: Terms, change: Partial<Terms>): void {
+  Object.assign(terms, change);
+  terms.waiters.splice(0).forEach(wake => wake());
+}
+
+function ownershipOf(
+  terms: Terms,
+  instance: string,
+  members: readonly Member[],
+): Ownership {
+  const byName = (name: string) => members.filter(m => m.instance === name);
+  const route = (): Route => {
+    if (terms.believers.has(instance) || terms.owner === instance) {
+      return {kind: 'local', epoch: terms.epoch};
+    }
+    const names = terms.believed ?? (terms.owner ? [terms.owner] : []);
+    if (names.length === 0) return {kind: 'wait'};
+    if (names.every(name => name === instance)) return {kind: 'wait'};
+    const candidates = names.filter(n => n !== instance).flatMap(byName);
+    return {kind: 'remote', candidates, epoch: terms.epoch};
+  };
+  return {
+    route,
+    members: name => members.filter(member => member.service === name),
+    holds: (_service, _slice, epoch) =>
+      terms.owner === instance && terms.epoch === epoch,
+    enter: () => () => {},
+    changed: () => new Promise(resolve => terms.waiters.push(resolve)),
+    unreachable: () => {},
+  };
+}
+
+/** One daemon of a fake fleet, with the upstream beside it. */
+export interface Daemon extends Listening {
+  readonly instance: string;
+  readonly gateway: Gateway;
+  readonly member: Member;
+  readonly events: string[];
+}
+
+/** A fake fleet: one daemon for each upstream. */
+export interface Fleet {
+  readonly daemons: readonly Daemon[];
+  readonly terms: Terms;
+  readonly stop: () => Promise<void>;
+}
+
+/** What varies between fleets. */
+export interface FleetOptions {
+  readonly configuration: Configuration;
+  /** Addresses of the upstreams; one daemon runs beside each. */
+  readonly upstreams: readonly Address[];
+  readonly options?: Partial<GatewayOptions>;
+}
+
+/** Starts a fleet whose first daemon owns every slice. */
+export async function startFleet(fleet: FleetOptions): Promise<Fleet> {
+  const terms: Terms = {
+    owner: 'daemon-0',
+    epoch: 1,
+    believers: new Set(),
+    waiters: [],
+  };
+  const members: Member[] = [];
+  const daemons: Daemon[] = [];
+  for (const [index, upstream] of fleet.upstreams.entries()) {
+    daemons.push(await startDaemon(fleet, terms, members, index, upstream));
+  }
+  const stop = async () => {
+    await Promise.all(daemons.map(daemon => daemon.stop()));
+  };
+  return {daemons, terms, stop};
+}
+
+async function startDaemon(
+  fleet: FleetOptions,
+  terms: Terms,
+  members: Member[],
+  index: number,
+  upstream: Address,
+): Promise<Daemon> {
+  const instance = `daemon-${index}`;
+  const name = fleet.configuration.services[0].name;
+  const events: string[] = [];
+  const callersServer = http.createServer({requireHostHeader: false});
+  const peersServer = http.createServer();
+  const callers = await listen(callersServer);
+  const peers = await listen(peersServer);
+  const member = memberOf(instance, name, callers.address, peers.address);
+  members.push(member);
+  const gateway = createGateway({
+    configuration: () => fleet.configuration,
+    ownership: ownershipOf(terms, instance, members),
+    self: {instance, process: member.process, callers: callers.address},
+    admit: () => ({kind: 'admitted', release: () => {}}),
+    retryAllowed: () => true,
+    upstream: () => ({
+      service: name,
+      address: upstream,
+      slots: 8,
+      connections: 16,
+    }),
+    signer: createSigner('fleet', ['secret']),
+    clock: () => performance.now(),
+    wallClock: () => Date.now(),
+    random: () => 0,
+    log: (kind, fields) => {
+      events.push(`${kind.number} ${String(fields?.reason ?? '')}`.trim());
+    },
+    trace: passTrace(),
+    ...fleet.options,
+  });
+  callersServer.on('request', gateway.callers);
+  callersServer.on('checkContinue', gateway.callers);
+  peersServer.on('request', gateway.peers);
+  const stop = async () => {
+    await Promise.all([callers.stop(), peers.stop()]);
+  };
+  const {address} = callers;
+  return {instance, gateway, member, events, address, stop};
+}
+
+function memberOf(
+  instance: string,
+  serviceName: string,
+  callers: Address,
+  peers: Address,
+): Member {
+  return {
+    instance,
+    generation: 1,
+    process: `${instance}-process`,
+    state: 'serving',
+    service: serviceName,
+    site: 'newsroom',
+    region: 'region',
+    domain: 'domain',
+    callers,
+    peers,
+    control: callers,
+    slots: 8,
+    connections: 16,
+    witnesses: {number: 1, witnesses: []},
+  };
+}
+
+/** Starts an HTTP server with one handler. */
+export function startServer(
+  handler: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<Listening> {
+  return listen(http.createServer(handler));
+}
+
+/** Starts an upstream that answers whatever bytes arrive with fixed bytes. */
+export function startRawUpstream(
+  answer: (socket: Socket, received: string) => void,
+): Promise<Listening> {
+  const server = net.createServer(socket => {
+    let received = '';
+    socket.on('error', () => {});
+    socket.on('data', chunk => {
+      received += chunk.toString('latin1');
+      answer(socket, received);
+    });
+  });
+  return listen(server);
+}
+
+/** The bytes that came back, and whether the connection was reset. */
+export interface RawAnswer {
+  readonly text: string;
+  readonly reset: boolean;
+}
+
+/** Sends bytes on a new connection and reads until it ends. */
+export function sendRaw(address: Address, bytes: string): Promise<RawAnswer> {
+  return new Promise(resolve => {
+    const socket = net.connect(address.port, address.host);
+    let text = '';
+    let reset = false;
+    socket.on('data', chunk => (text += chunk.toString('latin1')));
+    socket.on('error', () => (reset = true));
+    socket.on('close', () => resolve({text, reset}));
+    socket.write(bytes, 'latin1');
+  });
+}
+
+/** Formats a request head and body; the connection is closed after it. */
+export function rawRequest(
+  line: string,
+  headers: readonly string[] = [],
+  body = '',
+): string {
+  const head = [`${line} HTTP/1.1`, 'Host: rota', 'Connection: close'];
+  return [...head, ...headers, '', body].join('\r\n');
+}
