--- /dev/null
+++ b/src/daemon/effects.ts
@@ -0,0 +1,156 @@
+import type {LeaseId, Member} from '../model/index.js';
+import {formatLease, leaseOf} from '../model/index.js';
+import type {DatagramEndpoint} from '../peer/index.js';
+import {memberKey, putResolved, UnavailableError} from '../platform/index.js';
+import type {Platform} from '../platform/index.js';
+import {leaseEnded, OWNERSHIP_EVENTS} from '../ownership/index.js';
+import type {Effect, Input, Message, State} from '../ownership/index.js';
+import type {Log} from '../telemetry/index.js';
+import type {UpstreamLink} from './upstreamlink.js';
+import type {Objects} from './versions.js';
+
+/** What the effects of decisions are run with. */
+export interface EffectOptions {
+  readonly platform: Platform;
+  readonly objects: Objects;
+  readonly datagrams: DatagramEndpoint;
+  readonly upstream: UpstreamLink;
+  readonly dispatch: (input: Input) => void;
+  /** Tells the request path that routes may have changed. */
+  readonly routesChanged: () => void;
+  readonly replaced: () => void;
+  readonly log: Log;
+}
+
+/**
+ * Creates the function that runs the effects of one step.
+ *
+ * @example
+ * const run = createEffects(options);
+ * run(step.effects, step.state);
+ */
+export function createEffects(
+  options: EffectOptions,
+): (effects: readonly Effect[], state: State) => void {
+  return (effects, state) => {
+    for (const effect of effects) runEffect(options, effect, state);
+  };
+}
+
+function runEffect(options: EffectOptions, effect: Effect, state: State): void {
+  const {log} = options;
+  switch (effect.kind) {
+    case 'send':
+      return options.datagrams.send(effect.to, effect.message);
+    case 'broadcast':
+      return broadcast(options, effect.message, state);
+    case 'store':
+      return void store(options, effect.member);
+    case 'read':
+      return void read(options, effect.lease);
+    case 'markEnded':
+      return void markEnded(options, effect.lease);
+    case 'grant':
+      return void grant(options, effect, state);
+    case 'began':
+      log(OWNERSHIP_EVENTS.began, {slices: describe(effect.slices)});
+      return options.routesChanged();
+    case 'released':
+      log(OWNERSHIP_EVENTS.released, {slices: describe(effect.slices)});
+      return options.routesChanged();
+    case 'replaced':
+      return options.replaced();
+    case 'leaseEnded':
+      return log(OWNERSHIP_EVENTS.leaseEnded, {
+        lease: formatLease(effect.lease),
+      });
+  }
+}
+
+function broadcast(
+  options: EffectOptions,
+  message: Message,
+  state: State,
+): void {
+  for (const member of state.view.members.values()) {
+    if (member.instance === state.self.instance) continue;
+    if (leaseEnded(state.view, leaseOf(member))) continue;
+    options.datagrams.send(member.peers, message);
+  }
+}
+
+async function store(options: EffectOptions, member: Member): Promise<void> {
+  const {platform, objects, dispatch, log} = options;
+  const key = memberKey(member.instance);
+  const value = JSON.stringify(member);
+  const expected = objects.version(key);
+  const result = await putResolved(platform, key, value, expected);
+  if (result.kind === 'stored') {
+    dispatch({kind: 'stored', member});
+    objects.learn({key, value, version: result.version});
+    log(OWNERSHIP_EVENTS.registered, {
+      lease: formatLease(leaseOf(member)),
+      witnesses: member.witnesses.witnesses.length,
+      state: member.state,
+    });
+    return;
+  }
+  if (result.kind === 'conflict' && result.current) {
+    objects.learn(result.current);
+  }
+  log(OWNERSHIP_EVENTS.registrationFailed, {reason: result.kind});
+  dispatch({kind: 'unstored', certain: result.kind !== 'unknown'});
+}
+
+async function read(options: EffectOptions, lease: LeaseId): Promise<void> {
+  try {
+    const stored = await options.platform.get(memberKey(lease.instance));
+    if (!stored) return;
+    options.objects.learn(stored);
+    const member = JSON.parse(stored.value) as Member;
+    options.dispatch({kind: 'read', lease, member});
+  } catch (error) {
+    if (!(error instanceof UnavailableError)) throw error;
+  }
+}
+
+async function markEnded(
+  options: EffectOptions,
+  lease: LeaseId,
+): Promise<void> {
+  const {objects, platform, log} = options;
+  const key = memberKey(lease.instance);
+  const entry = objects.mirror().entries.get(key);
+  if (!entry) return;
+  const member = JSON.parse(entry.value) as Member;
+  const isCurrent =
+    member.generation === lease.generation && member.state !== 'ended';
+  if (!isCurrent) return;
+  const value = JSON.stringify({...member, state: 'ended'});
+  const result = await putResolved(platform, key, value, entry.version);
+  if (result.kind === 'conflict' && result.current) {
+    objects.learn(result.current);
+  }
+  if (result.kind !== 'stored') return;
+  objects.learn({key, value, version: result.version});
+  log(OWNERSHIP_EVENTS.markedEnded, {lease: formatLease(lease)});
+}
+
+async function grant(
+  options: EffectOptions,
+  effect: Extract<Effect, {kind: 'grant'}>,
+  state: State,
+): Promise<void> {
+  const {request} = effect;
+  const {sequence} = request;
+  try {
+    const clock = await options.upstream.grant(state.self.process, request);
+    options.dispatch({kind: 'granted', sequence, clock});
+  } catch {
+    options.dispatch({kind: 'ungranted', sequence});
+  }
+}
+
+function describe(slices: Extract<Effect, {kind: 'began'}>['slices']): string {
+  return slices.map(({slice, epoch}) => `${slice}@${epoch}`).join(' ');
+}
--- /dev/null
+++ b/src/daemon/objects.ts
@@ -0,0 +1,43 @@
+import type {AcceptedConfiguration, Chunk, Member} from '../model/index.js';
+import type {MirrorEntry} from '../membership/index.js';
+import {
+  CHUNKS_PREFIX,
+  CONFIGURATION_KEY,
+  MEMBERS_PREFIX,
+} from '../platform/index.js';
+
+/** An object of the platform, read by its key. */
+export type FleetObject =
+  | {readonly kind: 'member'; readonly member: Member}
+  | {readonly kind: 'chunk'; readonly chunk: Chunk}
+  | {
+      readonly kind: 'configuration';
+      readonly accepted: AcceptedConfiguration;
+    }
+  | {readonly kind: 'other'}
+  | {readonly kind: 'malformed'; readonly message: string};
+
+/** Reads an object by its key. */
+export function readObject(
+  entry: Pick<MirrorEntry, 'key' | 'value'>,
+): FleetObject {
+  try {
+    return parse(entry.key, entry.value);
+  } catch (error) {
+    return {kind: 'malformed', message: String(error)};
+  }
+}
+
+function parse(key: string, value: string): FleetObject {
+  if (key.startsWith(MEMBERS_PREFIX)) {
+    return {kind: 'member', member: JSON.parse(value) as Member};
+  }
+  if (key.startsWith(CHUNKS_PREFIX)) {
+    return {kind: 'chunk', chunk: JSON.parse(value) as Chunk};
+  }
+  if (key === CONFIGURATION_KEY) {
+    const accepted = JSON.parse(value) as AcceptedConfiguration;
+    return {kind: 'configuration', accepted};
+  }
+  return {kind: 'other'};
+}
--- /dev/null
+++ b/src/daemon/upstreamlink.ts
@@ -0,0 +1,126 @@
+import {Agent, request} from 'undici';
+import {formatAddress} from '../model/index.js';
+import type {Address} from '../model/index.js';
+import type {GrantRequest} from '../ownership/index.js';
+import type {Upstream} from '../upstream/index.js';
+
+/** Time between two checks that the upstream answers, in milliseconds. */
+const CHECK_MS = 150;
+
+/** Time limit of a check or of a grant, in milliseconds. */
+const ANSWER_LIMIT_MS = 300;
+
+/** Checks in a row without an answer after which the upstream counts as lost. */
+const CHECKS_TO_FAIL = 2;
+
+/** What the daemon knows of the upstream beside it. */
+export interface UpstreamLink {
+  readonly upstream: () => Upstream | undefined;
+  readonly healthy: () => boolean;
+  /** Takes an announcement of the upstream. */
+  readonly announce: (upstream: Upstream) => void;
+  /** Sends a grant; resolves with the upstream's clock, in milliseconds. */
+  readonly grant: (process: string, grant: GrantRequest) => Promise<number>;
+  readonly close: () => Promise<void>;
+}
+
+/** What happened to the upstream. */
+export type UpstreamChange = 'announced' | 'lost' | 'recovered';
+
+/**
+ * Watches the upstream beside the daemon. Only whether it answers counts, not
+ * what its health endpoint says, since that may lag or mislead.
+ *
+ * @example
+ * const link = createUpstreamLink(change => log(change));
+ */
+export function createUpstreamLink(
+  changed: (change: UpstreamChange) => void,
+): UpstreamLink {
+  const agent = new Agent({connections: 2, pipelining: 1});
+  let upstream: Upstream | undefined;
+  let failures = 0;
+  let healthy = false;
+  const settle = (ok: boolean, certain: boolean) => {
+    failures = ok ? 0 : failures + 1;
+    const lost = certain || failures >= CHECKS_TO_FAIL;
+    if (ok && !healthy) {
+      healthy = true;
+      changed('recovered');
+    } else if (!ok && lost && healthy) {
+      healthy = false;
+      changed('lost');
+    }
+  };
+  const timer = setInterval(() => {
+    if (!upstream) return;
+    void check(agent, upstream.address).then(result =>
+      settle(result === 'answered', result === 'refused'),
+    );
+  }, CHECK_MS);
+  return {
+    upstream: () => upstream,
+    healthy: () => healthy,
+    announce: announced => {
+      const isNew = !upstream || !sameUpstream(upstream, announced);
+      upstream = announced;
+      failures = 0;
+      if (isNew) healthy = true;
+      if (isNew) changed('announced');
+    },
+    grant: (process, grant) => sendGrant(agent, upstream, process, grant),
+    close: async () => {
+      clearInterval(timer);
+      await agent.destroy();
+    },
+  };
+}
+
+type CheckResult = 'answered' | 'refused' | 'silent';
+
+async function check(agent: Agent, address: Address): Promise<CheckResult> {
+  try {
+    const answer = await request(`http://${formatAddress(address)}/health`, {
+      dispatcher: agent,
+      signal: AbortSignal.timeout(ANSWER_LIMIT_MS),
+    });
+    await answer.body.dump();
+    return 'answered';
+  } catch (error) {
+    const {code} = error as {code?: string};
+    return code === 'ECONNREFUSED' ? 'refused' : 'silent';
+  }
+}
+
+async function sendGrant(
+  agent: Agent,
+  upstream: Upstream | undefined,
+  process: string,
+  grant: GrantRequest,
+): Promise<number> {
+  if (!upstream) throw new RangeError('no upstream is announced');
+  const url = `http://${formatAddress(upstream.address)}/grants`;
+  const slices = grant.slices.map(({slice, epoch}) => ({slice, epoch}));
+  const {sequence, until} = grant;
+  const answer = await request(url, {
+    dispatcher: agent,
+    method: 'POST',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify({process, sequence, until, slices}),
+    signal: AbortSignal.timeout(ANSWER_LIMIT_MS),
+  });
+  const body = (await answer.body.json()) as {clock?: number};
+  if (answer.statusCode !== 200 || typeof body.clock !== 'number') {
+    throw new RangeError(`grant was answered with ${answer.statusCode}`);
+  }
+  return body.clock;
+}
+
+function sameUpstream(a: Upstream, b: Upstream): boolean {
+  return (
+    a.service === b.service &&
+    formatAddress(a.address) === formatAddress(b.address) &&
+    a.slots === b.slots &&
+    a.connections === b.connections
+  );
+}
--- a/src/ownership/index.ts
+++ b/src/ownership/index.ts
@@ -1,4 +1,5 @@
 export * from './decide.js';
+export * from './events.js';
 export * from './grant.js';
 export * from './holder.js';
 export * from './messages.js';
--- a/src/placement/chain.ts
+++ b/src/placement/chain.ts
@@ -29,11 +29,22 @@
  * readChain(record, term => ended(term.lease)).settled;
  */
 export function readChain(record: SliceRecord, isOver: TermOver): Chain {
-  const live = record.terms.filter(term => !isOver(term));
+  const live = mergeRepeats(record.terms.filter(term => !isOver(term)));
   const wanted = live.filter(term => term.epoch >= record.wantedFrom);
   return {record, live, wanted, settled: wanted.length === live.length};
 }
 
+/**
+ * Keeps the last of neighbouring terms of the same lease. The earlier ones need
+ * no place in the record: whoever comes later waits for the lease all the same.
+ */
+function mergeRepeats(terms: readonly Term[]): readonly Term[] {
+  return terms.filter((term, i) => {
+    const next = terms[i + 1];
+    return !next || !sameLease(next.lease, term.lease);
+  });
+}
+
 /**
  * Lists the leases of some terms without repeats, in order.
  *
