--- a/src/settings/daemon.ts
+++ b/src/settings/daemon.ts
@@ -5,7 +5,14 @@
 import {checkTree} from './check.js';
 import {address, milliseconds, name, share} from './fields.js';
 import {findingAt, sortFindings, type Finding} from './finding.js';
-import {parseText, placeOf, treeAt, type Path, type Tree} from './tree.js';
+import {
+  parseText,
+  placeOf,
+  treeAt,
+  withoutField,
+  type Path,
+  type Tree,
+} from './tree.js';
 
 /** A shared key that authenticates peer calls. */
 export interface Secret {
@@ -147,7 +154,8 @@
  * if (loaded.kind === 'rejected') loaded.findings.map(formatFinding);
  */
 export function loadSettings(file: string, text: string): LoadedSettings {
-  const {tree, findings: syntax} = parseText(file, text);
+  const {tree: root, findings: syntax} = parseText(file, text);
+  const tree = root && withoutField(root, '$schema');
   if (!tree) return {kind: 'rejected', findings: sortFindings(syntax)};
   const checked = checkTree<Settings>(settingsSchema, tree);
   const findings = [...syntax, ...checked.findings, ...crossFindings(tree)];
--- a/src/settings/tree.ts
+++ b/src/settings/tree.ts
@@ -135,6 +135,17 @@
   return fieldOf(tree, step)?.value;
 }
 
+/**
+ * Returns a tree without one field of its root object.
+ *
+ * @example
+ * withoutField(parseText('a.jsonc', '{"a": 1}').tree!, 'a');
+ */
+export function withoutField(tree: Tree, name: string): Tree {
+  if (tree.kind !== 'object') return tree;
+  return {...tree, fields: tree.fields.filter(field => field.name !== name)};
+}
+
 type Locate = (offset: number) => Place;
 
 function locator(file: string, text: string): Locate {
--- /dev/null
+++ b/tools/write-schemas.mjs
@@ -0,0 +1,7 @@
+// Writes the JSON Schema files for editors; run it after a build.
+import {writeFileSync} from 'node:fs';
+import {formatSchema, schemaFiles} from '../build/src/settings/index.js';
+
+for (const {file, schema} of schemaFiles()) {
+  writeFileSync(`schema/${file}`, formatSchema(schema));
+}
