--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,5 @@
+export * from './control.js';
+export * from './daemon.js';
+export * from './events.js';
+export * from './explain.js';
+export * from './loop.js';
--- /dev/null
+++ b/test/ownership/fleet.ts
@@ -0,0 +1,624 @@
+import {
+  applyOwn,
+  chooseStewards,
+  emptyMirror,
+} from '../../src/membership/index.js';
+import type {Mirror} from '../../src/membership/index.js';
+import {leaseOf} from '../../src/model/index.js';
+import type {Chunk, Member, Service} from '../../src/model/index.js';
+import {
+  chunkSubject,
+  decide,
+  holdsTerm,
+  leaseEnded,
+  newState,
+  releasedEpoch,
+} from '../../src/ownership/index.js';
+import type {
+  Effect,
+  Input,
+  Message,
+  SliceEpoch,
+  State,
+  Step,
+} from '../../src/ownership/index.js';
+import {planChunk} from '../../src/placement/index.js';
+
+/** A decision function; tests replace it by broken ones. */
+export type Decide = (state: State, input: Input, now: number) => Step;
+
+/** One daemon of the fixture together with its upstream. */
+export interface Node {
+  readonly index: number;
+  /** Clock rate of the daemon's machine against true time. */
+  readonly rate: number;
+  readonly upstreamRate: number;
+  state: State;
+  mirror: Mirror;
+  alive: boolean;
+  pausedUntil: number;
+  startedAt: number;
+  process: string;
+  /** Tells the platform's changes only up to this position of its log. */
+  logPosition: number;
+  platformCut: boolean;
+  draining: boolean;
+  inFlight: Set<string>;
+  pending: (() => void)[];
+  upstream: {
+    process: string;
+    sequence: number;
+    until: number;
+    slices: readonly SliceEpoch[];
+    retired: Set<string>;
+    frozenUntil: number;
+  };
+}
+
+interface StoredValue {
+  readonly value: string;
+  readonly version: number;
+}
+
+interface Timer {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** Faults of the network and of the platform. */
+export interface Faults {
+  loss: number;
+  duplication: number;
+  delayMs: number;
+  platformDown: boolean;
+  loseAnswers: number;
+  platformDelayMs: number;
+}
+
+/** A fleet in virtual time. */
+export interface Fleet {
+  readonly nodes: readonly Node[];
+  readonly faults: Faults;
+  readonly service: Service;
+  readonly now: () => number;
+  readonly run: (ms: number) => void;
+  readonly pause: (index: number, ms: number) => void;
+  readonly restart: (index: number) => void;
+  readonly kill: (index: number) => void;
+  readonly freezeUpstream: (index: number, ms: number) => void;
+  readonly cut: (group: readonly number[]) => void;
+  readonly heal: () => void;
+  readonly drain: (index: number) => void;
+  /** Slices that nobody serves now. */
+  readonly unserved: () => readonly number[];
+}
+
+/** Fixture options. */
+export interface FleetOptions {
+  readonly size: number;
+  readonly seed: number;
+  readonly fencing?: 'enforced' | 'ignored';
+  readonly decide?: Decide;
+  readonly slices?: number;
+}
+
+const TICK_MS = 25;
+const DOMAINS = 3;
+const LEASE = {durationMs: 450, renewMs: 150, driftShare: 0.02, witnesses: 3};
+
+/** Creates a repeatable source of numbers from 0 (included) to 1 (excluded). */
+export function seededRandom(seed: number): () => number {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
+
+/** Creates a fleet whose members start one after the other. */
+export function newFleet(options: FleetOptions): Fleet {
+  const {size, seed, fencing = 'enforced', slices = 4} = options;
+  const step = options.decide ?? decide;
+  const random = seededRandom(seed);
+  const service: Service = {
+    name: 'rota',
+    pathPrefix: '/rota/',
+    key: {path: '/rota/{key}'},
+    slices,
+    chunks: 1,
+    priority: 1,
+    deadlineMs: 1000,
+    fencing,
+    successors: 2,
+  };
+  const faults: Faults = {
+    loss: 0,
+    duplication: 0,
+    delayMs: 0,
+    platformDown: false,
+    loseAnswers: 0,
+    platformDelayMs: 0,
+  };
+  const timers: Timer[] = [];
+  const objects = new Map<string, StoredValue>();
+  const log: {key: string; value: string; version: number}[] = [];
+  const served = new Map<number, {epoch: number; instance: string}>();
+  let time = 0;
+  let order = 0;
+  let cutGroup: ReadonlySet<number> = new Set();
+
+  const schedule = (delay: number, run: () => void) => {
+    timers.push({at: time + delay, order: order++, run});
+  };
+  const clockOf = (node: Node) => time * node.rate + node.index * 1000;
+  const upstreamClock = (node: Node) =>
+    time * node.upstreamRate + node.index * 77_777;
+
+  const nodes: Node[] = Array.from({length: size}, (_, index) =>
+    newNode(index, random),
+  );
+
+  function start(node: Node): void {
+    node.process = `p${node.index}-${Math.floor(random() * 1e9)}`;
+    node.state = newState(selfAt(node.index, node.process), LEASE);
+    node.mirror = emptyMirror();
+    node.logPosition = 0;
+    node.alive = true;
+    node.draining = false;
+    node.inFlight = new Set();
+    node.pending = [];
+    node.startedAt = time;
+    const {process} = node;
+    give(node, {kind: 'platform', reachable: true});
+    give(node, {
+      kind: 'upstream',
+      upstream: {
+        service: service.name,
+        slots: 4,
+        connections: 10,
+        fencing,
+        healthy: true,
+      },
+    });
+    const tick = () => {
+      if (!node.alive || node.process !== process) return;
+      whenRunning(node, () => {
+        pull(node);
+        give(node, {kind: 'tick', busy: new Set(node.inFlight)});
+        steward(node);
+      });
+      schedule(TICK_MS / node.rate, tick);
+    };
+    schedule(random() * TICK_MS, tick);
+  }
+
+  /** Runs at once, or after the pause of the process. */
+  function whenRunning(node: Node, run: () => void): void {
+    const {process} = node;
+    if (time >= node.pausedUntil) return run();
+    node.pending.push(() => {
+      if (node.process === process) run();
+    });
+  }
+
+  function give(node: Node, input: Input): void {
+    if (!node.alive) return;
+    const next = step(node.state, input, clockOf(node));
+    node.state = next.state;
+    for (const effect of next.effects) perform(node, effect);
+    check();
+  }
+
+  function perform(node: Node, effect: Effect): void {
+    switch (effect.kind) {
+      case 'send': {
+        const to = nodes.find(n => n.index === effect.to.port);
+        if (to) deliver(node, to, effect.message);
+        return;
+      }
+      case 'broadcast':
+        for (const to of nodes) {
+          if (to !== node) deliver(node, to, effect.message);
+        }
+        return;
+      case 'store':
+        return put(node, `members/${effect.member.instance}`, effect.member, {
+          stored: () => give(node, {kind: 'stored', member: effect.member}),
+          failed: certain => give(node, {kind: 'unstored', certain}),
+        });
+      case 'markEnded': {
+        const key = `members/${effect.lease.instance}`;
+        const known = node.mirror.entries.get(key);
+        if (!known) return;
+        const member = JSON.parse(known.value) as Member;
+        if (member.generation !== effect.lease.generation) return;
+        if (member.state === 'ended') return;
+        return put(node, key, {...member, state: 'ended'}, NO_RESULT);
+      }
+      case 'read':
+        return platformCall(node, () => {
+          const stored = objects.get(`members/${effect.lease.instance}`);
+          return () => {
+            if (!stored) return;
+            const member = JSON.parse(stored.value) as Member;
+            give(node, {kind: 'read', lease: effect.lease, member});
+          };
+        });
+      case 'grant':
+        return sendGrant(node, effect.request);
+    }
+  }
+
+  function deliver(from: Node, to: Node, message: Message): void {
+    const {instance} = from.state.self;
+    const envelope = {instance, process: from.process, message};
+    const copies = random() < faults.duplication ? 2 : 1;
+    for (let i = 0; i < copies; i++) {
+      if (random() < faults.loss) continue;
+      const delay = 1 + random() * 3 + random() * faults.delayMs;
+      const {process} = to;
+      const cutAtSend = isCut(from, to);
+      schedule(delay, () => {
+        if (cutAtSend || isCut(from, to)) return;
+        if (!to.alive || to.process !== process) return;
+        whenRunning(to, () => give(to, {kind: 'message', envelope}));
+      });
+    }
+  }
+
+  function isCut(a: Node, b: Node): boolean {
+    return cutGroup.has(a.index) !== cutGroup.has(b.index);
+  }
+
+  function platformCall(
+    node: Node,
+    effect: () => () => void,
+    lost?: () => void,
+    refused?: () => void,
+  ): void {
+    const {process} = node;
+    const answer = (run?: () => void) => {
+      schedule(1 + random() * 4, () => {
+        if (!node.alive || node.process !== process) return;
+        whenRunning(node, () => run?.());
+      });
+    };
+    schedule(1 + random() * (4 + faults.platformDelayMs), () => {
+      if (faults.platformDown || node.platformCut) return answer(refused);
+      const result = effect();
+      if (faults.loseAnswers > 0 && lost) {
+        faults.loseAnswers--;
+        return answer(lost);
+      }
+      answer(result);
+    });
+  }
+
+  function put(
+    node: Node,
+    key: string,
+    object: Member | Chunk,
+    result: {
+      readonly stored: (version: number) => void;
+      readonly failed: (certain: boolean) => void;
+    },
+  ): void {
+    const value = JSON.stringify(object);
+    const expected = node.mirror.entries.get(key)?.version ?? 0;
+    const learn = (stored: StoredValue | undefined) => {
+      if (stored) apply(node, key, stored.value, stored.version);
+    };
+    platformCall(
+      node,
+      () => {
+        const current = objects.get(key);
+        if ((current?.version ?? 0) !== expected) {
+          return () => {
+            learn(current);
+            result.failed(true);
+          };
+        }
+        const version = log.length + 1;
+        if ('slices' in object) checkChunk(current, object);
+        objects.set(key, {value, version});
+        log.push({key, value, version});
+        return () => {
+          result.stored(version);
+          learn({value, version});
+        };
+      },
+      () => readBack(node, key, value, expected, result),
+      () => result.failed(true),
+    );
+  }
+
+  function readBack(
+    node: Node,
+    key: string,
+    value: string,
+    expected: number,
+    result: {
+      readonly stored: (version: number) => void;
+      readonly failed: (certain: boolean) => void;
+    },
+  ): void {
+    platformCall(
+      node,
+      () => {
+        const current = objects.get(key);
+        return () => {
+          if (current?.value === value) result.stored(current.version);
+          else result.failed((current?.version ?? 0) !== expected);
+          if (current) apply(node, key, current.value, current.version);
+        };
+      },
+      undefined,
+      () => result.failed(false),
+    );
+  }
+
+  /** Takes the platform's changes that the node has not seen yet. */
+  function pull(node: Node): void {
+    if (faults.platformDown || node.platformCut) return;
+    while (node.logPosition < log.length) {
+      const {key, value, version} = log[node.logPosition++];
+      apply(node, key, value, version);
+    }
+  }
+
+  function apply(
+    node: Node,
+    key: string,
+    value: string,
+    version: number,
+  ): void {
+    const applied = applyOwn(node.mirror, {key, value, version});
+    node.mirror = applied.mirror;
+    if (applied.changed.length === 0) return;
+    if (key.startsWith('members/')) {
+      give(node, {kind: 'member', member: JSON.parse(value) as Member});
+    } else {
+      give(node, {kind: 'chunk', chunk: JSON.parse(value) as Chunk});
+    }
+  }
+
+  function steward(node: Node): void {
+    const {view} = node.state;
+    if (time < 1000) return;
+    const members = [...view.members.values()];
+    const live = members.filter(member => !leaseEnded(view, leaseOf(member)));
+    const subject = chunkSubject(service.name, 0);
+    const [chosen] = chooseStewards(subject, live, 1);
+    if (chosen?.instance !== node.state.self.instance) return;
+    const chunk = planChunk({
+      service,
+      index: 0,
+      chunk: view.chunks.get('rota/0'),
+      members,
+      ended: lease => leaseEnded(view, lease),
+      released: (id, lease) => releasedEpoch(view, id.service, id.slice, lease),
+    });
+    if (chunk) put(node, 'chunks/rota/0', chunk, NO_RESULT);
+  }
+
+  function sendGrant(
+    node: Node,
+    request: Extract<Effect, {kind: 'grant'}>['request'],
+  ): void {
+    const {process} = node;
+    const {upstream} = node;
+    schedule(random() * 2, () => {
+      const arrive = () => {
+        const accepted = acceptGrant(node, process, request);
+        const clock = upstreamClock(node);
+        schedule(random() * 2, () => {
+          if (!node.alive || node.process !== process) return;
+          const {sequence} = request;
+          whenRunning(node, () =>
+            give(
+              node,
+              accepted
+                ? {kind: 'granted', sequence, clock}
+                : {kind: 'ungranted', sequence},
+            ),
+          );
+        });
+        check();
+      };
+      schedule(Math.max(0, upstream.frozenUntil - time), arrive);
+    });
+  }
+
+  function acceptGrant(
+    node: Node,
+    process: string,
+    request: Extract<Effect, {kind: 'grant'}>['request'],
+  ): boolean {
+    const {upstream} = node;
+    if (upstream.retired.has(process)) return false;
+    if (upstream.process !== process) {
+      upstream.retired.add(upstream.process);
+    } else if (request.sequence <= upstream.sequence) {
+      return false;
+    }
+    upstream.process = process;
+    upstream.sequence = request.sequence;
+    upstream.until = request.until;
+    upstream.slices = request.slices;
+    return true;
+  }
+
+  /** Entries under which the upstream of a node would execute a write now. */
+  function executable(node: Node): readonly SliceEpoch[] {
+    if (fencing === 'enforced') {
+      const inForce = upstreamClock(node) < node.upstream.until;
+      return inForce ? node.upstream.slices : [];
+    }
+    if (!node.alive || time < node.pausedUntil) return [];
+    return [...node.state.holdings.values()].filter(({slice, epoch}) =>
+      holdsTerm(node.state, service.name, slice, epoch, clockOf(node)),
+    );
+  }
+
+  function check(): void {
+    const owners = new Map<number, {epoch: number; instance: string}>();
+    for (const node of nodes) {
+      const {instance} = node.state.self;
+      for (const {slice, epoch} of executable(node)) {
+        const other = owners.get(slice);
+        if (other && other.instance !== instance) {
+          throw new Error(
+            `two owners of slice ${slice} at ${time}: ` +
+              `${other.instance}@${other.epoch} and ${instance}@${epoch}`,
+          );
+        }
+        owners.set(slice, {epoch, instance});
+        const before = served.get(slice);
+        if (before && before.instance !== instance && before.epoch >= epoch) {
+          throw new Error(
+            `epoch of slice ${slice} went back at ${time}: ` +
+              `${before.instance}@${before.epoch}, ${instance}@${epoch}`,
+          );
+        }
+        if (!before || epoch > before.epoch) {
+          served.set(slice, {epoch, instance});
+        }
+      }
+    }
+  }
+
+  function checkChunk(current: StoredValue | undefined, next: Chunk): void {
+    if (!current) return;
+    const before = JSON.parse(current.value) as Chunk;
+    before.slices.forEach((record, i) => {
+      const highest = record.terms.at(-1)?.epoch ?? 0;
+      const known = new Set(record.terms.map(({epoch}) => epoch));
+      for (const {epoch} of next.slices[i].terms) {
+        if (!known.has(epoch) && epoch <= highest) {
+          throw new Error(`epoch ${epoch} of slice ${i} was used before`);
+        }
+      }
+    });
+  }
+
+  function run(ms: number): void {
+    const end = time + ms;
+    for (;;) {
+      let best = -1;
+      for (let i = 0; i < timers.length; i++) {
+        if (timers[i].at > end) continue;
+        const isFirst =
+          best < 0 ||
+          timers[i].at < timers[best].at ||
+          (timers[i].at === timers[best].at &&
+            timers[i].order < timers[best].order);
+        if (isFirst) best = i;
+      }
+      if (best < 0) break;
+      const [timer] = timers.splice(best, 1);
+      time = timer.at;
+      timer.run();
+    }
+    time = end;
+    check();
+  }
+
+  nodes.forEach(start);
+  return {
+    nodes,
+    faults,
+    service,
+    now: () => time,
+    run,
+    pause: (index, ms) => {
+      const node = nodes[index];
+      node.pausedUntil = Math.max(node.pausedUntil, time + ms);
+      schedule(ms, () => {
+        if (time < node.pausedUntil) return;
+        for (const resume of node.pending.splice(0)) resume();
+      });
+    },
+    restart: index => {
+      nodes[index].pausedUntil = 0;
+      start(nodes[index]);
+    },
+    kill: index => {
+      nodes[index].alive = false;
+    },
+    freezeUpstream: (index, ms) => {
+      nodes[index].upstream.frozenUntil = time + ms;
+    },
+    cut: group => {
+      cutGroup = new Set(group);
+    },
+    heal: () => {
+      cutGroup = new Set();
+    },
+    drain: index => give(nodes[index], {kind: 'drain'}),
+    unserved: () =>
+      Array.from({length: slices}, (_, slice) => slice).filter(
+        slice =>
+          !nodes.some(node => {
+            const holding = node.state.holdings.get(`rota/${slice}`);
+            return (
+              node.alive &&
+              holding?.state === 'serving' &&
+              holdsTerm(
+                node.state,
+                service.name,
+                slice,
+                holding.epoch,
+                clockOf(node),
+              )
+            );
+          }),
+      ),
+  };
+}
+
+const NO_RESULT = {stored: () => {}, failed: () => {}};
+
+function newNode(index: number, random: () => number): Node {
+  const rate = () => 1 + (random() - 0.5) * 0.018;
+  return {
+    index,
+    rate: rate(),
+    upstreamRate: rate(),
+    state: newState(selfAt(index, ''), LEASE),
+    mirror: emptyMirror(),
+    alive: false,
+    pausedUntil: 0,
+    startedAt: 0,
+    process: '',
+    logPosition: 0,
+    platformCut: false,
+    draining: false,
+    inFlight: new Set(),
+    pending: [],
+    upstream: {
+      process: '',
+      sequence: 0,
+      until: 0,
+      slices: [],
+      retired: new Set(),
+      frozenUntil: 0,
+    },
+  };
+}
+
+function selfAt(index: number, process: string) {
+  const address = {host: '127.0.0.1', port: index};
+  return {
+    instance: `i${index}`,
+    process,
+    site: 'site',
+    region: 'region',
+    domain: `d${index % DOMAINS}`,
+    callers: address,
+    peers: address,
+    control: address,
+  };
+}
