Add admission to the slots of an upstream

Cause: an owner may send its upstream no more than its slots take, and must say at once what it can't do in time. Ruled out: a first-in first-out queue (answers late under overload), deadline order alone (a caller with many requests holds up the others), weighted virtual times without rounds (deadlines then never decide), and a map of callers kept after their requests are done (unbounded). Before: nothing. After: a pure decide(state, event, now) with priority, rounds between callers, deadlines, a share for one key, a ramp, pauses asked for by the upstream, and refusal with a Retry-After; a retry budget; createAdmission at the edge.

--- /dev/null
+++ b/src/admission/admission.ts
@@ -0,0 +1,246 @@
+import type {FailureReason} from '../model/index.js';
+import type {Log, Metrics} from '../telemetry/index.js';
+import {
+  countForwarded,
+  createRetryBudget,
+  spendRetry,
+  type RetryLimits,
+} from './budget.js';
+import {decide, nextTickAt} from './decide.js';
+import {ADMISSION_EVENTS} from './events.js';
+import {createMeter} from './meter.js';
+import {
+  createState,
+  type AdmissionEvent,
+  type AdmissionState,
+  type Completion,
+  type Parameters,
+  type Verdict,
+} from './state.js';
+
+/** A request that asks for a slot. */
+export interface AdmissionRequest {
+  readonly service: string;
+  /** A lower number is admitted first. */
+  readonly priority: number;
+  /** Time by which the answer must be complete, in milliseconds of the clock. */
+  readonly deadlineAt: number;
+  /** Identifies the caller among whom slots are shared fairly. */
+  readonly caller: string;
+  /** Aborts when the caller has gone. */
+  readonly signal?: AbortSignal;
+  readonly key?: string;
+}
+
+/** The request holds a slot until `release` is called; later calls do nothing. */
+export interface Admitted {
+  readonly kind: 'admitted';
+  /** Frees the slot. Pass `cut-short` when the upstream did not run it whole. */
+  readonly release: (completion?: Completion) => void;
+}
+
+/** The request is not to be sent to the upstream. */
+export interface Refused {
+  readonly kind: 'refused';
+  readonly reason: FailureReason;
+  /** Time after which a repeat makes sense, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/** The answer to one request for a slot. */
+export type AdmissionResult = Admitted | Refused;
+
+/** Runs a function after a delay; calling the result prevents it. */
+export type Schedule = (delayMs: number, run: () => void) => () => void;
+
+/** Settings of `createAdmission`. */
+export interface AdmissionOptions extends Partial<Parameters> {
+  readonly slots: number;
+  /** Most requests that wait. */
+  readonly queue: number;
+  /** Milliseconds that never go back. */
+  readonly clock: () => number;
+  readonly schedule?: Schedule;
+  readonly retries?: RetryLimits;
+  readonly log?: Log;
+  readonly metrics?: Metrics;
+}
+
+/** Admission to the slots of one upstream. */
+export interface Admission {
+  /**
+   * Waits for a slot. The promise never rejects and settles as soon as the
+   * request is admitted or given up.
+   */
+  readonly admit: (request: AdmissionRequest) => Promise<AdmissionResult>;
+  /** Counts a first attempt that was sent to another daemon or the upstream. */
+  readonly countForwarded: () => void;
+  /** Takes one retry from the budget; false when none is left. */
+  readonly retryAllowed: () => boolean;
+  /** Reports that the upstream shed a request. */
+  readonly observeShed: (retryAfterMs: number) => void;
+  /** Reports that the upstream has just started. */
+  readonly observeRestart: () => void;
+  readonly setSlots: (slots: number) => void;
+  /** The state as of the last event. */
+  readonly state: () => AdmissionState;
+}
+
+interface Pending {
+  readonly resolve: (result: AdmissionResult) => void;
+  readonly signal: AbortSignal | undefined;
+  readonly onAbort: () => void;
+}
+
+const DEFAULTS: Omit<Parameters, 'queueLimit'> = {
+  keyShare: 0.5,
+  rampMs: 5000,
+  coldShare: 0.25,
+};
+const DEFAULT_RETRIES: RetryLimits = {share: 0.1, reserve: 10};
+const TIMER_LIMIT_MS = 60_000;
+
+const CANCELLED: Promise<Refused> = Promise.resolve({
+  kind: 'refused',
+  reason: 'cancelled',
+  retryAfterMs: 0,
+});
+
+/**
+ * Creates the admission to one upstream.
+ *
+ * @throws {RangeError} when a setting is out of its range.
+ *
+ * @example
+ * const admission = createAdmission({
+ *   slots: 12, queue: 64, clock: () => performance.now()});
+ * const result = await admission.admit({service: 'rota-display', priority: 2,
+ *   deadlineAt: performance.now() + 500, caller: 'desk-7', key: 'night'});
+ * if (result.kind === 'admitted') result.release();
+ */
+export function createAdmission(options: AdmissionOptions): Admission {
+  const {clock, schedule = scheduleTimeout} = options;
+  const meter = createMeter(options.metrics, options.log);
+  const pending = new Map<number, Pending>();
+  let state = createState(options.slots, parametersOf(options));
+  let budget = createRetryBudget(options.retries ?? DEFAULT_RETRIES);
+  let nextId = 1;
+  let timerAt = Infinity;
+  let cancelTimer: (() => void) | undefined;
+
+  const dispatch = (event: AdmissionEvent): readonly Verdict[] => {
+    const now = clock();
+    const step = decide(state, event, now);
+    state = step.state;
+    meter.observe(state, step.verdicts, now);
+    if (state.waiting.length > 0) armTimer(now);
+    return step.verdicts;
+  };
+
+  const dispatchAndSettle = (event: AdmissionEvent) => {
+    for (const verdict of dispatch(event)) settle(verdict);
+  };
+
+  const armTimer = (now: number) => {
+    const at = nextTickAt(state, now);
+    if (at >= timerAt || at === Infinity) return;
+    cancelTimer?.();
+    timerAt = at;
+    const delayMs = Math.min(Math.max(1, Math.ceil(at - now)), TIMER_LIMIT_MS);
+    cancelTimer = schedule(delayMs, () => {
+      timerAt = Infinity;
+      dispatchAndSettle({kind: 'tick'});
+    });
+  };
+
+  const resultOf = (verdict: Verdict): AdmissionResult => {
+    if (verdict.kind === 'refused') {
+      const {reason, retryAfterMs} = verdict;
+      return {kind: 'refused', reason, retryAfterMs};
+    }
+    budget = countForwarded(budget);
+    return {kind: 'admitted', release: releaseOf(verdict.work.id)};
+  };
+
+  const releaseOf = (id: number) => {
+    let released = false;
+    return (completion: Completion = 'ran') => {
+      if (released) return;
+      released = true;
+      dispatchAndSettle({kind: 'finish', id, completion});
+    };
+  };
+
+  const settle = (verdict: Verdict) => {
+    const entry = pending.get(verdict.work.id);
+    if (!entry) return;
+    pending.delete(verdict.work.id);
+    entry.signal?.removeEventListener('abort', entry.onAbort);
+    entry.resolve(resultOf(verdict));
+  };
+
+  const queue = (id: number, signal: AbortSignal | undefined) =>
+    new Promise<AdmissionResult>(resolve => {
+      const onAbort = () => dispatchAndSettle({kind: 'cancel', id});
+      signal?.addEventListener('abort', onAbort, {once: true});
+      pending.set(id, {resolve, signal, onAbort});
+    });
+
+  const admit = (request: AdmissionRequest): Promise<AdmissionResult> => {
+    const {service, priority, deadlineAt, caller, key, signal} = request;
+    if (signal?.aborted) return CANCELLED;
+    const id = nextId++;
+    const work = {id, service, priority, caller, key, deadlineAt, round: 0};
+    let own: Verdict | undefined;
+    for (const verdict of dispatch({kind: 'arrive', work})) {
+      if (verdict.work.id === id) own = verdict;
+      else settle(verdict);
+    }
+    return own ? Promise.resolve(resultOf(own)) : queue(id, signal);
+  };
+
+  const retryAllowed = () => {
+    const left = spendRetry(budget);
+    if (!left) return false;
+    budget = left;
+    return true;
+  };
+
+  return {
+    admit,
+    countForwarded: () => {
+      budget = countForwarded(budget);
+    },
+    retryAllowed,
+    observeShed: retryAfterMs => {
+      const paused = clock() < state.pausedUntil;
+      dispatchAndSettle({kind: 'shed', retryAfterMs});
+      if (!paused) options.log?.(ADMISSION_EVENTS.paused, {retryAfterMs});
+    },
+    observeRestart: () => {
+      dispatchAndSettle({kind: 'restart'});
+      options.log?.(ADMISSION_EVENTS.restarted, {slots: state.slots});
+    },
+    setSlots: slots => {
+      if (slots === state.slots) return;
+      dispatchAndSettle({kind: 'slots', slots});
+      options.log?.(ADMISSION_EVENTS.slotsChanged, {slots});
+    },
+    state: () => state,
+  };
+}
+
+function parametersOf(options: AdmissionOptions): Parameters {
+  const {
+    keyShare = DEFAULTS.keyShare,
+    rampMs = DEFAULTS.rampMs,
+    coldShare = DEFAULTS.coldShare,
+  } = options;
+  return {queueLimit: options.queue, keyShare, rampMs, coldShare};
+}
+
+function scheduleTimeout(delayMs: number, run: () => void): () => void {
+  const timer = setTimeout(run, delayMs);
+  timer.unref();
+  return () => clearTimeout(timer);
+}
--- /dev/null
+++ b/src/admission/decide.ts
@@ -0,0 +1,296 @@
+import {meanMs, observeTime} from './estimate.js';
+import {forecast, latestStartAt, startMs, type Forecast} from './forecast.js';
+import {coldRamp, limitAt, nextRiseAt} from './limit.js';
+import {advance, enqueue, outranks} from './order.js';
+import {
+  checkCount,
+  type AdmissionEvent,
+  type AdmissionState,
+  type Completion,
+  type RefusedVerdict,
+  type Step,
+  type Verdict,
+  type Work,
+} from './state.js';
+
+/** Longest Retry-After of an upstream that is obeyed. */
+export const PAUSE_LIMIT_MS = 60_000;
+
+/** Retry-After of a refusal when no end of the overload can be foreseen. */
+export const UNKNOWN_RETRY_AFTER_MS = 1000;
+
+const SHED_FACTOR = 0.5;
+const NO_VERDICTS: readonly Verdict[] = [];
+
+/**
+ * Applies an event and returns the new state with the answers it brought about.
+ *
+ * @param now Time in milliseconds, of the clock of all times in the state.
+ * @throws {RangeError} when an event carries a number out of its range.
+ *
+ * @example
+ * const {state, verdicts} = decide(before, {kind: 'arrive', work}, now);
+ */
+export function decide(
+  state: AdmissionState,
+  event: AdmissionEvent,
+  now: number,
+): Step {
+  switch (event.kind) {
+    case 'arrive':
+      return arrive(state, event.work, now);
+    case 'finish':
+      return finish(state, event.id, event.completion, now);
+    case 'cancel':
+      return cancel(state, event.id);
+    case 'shed':
+      return shed(state, event.retryAfterMs, now);
+    case 'slots':
+      return setSlots(state, event.slots, now);
+    case 'restart':
+      return reconsider({...state, ramp: coldRamp(state, now)}, now);
+    case 'tick':
+      return reconsider(state, now);
+  }
+}
+
+/**
+ * Returns the time at which a `tick` is due, or infinity: a waiting request is
+ * to be given up, or the limit rises.
+ *
+ * @example
+ * nextTickAt(createState(12, parameters), now); // Infinity
+ */
+export function nextTickAt(state: AdmissionState, now: number): number {
+  if (state.waiting.length === 0) return Infinity;
+  let at = nextRiseAt(state, now);
+  for (const work of state.waiting) {
+    at = Math.min(at, latestStartAt(state, work));
+  }
+  return at;
+}
+
+function arrive(state: AdmissionState, work: Work, now: number): Step {
+  const expectedMs = meanMs(state.estimates, work.service);
+  if (now + expectedMs >= work.deadlineAt) {
+    return {state, verdicts: [refuse(work, 'deadline', 0)]};
+  }
+  const {running, waiting} = state;
+  if (waiting.length === 0 && running.length < limitAt(state, now)) {
+    return start(state, work, now);
+  }
+  return wait(state, work, now);
+}
+
+function start(state: AdmissionState, work: Work, now: number): Step {
+  const running = [...state.running, {work, startedAt: now}];
+  return {
+    state: {...state, running},
+    verdicts: [{kind: 'admitted', work}],
+  };
+}
+
+/** Queues a request, unless it would miss its deadline or the queue is full. */
+function wait(state: AdmissionState, arrival: Work, now: number): Step {
+  const waiting = enqueue(state, arrival);
+  const index = waiting.findIndex(other => other.id === arrival.id);
+  const work = waiting[index];
+  const expected = forecast(state, now);
+  const victim = findVictim(state, waiting, work);
+  const isFull = victim !== undefined && !outranks(work, victim);
+  if (isFull || missesDeadline(state, work, expected, index, now)) {
+    return {state, verdicts: [refuseLate(work, expected, index)]};
+  }
+  const evicted = victim ? [refuseLate(victim, expected, waiting.length)] : [];
+  const kept = victim ? waiting.filter(other => other !== victim) : waiting;
+  const late = refuseFrom({...state, waiting: kept}, index + 1, now);
+  const filled = fill(late.state, now);
+  const verdicts = [...evicted, ...late.verdicts, ...filled.verdicts];
+  return {state: filled.state, verdicts};
+}
+
+/**
+ * Returns the request to give up when a queue that has just taken a request
+ * holds too many: of the same key, or in all.
+ */
+function findVictim(
+  state: AdmissionState,
+  waiting: readonly Work[],
+  work: Work,
+): Work | undefined {
+  const {queueLimit, keyShare} = state.parameters;
+  if (work.key !== undefined) {
+    const sameKey = waiting.filter(other => other.key === work.key);
+    const limit = Math.max(1, Math.floor(queueLimit * keyShare));
+    if (sameKey.length > limit) return sameKey.at(-1);
+  }
+  return waiting.length > queueLimit ? waiting.at(-1) : undefined;
+}
+
+function missesDeadline(
+  state: AdmissionState,
+  work: Work,
+  expected: Forecast,
+  ahead: number,
+  now: number,
+): boolean {
+  return now + startMs(expected, ahead) >= latestStartAt(state, work);
+}
+
+/** Gives up the requests from a place in the queue that can't make their deadline. */
+function refuseFrom(state: AdmissionState, from: number, now: number): Step {
+  const expected = forecast(state, now);
+  const kept = state.waiting.slice(0, from);
+  const verdicts: Verdict[] = [];
+  for (const work of state.waiting.slice(from)) {
+    const ahead = kept.length;
+    if (missesDeadline(state, work, expected, ahead, now)) {
+      verdicts.push(refuseLate(work, expected, ahead));
+    } else {
+      kept.push(work);
+    }
+  }
+  if (verdicts.length === 0) return {state, verdicts: NO_VERDICTS};
+  return {state: withWaiting(state, kept), verdicts};
+}
+
+/**
+ * Refuses a request for lack of capacity. A repeat makes sense once the
+ * requests that are before it now have been served.
+ */
+function refuseLate(
+  work: Work,
+  expected: Forecast,
+  ahead: number,
+): RefusedVerdict {
+  const soonestMs = Math.max(startMs(expected, ahead), expected.firstMs);
+  const known = Number.isFinite(soonestMs);
+  const retryAfterMs = known ? soonestMs : UNKNOWN_RETRY_AFTER_MS;
+  return refuse(work, 'overloaded', retryAfterMs);
+}
+
+function refuse(
+  work: Work,
+  reason: RefusedVerdict['reason'],
+  retryAfterMs: number,
+): RefusedVerdict {
+  return {kind: 'refused', work, reason, retryAfterMs};
+}
+
+function finish(
+  state: AdmissionState,
+  id: number,
+  completion: Completion,
+  now: number,
+): Step {
+  const {running} = state;
+  const index = running.findIndex(entry => entry.work.id === id);
+  if (index < 0) return {state, verdicts: NO_VERDICTS};
+  const {work, startedAt} = running[index];
+  const estimates =
+    completion === 'ran'
+      ? observeTime(state.estimates, work.service, now - startedAt)
+      : state.estimates;
+  const rest = running.toSpliced(index, 1);
+  const after = {...state, running: rest, estimates, lastFinishAt: now};
+  return fill(after, now);
+}
+
+/** Gives free slots to waiting requests. */
+function fill(before: AdmissionState, now: number): Step {
+  if (before.waiting.length === 0)
+    return {state: before, verdicts: NO_VERDICTS};
+  const limit = limitAt(before, now);
+  const verdicts: Verdict[] = [];
+  let state = before;
+  while (state.waiting.length > 0 && state.running.length < limit) {
+    const step = takeNext(state, limit, now);
+    verdicts.push(...step.verdicts);
+    state = step.state;
+  }
+  return {state, verdicts};
+}
+
+function takeNext(state: AdmissionState, limit: number, now: number): Step {
+  const index = nextIndex(state, limit);
+  const work = state.waiting[index];
+  const waiting = state.waiting.toSpliced(index, 1);
+  if (now >= latestStartAt(state, work)) {
+    const verdict = refuseLate(work, forecast(state, now), 0);
+    return {state: withWaiting(state, waiting), verdicts: [verdict]};
+  }
+  const progress = advance(state.progress, work, state.waiting.length);
+  return start(withWaiting({...state, progress}, waiting), work, now);
+}
+
+/**
+ * Returns the place of the next request to admit: the first of its class whose
+ * key holds less than its share of the slots, or else the first of all.
+ */
+function nextIndex(state: AdmissionState, limit: number): number {
+  const {waiting, running, parameters} = state;
+  const keyLimit = Math.max(1, Math.floor(limit * parameters.keyShare));
+  const holdsShare = (key: string | undefined) =>
+    key !== undefined && countOf(running, key) >= keyLimit;
+  const {priority} = waiting[0];
+  for (let i = 0; i < waiting.length; i++) {
+    if (waiting[i].priority !== priority) return 0;
+    if (!holdsShare(waiting[i].key)) return i;
+  }
+  return 0;
+}
+
+function countOf(running: AdmissionState['running'], key: string): number {
+  let count = 0;
+  for (const entry of running) {
+    if (entry.work.key === key) count++;
+  }
+  return count;
+}
+
+function cancel(state: AdmissionState, id: number): Step {
+  const index = state.waiting.findIndex(work => work.id === id);
+  if (index < 0) return {state, verdicts: NO_VERDICTS};
+  const verdict = refuse(state.waiting[index], 'cancelled', 0);
+  const waiting = state.waiting.toSpliced(index, 1);
+  return {state: withWaiting(state, waiting), verdicts: [verdict]};
+}
+
+function shed(state: AdmissionState, retryAfterMs: number, now: number): Step {
+  if (!(retryAfterMs >= 0)) {
+    throw new RangeError(`Retry-After is negative: ${retryAfterMs}`);
+  }
+  const until = now + Math.min(retryAfterMs, PAUSE_LIMIT_MS);
+  const pausedUntil = Math.max(state.pausedUntil, until);
+  const paused = now < state.pausedUntil;
+  const from = paused
+    ? state.ramp.from
+    : Math.max(1, Math.floor(limitAt(state, now) * SHED_FACTOR));
+  const ramp = {from, startedAt: pausedUntil};
+  return reconsider({...state, pausedUntil, ramp}, now);
+}
+
+/** Sets the slots; an upstream that had none is taken to be cold. */
+function setSlots(state: AdmissionState, slots: number, now: number): Step {
+  checkCount('slots', slots);
+  const next = {...state, slots};
+  const ramp = state.slots === 0 ? coldRamp(next, now) : state.ramp;
+  return reconsider({...next, ramp}, now);
+}
+
+/** Gives free slots away, then gives up what can't make its deadline any more. */
+function reconsider(state: AdmissionState, now: number): Step {
+  const filled = fill(state, now);
+  const late = refuseFrom(filled.state, 0, now);
+  if (late.verdicts.length === 0) return filled;
+  return {state: late.state, verdicts: [...filled.verdicts, ...late.verdicts]};
+}
+
+/** Replaces the queue; the rounds begin anew when it becomes empty. */
+function withWaiting(
+  state: AdmissionState,
+  waiting: readonly Work[],
+): AdmissionState {
+  const progress = waiting.length === 0 ? [] : state.progress;
+  return {...state, waiting, progress};
+}
--- /dev/null
+++ b/src/admission/state.ts
@@ -0,0 +1,155 @@
+import type {FailureReason} from '../model/index.js';
+import type {Estimate} from './estimate.js';
+
+/** A request as admission sees it. Times are in milliseconds of one clock. */
+export interface Work {
+  readonly id: number;
+  readonly service: string;
+  /** A lower number is admitted first. */
+  readonly priority: number;
+  readonly caller: string;
+  /** Absent for a request of an unkeyed service. */
+  readonly key: string | undefined;
+  readonly deadlineAt: number;
+  /** Round of its class in which the request is due; see `order.ts`. */
+  readonly round: number;
+}
+
+/** A request that holds a slot. */
+export interface Running {
+  readonly work: Work;
+  readonly startedAt: number;
+}
+
+/** Progress of the rounds of one priority class. */
+export interface ClassProgress {
+  readonly priority: number;
+  /** Grows with each admission from the queue; its whole part is the round. */
+  readonly virtualTime: number;
+}
+
+/** Fixed parameters of admission. */
+export interface Parameters {
+  /** Most requests that wait. */
+  readonly queueLimit: number;
+  /** Share of the slots and of the queue that one key may hold against others. */
+  readonly keyShare: number;
+  /** Time from a cold start to the use of all slots. */
+  readonly rampMs: number;
+  /** Share of the slots that a cold upstream is given at first. */
+  readonly coldShare: number;
+}
+
+/** A rise of the slots in use from `from` at `startedAt` to all of them. */
+export interface Ramp {
+  readonly from: number;
+  readonly startedAt: number;
+}
+
+/** State of the admission to one upstream. */
+export interface AdmissionState {
+  readonly parameters: Parameters;
+  /** Requests that the upstream executes at a time. */
+  readonly slots: number;
+  /** Requests that hold a slot, in the order in which they started. */
+  readonly running: readonly Running[];
+  /** Requests that wait, in the order in which they are to be admitted. */
+  readonly waiting: readonly Work[];
+  readonly progress: readonly ClassProgress[];
+  readonly estimates: readonly Estimate[];
+  readonly ramp: Ramp;
+  /** Time before which the upstream asked for no further request. */
+  readonly pausedUntil: number;
+  readonly lastFinishAt: number;
+}
+
+/** How a request that held a slot ended. Only `ran` says how long one takes. */
+export type Completion = 'ran' | 'cut-short';
+
+/** Something that happened to the admission. */
+export type AdmissionEvent =
+  | {readonly kind: 'arrive'; readonly work: Work}
+  | {
+      readonly kind: 'finish';
+      readonly id: number;
+      readonly completion: Completion;
+    }
+  | {readonly kind: 'cancel'; readonly id: number}
+  | {readonly kind: 'shed'; readonly retryAfterMs: number}
+  | {readonly kind: 'slots'; readonly slots: number}
+  | {readonly kind: 'restart'}
+  | {readonly kind: 'tick'};
+
+/** The request may be sent to the upstream. */
+export interface AdmittedVerdict {
+  readonly kind: 'admitted';
+  readonly work: Work;
+}
+
+/** The request is given up. */
+export interface RefusedVerdict {
+  readonly kind: 'refused';
+  readonly work: Work;
+  readonly reason: FailureReason;
+  /** Time after which a repeat makes sense, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/** The one final answer of admission to a request. */
+export type Verdict = AdmittedVerdict | RefusedVerdict;
+
+/** A new state and the answers that the event brought about. */
+export interface Step {
+  readonly state: AdmissionState;
+  readonly verdicts: readonly Verdict[];
+}
+
+/**
+ * Creates the state of an upstream that is warm and idle.
+ *
+ * @throws {RangeError} when a count or share is out of its range.
+ *
+ * @example
+ * const state = createState(12, {queueLimit: 64, keyShare: 0.5, rampMs: 5000, coldShare: 0.25});
+ */
+export function createState(
+  slots: number,
+  parameters: Parameters,
+): AdmissionState {
+  checkCount('slots', slots);
+  checkCount('queueLimit', parameters.queueLimit);
+  checkShare('keyShare', parameters.keyShare);
+  checkShare('coldShare', parameters.coldShare);
+  if (!(parameters.rampMs >= 0)) {
+    throw new RangeError(`rampMs is negative: ${parameters.rampMs}`);
+  }
+  return {
+    parameters,
+    slots,
+    running: [],
+    waiting: [],
+    progress: [],
+    estimates: [],
+    ramp: {from: slots, startedAt: -Infinity},
+    pausedUntil: -Infinity,
+    lastFinishAt: -Infinity,
+  };
+}
+
+/**
+ * Refuses a number that is not a whole count.
+ *
+ * @throws {RangeError} when it is negative or has a fraction.
+ *
+ * @example
+ * checkCount('slots', 12);
+ */
+export function checkCount(name: string, value: number): void {
+  if (Number.isInteger(value) && value >= 0) return;
+  throw new RangeError(`${name} is not a whole count: ${value}`);
+}
+
+function checkShare(name: string, value: number): void {
+  if (value >= 0 && value <= 1) return;
+  throw new RangeError(`${name} is not from 0 to 1: ${value}`);
+}
--- /dev/null
+++ b/test/admission/decide.test.ts
@@ -0,0 +1,111 @@
+import test from 'ava';
+import {PAUSE_LIMIT_MS, type Work} from '../../src/admission/index.js';
+import {limitAt} from '../../src/admission/limit.js';
+import {admittedIds, bench, parameters, work} from './fixtures.js';
+
+/** A bench whose one slot is taken and whose requests take 10 ms each. */
+function busyBench(changed: Partial<ReturnType<typeof parameters>> = {}) {
+  const target = bench(1, parameters(changed));
+  for (let i = 0; i < 30; i++) {
+    target.apply({kind: 'arrive', work: work(-1 - i)});
+    target.advance(10);
+    target.apply({kind: 'finish', id: -1 - i, completion: 'ran'});
+  }
+  target.apply({kind: 'arrive', work: work(0)});
+  const arrive = (id: number, changed: Partial<Work>) =>
+    target.apply({kind: 'arrive', work: work(id, changed)});
+  const finish = (id: number) =>
+    admittedIds(target.apply({kind: 'finish', id, completion: 'ran'}));
+  return {...target, arrive, finish};
+}
+
+test('a caller with many requests does not hold up one with a single one', t => {
+  const target = busyBench();
+  for (const id of [1, 2, 3, 4]) target.arrive(id, {caller: 'many'});
+  target.arrive(5, {caller: 'single'});
+  t.deepEqual(target.finish(0), [1]);
+  t.deepEqual(target.finish(1), [5]);
+});
+
+test('callers own requests go by deadline without harm to others', t => {
+  const target = busyBench();
+  target.arrive(1, {caller: 'a', deadlineAt: 9000});
+  target.arrive(2, {caller: 'b', deadlineAt: 8000});
+  target.arrive(3, {caller: 'a', deadlineAt: 5000});
+  t.deepEqual(
+    target.state().waiting.map(other => other.id),
+    [3, 2, 1],
+  );
+});
+
+test('a request that would miss its deadline is refused at once', t => {
+  const target = busyBench();
+  const deadlineAt = target.now() + 45;
+  t.deepEqual(target.arrive(1, {deadlineAt}), []);
+  t.deepEqual(target.arrive(2, {deadlineAt: deadlineAt + 1}), []);
+  t.deepEqual(target.arrive(3, {deadlineAt: deadlineAt + 2}), []);
+  const [refused] = target.arrive(4, {deadlineAt: deadlineAt + 3});
+  t.like(refused, {kind: 'refused', reason: 'overloaded'});
+  t.true(refused.kind === 'refused' && refused.retryAfterMs > 35);
+  t.true(refused.kind === 'refused' && refused.retryAfterMs < 45);
+  const [hopeless] = target.arrive(5, {deadlineAt: target.now() + 5});
+  t.like(hopeless, {reason: 'deadline', retryAfterMs: 0});
+});
+
+test('a higher class goes first and gives up those it makes late', t => {
+  const target = busyBench();
+  target.arrive(1, {priority: 2, deadlineAt: target.now() + 25});
+  const verdicts = target.arrive(2, {priority: 0});
+  t.like(verdicts, [{kind: 'refused', work: {id: 1}, reason: 'overloaded'}]);
+  t.deepEqual(target.finish(0), [2]);
+});
+
+test('a full queue gives up its last for a higher class and for nobody else', t => {
+  const target = busyBench({queueLimit: 2});
+  target.arrive(1, {priority: 2});
+  target.arrive(2, {priority: 2});
+  t.like(target.arrive(3, {priority: 2}), [{work: {id: 3}}]);
+  t.like(target.arrive(4, {priority: 1}), [{work: {id: 2}}]);
+  t.deepEqual(target.finish(0), [4]);
+});
+
+test('a stalled upstream makes later requests be refused', t => {
+  const target = busyBench();
+  target.advance(500);
+  const deadlineAt = target.now() + 300;
+  t.like(target.arrive(1, {deadlineAt}), [{reason: 'overloaded'}]);
+});
+
+test('a shed is obeyed and the slots rise again from half', t => {
+  const target = bench(8, parameters());
+  target.apply({kind: 'shed', retryAfterMs: 100});
+  target.apply({kind: 'shed', retryAfterMs: 100});
+  const ids = Array.from({length: 6}, (_, id) => id);
+  for (const id of ids) target.apply({kind: 'arrive', work: work(id)});
+  target.advance(99);
+  t.is(target.state().running.length, 0);
+  target.advance(1);
+  t.is(target.state().running.length, 4);
+  target.advance(100);
+  t.is(target.state().running.length, 5);
+  target.advance(300);
+  t.is(limitAt(target.state(), target.now()), 8);
+});
+
+test('a shed without measure pauses for a bounded time', t => {
+  const target = bench(8, parameters());
+  target.apply({kind: 'shed', retryAfterMs: Infinity});
+  t.is(target.state().pausedUntil, PAUSE_LIMIT_MS);
+  t.throws(() => target.apply({kind: 'shed', retryAfterMs: -1}), {
+    instanceOf: RangeError,
+  });
+});
+
+test('a cold upstream is given its slots step by step', t => {
+  const target = bench(0, parameters());
+  target.apply({kind: 'slots', slots: 8});
+  const limits = [0, 100, 200, 400].map(at =>
+    limitAt(target.state(), target.now() + at),
+  );
+  t.deepEqual(limits, [2, 3, 5, 8]);
+});
