Wait for the last promise of an ended witness before a takeover

Cause: a witness whose process had ended counted as sealed at once, although the holder still counts the last renewal that this witness answered. A new process also registered before its predecessor's grant at the upstream was withdrawn. Ruled out: stale registration records (the read was fresh) and a lost seal. Conclusion: evidence that a process ended says nothing of the promises it gave; the time of one promise is waited for, and a registration asserts the end of its predecessor only after the upstream accepted a grant of the new process.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,7 +3,6 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createAdmission} from '../admission/index.js';
-import type {Admission} from '../admission/index.js';
 import {
   createGateway,
   createSigner as createHopSigner,
@@ -14,7 +13,6 @@
 import type {
   AcceptedConfiguration,
   Address,
-  Configuration,
   Member,
   Status,
 } from '../model/index.js';
@@ -32,13 +30,8 @@
   openDatagrams,
   RPC_PREFIX,
 } from '../peer/index.js';
-import {
-  createPlatform,
-  memberKey,
-  putResolved,
-  UnavailableError,
-} from '../platform/index.js';
-import type {Platform, PlatformClient} from '../platform/index.js';
+import {createPlatform, memberKey, putResolved} from '../platform/index.js';
+import type {Platform} from '../platform/index.js';
 import type {Settings} from '../settings/index.js';
 import {createMetrics} from '../telemetry/index.js';
 import type {Log} from '../telemetry/index.js';
@@ -228,7 +221,7 @@
     log,
   });
   const loop: Loop = startLoop({
-    initial: newState(self, settings.lease),
+    initial: newState(self, settings.lease, clock()),
     clock,
     busy: view.busy,
     run,
--- a/src/ownership/decide.ts
+++ b/src/ownership/decide.ts
@@ -35,7 +35,11 @@
 import {noteSet, renewPromise, sealPromise} from './witness.js';
 
 /** Returns the state of a daemon that has just started. */
-export function newState(self: Self, settings: LeaseSettings): State {
+export function newState(
+  self: Self,
+  settings: LeaseSettings,
+  now: number,
+): State {
   return {
     self,
     settings: checkLeaseSettings(settings),
@@ -53,6 +57,7 @@
     probedAt: -Infinity,
     registeredAt: -Infinity,
     attempts: 0,
+    startedAt: now,
   };
 }
 
@@ -63,7 +68,7 @@
  * @param now Monotonic time of the daemon, in milliseconds.
  *
  * @example
- * const {state, effects} = decide(newState(self, settings), {kind: 'drain'}, 0);
+ * const {state, effects} = decide(newState(self, settings, 0), {kind: 'drain'}, 0);
  */
 export function decide(state: State, input: Input, now: number): Step {
   switch (input.kind) {
@@ -83,7 +88,7 @@
       return unchanged(unstored(state, input.certain));
     case 'read':
       return applyAll(state, now, [
-        current => applyRead(current, input.lease, input.member),
+        (current, time) => applyRead(current, input.lease, input.member, time),
         review,
       ]);
     case 'granted': {
--- a/src/ownership/proof.ts
+++ b/src/ownership/proof.ts
@@ -1,12 +1,14 @@
 import {chooseStewards} from '../membership/index.js';
 import {formatLease, leaseOf} from '../model/index.js';
 import type {LeaseId, Member, WitnessSet} from '../model/index.js';
+import {witnessMs} from './settings.js';
 import type {Effect, State, Step} from './state.js';
 import {unchanged} from './state.js';
 import {
   endTakeover,
   nextAction,
   noteAsked,
+  noteFresh,
   noteRead,
   provedByRecord,
   provedBySeals,
@@ -60,18 +62,24 @@
 }
 
 /** Applies a fresh read of a registration record to a takeover. */
-export function applyRead(state: State, lease: LeaseId, fresh: Member): Step {
-  const takeover = state.takeovers.get(formatLease(lease));
-  if (!takeover) return unchanged(state);
-  if (!provedByRecord(takeover, fresh)) return unchanged(state);
-  return concludeTakeover(state, lease);
+export function applyRead(
+  state: State,
+  lease: LeaseId,
+  fresh: Member,
+  now: number,
+): Step {
+  const takeovers = noteFresh(state.takeovers, lease, fresh);
+  return advanceTakeovers({...state, takeovers}, now);
 }
 
 function advance(state: State, takeover: Takeover, now: number): Step {
   const {lease} = takeover;
   const member = state.view.members.get(lease.instance);
   if (leaseEnded(state.view, lease)) return concludeTakeover(state, lease);
-  if (provedBySeals(takeover, member)) return concludeTakeover(state, lease);
+  const promiseMs = witnessMs(state.settings);
+  const proved =
+    provedBySeals(takeover, member) || provedByRecord(takeover, promiseMs, now);
+  if (proved) return concludeTakeover(state, lease);
   if (now - takeover.startedAt > TAKEOVER_LIMIT_MS) {
     const takeovers = endTakeover(state.takeovers, lease);
     return unchanged({...state, takeovers});
--- a/src/ownership/renewal.ts
+++ b/src/ownership/renewal.ts
@@ -3,7 +3,7 @@
 import type {Member, Witness, WitnessSet} from '../model/index.js';
 import {leaseValid, stepHolder} from './holder.js';
 import type {Holder, HolderEvent} from './holder.js';
-import {holderMs} from './settings.js';
+import {holderMs, witnessMs} from './settings.js';
 import type {Effect, State, Step} from './state.js';
 import {unchanged} from './state.js';
 import {leaseEnded} from './view.js';
@@ -34,6 +34,7 @@
   }
   const due = now - state.registeredAt >= REGISTER_RETRY_MS;
   if (!due || !state.platformReachable) return unchanged(state);
+  if (!predecessorEnded(state, now)) return unchanged(state);
   const member = nextRecord(state, upstream.service);
   const lease = leaseOf(member);
   const registered = withHolder(state, {kind: 'register', lease});
@@ -101,6 +102,19 @@
   return record ? {...record, ...change} : undefined;
 }
 
+/**
+ * Tells whether nothing that an earlier process of this instance left at the
+ * upstream can be in force, which the new registration will assert: the
+ * upstream has accepted a grant of this process, or, where it does not check
+ * grants, the time of a lease has passed.
+ */
+function predecessorEnded(state: State, now: number): boolean {
+  if (state.upstream?.fencing === 'enforced') {
+    return state.grant.reading !== undefined;
+  }
+  return now - state.startedAt >= witnessMs(state.settings);
+}
+
 function settleEnding(state: State, now: number): Step {
   if (state.holder.state !== 'ending') return unchanged(state);
   if (state.grant.latestUntil > now) return unchanged(state);
--- a/src/ownership/state.ts
+++ b/src/ownership/state.ts
@@ -77,6 +77,8 @@
   readonly reviewedAt: number;
   readonly probedAt: number;
   readonly registeredAt: number;
+  /** When the process started, by its clock. */
+  readonly startedAt: number;
   /** Registrations since the lease was last in force for long. */
   readonly attempts: number;
 }
--- a/src/ownership/takeover.ts
+++ b/src/ownership/takeover.ts
@@ -18,6 +18,8 @@
   readonly readAt: number;
   /** Processes of witnesses that had ended when the read was asked for. */
   readonly gone: ReadonlySet<string>;
+  /** The answer to the read. */
+  readonly fresh?: Member;
 }
 
 /** Running takeovers, by lease. */
@@ -111,14 +113,22 @@
 
 /**
  * Tells whether a fresh read of the record, together with the seals and the
- * witnesses that had ended before the read, proves that the lease has ended.
- * A witness that ended may have noted a newer set, which only the record tells.
+ * witnesses that had ended before the read, proves that the lease has ended. A
+ * witness that ended may have noted a newer set, which only the record tells,
+ * and its last promise is observed for another `promiseMs`.
+ *
+ * @param promiseMs Longest time for which a promise is observed.
  */
-export function provedByRecord(takeover: Takeover, fresh: Member): boolean {
-  const {lease} = takeover;
+export function provedByRecord(
+  takeover: Takeover,
+  promiseMs: number,
+  now: number,
+): boolean {
+  const {lease, fresh} = takeover;
+  if (!fresh || fresh.generation < lease.generation) return false;
   if (fresh.generation > lease.generation) return true;
-  if (fresh.generation < lease.generation) return false;
   if (fresh.state === 'ended') return true;
+  if (now - takeover.readAt < promiseMs) return false;
   const set = witnessesOf(takeover, fresh);
   if (!set || set.witnesses.length === 0) return false;
   return hasMajority(
@@ -163,9 +173,19 @@
     ...takeover,
     readAt: now,
     gone,
+    fresh: undefined,
   }));
 }
 
+/** Notes the answer to a fresh read of the record. */
+export function noteFresh(
+  takeovers: Takeovers,
+  lease: LeaseId,
+  fresh: Member,
+): Takeovers {
+  return change(takeovers, lease, takeover => ({...takeover, fresh}));
+}
+
 /** Forgets a takeover. */
 export function endTakeover(takeovers: Takeovers, lease: LeaseId): Takeovers {
   const key = formatLease(lease);
--- a/test/ownership/fleet.ts
+++ b/test/ownership/fleet.ts
@@ -62,7 +62,6 @@
 
 interface Timer {
   readonly at: number;
-  readonly order: number;
   readonly run: () => void;
 }
 
@@ -142,16 +141,24 @@
     loseAnswers: 0,
     platformDelayMs: 0,
   };
+  /** Timers by descending time. */
   const timers: Timer[] = [];
   const objects = new Map<string, StoredValue>();
   const log: {key: string; value: string; version: number}[] = [];
   const served = new Map<number, {epoch: number; instance: string}>();
   let time = 0;
-  let order = 0;
   let cutGroup: ReadonlySet<number> = new Set();
 
   const schedule = (delay: number, run: () => void) => {
-    timers.push({at: time + delay, order: order++, run});
+    const at = time + delay;
+    let low = 0;
+    let high = timers.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (timers[middle].at > at) low = middle + 1;
+      else high = middle;
+    }
+    timers.splice(low, 0, {at, run});
   };
   const clockOf = (node: Node) => time * node.rate + node.index * 1000;
   const upstreamClock = (node: Node) =>
@@ -163,7 +170,8 @@
 
   function start(node: Node): void {
     node.process = `p${node.index}-${Math.floor(random() * 1e9)}`;
-    node.state = newState(selfAt(node.index, node.process), LEASE);
+    const self = selfAt(node.index, node.process);
+    node.state = newState(self, LEASE, clockOf(node));
     node.mirror = emptyMirror();
     node.logPosition = 0;
     node.alive = true;
@@ -507,20 +515,11 @@
   function run(ms: number): void {
     const end = time + ms;
     for (;;) {
-      let best = -1;
-      for (let i = 0; i < timers.length; i++) {
-        if (timers[i].at > end) continue;
-        const isFirst =
-          best < 0 ||
-          timers[i].at < timers[best].at ||
-          (timers[i].at === timers[best].at &&
-            timers[i].order < timers[best].order);
-        if (isFirst) best = i;
-      }
-      if (best < 0) break;
-      const [timer] = timers.splice(best, 1);
-      time = timer.at;
-      timer.run();
+      const next = timers.at(-1);
+      if (!next || next.at > end) break;
+      timers.pop();
+      time = next.at;
+      next.run();
     }
     time = end;
     check();
@@ -587,7 +586,7 @@
     index,
     rate: rate(),
     upstreamRate: rate(),
-    state: newState(selfAt(index, ''), LEASE),
+    state: newState(selfAt(index, ''), LEASE, 0),
     mirror: emptyMirror(),
     alive: false,
     pausedUntil: 0,
