Decide which configuration is accepted and submit it exactly once

Cause: two operators may apply at once, a put may take effect while its answer is lost, and a daemon may hear of versions in any order. Ruled out: writing the new version to the history first (a crash leaves an entry that nobody accepted, or one that a later operator would complete unasked); writing it to the history last (a crash leaves a gap); overwriting on a newer base; changing key, slices or chunks of a service that exists, because daemons that differ on them serve one key under two slices. Before: nothing was accepted.

--- /dev/null
+++ b/src/cli/submit.ts
@@ -0,0 +1,162 @@
+import type {AcceptedConfiguration} from '../model/index.js';
+import {
+  AnswerLostError,
+  CONFIGURATION_KEY,
+  PlatformError,
+  historyKey,
+  type Platform,
+  type StoredObject,
+} from '../platform/index.js';
+import {
+  decideChange,
+  formatAccepted,
+  parseAccepted,
+  type ChangeDecision,
+  type Proposal,
+  type Recorded,
+} from '../settings/index.js';
+import type {Pace} from './pace.js';
+
+/** Attempts to submit a change before giving up. */
+const ATTEMPT_LIMIT = 8;
+
+/** Time between two attempts, in milliseconds. */
+const ATTEMPT_INTERVAL_MS = 500;
+
+/** Earlier configurations that the history keeps. */
+const HISTORY_LENGTH = 10_000;
+
+/** What became of a submitted change. */
+export type Submission =
+  /** The change took effect as this version; a newer one may have followed. */
+  | {readonly kind: 'stored'; readonly accepted: AcceptedConfiguration}
+  | Extract<ChangeDecision, {readonly kind: 'unchanged' | 'refused'}>
+  /** The platform could not be reached; the change did not take effect. */
+  | {readonly kind: 'unreachable'}
+  /** The change may have taken effect, or may yet. */
+  | {readonly kind: 'unknown'};
+
+/** What one attempt leaves behind; without a result there is another one. */
+interface Attempt {
+  readonly result?: Submission;
+  /** A write of this change may have taken effect. */
+  readonly pending: boolean;
+}
+
+/**
+ * Submits a change to the platform. Each configuration is written to the
+ * history before it is replaced, so that the history has no gap. A write whose
+ * answer was lost is resolved by the change's identifier: the same change can
+ * be submitted again and takes effect once.
+ *
+ * @example
+ * const submission = await submitChange(platform, proposal, PROCESS_PACE);
+ * if (submission.kind === 'stored') submission.accepted.version;
+ */
+export async function submitChange(
+  platform: Platform,
+  proposal: Proposal,
+  pace: Pace,
+): Promise<Submission> {
+  let pending = false;
+  for (let count = 0; count < ATTEMPT_LIMIT; count++) {
+    if (count > 0) await pace.sleep(ATTEMPT_INTERVAL_MS);
+    const attempt = await attemptChange(platform, proposal, pace, pending);
+    if (attempt.result) return attempt.result;
+    pending = attempt.pending;
+  }
+  return {kind: pending ? 'unknown' : 'unreachable'};
+}
+
+async function attemptChange(
+  platform: Platform,
+  proposal: Proposal,
+  pace: Pace,
+  pending: boolean,
+): Promise<Attempt> {
+  let isWriting = false;
+  try {
+    const object = await platform.get(CONFIGURATION_KEY);
+    const recorded = await readRecorded(platform, object, proposal);
+    const decision = decideChange(recorded, proposal, pace.now());
+    if (decision.kind !== 'accepted') {
+      return {result: settle(decision, recorded, proposal, pending), pending};
+    }
+    if (recorded.current) await keepHistory(platform, recorded.current);
+    isWriting = true;
+    const {accepted} = decision;
+    const text = formatAccepted(accepted);
+    const version = object?.version ?? 0;
+    const result = await platform.put(CONFIGURATION_KEY, text, version);
+    if (result.kind === 'conflict') return {pending};
+    await pruneHistory(platform, accepted.version);
+    return {result: {kind: 'stored', accepted}, pending};
+  } catch (error) {
+    if (!(error instanceof PlatformError)) throw error;
+    const isLost = isWriting && error instanceof AnswerLostError;
+    return {pending: pending || isLost};
+  }
+}
+
+function settle(
+  decision: Exclude<ChangeDecision, {readonly kind: 'accepted'}>,
+  {current, follower}: Recorded,
+  {basedOn}: Proposal,
+  pending: boolean,
+): Submission {
+  if (decision.kind === 'repeated') {
+    return {kind: 'stored', accepted: decision.accepted};
+  }
+  const isFollowerLost = (current?.version ?? 0) > basedOn + 1 && !follower;
+  return pending && isFollowerLost ? {kind: 'unknown'} : decision;
+}
+
+async function readRecorded(
+  platform: Platform,
+  object: StoredObject | undefined,
+  {basedOn}: Proposal,
+): Promise<Recorded> {
+  const current = object && parseAccepted(object.value);
+  if (!current || current.version <= basedOn + 1) return {current};
+  return {current, follower: await readHistory(platform, basedOn + 1)};
+}
+
+/**
+ * Reads an earlier configuration from the history; undefined when the history
+ * does not reach back to it.
+ *
+ * @throws {PlatformError} when the platform cannot be reached.
+ *
+ * @example
+ * const entry = await readHistory(platform, 12);
+ */
+export async function readHistory(
+  platform: Platform,
+  version: number,
+): Promise<AcceptedConfiguration | undefined> {
+  const object = await platform.get(historyKey(version));
+  return object && parseAccepted(object.value);
+}
+
+async function keepHistory(
+  platform: Platform,
+  entry: AcceptedConfiguration,
+): Promise<void> {
+  const key = historyKey(entry.version);
+  await platform.put(key, formatAccepted(entry), 0);
+}
+
+/** Drops the entry that the history is too long for; a failure is ignored. */
+async function pruneHistory(
+  platform: Platform,
+  version: number,
+): Promise<void> {
+  const oldest = version - 1 - HISTORY_LENGTH;
+  if (oldest < 1) return;
+  try {
+    const object = await platform.get(historyKey(oldest));
+    if (object) await platform.delete(object.key, object.version);
+  } catch (error) {
+    if (!(error instanceof PlatformError)) throw error;
+  }
+}
--- a/src/settings/declaration.ts
+++ b/src/settings/declaration.ts
@@ -26,7 +26,8 @@
 
 const UNKEYED = {slices: 1, chunks: 1, successors: 0} as const;
 
-const keySource = z
+/** Schema of the place of a key. */
+export const keySource = z
   .strictObject({
     path: path
       .refine(hasOneKey, 'expected a path with exactly one "{key}" segment')
@@ -44,7 +45,8 @@
     'expected exactly one of "path" and "header"',
   );
 
-const handover = z.strictObject({
+/** Schema of a handover. */
+export const handover = z.strictObject({
   oldAddress: address.describe('Address that still serves the other keys.'),
   share: share.describe('Share of the keys that vanillaspool serves, 0 to 1.'),
   prefixes: z
@@ -89,7 +91,8 @@
     .describe('What the old address still serves; nothing if absent.'),
 });
 
-const limits = z.strictObject({
+/** Schema of the limits on callers. */
+export const limits = z.strictObject({
   headerBytes: z.int().min(256).default(16_384),
   bodyBytes: z.int().min(0).default(67_108_864),
   connections: z.int().min(1).default(1024),
@@ -101,7 +104,8 @@
 
 const weight = z.number().min(0).max(1000).default(1);
 
-const weights = z
+/** Schema of the weights of placement. */
+export const weights = z
   .strictObject({imbalance: weight, churn: weight, unavailable: weight})
   .refine(
     all => all.imbalance + all.churn + all.unavailable > 0,
