--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,10 +1,5 @@
 import type {Failure} from '../model/index.js';
-import type {
-  Accept,
-  AnswerHead,
-  Call,
-  ExchangeResult,
-} from '../upstream/index.js';
+import type {AnswerHead, Call, ExchangeResult} from '../upstream/index.js';
 import {exchange} from '../upstream/index.js';
 import type {Dispatcher} from 'undici';
 import {unknown} from './failure.js';
@@ -40,21 +35,18 @@
   return {kind: 'failed', failure, alternative: false};
 }
 
-/** Judges an answer that is held back: what it means for the request. */
-export type Judge = (head: AnswerHead) => FailedTry | undefined;
-
 /** What varies between the exchanges with an upstream and with a peer. */
 export interface Manner {
   /** Called immediately before the request is written; false to give it up. */
-  readonly ready?: () => boolean;
+  readonly ready: () => boolean;
   /** Holds an answer back by returning what it means. */
-  readonly judge: Judge;
-  /** Name and value of each header to add to an answer that is passed on. */
-  readonly extra: (head: AnswerHead) => readonly string[];
+  readonly judge: (head: AnswerHead) => FailedTry | undefined;
+  /** Adds to the headers of an answer that is passed on. */
+  readonly extend: (head: AnswerHead) => void;
   /** What it means that the request was certainly not sent. */
   readonly unsent: (error: Error) => FailedTry;
-  /** Another attempt could end differently after a reset. */
-  readonly resetAlternative: boolean;
+  /** Called once, when the attempt has ended. */
+  readonly ended: () => void;
 }
 
 /**
@@ -63,25 +55,31 @@
  * @example
  * const attempt = await runExchange(pass, pool, call, manner);
  */
-export async function runExchange(
+export function runExchange(
   pass: Pass,
   pool: Dispatcher,
   call: Call,
   manner: Manner,
 ): Promise<Attempt> {
-  let judged: FailedTry | undefined;
-  const accept: Accept = head => {
-    judged = manner.judge(head);
-    if (judged) return undefined;
-    for (const part of manner.extra(head)) head.headers.push(part);
-    return head.headers;
-  };
   const {response, state} = pass;
-  const running = exchange(pool, call, response, accept, manner.ready);
-  state.giveUp = () => running.abort(new Error('request given up'));
-  const result = await running.result;
-  state.giveUp = undefined;
-  return describe(result, judged, manner);
+  return new Promise(resolve => {
+    let judged: FailedTry | undefined;
+    const abort = exchange(pool, call, response, {
+      ready: manner.ready,
+      accept: head => {
+        judged = manner.judge(head);
+        if (judged) return undefined;
+        manner.extend(head);
+        return head.headers;
+      },
+      ended: result => {
+        state.giveUp = undefined;
+        manner.ended();
+        resolve(describe(result, judged, manner));
+      },
+    });
+    state.giveUp = () => abort(new Error('the request was given up'));
+  });
 }
 
 function describe(
@@ -94,17 +92,17 @@
     case 'broken':
       return result;
     case 'held':
-      return judged ?? afterReset('the answer was refused', manner);
+      return judged ?? afterReset('the answer was refused');
     case 'failed':
       if (!result.sent) return manner.unsent(result.error);
-      return afterReset(result.error.message, manner);
+      return afterReset(result.error.message);
   }
 }
 
-function afterReset(message: string, manner: Manner): FailedTry {
+function afterReset(message: string): FailedTry {
   return {
     kind: 'failed',
     failure: unknown('upstream-reset', `no whole answer: ${message}`),
-    alternative: manner.resetAlternative,
+    alternative: true,
   };
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -47,4 +47,6 @@
   /** Numbers for request identifiers and hops. */
   readonly nextNumber: () => number;
   readonly loads: ObservedLoads;
+  /** Callers' address of this daemon, as told to callers. */
+  readonly ownerHint: string;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  formatAddress,
   sliceOfKey,
   type Configuration,
   type Failure,
@@ -99,6 +100,7 @@
     oldPools: pools(UPSTREAM_KEEP_ALIVE_MS),
     peerPools: pools(PEER_KEEP_ALIVE_MS),
     nextNumber: () => (number += 1),
+    ownerHint: formatAddress(options.self.callers),
     loads: createObservedLoads(options.clock, options.random),
   };
 }
@@ -117,17 +119,15 @@
 ): void {
   state.inFlight += 1;
   if (state.draining) response.shouldKeepAlive = false;
-  const passed = open(context, request, response, forwarded);
-  const end = () => {
-    state.inFlight -= 1;
-    if (state.inFlight > 0) return;
-    state.idle.splice(0).forEach(notify => notify());
-  };
-  if (passed) {
-    void run(context, passed).finally(end);
-  } else {
-    end();
-  }
+  const pass = open(context, request, response, forwarded);
+  if (pass) void run(context, state, pass);
+  else leave(state);
+}
+
+function leave(state: GatewayState): void {
+  state.inFlight -= 1;
+  if (state.inFlight > 0) return;
+  for (const notify of state.idle.splice(0)) notify();
 }
 
 /** Opens the pass of a request, or answers it when it is refused at once. */
@@ -288,12 +288,18 @@
   return notRun('too-large', 'body is longer than the limit');
 }
 
-async function run(context: Context, pass: Pass): Promise<void> {
+const CANCELLED = notRun('cancelled', 'the caller closed the connection');
+
+async function run(
+  context: Context,
+  gateway: GatewayState,
+  pass: Pass,
+): Promise<void> {
   const {state, response} = pass;
   const timeMs = Math.max(1, pass.deadlineAt - context.clock());
   state.timer = setTimeout(stopForDeadline, timeMs, pass);
   response.on('close', () => {
-    pass.stop(notRun('cancelled', 'the caller closed the connection'));
+    if (!response.writableFinished) pass.stop(CANCELLED);
   });
   try {
     finish(context, pass, await serve(context, pass));
@@ -302,6 +308,7 @@
     response.destroy();
   } finally {
     clearTimeout(state.timer);
+    leave(gateway);
   }
 }
 
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -4,3 +4,4 @@
 export * from './gateway.js';
 export * from './signature.js';
 export * from './trace.js';
+export * from './otel.js';
--- a/src/gateway/local.ts
+++ b/src/gateway/local.ts
@@ -1,9 +1,9 @@
-import {formatAddress} from '../model/index.js';
 import type {AnswerHead, Upstream} from '../upstream/index.js';
+import type {Admitted} from './admission.js';
 import {failed, runExchange, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
 import {notRun, unknown} from './failure.js';
-import {bodyOf, signalOf, type Pass} from './pass.js';
+import {admissionOf, bodyOf, type Pass} from './pass.js';
 import {isSafe} from './retry.js';
 
 /** Header that tells callers the address of the owner's daemon. */
@@ -25,56 +25,50 @@
  * @example
  * const attempt = await sendLocal(context, pass, route.epoch);
  */
-export async function sendLocal(
+export function sendLocal(
   context: Context,
   pass: Pass,
   epoch: number,
-): Promise<Attempt> {
-  const {service, key, deadlineAt, caller, state} = pass;
-  const admitted = await context.admit({
-    service: service.name,
-    priority: service.priority,
-    deadlineAt,
-    caller,
-    key,
-    get signal() {
-      return signalOf(state);
-    },
-  });
-  if (admitted.kind === 'refused') {
-    const {reason, retryAfterMs} = admitted;
-    return refused(pass, notRun(reason, 'no slot is free', retryAfterMs));
-  }
-  try {
-    return await sendAdmitted(context, pass, epoch);
-  } finally {
-    admitted.release();
+): Promise<Attempt> | Attempt {
+  const admitted = context.admit(admissionOf(pass));
+  if (!(admitted instanceof Promise)) {
+    return sendIfAdmitted(context, pass, epoch, admitted);
   }
+  return admitted.then(result => sendIfAdmitted(context, pass, epoch, result));
 }
 
-function refused(pass: Pass, failure: FailedTry['failure']): FailedTry {
-  const alternative = pass.key === undefined && !pass.hop;
-  return {kind: 'failed', failure, alternative};
-}
-
-async function sendAdmitted(
+function sendIfAdmitted(
   context: Context,
   pass: Pass,
   epoch: number,
-): Promise<Attempt> {
+  admitted: Admitted,
+): Promise<Attempt> | Attempt {
   const {service, slice, state} = pass;
-  if (state.stopped) return failed(state.stopped);
+  if (admitted.kind === 'refused') {
+    const {reason, retryAfterMs} = admitted;
+    return refused(pass, notRun(reason, 'no slot is free', retryAfterMs));
+  }
+  const {release} = admitted;
   const upstream = context.upstream();
+  if (state.stopped) {
+    release();
+    return failed(state.stopped);
+  }
   if (!upstream || upstream.service !== service.name) {
+    release();
     return refused(pass, notRun('upstream-refused', 'no upstream is ready'));
   }
-  if (slice < 0) return sendTo(context, pass, upstream, epoch);
+  if (slice < 0) return sendTo(context, pass, upstream, epoch, release);
   const leave = context.ownership.enter(service.name, slice);
-  try {
-    return await sendTo(context, pass, upstream, epoch);
-  } finally {
+  return sendTo(context, pass, upstream, epoch, () => {
     leave();
-  }
+    release();
+  });
+}
+
+function refused(pass: Pass, failure: FailedTry['failure']): FailedTry {
+  const alternative = pass.key === undefined && !pass.hop;
+  return {kind: 'failed', failure, alternative};
 }
 
 function sendTo(
@@ -82,8 +76,10 @@
   pass: Pass,
   upstream: Upstream,
   epoch: number,
+  ended: () => void,
 ): Promise<Attempt> {
   const {service, slice, request} = pass;
+  const {ownership} = context;
   const pool = context.upstreamPools.to(upstream.address, upstream.connections);
   const call = {
     method: request.method ?? 'GET',
@@ -91,17 +87,17 @@
     headers: upstreamHeaders(context, pass, epoch),
     body: bodyOf(pass),
   };
-  const holds = () => context.ownership.holds(service.name, slice, epoch);
+  const holds = () => slice < 0 || ownership.holds(service.name, slice, epoch);
   let lapsed = false;
   return runExchange(pass, pool, call, {
     ready: () => {
-      lapsed = slice >= 0 && !holds();
+      lapsed = !holds();
       return !lapsed;
     },
     judge: head => judge(context, pass, head, holds),
-    extra: () => ownerHeaders(context, pass),
+    extend: head => addOwner(context, pass, head),
     unsent: error => (lapsed ? termLapsed() : unreachable(pass, error)),
-    resetAlternative: true,
+    ended,
   });
 }
 
@@ -123,13 +119,9 @@
   return headers;
 }
 
-function ownerHeaders(context: Context, pass: Pass): readonly string[] {
-  const headers: string[] = [];
-  if (pass.slice >= 0) {
-    headers.push(OWNER_HEADER, formatAddress(context.self.callers));
-  }
-  if (pass.hop) headers.push(REQUEST_HEADER, pass.id);
-  return headers;
+function addOwner(context: Context, pass: Pass, head: AnswerHead): void {
+  if (pass.slice >= 0) head.headers.push(OWNER_HEADER, context.ownerHint);
+  if (pass.hop) head.headers.push(REQUEST_HEADER, pass.id);
 }
 
 /**
@@ -155,7 +147,7 @@
     return failed(unknown('upstream-reset', 'answer to another request'));
   }
   const {fencing} = pass.service;
-  if (pass.slice >= 0 && fencing === 'ignored' && !holds()) {
+  if (fencing === 'ignored' && !holds()) {
     return answerTooLate(pass);
   }
   return undefined;
--- a/src/gateway/pass.ts
+++ b/src/gateway/pass.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Failure, Service} from '../model/index.js';
+import type {AdmissionRequest} from './admission.js';
 import {keepBody, streamBody, type BodyLimits, type BodyMode} from './body.js';
 import {notRun} from './failure.js';
 import type {RequestHead} from './head.js';
@@ -63,17 +64,44 @@
 }
 
 /**
- * Returns a signal that is aborted when the pass is stopped.
+ * A request for admission. Its signal is created when it is first read, because
+ * most requests are admitted without a wait and never need it.
+ */
+class PendingAdmission implements AdmissionRequest {
+  readonly service: string;
+  readonly priority: number;
+  readonly deadlineAt: number;
+  readonly caller: string;
+  readonly key?: string;
+  readonly #state: PassState;
+
+  constructor(pass: Pass) {
+    this.service = pass.service.name;
+    this.priority = pass.service.priority;
+    this.deadlineAt = pass.deadlineAt;
+    this.caller = pass.caller;
+    this.key = pass.key;
+    this.#state = pass.state;
+  }
+
+  get signal(): AbortSignal {
+    const state = this.#state;
+    if (!state.controller) {
+      state.controller = new AbortController();
+      if (state.stopped) state.controller.abort();
+    }
+    return state.controller.signal;
+  }
+}
+
+/**
+ * Describes a pass to admission control.
  *
  * @example
- * admit({signal: signalOf(pass.state), ...rest});
+ * const admitted = await admit(admissionOf(pass));
  */
-export function signalOf(state: PassState): AbortSignal {
-  if (!state.controller) {
-    state.controller = new AbortController();
-    if (state.stopped) state.controller.abort();
-  }
-  return state.controller.signal;
+export function admissionOf(pass: Pass): AdmissionRequest {
+  return new PendingAdmission(pass);
 }
 
 /**
@@ -99,17 +127,15 @@
 }
 
 /**
- * Reads the body of a pass into memory if it is one that is kept. Does nothing
- * when that has been done before.
+ * Reads the body of a pass into memory.
  *
  * @returns false when the body did not arrive whole.
  *
  * @example
- * if (!(await prepareBody(pass))) return;
+ * if (pass.bodyMode === 'kept' && !(await prepareBody(pass))) return;
  */
 export async function prepareBody(pass: Pass): Promise<boolean> {
   const {request, state} = pass;
-  if (pass.bodyMode !== 'kept' || state.kept) return true;
   continueBody(pass);
   try {
     const reading = keepBody(request, pass.limits);
--- a/src/gateway/remote.ts
+++ b/src/gateway/remote.ts
@@ -11,6 +11,9 @@
 /** Most connections from one daemon to one other. */
 const PEER_CONNECTIONS = 64;
 
+/** Own headers of a peer's answer that callers see. */
+const PASSED_ON = [OWNER_HEADER, OUTCOME_HEADER] as const;
+
 /** Reasons of a peer for which another daemon may still run the request. */
 const ELSEWHERE: ReadonlySet<string> = new Set<FailureReason>([
   'not-owner',
@@ -32,7 +35,7 @@
  * @example
  * const attempt = await sendRemote(context, pass, route.candidates[0], route.epoch);
  */
-export async function sendRemote(
+export function sendRemote(
   context: Context,
   pass: Pass,
   member: Member,
@@ -48,14 +51,13 @@
     headers: peerHeaders(context, pass, member, epoch, span.traceparent),
     body: bodyOf(pass),
   };
-  const attempt = await runExchange(pass, pool, call, {
+  return runExchange(pass, pool, call, {
+    ready: () => true,
     judge: head => judge(pass, head),
-    extra: answerHeaders,
+    extend: passOwnHeaders,
     unsent: error => unreachable(context, member, error),
-    resetAlternative: true,
+    ended: span.end,
   });
-  span.end({result: attempt.kind});
-  return attempt;
 }
 
 function peerHeaders(
@@ -126,13 +128,11 @@
   };
 }
 
-function answerHeaders(head: AnswerHead): readonly string[] {
-  const headers: string[] = [];
-  for (const name of [OWNER_HEADER, OUTCOME_HEADER]) {
+function passOwnHeaders(head: AnswerHead): void {
+  for (const name of PASSED_ON) {
     const value = head.own.get(name);
-    if (value !== undefined) headers.push(name, value);
+    if (value !== undefined) head.headers.push(name, value);
   }
-  return headers;
 }
 
 function unreachable(
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -43,7 +43,9 @@
  * if (result.kind === 'failed') sendFailure(response, result.failure, pass.id);
  */
 export async function serve(context: Context, pass: Pass): Promise<PassResult> {
-  if (!(await prepareBody(pass))) return stoppedResult(pass, undefined);
+  if (pass.bodyMode === 'kept' && !(await prepareBody(pass))) {
+    return stoppedResult(pass, undefined);
+  }
   const progress: Progress = {
     tried: new Set(),
     attempts: 0,
@@ -64,16 +66,16 @@
   context: Context,
   pass: Pass,
   progress: Progress,
-): Promise<Attempt | 'waited'> {
+): Promise<Attempt | 'waited'> | Attempt {
   if (pass.slice < 0) return attemptUnkeyed(context, pass, progress);
   return attemptKeyed(context, pass, progress);
 }
 
-async function attemptKeyed(
+function attemptKeyed(
   context: Context,
   pass: Pass,
   progress: Progress,
-): Promise<Attempt | 'waited'> {
+): Promise<Attempt | 'waited'> | Attempt {
   const {ownership} = context;
   const {service, slice, hop} = pass;
   const route = ownership.route(service.name, slice);
--- a/src/upstream/answer.ts
+++ b/src/upstream/answer.ts
@@ -22,6 +22,8 @@
   /** Values of vanillaspool's own headers by their name in lower case. */
   readonly own: ReadonlyMap<string, string>;
   readonly retryAfter?: string;
+  /** Length of the body in bytes; NaN when it is not stated. */
+  readonly contentLength: number;
   readonly chunked: boolean;
 }
 
@@ -43,6 +45,7 @@
   const headers: string[] = [];
   let own: Map<string, string> | undefined;
   let retryAfter: string | undefined;
+  let contentLength = NaN;
   let listed = '';
   let chunked = false;
   for (let i = 0; i < raw.length; i += 2) {
@@ -57,24 +60,35 @@
       own.set(lower, value);
     } else {
       if (lower === 'retry-after') retryAfter = value;
+      if (lower === 'content-length') contentLength = Number(value);
       headers.push(name, value);
     }
   }
   dropListed(headers, listed);
-  return {status, headers, own: own ?? NO_OWN_HEADERS, retryAfter, chunked};
+  return {
+    status,
+    headers,
+    own: own ?? NO_OWN_HEADERS,
+    retryAfter,
+    contentLength,
+    chunked,
+  };
 }
 
+/** Values of a Connection header that name no other header. */
+const PLAIN_CONNECTION = /^,(keep-alive|close)$/i;
+
 /**
  * Removes the headers that a Connection header lists.
  *
  * @param headers Name and value of each header in turn; changed in place.
- * @param listed Values of the Connection headers, joined with commas.
+ * @param listed Values of the Connection headers, each after a comma.
  *
  * @example
  * dropListed(['X-A', '1'], ',close,x-a'); // leaves an empty array
  */
 export function dropListed(headers: string[], listed: string): void {
-  if (!listed) return;
+  if (!listed || PLAIN_CONNECTION.test(listed)) return;
   const names = listed.split(',').map(name => name.trim().toLowerCase());
   const dropped = new Set(names);
   let kept = 0;
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -22,24 +22,27 @@
   /** The answer broke off after a part of it was passed on. */
   | {readonly kind: 'broken'; readonly error: Error};
 
-/**
- * Looks at the head of an answer before anything is passed on, and returns the
- * headers to pass on, or undefined to hold the answer back.
- */
-export type Accept = (head: AnswerHead) => string[] | undefined;
+/** What takes part in an exchange besides the call and the response. */
+export interface ExchangeHooks {
+  /**
+   * Called immediately before the request is written to its connection; returns
+   * false to give it up.
+   */
+  readonly ready: () => boolean;
+  /**
+   * Looks at the head of the answer before anything is passed on, and returns
+   * the headers to pass on, or undefined to hold the answer back.
+   */
+  readonly accept: (head: AnswerHead) => string[] | undefined;
+  /** Called once, when the exchange has ended. */
+  readonly ended: (result: ExchangeResult) => void;
+}
 
-/**
- * Called immediately before a request is written to its connection; returns
- * false to give it up.
- */
-export type Ready = () => boolean;
+/** Gives an exchange up and closes its connection. */
+export type Abort = (reason: Error) => void;
 
-/** A running exchange. */
-export interface Exchange {
-  readonly result: Promise<ExchangeResult>;
-  /** Gives the exchange up and closes its connection. */
-  readonly abort: (reason: Error) => void;
-}
+/** Where an exchange stands. */
+type Stage = 'unsent' | 'sent' | 'passing' | 'over';
 
 /**
  * Sends a request and passes the answer on as it arrives. The answer is not
@@ -48,79 +51,104 @@
  * caller of this function to destroy.
  *
  * @example
- * const {result} = exchange(pool, call, response, head => head.headers);
- * if ((await result).kind === 'broken') response.destroy();
+ * const abort = exchange(pool, call, response, {
+ *   ready: () => true,
+ *   accept: head => head.headers,
+ *   ended: result => {
+ *     if (result.kind === 'broken') response.destroy();
+ *   },
+ * });
  */
 export function exchange(
   pool: Dispatcher,
   call: Call,
   response: ServerResponse,
-  accept: Accept,
-  ready?: Ready,
-): Exchange {
-  let settle: (result: ExchangeResult) => void;
-  const result = new Promise<ExchangeResult>(resolve => {
-    settle = resolve;
-  });
-  let abort: ((reason?: Error) => void) | undefined;
-  let aborted: Error | undefined;
+  hooks: ExchangeHooks,
+): Abort {
+  let stage: Stage = 'unsent';
+  let abortRequest: Abort | undefined;
+  let givenUp: Error | undefined;
   let head: AnswerHead | undefined;
-  let held = false;
-  let ended = false;
+  /** Bytes of the body still to come; NaN when its length is not stated. */
+  let left = NaN;
+  let paused = false;
 
   const fail = (error: Error) => {
-    response.removeAllListeners('drain');
-    if (ended || held) return;
-    ended = true;
-    if (head) return settle({kind: 'broken', error});
-    settle({kind: 'failed', sent: abort !== undefined, error});
+    if (stage === 'over') return;
+    const passing = stage === 'passing';
+    const sent = stage !== 'unsent';
+    stage = 'over';
+    if (passing) hooks.ended({kind: 'broken', error});
+    else hooks.ended({kind: 'failed', sent, error});
+  };
+
+  const finish = (status: number, last?: Buffer) => {
+    stage = 'over';
+    response.end(last);
+    hooks.ended({kind: 'answered', status});
   };
 
-  const finish = (status: number) => {
-    ended = true;
-    response.removeAllListeners('drain');
-    response.end();
-    settle({kind: 'answered', status});
+  const begin = (received: AnswerHead) => {
+    const headers = hooks.accept(received);
+    if (!headers) {
+      stage = 'over';
+      hooks.ended({kind: 'held', head: received});
+      return;
+    }
+    stage = 'passing';
+    head = received;
+    left = received.contentLength;
+    const {status} = received;
+    response.writeHead(status, headers);
+    if (hasNoBody(call.method, status) || left === 0) finish(status);
   };
 
+  const passOn = (chunk: Buffer, resume: () => void): boolean => {
+    left -= chunk.length;
+    if (left === 0) {
+      finish(head?.status ?? 0, chunk);
+      return true;
+    }
+    if (response.write(chunk)) return true;
+    paused = true;
+    response.once('drain', resume);
+    return false;
+  };
+
+  let resume = () => {};
   const handler: Dispatcher.DispatchHandler = {
-    onConnect(abortRequest) {
-      if (aborted) return abortRequest(aborted);
-      if (ready && !ready()) return abortRequest(new Error('not ready'));
-      abort = abortRequest;
+    onConnect(abort) {
+      if (givenUp) return abort(givenUp);
+      if (!hooks.ready()) return abort(new Error('the request is withdrawn'));
+      abortRequest = abort;
+      stage = 'sent';
     },
 
-    onHeaders(status, raw, resume) {
+    onHeaders(status, raw, resumeAnswer) {
+      if (stage !== 'sent') return true;
       if (status < 200) {
         if (status === 103) passHints(response, readAnswerHead(status, raw));
         return true;
       }
-      const received = readAnswerHead(status, raw);
-      const headers = accept(received);
-      if (!headers) {
-        held = true;
-        settle({kind: 'held', head: received});
-        return true;
-      }
-      head = received;
-      response.writeHead(status, headers);
-      if (hasNoBody(call.method, status)) finish(status);
-      else response.on('drain', resume);
+      resume = resumeAnswer;
+      begin(readAnswerHead(status, raw));
       return true;
     },
 
     onData(chunk) {
-      if (held || ended) return true;
-      return response.write(chunk);
+      return stage === 'passing' ? passOn(chunk, resume) : true;
     },
 
     onComplete(trailers) {
-      if (held || ended) return;
+      if (stage !== 'passing') return;
       if (trailers?.length) passTrailers(response, head, trailers);
       finish(head?.status ?? 0);
     },
 
-    onError: fail,
+    onError(error) {
+      if (paused) response.off('drain', resume);
+      fail(error);
+    },
   };
   pool.dispatch(
     {
@@ -131,13 +159,11 @@
     },
     handler,
   );
-  return {
-    result,
-    abort: reason => {
-      aborted = reason;
-      if (abort) abort(reason);
-      else fail(reason);
-    },
+  return reason => {
+    if (stage === 'over') return;
+    givenUp = reason;
+    if (abortRequest) abortRequest(reason);
+    else fail(reason);
   };
 }
 
