--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -162,14 +162,11 @@
     return {kind: 'admitted', release: releaseOf(verdict.work.id)};
   };
 
-  const releaseOf = (id: number) => {
-    let released = false;
-    return (completion: Completion = 'ran') => {
-      if (released) return;
-      released = true;
+  // A second call names a request that holds no slot any more, which decide ignores.
+  const releaseOf =
+    (id: number) =>
+    (completion: Completion = 'ran') =>
       dispatchAndSettle({kind: 'finish', id, completion});
-    };
-  };
 
   const settle = (verdict: Verdict) => {
     const entry = pending.get(verdict.work.id);
--- a/test/admission/decide.test.ts
+++ b/test/admission/decide.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {PAUSE_LIMIT_MS, type Work} from '../../src/admission/index.js';
+import {PAUSE_LIMIT_MS, decide, type Work} from '../../src/admission/index.js';
 import {limitAt} from '../../src/admission/limit.js';
 import {admittedIds, bench, parameters, work} from './fixtures.js';
 
@@ -19,6 +19,16 @@
   return {...target, arrive, finish};
 }
 
+/** A bench with requests 0 to `count` - 1 that wait out a pause for one slot. */
+function pausedBench(count: number) {
+  const target = bench(1, parameters());
+  target.apply({kind: 'shed', retryAfterMs: 50});
+  for (let id = 0; id < count; id++) {
+    target.apply({kind: 'arrive', work: work(id)});
+  }
+  return target;
+}
+
 test('a caller with many requests does not hold up one with a single one', t => {
   const target = busyBench();
   for (const id of [1, 2, 3, 4]) target.arrive(id, {caller: 'many'});
@@ -69,6 +79,41 @@
   t.deepEqual(target.finish(0), [4]);
 });
 
+test('a full queue gives up none for an earlier deadline alone', t => {
+  const target = busyBench({queueLimit: 1});
+  target.arrive(1, {});
+  t.like(target.arrive(2, {deadlineAt: 5000}), [{work: {id: 2}}]);
+});
+
+test('a key fills its share of the queue and no more', t => {
+  const target = busyBench({queueLimit: 4});
+  target.arrive(1, {key: 'hot'});
+  target.arrive(2, {key: 'hot'});
+  t.like(target.arrive(3, {key: 'hot'}), [{kind: 'refused', work: {id: 3}}]);
+  t.deepEqual(target.arrive(4, {key: 'cold'}), []);
+  t.like(target.arrive(5, {key: 'hot', priority: 0}), [{work: {id: 2}}]);
+});
+
+test('a caller that holds a slot lets one without go first', t => {
+  const target = bench(1, parameters());
+  target.apply({kind: 'arrive', work: work(0, {caller: 'a'})});
+  const first = work(1, {caller: 'a', deadlineAt: 500});
+  target.apply({kind: 'arrive', work: first});
+  target.apply({kind: 'arrive', work: work(2, {caller: 'b'})});
+  t.deepEqual(
+    target.state().waiting.map(other => other.id),
+    [2, 1],
+  );
+});
+
+test('an arrival that finds a slot free by time alone does not overtake', t => {
+  const {state} = pausedBench(2);
+  const before = state();
+  const event = {kind: 'arrive', work: work(9)} as const;
+  const {verdicts} = decide(before, event, before.pausedUntil);
+  t.deepEqual(admittedIds(verdicts), [0]);
+});
+
 test('a stalled upstream makes later requests be refused', t => {
   const target = busyBench();
   target.advance(500);
