Choose successors in linear time and assign by a bounded ring

Cause: at 1,200 members a chunk's plan ranked all members for each slice and the first assignment scored every member for every slice. Ruled out: rendezvous hashing over the whole service, whose pause would outlast a lease renewal when a fleet starts; an assignment inside each chunk alone, which leaves members at twice the mean.

--- a/src/placement/assign.ts
+++ b/src/placement/assign.ts
@@ -1,13 +1,27 @@
 import {hashText, type Member} from '../model/index.js';
 import {order, score} from './rank.js';
 
+/** Points that each member has on the ring. */
+const POINTS_PER_MEMBER = 8;
+
+/** Seed of the slices' positions on the ring. */
+const POSITION_SEED = hashText('position');
+
+/** Points of the members in ascending order of position. */
+interface Ring {
+  readonly positions: Uint32Array;
+  /** Index of the member of each point. */
+  readonly owners: Uint32Array;
+}
+
 /**
- * Assigns every slice of a service to a member: rendezvous hashing in which no
- * member takes more than its share of the slices by slots, rounded up. The
- * result depends only on the set of members, not on their order.
+ * Assigns every slice of a service to a member by consistent hashing with
+ * bounded loads: a slice goes to the next member on the ring that has less
+ * than its share of the slices by slots, rounded up. The result depends only
+ * on the set of members, and a member more or less changes little of it.
  *
  * @returns The owner of each slice, by slice number.
- * @throws {RangeError} when there is no member or the members have no slots.
+ * @throws {RangeError} when the members have no slots.
  *
  * @example
  * assignOwners(64, members)[7].instance; // the same at every daemon
@@ -18,14 +32,12 @@
 ): readonly Member[] {
   const sorted = members.toSorted((a, b) => order(a.instance, b.instance));
   const room = roomOf(slices, sorted);
-  const hashes = Uint32Array.from(sorted, m => hashText(m.instance));
-  const owners: Member[] = [];
-  for (let slice = 0; slice < slices; slice++) {
-    const best = bestWithRoom(slice, hashes, room);
-    room[best]--;
-    owners.push(sorted[best]);
-  }
-  return owners;
+  const ring = ringOf(sorted);
+  return Array.from({length: slices}, (_, slice) => {
+    const index = nextWithRoom(ring, room, score(slice, POSITION_SEED));
+    room[index]--;
+    return sorted[index];
+  });
 }
 
 function roomOf(slices: number, members: readonly Member[]): Int32Array {
@@ -34,19 +46,35 @@
   return Int32Array.from(members, m => Math.ceil((slices * m.slots) / slots));
 }
 
-function bestWithRoom(
-  slice: number,
-  hashes: Uint32Array,
-  room: Int32Array,
-): number {
-  let best = -1;
-  let bestScore = -1;
-  for (let i = 0; i < hashes.length; i++) {
-    if (room[i] <= 0) continue;
-    const value = score(slice, hashes[i]);
-    if (value <= bestScore) continue;
-    best = i;
-    bestScore = value;
+function ringOf(members: readonly Member[]): Ring {
+  const points = members.flatMap((m, member) => {
+    const hash = hashText(m.instance);
+    return Array.from({length: POINTS_PER_MEMBER}, (_, i) => ({
+      position: score(i, hash),
+      member,
+    }));
+  });
+  points.sort((a, b) => a.position - b.position || a.member - b.member);
+  return {
+    positions: Uint32Array.from(points, p => p.position),
+    owners: Uint32Array.from(points, p => p.member),
+  };
+}
+
+function nextWithRoom(ring: Ring, room: Int32Array, position: number): number {
+  let at = firstPointFrom(ring, position);
+  while (room[ring.owners[at]] <= 0) at = (at + 1) % ring.owners.length;
+  return ring.owners[at];
+}
+
+/** Finds the first point at or after a position, around the ring. */
+function firstPointFrom(ring: Ring, position: number): number {
+  let low = 0;
+  let high = ring.positions.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (ring.positions[middle] < position) low = middle + 1;
+    else high = middle;
   }
-  return best;
+  return low % ring.positions.length;
 }
--- a/src/placement/chunk.ts
+++ b/src/placement/chunk.ts
@@ -18,7 +18,12 @@
   type Chain,
 } from './chain.js';
 import {slicesOfChunk} from './layout.js';
-import {chooseSuccessors, protectsBetter} from './successors.js';
+import {holdersIn, poolOf, type Pool} from './pool.js';
+import {
+  chooseSuccessors,
+  fullyProtected,
+  protectsBetter,
+} from './successors.js';
 
 /** A wish to give a slice to another instance. */
 export interface Move {
@@ -49,7 +54,7 @@
 /** The input with what all slices of the chunk share. */
 interface Scope extends ChunkInput {
   /** Members that may hold new terms. */
-  readonly fit: readonly Member[];
+  readonly fit: Pool;
   /** Returns the owner for a slice that no fit member is recorded for. */
   readonly assigned: (slice: number) => Member;
 }
@@ -79,21 +84,21 @@
 }
 
 function scopeOf(input: ChunkInput): Scope {
-  const fit = input.members.filter(
+  const members = input.members.filter(
     m => m.state === 'serving' && m.slots > 0 && !input.ended(leaseOf(m)),
   );
   let owners: readonly Member[] | undefined;
   const assigned = (slice: number) => {
-    owners ??= assignOwners(input.service.slices, fit);
+    owners ??= assignOwners(input.service.slices, members);
     return owners[slice % owners.length];
   };
-  return {...input, fit, assigned};
+  return {...input, fit: poolOf(members), assigned};
 }
 
 function createChunk(scope: Scope): Chunk | undefined {
   const {service, index} = scope;
   const numbers = slicesOfChunk(service, index);
-  if (scope.fit.length === 0) return undefined;
+  if (isEmpty(scope.fit)) return undefined;
   const slices = numbers.map(slice => {
     const empty = {slice, wantedFrom: 1, terms: []};
     const chain = readChain(empty, () => false);
@@ -115,10 +120,10 @@
 
 /** Restores a chain of which no fit owner, or no fit successor, is left. */
 function planLoss(scope: Scope, chain: Chain): SliceRecord | undefined {
-  if (scope.fit.length === 0) return undefined;
+  if (isEmpty(scope.fit)) return undefined;
   const holders = fitHolders(scope, chain);
   if (chain.wanted.length === 0) {
-    const serving = fitMembers(scope, leasesOf(chain.live.slice(0, 1)))[0];
+    const [serving] = holdersIn(scope.fit, leasesOf(chain.live.slice(0, 1)));
     const owner = serving ?? scope.assigned(chain.record.slice);
     return appendOwner(scope, chain, owner, []);
   }
@@ -130,7 +135,7 @@
 function planSettled(scope: Scope, chain: Chain): SliceRecord | undefined {
   if (!chain.settled || chain.wanted.length === 0) return undefined;
   const [ownerLease] = leasesOf(chain.wanted);
-  const [owner] = fitMembers(scope, [ownerLease]);
+  const [owner] = holdersIn(scope.fit, [ownerLease]);
   const holders = fitHolders(scope, chain);
   if (owner) {
     const successors = holders.filter(m => m !== owner);
@@ -150,6 +155,8 @@
   owner: Member,
   successors: readonly Member[],
 ): SliceRecord | undefined {
+  const wanted = scope.service.successors;
+  if (fullyProtected(owner, successors, wanted)) return undefined;
   const better = successorsFor(scope, chain, owner, successors);
   if (!protectsBetter(owner, better, successors)) return undefined;
   return appendIfRoom(chain, [owner, ...better]);
@@ -163,7 +170,7 @@
 ): SliceRecord | undefined {
   const move = scope.moves?.find(m => m.slice === chain.record.slice);
   if (!move || move.to === owner.instance) return undefined;
-  const target = scope.fit.find(m => m.instance === move.to);
+  const target = scope.fit.byInstance.get(move.to)?.member;
   if (!target) return undefined;
   const kept = [owner, ...successors];
   const next = successorsFor(scope, chain, target, kept);
@@ -175,7 +182,7 @@
   chain: Chain,
   holders: readonly Member[],
 ): SliceRecord | undefined {
-  if (scope.fit.length === 0) return undefined;
+  if (isEmpty(scope.fit)) return undefined;
   const [target = scope.assigned(chain.record.slice), ...kept] = holders;
   const next = successorsFor(scope, chain, target, kept);
   return appendIfRoom(chain, [target, ...next]);
@@ -209,23 +216,18 @@
     slice: chain.record.slice,
     owner,
     preferred,
-    candidates: scope.fit,
+    pool: scope.fit,
     count: scope.service.successors,
   });
 }
 
 /** Fit members that hold a wanted term, in the chain's order. */
 function fitHolders(scope: Scope, chain: Chain): readonly Member[] {
-  return fitMembers(scope, leasesOf(chain.wanted));
+  return holdersIn(scope.fit, leasesOf(chain.wanted));
 }
 
-function fitMembers(
-  scope: Scope,
-  leases: readonly LeaseId[],
-): readonly Member[] {
-  return leases.flatMap(
-    lease => scope.fit.find(m => sameLease(leaseOf(m), lease)) ?? [],
-  );
+function isEmpty(pool: Pool): boolean {
+  return pool.candidates.length === 0;
 }
 
 function isDraining(scope: Scope, lease: LeaseId): boolean {
--- a/src/placement/successors.ts
+++ b/src/placement/successors.ts
@@ -1,5 +1,6 @@
 import type {Member} from '../model/index.js';
-import {rankForSlice} from './rank.js';
+import {domainOf, type Candidate, type Pool} from './pool.js';
+import {order, score} from './rank.js';
 
 /** What a choice of standing successors depends on. */
 export interface SuccessorChoice {
@@ -8,11 +9,14 @@
   /** Members to keep where they fit equally well, the first one first. */
   readonly preferred: readonly Member[];
   /** Members that may be chosen; preferred ones outside it are ignored. */
-  readonly candidates: readonly Member[];
+  readonly pool: Pool;
   /** Number of successors wanted. */
   readonly count: number;
 }
 
+/** Tells whether a candidate belongs to a group. */
+type Group = (candidate: Candidate) => boolean;
+
 /**
  * Chooses the standing successors of an owner, in order. A member of the
  * owner's region in a failure domain that the chain has not used comes first,
@@ -23,44 +27,67 @@
  * @throws {RangeError} when the count is negative.
  *
  * @example
- * chooseSuccessors({slice: 7, owner, preferred: [], candidates, count: 2});
+ * chooseSuccessors({slice: 7, owner, preferred: [], pool, count: 2});
  */
 export function chooseSuccessors(choice: SuccessorChoice): readonly Member[] {
-  if (choice.count < 0) throw new RangeError('negative number of successors');
   const {owner, count} = choice;
-  const pool = orderedPool(choice);
-  const chosen: Member[] = [];
-  const domains = new Set([domainOf(owner)]);
-  const take = (fits: (member: Member) => boolean) => {
-    for (const member of pool) {
-      if (chosen.length >= count) return;
-      if (chosen.includes(member) || !fits(member)) continue;
-      chosen.push(member);
-      domains.add(domainOf(member));
+  if (count < 0) throw new RangeError('negative number of successors');
+  const chosen: Candidate[] = [];
+  const used = new Set([domainOf(owner)]);
+  const free: Group = c =>
+    c.member.instance !== owner.instance && !chosen.includes(c);
+  const near: Group = c => c.member.region === owner.region;
+  const apart: Group = c => !used.has(c.domain);
+  const groups: readonly Group[] = [
+    c => near(c) && apart(c) && free(c),
+    c => apart(c) && free(c),
+    c => near(c) && free(c),
+    free,
+  ];
+  for (const group of groups) {
+    while (chosen.length < count) {
+      const next = bestOf(choice, group);
+      if (!next) break;
+      chosen.push(next);
+      used.add(next.domain);
     }
-  };
-  const near = (member: Member) => member.region === owner.region;
-  const apart = (member: Member) => !domains.has(domainOf(member));
-  take(member => near(member) && apart(member));
-  take(apart);
-  take(near);
-  take(() => true);
-  return chosen;
+  }
+  return chosen.map(c => c.member);
+}
+
+function bestOf(choice: SuccessorChoice, group: Group): Candidate | undefined {
+  const {slice, pool} = choice;
+  for (const {instance} of choice.preferred) {
+    const kept = pool.byInstance.get(instance);
+    if (kept && group(kept)) return kept;
+  }
+  let best: Candidate | undefined;
+  for (const candidate of pool.candidates) {
+    if (!group(candidate)) continue;
+    if (!best || ranksBefore(slice, candidate, best)) best = candidate;
+  }
+  return best;
 }
 
-function orderedPool(choice: SuccessorChoice): readonly Member[] {
-  const {slice, owner, preferred, candidates} = choice;
-  const others = candidates.filter(m => m.instance !== owner.instance);
-  const kept = preferred.flatMap(
-    wanted => others.find(m => m.instance === wanted.instance) ?? [],
-  );
-  const rest = others.filter(m => !kept.includes(m));
-  return [...kept, ...rankForSlice(slice, rest)];
+function ranksBefore(slice: number, a: Candidate, b: Candidate): boolean {
+  const difference = score(slice, a.hash) - score(slice, b.hash);
+  if (difference !== 0) return difference > 0;
+  return order(a.member.instance, b.member.instance) < 0;
 }
 
-/** Identifies a failure domain across regions. */
-function domainOf(member: Member): string {
-  return `${member.region}/${member.domain}`;
+/**
+ * Tells whether no choice of successors could protect the owner better.
+ *
+ * @example
+ * fullyProtected(owner, [memberOfOtherDomain], 1); // true
+ */
+export function fullyProtected(
+  owner: Member,
+  successors: readonly Member[],
+  count: number,
+): boolean {
+  const [have, domains, near] = protection(owner, successors);
+  return have >= count && domains === have + 1 && near === have;
 }
 
 /**
@@ -81,6 +108,7 @@
   return differing >= 0 && left[differing] > right[differing];
 }
 
+/** Number of successors, of failure domains, and of successors near. */
 function protection(
   owner: Member,
   successors: readonly Member[],
