--- /dev/null
+++ b/src/placement/moves.ts
@@ -0,0 +1,259 @@
+import type {Weights} from '../model/index.js';
+import type {Move} from './chunk.js';
+import {groupBy} from './group.js';
+import {
+  fullest,
+  hostsOf,
+  meanUtilisation,
+  peakUtilisation,
+  utilisation,
+  withoutSlice,
+  withSlice,
+  type Host,
+  type HostInput,
+} from './hosts.js';
+import {reluctance, type SliceLoad} from './load.js';
+
+/** Load above the mean, as a share of it, at which balancing starts. */
+const START_BAND = 0.1;
+
+/** Bounds on `START_BAND` once it is scaled by the site's weights. */
+const MIN_BAND = 0.05;
+const MAX_BAND = 1;
+
+/** Share of the start band at which balancing stops again. */
+const STOP_SHARE = 0.4;
+
+/** Used share of its slots from which a member is to be relieved at once. */
+export const HOT_UTILISATION = 0.8;
+
+/** Moves a minute for each member that serves, before weights. */
+const MOVES_PER_MEMBER_MINUTE = 1;
+
+/** Moves that may be saved up, in minutes of the budget. */
+const BUDGET_MINUTES = 2;
+
+/** Smallest number of moves that the full budget holds. */
+const MIN_BUDGET = 4;
+
+/** Load above the mean, as a share of slots, below which nothing is evened out. */
+const NEGLIGIBLE_EXCESS = 0.02;
+
+/** Time for which a moved slice stays. */
+export const HOLD_MS = 5 * 60_000;
+
+/** Time for which a moved slice stays when its owner is hot. */
+export const HOT_HOLD_MS = 30_000;
+
+/** Time for which a slice may not return to an owner that it left. */
+export const RETURN_MS = 30 * 60_000;
+
+const MINUTE_MS = 60_000;
+
+/** A move that was planned lately. */
+export interface RecentMove extends Move {
+  readonly from: string;
+  readonly at: number;
+}
+
+/** What the planner of a service remembers between plans. */
+export interface MoveState {
+  readonly recent: readonly RecentMove[];
+  /** Moves left in the budget. */
+  readonly budget: number;
+  /** Time at which the budget was last filled up. */
+  readonly filledAt: number;
+  /** Whether plain balancing has started and not yet come to its end. */
+  readonly balancing: boolean;
+}
+
+/** What the moves of one service depend on. */
+export interface MoveInput extends HostInput {
+  readonly weights: Weights;
+}
+
+/** The moves to make now, most urgent first, and what to remember. */
+export interface MovePlan {
+  readonly state: MoveState;
+  readonly moves: readonly Move[];
+}
+
+/** A plan in the making. */
+interface Draft {
+  readonly hosts: readonly Host[];
+  readonly planned: readonly RecentMove[];
+  readonly budget: number;
+}
+
+/** The input with the recent moves of each slice. */
+interface Scope extends MoveInput {
+  readonly earlier: ReadonlyMap<number, readonly RecentMove[]>;
+}
+
+/**
+ * Returns the state of a planner that has planned nothing yet.
+ *
+ * @example
+ * let state = startMoves(now);
+ */
+export function startMoves(now: number): MoveState {
+  return {recent: [], budget: MIN_BUDGET, filledAt: now, balancing: false};
+}
+
+/**
+ * Chooses slices to move: first away from members that are nearly out of
+ * slots, then to even out the load. Balancing starts when the highest load
+ * leaves a band around the mean and goes on until it is well within the band.
+ * Each move must lower the higher load of its two members; a slice that was
+ * moved stays for a while and does not return to an owner that it left. A
+ * budget bounds the number of moves over time. The site's weights widen or
+ * narrow the band and the budget.
+ *
+ * @throws {RangeError} when the weight of imbalance is not positive.
+ *
+ * @example
+ * const {state, moves} = planMoves(startMoves(now), input);
+ */
+export function planMoves(state: MoveState, input: MoveInput): MovePlan {
+  const recent = state.recent.filter(m => input.now - m.at < RETURN_MS);
+  const scope = {...input, earlier: groupBy(recent, move => move.slice)};
+  const hosts = hostsOf(input);
+  const balancing = isBalancing(state, input, hosts);
+  const start = {hosts, planned: [], budget: refill(state, input)};
+  const draft = relieve(start, scope, targetOf(input, hosts, balancing));
+  return {
+    moves: draft.planned.map(({slice, to}) => ({slice, to})),
+    state: {
+      recent: [...recent, ...draft.planned],
+      budget: draft.budget,
+      filledAt: input.now,
+      balancing,
+    },
+  };
+}
+
+function isBalancing(
+  state: MoveState,
+  input: MoveInput,
+  hosts: readonly Host[],
+): boolean {
+  const mean = meanUtilisation(hosts);
+  const peak = peakUtilisation(hosts);
+  const share = state.balancing ? STOP_SHARE : 1;
+  const limit = mean * (1 + bandOf(input.weights) * share);
+  return peak > limit && peak - mean > NEGLIGIBLE_EXCESS;
+}
+
+/** Returns the utilisation above which members are relieved. */
+function targetOf(
+  input: MoveInput,
+  hosts: readonly Host[],
+  balancing: boolean,
+): number {
+  const mean = meanUtilisation(hosts);
+  const even = mean * (1 + bandOf(input.weights) * STOP_SHARE);
+  return balancing ? even : Math.max(HOT_UTILISATION, even);
+}
+
+function bandOf(weights: Weights): number {
+  const scaled = START_BAND * reluctance(weights);
+  return Math.min(MAX_BAND, Math.max(MIN_BAND, scaled));
+}
+
+/** Returns the budget with what it has gained since it was last filled up. */
+function refill(state: MoveState, input: MoveInput): number {
+  const {now, weights, members} = input;
+  const rate = (MOVES_PER_MEMBER_MINUTE * members.length) / reluctance(weights);
+  const full = Math.max(MIN_BUDGET, rate * BUDGET_MINUTES);
+  const gained = (rate * (now - state.filledAt)) / MINUTE_MS;
+  return Math.min(full, state.budget + gained);
+}
+
+/** Moves slices off the fullest members until none is above the target. */
+function relieve(start: Draft, scope: Scope, target: number): Draft {
+  let draft = start;
+  const stuck = new Set<string>();
+  while (draft.budget >= 1) {
+    const source = fullest(draft.hosts.filter(h => !stuck.has(h.instance)));
+    if (!source || utilisation(source) <= target) break;
+    const move = bestMove(draft, scope, source);
+    if (move) draft = applyMove(draft, move);
+    else stuck.add(source.instance);
+  }
+  return draft;
+}
+
+/** Finds the move off a member that lowers the higher load of the two most. */
+function bestMove(
+  draft: Draft,
+  scope: Scope,
+  source: Host,
+): RecentMove | undefined {
+  const hot = utilisation(source) > HOT_UTILISATION;
+  let best: RecentMove | undefined;
+  let bestPeak = utilisation(source) * (1 - minimumGain(scope.weights));
+  for (const slice of source.slices) {
+    if (!slice.settled || slice.load <= 0) continue;
+    const earlier = scope.earlier.get(slice.slice) ?? [];
+    if (isHeld(earlier, scope.now, hot)) continue;
+    const to = bestTarget(draft.hosts, source, slice, earlier);
+    if (!to) continue;
+    const left = (source.load - slice.load) / source.capacity;
+    const peak = Math.max(left, (to.load + slice.load) / to.capacity);
+    if (peak >= bestPeak) continue;
+    bestPeak = peak;
+    best = {
+      slice: slice.slice,
+      from: source.instance,
+      to: to.instance,
+      at: scope.now,
+    };
+  }
+  return best;
+}
+
+/** Share by which a move must lower the higher load of its two members. */
+function minimumGain(weights: Weights): number {
+  return bandOf(weights) / 10;
+}
+
+function isHeld(
+  earlier: readonly RecentMove[],
+  now: number,
+  hot: boolean,
+): boolean {
+  const hold = hot ? HOT_HOLD_MS : HOLD_MS;
+  return earlier.some(move => now - move.at < hold);
+}
+
+/** Finds the host that the slice would load least. */
+function bestTarget(
+  hosts: readonly Host[],
+  source: Host,
+  slice: SliceLoad,
+  earlier: readonly RecentMove[],
+): Host | undefined {
+  let best: Host | undefined;
+  let bestUsed = Infinity;
+  for (const host of hosts) {
+    const used = (host.load + slice.load) / host.capacity;
+    if (host === source || used >= bestUsed) continue;
+    if (earlier.some(move => move.from === host.instance)) continue;
+    best = host;
+    bestUsed = used;
+  }
+  return best;
+}
+
+function applyMove(draft: Draft, move: RecentMove): Draft {
+  const source = draft.hosts.find(h => h.instance === move.from);
+  const moved = source?.slices.find(s => s.slice === move.slice);
+  if (!moved) throw new RangeError(`slice ${move.slice} is not where it was`);
+  const hosts = draft.hosts.map(host => {
+    if (host.instance === move.from) return withoutSlice(host, moved);
+    if (host.instance === move.to) return withSlice(host, moved);
+    return host;
+  });
+  const planned = [...draft.planned, move];
+  return {hosts, planned, budget: draft.budget - 1};
+}
