--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -5,4 +5,5 @@
 export * from './gone.js';
 export * from './keys.js';
 export * from './platform.js';
+export * from './put.js';
 export * from './update.js';
