Keep the executions of a killed upstream

Cause: the record of an upstream that is killed was lost with it, so a request executed there and again elsewhere could not be seen. Ruled out: following the record over HTTP, because what a killed process had not sent would be missing. Before: in memory alone. The load tool also limits single attempts and tells whether an attempt may have been executed. Conclusion: answers can be checked against executions across kills.

--- a/src/load/answer.ts
+++ b/src/load/answer.ts
@@ -55,6 +55,16 @@
   return isOwn ? 'ok' : 'wrong';
 }
 
+/**
+ * Tells whether a verdict promises that the request was not executed.
+ *
+ * @example
+ * isCertainlyNotRun('unknown'); // false
+ */
+export function isCertainlyNotRun(verdict: Verdict): boolean {
+  return verdict === 'not-run' || verdict === 'not-sent';
+}
+
 /**
  * Tells whether a request may be sent again after a verdict.
  *
@@ -62,7 +72,7 @@
  * mayRepeat({...request, method: 'POST'}, 'unknown'); // false
  */
 export function mayRepeat(request: PlannedRequest, verdict: Verdict): boolean {
-  if (verdict === 'not-run' || verdict === 'not-sent') return true;
+  if (isCertainlyNotRun(verdict)) return true;
   return verdict === 'unknown' && isIdempotent(request.method);
 }
 
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -1,5 +1,5 @@
 import type {Address} from '../model/index.js';
-import {mayRepeat, type Verdict} from './answer.js';
+import {isCertainlyNotRun, mayRepeat, type Verdict} from './answer.js';
 import type {Hints} from './hints.js';
 import type {PlannedRequest} from './plan.js';
 import type {Attempt, Sender} from './sender.js';
@@ -12,6 +12,8 @@
   readonly targets: readonly Address[];
   /** Time limit of a request with its repeats, in milliseconds. */
   readonly deadlineMs: number;
+  /** Time limit of one attempt, in milliseconds. */
+  readonly attemptMs: number;
   /** Attempts for one request; 1 repeats nothing. */
   readonly attempts: number;
 }
@@ -23,6 +25,8 @@
   readonly status?: number;
   readonly reason?: string;
   readonly attempts: number;
+  /** Some attempt ended without certainty that it was not executed. */
+  readonly mayHaveRun: boolean;
   readonly target: Address;
   readonly startedMs: number;
   readonly endedMs: number;
@@ -51,10 +55,12 @@
 ): Promise<Result> {
   const startedMs = tools.now();
   const endMs = startedMs + options.deadlineMs;
+  let mayHaveRun = false;
   for (let count = 1; ; count++) {
     const target = chooseTarget(tools.hints, options.targets, request, count);
-    const leftMs = endMs - tools.now();
-    const attempt = await tools.sender.send(request, target, leftMs);
+    const limitMs = Math.min(options.attemptMs, endMs - tools.now());
+    const attempt = await tools.sender.send(request, target, limitMs);
+    mayHaveRun ||= !isCertainlyNotRun(attempt.verdict);
     learn(tools.hints, request, attempt);
     const pauseMs = attempt.retryAfterMs ?? REPEAT_PAUSE_MS;
     const isLast = count === options.attempts || tools.now() + pauseMs >= endMs;
@@ -67,6 +73,7 @@
         status,
         reason,
         attempts: count,
+        mayHaveRun,
         target,
         startedMs,
         endedMs,
--- a/src/load/options.ts
+++ b/src/load/options.ts
@@ -16,11 +16,13 @@
  * readLoadOptions({targets: '127.0.0.1:80', request: 'GET /rota/{key}', rate: 100});
  */
 export function readLoadOptions(flags: LoadFlags): LoadOptions {
+  const deadlineMs = readCount(flags, 'deadline-ms', 5000, 1);
   return {
     targets: listOf(flags['targets'])
       .flatMap(text => text.split(','))
       .map(parseAddress),
-    deadlineMs: readCount(flags, 'deadline-ms', 5000, 1),
+    deadlineMs,
+    attemptMs: readCount(flags, 'attempt-ms', deadlineMs, 1),
     attempts: readCount(flags, 'attempts', 1, 1),
     connections: readCount(flags, 'connections', 32, 1),
     hints: readCount(flags, 'hints', 0, 0),
--- a/standin/upstream/execution.ts
+++ b/standin/upstream/execution.ts
@@ -2,6 +2,12 @@
 export type ExecutionOutcome =
   'running' | 'committed' | 'cancelled' | 'expired' | 'fenced';
 
+/** One line of a journal file: an execution as it began or ended. */
+export interface JournalLine {
+  readonly number: number;
+  readonly execution: Execution;
+}
+
 /** What an upstream stand-in records of one request that it began to execute. */
 export interface Execution {
   /** Request identifier given by the daemon. */
@@ -40,26 +46,51 @@
 /**
  * Creates an empty journal.
  *
+ * @param write Takes a line whenever an execution begins or ends, so that the
+ * record outlives the process.
  * @throws {RangeError} from `begin` when the journal is full.
  *
  * @example
  * const journal = createJournal();
  * journal.end(journal.begin(execution), 'committed', Date.now());
  */
-export function createJournal(): Journal {
+export function createJournal(
+  write: (line: JournalLine) => void = () => {},
+): Journal {
   const executions: Execution[] = [];
   return {
     begin: execution => {
       if (executions.length === EXECUTION_LIMIT) {
         throw new RangeError('the journal is full');
       }
-      return executions.push(execution) - 1;
+      const number = executions.push(execution) - 1;
+      write({number, execution});
+      return number;
     },
     end: (number, outcome, nowMs) => {
       const committed = outcome === 'committed' ? nowMs : undefined;
       const ended = {...executions[number], outcome, ended: nowMs, committed};
       executions[number] = ended;
+      write({number, execution: ended});
     },
     executions: () => executions,
   };
 }
+
+/**
+ * Reads the executions of a journal file, in order of their start. An
+ * incomplete last line, left by a process that was killed, is passed over.
+ *
+ * @example
+ * readJournal(readFileSync('rota-display-1.journal', 'utf8')).length;
+ */
+export function readJournal(text: string): readonly Execution[] {
+  const executions: Execution[] = [];
+  const whole = text.slice(0, text.lastIndexOf('\n') + 1);
+  for (const line of whole.split('\n')) {
+    if (line === '') continue;
+    const {number, execution} = JSON.parse(line) as JournalLine;
+    executions[number] = execution;
+  }
+  return executions;
+}
--- a/standin/upstream/main.ts
+++ b/standin/upstream/main.ts
@@ -17,6 +17,7 @@
   .option('--health', 'true, lag or lie', 'true')
   .option('--key-header', 'Header of the key, else it is in the path', 'x-key')
   .option('--seed', 'Seed of the variation of the service time', 1)
+  .option('--journal', 'File to which executions are written')
   .action(async (flags: UpstreamFlags) => {
     printListening((await startUpstream(readOptions(flags))).address);
   })
--- a/standin/upstream/options.ts
+++ b/standin/upstream/options.ts
@@ -23,6 +23,8 @@
   readonly keyHeader: string;
   /** Seed of the variation of the service time. */
   readonly seed: number;
+  /** File to which executions are written; none if absent. */
+  readonly journal?: string;
 }
 
 /** The flags of the binary as its command line library gives them. */
@@ -39,7 +41,7 @@
  * readOptions({service: 'rota-display', slots: 12}).connections; // 130
  */
 export function readOptions(flags: UpstreamFlags): UpstreamOptions {
-  const {announce} = flags;
+  const {announce, journal} = flags;
   return {
     port: readNumber(flags, 'port', 0),
     announce: announce ? parseAddress(String(announce)) : undefined,
@@ -52,6 +54,7 @@
     health: readChoice(flags, 'health', ['true', 'lag', 'lie']),
     keyHeader: String(flags['key-header'] ?? 'x-key').toLowerCase(),
     seed: readNumber(flags, 'seed', 1),
+    journal: journal ? String(journal) : undefined,
   };
 }
 
--- a/standin/upstream/upstream.ts
+++ b/standin/upstream/upstream.ts
@@ -1,5 +1,6 @@
+import {openSync, writeSync} from 'node:fs';
 import {createRandom, type Random} from '../../src/load/random.js';
-import {createJournal, type Journal} from './execution.js';
+import {createJournal, type Journal, type JournalLine} from './execution.js';
 import {CLOSED_FENCE, isGranted, type Fence} from './fence.js';
 import type {UpstreamOptions} from './options.js';
 import {createSlots, type Slots} from './slots.js';
@@ -69,7 +70,9 @@
     options,
     name,
     slots: createSlots(options.slots),
-    journal: createJournal(),
+    journal: createJournal(
+      options.journal ? writer(options.journal) : undefined,
+    ),
     random: createRandom(options.seed),
     startedMs: performance.now(),
     clockOffsetMs: Math.floor(Math.random() * 1e9),
@@ -81,6 +84,11 @@
   };
 }
 
+function writer(file: string): (line: JournalLine) => void {
+  const descriptor = openSync(file, 'a');
+  return line => writeSync(descriptor, JSON.stringify(line) + '\n');
+}
+
 /** Reads the upstream's own clock, in milliseconds. */
 export function clockOf(upstream: Upstream): number {
   return Math.floor(performance.now()) + upstream.clockOffsetMs;
--- a/test/load/load.test.ts
+++ b/test/load/load.test.ts
@@ -117,7 +117,7 @@
           time += timeMs;
         },
       },
-      {targets: HOSTS, deadlineMs: 10_000, attempts},
+      {targets: HOSTS, deadlineMs: 10_000, attemptMs: 10_000, attempts},
       requestOf(method),
     );
     const safe: readonly Verdict[] =
