--- /dev/null
+++ b/demo/check.ts
@@ -0,0 +1,191 @@
+import type {Result} from '../src/load/index.js';
+import {sliceOfKey} from '../src/model/index.js';
+import {isIdempotent} from '../src/load/index.js';
+import type {Execution} from '../standin/upstream/execution.js';
+import type {Base} from './deployment.js';
+import type {Record} from './fleet.js';
+
+/** Figures of one service, or of all. */
+export interface Row {
+  readonly service: string;
+  readonly requests: number;
+  readonly ok: number;
+  /** Requests that were answered with a failure, or not at all. */
+  readonly failed: number;
+  /** Answers that contradict what the upstreams executed. */
+  readonly wrong: number;
+  /** Requests that may not be repeated and were executed more than once. */
+  readonly duplicated: number;
+  /** Longest time for which a slice, or a service without keys, had no answer. */
+  readonly unavailableMs: number;
+  /** Latencies of the requests that were answered, in ascending order. */
+  readonly latenciesMs: readonly number[];
+}
+
+/** What a check found. */
+export interface Report {
+  readonly rows: readonly Row[];
+  /** Sentences about each wrong or duplicated request. */
+  readonly findings: readonly string[];
+}
+
+interface Commit extends Execution {
+  readonly committed: number;
+  readonly instance: string;
+}
+
+/**
+ * Checks every result against what the upstreams executed.
+ *
+ * An answer is wrong when it is not of its request, when no upstream committed
+ * the request that it answers, when a request that was told not run was
+ * committed, or when a slice was committed under an epoch after a higher one.
+ *
+ * @example
+ * const {rows, findings} = checkResults(base, results, records);
+ */
+export function checkResults(
+  base: Base,
+  results: readonly Result[],
+  records: readonly Record[],
+): Report {
+  const findings: string[] = [];
+  const commits = commitsByPath(records);
+  const rows = Object.entries(base.services).map(([service, declared]) => {
+    const own = results.filter(({request}) =>
+      request.path.startsWith(declared.pathPrefix),
+    );
+    const wrong = own.flatMap(result => findWrong(result, commits));
+    const duplicated = own.flatMap(result => findDuplicated(result, commits));
+    const late = findLateCommits(records.filter(r => r.service === service));
+    findings.push(...wrong, ...duplicated, ...late);
+    const ok = own.filter(({verdict}) => verdict === 'ok');
+    const notAnswered = own.filter(
+      ({verdict}) => verdict !== 'ok' && verdict !== 'wrong',
+    );
+    return {
+      service,
+      requests: own.length,
+      ok: ok.length,
+      failed: notAnswered.length,
+      wrong: wrong.length + late.length,
+      duplicated: duplicated.length,
+      unavailableMs: longestUnavailable(own, declared.slices ?? 1),
+      latenciesMs: ok
+        .map(({endedMs, request}) => endedMs - request.dueMs)
+        .sort((a, b) => a - b),
+    };
+  });
+  return {rows, findings};
+}
+
+/** Adds up the rows of a report. */
+export function totalOf(rows: readonly Row[]): Row {
+  const sum = (field: (row: Row) => number) =>
+    rows.reduce((total, row) => total + field(row), 0);
+  return {
+    service: 'all',
+    requests: sum(row => row.requests),
+    ok: sum(row => row.ok),
+    failed: sum(row => row.failed),
+    wrong: sum(row => row.wrong),
+    duplicated: sum(row => row.duplicated),
+    unavailableMs: Math.max(0, ...rows.map(row => row.unavailableMs)),
+    latenciesMs: rows.flatMap(row => row.latenciesMs).sort((a, b) => a - b),
+  };
+}
+
+function commitsByPath(
+  records: readonly Record[],
+): ReadonlyMap<string, readonly Commit[]> {
+  const byPath = new Map<string, Commit[]>();
+  for (const commit of records.flatMap(commitsOf)) {
+    const found = byPath.get(commit.path);
+    if (found) found.push(commit);
+    else byPath.set(commit.path, [commit]);
+  }
+  return byPath;
+}
+
+function commitsOf({instance, executions}: Record): readonly Commit[] {
+  return executions.flatMap(execution => {
+    const {committed} = execution;
+    return committed === undefined ? [] : [{...execution, committed, instance}];
+  });
+}
+
+function findWrong(
+  {request, verdict, mayHaveRun}: Result,
+  commits: ReadonlyMap<string, readonly Commit[]>,
+): readonly string[] {
+  const {method, path} = request;
+  const count = commits.get(path)?.length ?? 0;
+  if (verdict === 'wrong') return [`${method} ${path}: answer of another`];
+  if (verdict === 'ok' && count === 0) {
+    return [`${method} ${path}: answered and never committed`];
+  }
+  if (!mayHaveRun && count > 0) {
+    return [`${method} ${path}: told not run and committed`];
+  }
+  return [];
+}
+
+function findDuplicated(
+  {request}: Result,
+  commits: ReadonlyMap<string, readonly Commit[]>,
+): readonly string[] {
+  const {method, path} = request;
+  const found = commits.get(path) ?? [];
+  if (isIdempotent(method) || found.length < 2) return [];
+  const places = found.map(c => `${c.instance} epoch ${c.epoch}`).join(', ');
+  return [`${method} ${path}: committed ${found.length} times (${places})`];
+}
+
+/** Finds commits under an epoch after another upstream committed a higher one. */
+function findLateCommits(records: readonly Record[]): readonly string[] {
+  const keyed = records.flatMap(commitsOf).filter(c => c.epoch !== undefined);
+  keyed.sort((a, b) => a.committed - b.committed);
+  const highest = new Map<number, Commit>();
+  return keyed.flatMap(commit => {
+    const {slice = 0, epoch = 0} = commit;
+    const before = highest.get(slice);
+    const isHigher = before === undefined || epoch >= (before.epoch ?? 0);
+    if (isHigher) highest.set(slice, commit);
+    if (isHigher || commit.committed === before.committed) return [];
+    const first = `${before.instance} epoch ${before.epoch}`;
+    return [
+      `${commit.path}: ${commit.instance} committed epoch ${epoch} after ${first}`,
+    ];
+  });
+}
+
+/**
+ * Returns the longest time, in milliseconds, from the time a request was due to
+ * the next answer among the requests of its slice that were sent since.
+ */
+function longestUnavailable(
+  results: readonly Result[],
+  slices: number,
+): number {
+  const bySlice = new Map<number, Result[]>();
+  for (const result of results) {
+    const {key} = result.request;
+    const slice = key === undefined ? 0 : sliceOfKey(key, slices);
+    const found = bySlice.get(slice);
+    if (found) found.push(result);
+    else bySlice.set(slice, [result]);
+  }
+  return Math.max(0, ...[...bySlice.values()].map(longestGap));
+}
+
+function longestGap(results: readonly Result[]): number {
+  const byDue = [...results].sort((a, b) => b.request.dueMs - a.request.dueMs);
+  let nextAnswerMs = Infinity;
+  let longest = 0;
+  for (const {request, verdict, endedMs} of byDue) {
+    if (verdict === 'ok') nextAnswerMs = Math.min(nextAnswerMs, endedMs);
+    const endMs = nextAnswerMs === Infinity ? endedMs : nextAnswerMs;
+    longest = Math.max(longest, endMs - request.dueMs);
+  }
+  return longest;
+}
--- /dev/null
+++ b/demo/fleet.ts
@@ -0,0 +1,202 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {formatAddress, type Address, type Status} from '../src/model/index.js';
+import {LOOPBACK} from '../standin/listen.js';
+import {readJournal, type Execution} from '../standin/upstream/execution.js';
+import type {Example, Instance} from './deployment.js';
+import {findPorts} from './ports.js';
+import type {Process, Processes} from './processes.js';
+
+/** Time between two looks at the state of a fleet, in milliseconds. */
+const POLL_INTERVAL_MS = 100;
+
+/** Time limit of one call to a daemon's control address, in milliseconds. */
+const STATUS_TIMEOUT_MS = 1000;
+
+/** Time limit of a daemon's graceful shutdown, in milliseconds. */
+const SHUTDOWN_MS = 3000;
+
+/** Mean time that the upstreams take for a request, in milliseconds. */
+const SERVICE_MS = 3;
+
+/** A daemon with the upstream beside it. */
+export interface Node {
+  readonly instance: Instance;
+  readonly callers: Address;
+  readonly peers: Address;
+  readonly control: Address;
+  readonly daemon: Process;
+  readonly upstream: Process;
+}
+
+/** What one upstream executed. */
+export interface Record {
+  readonly instance: string;
+  readonly service: string;
+  readonly executions: readonly Execution[];
+}
+
+/** The running processes of a deployment. */
+export interface Fleet {
+  readonly example: Example;
+  readonly platform: Address;
+  readonly nodes: readonly Node[];
+}
+
+/** Starts the platform and, for each instance, a daemon and an upstream. */
+export async function startFleet(
+  processes: Processes,
+  directory: string,
+  example: Example,
+): Promise<Fleet> {
+  const stand = processes.start('platform', 'standin/platform/main.js', []);
+  const platform = await stand.listening;
+  const {instances} = example.deployment;
+  const ports = await findPorts(instances.length * 3);
+  const addresses = ports.map(port => ({host: LOOPBACK, port}));
+  const nodes = instances.map((instance, index) => {
+    const [callers, peers, control] = addresses.slice(3 * index, 3 * index + 3);
+    const seeds = [1, instances.length / 2, instances.length - 1]
+      .map(step => (index + Math.floor(step)) % instances.length)
+      .map(other => addresses[3 * other + 1]);
+    const file = join(directory, `${instance.name}.jsonc`);
+    const settings = settingsOf(example, instance);
+    const text = JSON.stringify({
+      ...settings,
+      callers: formatAddress(callers),
+      peers: formatAddress(peers),
+      control: formatAddress(control),
+      platform: formatAddress(platform),
+      seeds: seeds.map(formatAddress),
+    });
+    writeFileSync(file, text);
+    const {daemon, upstream} = startPair(processes, directory, example, {
+      instance,
+      file,
+      control,
+    });
+    return {instance, callers, peers, control, daemon, upstream};
+  });
+  return {example, platform, nodes};
+}
+
+function settingsOf({deployment}: Example, instance: Instance): object {
+  return {
+    instance: instance.name,
+    site: deployment.site,
+    region: deployment.region,
+    domain: instance.domain,
+    secrets: [{id: 'demo', key: 'a-key-for-the-demo-alone'}],
+    shutdownMs: SHUTDOWN_MS,
+  };
+}
+
+interface Pair {
+  readonly instance: Instance;
+  readonly file: string;
+  readonly control: Address;
+}
+
+function startPair(
+  processes: Processes,
+  directory: string,
+  {deployment, base}: Example,
+  {instance, file, control}: Pair,
+): Pick<Node, 'daemon' | 'upstream'> {
+  const {name, service} = instance;
+  const daemonArgs = ['run', '--settings', file];
+  const daemon = 'src/bin/vanillaspoold.js';
+  const fencing = base.services[service]?.fencing ?? 'ignored';
+  const upstreamArgs = [
+    ['--announce', formatAddress(control)],
+    ['--service', service],
+    ['--slots', String(deployment.slots)],
+    ['--connections', String(deployment.connections)],
+    ['--fencing', fencing],
+    ['--service-ms', String(SERVICE_MS)],
+    ['--journal', journalOf(directory, name)],
+  ].flat();
+  return {
+    daemon: processes.start(name, daemon, daemonArgs),
+    upstream: processes.start(
+      `${name}-upstream`,
+      'standin/upstream/main.js',
+      upstreamArgs,
+    ),
+  };
+}
+
+function journalOf(directory: string, instance: string): string {
+  return join(directory, `${instance}.journal`);
+}
+
+/** Reads what every upstream executed, whether it still runs or not. */
+export function readRecords(
+  {nodes}: Fleet,
+  directory: string,
+): readonly Record[] {
+  return nodes.map(({instance}) => {
+    const text = readFileSync(journalOf(directory, instance.name), 'utf8');
+    const executions = readJournal(text);
+    return {instance: instance.name, service: instance.service, executions};
+  });
+}
+
+/** Asks a daemon for its status; undefined when it does not answer. */
+export async function readStatus(node: Node): Promise<Status | undefined> {
+  try {
+    const url = `http://${formatAddress(node.control)}/status`;
+    const signal = AbortSignal.timeout(STATUS_TIMEOUT_MS);
+    return (await (await fetch(url, {signal})).json()) as Status;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Waits until every daemon answers, and then until a condition holds for the
+ * statuses of all.
+ *
+ * @throws {Error} when the time is up, with what was missing.
+ */
+export async function waitForFleet(
+  {nodes}: Fleet,
+  what: string,
+  timeoutMs: number,
+  isReached: (statuses: readonly Status[]) => boolean,
+): Promise<void> {
+  const endMs = performance.now() + timeoutMs;
+  for (;;) {
+    const answers = await Promise.all(nodes.map(readStatus));
+    const statuses = answers.filter(answer => answer !== undefined);
+    if (statuses.length === nodes.length && isReached(statuses)) return;
+    if (performance.now() > endMs) {
+      const silent = nodes.filter((_, index) => !answers[index]);
+      const names = silent.map(node => node.instance.name).join(' ');
+      const states = statuses.map(describe).join('; ');
+      throw new Error(`${what}: silent [${names}], others: ${states}`);
+    }
+    await sleep(POLL_INTERVAL_MS);
+  }
+}
+
+function describe(status: Status): string {
+  const {instance, state, slices, configurationVersion} = status;
+  return `${instance} ${state} v${configurationVersion} ${slices} slices`;
+}
+
+/** Tells whether every keyed service has all of its slices served. */
+export function isServed(
+  {base, deployment}: Example,
+  statuses: readonly Status[],
+): boolean {
+  const names = new Set(deployment.instances.map(({service}) => service));
+  return [...names].every(name => {
+    const service = base.services[name];
+    if (!service?.key) return true;
+    const own = statuses.filter(status => status.service === name);
+    const served = own.reduce((sum, status) => sum + status.slices, 0);
+    return served === service.slices;
+  });
+}
