Count a seal only for witness sets that its witness had not seen replaced

Cause: a witness that had noted set 17 answered 'sealed' to an asker that knew set 18; the asker added this seal to those for set 16, which the holder had left, and found a majority there. Ruled out: a lost note of the new set (a majority of set 16 had noted 17). Also: a witness set keeps the witnesses that answer when others are replaced, a witness that left the set tells nobody of its lapsed promise, and a fresh read of a record is asked for only when something speaks for the end of the lease; both cost needless messages and platform calls.

--- a/src/membership/choose.ts
+++ b/src/membership/choose.ts
@@ -16,6 +16,7 @@
  * spread over as many failure domains as there are, its own domain last.
  *
  * @param count Number of witnesses, odd.
+ * @param kept Witnesses to keep, so that a set changes as little as possible.
  *
  * @example
  * chooseWitnesses({instance: 'a', region: 'r', domain: 'd1'}, members, 3);
@@ -24,6 +25,7 @@
   place: Place,
   members: readonly Member[],
   count: number,
+  kept: readonly Witness[] = [],
 ): readonly Witness[] {
   const eligible = members.filter(
     member =>
@@ -36,17 +38,19 @@
     eligible,
     member => member.instance,
   );
-  const others = ranked.filter(member => member.domain !== place.domain);
-  const own = ranked.filter(member => member.domain === place.domain);
-  const spread = [...roundRobin(others), ...own];
-  const chosen = spread.slice(0, oddCount(spread.length, count));
-  return chosen.map(member => ({
-    instance: member.instance,
-    generation: member.generation,
-    process: member.process,
-    address: member.peers,
-    domain: member.domain,
-  }));
+  const keptNames = new Set(kept.map(({instance}) => instance));
+  const keptDomains = new Set(kept.map(({domain}) => domain));
+  const fresh = ranked.filter(({instance}) => !keptNames.has(instance));
+  const isPreferred = ({domain}: Member) =>
+    domain !== place.domain && !keptDomains.has(domain);
+  const others = fresh.filter(({domain}) => domain !== place.domain);
+  const spread = [
+    ...roundRobin(others.filter(isPreferred)),
+    ...others.filter(member => !isPreferred(member)),
+    ...fresh.filter(({domain}) => domain === place.domain),
+  ];
+  const all = [...kept, ...spread.map(toWitness)];
+  return all.slice(0, oddCount(all.length, count));
 }
 
 /**
@@ -81,6 +85,11 @@
   return chooseStewards(`relay ${domain}`, inDomain, RELAYS_PER_DOMAIN);
 }
 
+function toWitness(member: Member): Witness {
+  const {instance, generation, process, peers, domain} = member;
+  return {instance, generation, process, address: peers, domain};
+}
+
 function oddCount(available: number, wanted: number): number {
   const count = Math.min(available, wanted);
   return count % 2 === 0 ? Math.max(0, count - 1) : count;
--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -12,6 +12,8 @@
 export interface WitnessRecord {
   /** Sending time of the latest renewal that the witness answered. */
   readonly renewedAt: number;
+  /** When the witness was first asked as a candidate. */
+  readonly askedAt: number;
   readonly refused: boolean;
 }
 
@@ -60,7 +62,11 @@
   | {readonly kind: 'ended'}
   | {readonly kind: 'settled'}
   | {readonly kind: 'replaced'}
-  | {readonly kind: 'prepare'; readonly candidate: WitnessSet}
+  | {
+      readonly kind: 'prepare';
+      readonly candidate: WitnessSet;
+      readonly now: number;
+    }
   | {readonly kind: 'propose'; readonly now: number}
   | {readonly kind: 'recorded'}
   | {readonly kind: 'unrecorded'}
@@ -72,6 +78,12 @@
     }
   | {readonly kind: 'tick'; readonly now: number};
 
+const NO_ANSWER: WitnessRecord = {
+  renewedAt: -Infinity,
+  askedAt: -Infinity,
+  refused: false,
+};
+
 const NO_WITNESSES: WitnessSet = {number: 0, witnesses: []};
 
 /** Returns the state of a holder that has not registered yet. */
@@ -131,7 +143,7 @@
     case 'replaced':
       return {...move(holder, 'REPLACED'), until: 0};
     case 'prepare':
-      return prepare(holder, event.candidate);
+      return prepare(holder, event.candidate, event.now);
     case 'propose':
       return propose(holder, event.now, settings);
     case 'recorded':
@@ -185,18 +197,18 @@
   sentAt: number,
   settings: LeaseSettings,
 ): Holder {
-  const before = holder.answers.get(process);
-  if (before && before.renewedAt >= sentAt) return holder;
+  const before = holder.answers.get(process) ?? NO_ANSWER;
+  if (before.renewedAt >= sentAt) return holder;
   const answers = new Map(holder.answers);
-  answers.set(process, {renewedAt: sentAt, refused: false});
+  answers.set(process, {...before, renewedAt: sentAt});
   const next = {...holder, answers};
   return {...next, until: leaseUntil(next, settings)};
 }
 
 function refused(holder: Holder, process: string): Holder {
-  const before = holder.answers.get(process);
+  const before = holder.answers.get(process) ?? NO_ANSWER;
   const answers = new Map(holder.answers);
-  answers.set(process, {renewedAt: before?.renewedAt ?? 0, refused: true});
+  answers.set(process, {...before, refused: true});
   const next = {...holder, answers};
   const sealed = hasMajority(
     next.current,
@@ -205,14 +217,19 @@
   return sealed ? {...move(next, 'ENDED'), until: 0} : next;
 }
 
-function prepare(holder: Holder, candidate: WitnessSet): Holder {
+function prepare(holder: Holder, candidate: WitnessSet, now: number): Holder {
   if (candidate.number <= holder.current.number) {
     throw new RangeError('a witness set needs a higher number');
   }
   const prepared = WITNESSES.accepts(holder.replacement, 'PREPARE');
   if (!prepared) return holder;
   const replacement = WITNESSES.next(holder.replacement, 'PREPARE');
-  return {...holder, candidate, replacement};
+  const answers = new Map(holder.answers);
+  for (const {process} of candidate.witnesses) {
+    const known = answers.get(process) ?? NO_ANSWER;
+    answers.set(process, {...known, askedAt: now});
+  }
+  return {...holder, candidate, answers, replacement};
 }
 
 /**
--- a/src/ownership/messages.ts
+++ b/src/ownership/messages.ts
@@ -61,6 +61,8 @@
   readonly kind: 'sealAnswer';
   readonly lease: LeaseId;
   readonly sealed: boolean;
+  /** Number of the newest set that the witness has noted; 0 if none. */
+  readonly noted: number;
   /** The set that has replaced the one that the successor knows. */
   readonly newer?: WitnessSet;
 }
--- a/src/ownership/proof.ts
+++ b/src/ownership/proof.ts
@@ -34,6 +34,7 @@
   const step = lapsedPromises(state.promises, now, LAPSE_REPEAT_MS);
   if (step.answer.length === 0) return unchanged(state);
   const effects = step.answer
+    .filter(lease => isWitnessOf(state, lease))
     .filter(lease => !leaseEnded(state.view, lease))
     .flatMap(lease => lapseEffects(state, lease));
   return {state: {...state, promises: step.promises}, effects};
@@ -72,6 +73,16 @@
   return advanceTakeovers({...state, takeovers}, now);
 }
 
+/** Tells whether the recorded witness set of a lease names this process. */
+function isWitnessOf(state: State, lease: LeaseId): boolean {
+  const member = state.view.members.get(lease.instance);
+  if (member?.generation !== lease.generation) return false;
+  const {process} = state.self;
+  return member.witnesses.witnesses.some(
+    witness => witness.process === process,
+  );
+}
+
 function advance(state: State, takeover: Takeover, now: number): Step {
   const {lease} = takeover;
   const member = state.view.members.get(lease.instance);
@@ -85,12 +96,28 @@
     return unchanged({...state, takeovers});
   }
   const set = witnessesOf(takeover, member);
-  const action = nextAction(takeover, set, now);
+  const doubted = isDoubted(state, takeover, set);
+  const action = nextAction(takeover, set, doubted, now);
   if (action === 'seal' && set) return askToSeal(state, lease, set, now);
   if (action === 'read') return askToRead(state, lease, set, now);
   return unchanged(state);
 }
 
+function isDoubted(
+  state: State,
+  takeover: Takeover,
+  set: WitnessSet | undefined,
+): boolean {
+  const {lapsed, sealed} = takeover;
+  const told = (set?.witnesses ?? []).some(
+    witness =>
+      lapsed.has(witness.process) ||
+      sealed.has(witness.process) ||
+      processEnded(state, witness),
+  );
+  return told || !set;
+}
+
 function concludeTakeover(state: State, lease: LeaseId): Step {
   const recorded = leaseEnded({...state.view, ended: new Set()}, lease);
   const effects: Effect[] = recorded ? [] : [{kind: 'markEnded', lease}];
--- a/src/ownership/renewal.ts
+++ b/src/ownership/renewal.ts
@@ -14,6 +14,9 @@
 /** Time without an answer after which a witness is replaced, in milliseconds. */
 export const WITNESS_SILENCE_MS = 1_500;
 
+/** Time after which a candidate that did not answer is asked again. */
+export const CANDIDATE_RETRY_MS = 10_000;
+
 /** Time out of force after which a lease is given up for a new one, in milliseconds. */
 export const REACQUIRE_MS = 1_000;
 
@@ -79,7 +82,7 @@
   if (holder.replacement !== 'stable') return unchanged(reviewed);
   const candidate = betterSet(reviewed, now);
   if (!candidate) return unchanged(reviewed);
-  return unchanged(withHolder(reviewed, {kind: 'prepare', candidate}));
+  return unchanged(withHolder(reviewed, {kind: 'prepare', candidate, now}));
 }
 
 /** Ends the lease of this daemon; a new one is registered once it is safe. */
@@ -205,10 +208,14 @@
       .filter(witness => isLost(state, witness, now))
       .map(witness => witness.instance),
   );
+  const kept = holder.current.witnesses.filter(
+    witness => !lost.has(witness.instance),
+  );
   const candidates = liveMembers(state).filter(
-    member => !isSilentProcess(lost, holder, member),
+    member => !isSilent(state, member, now),
   );
-  const chosen = chooseWitnesses(self, candidates, settings.witnesses);
+  const {witnesses: count} = settings;
+  const chosen = chooseWitnesses(self, candidates, count, kept);
   const worthwhile =
     lost.size > 0 || chosen.length > holder.current.witnesses.length;
   if (!worthwhile || sameWitnesses(chosen, holder.current.witnesses)) {
@@ -224,19 +231,18 @@
   const member = state.view.members.get(witness.instance);
   if (member && member.process !== witness.process) return true;
   if (member && member.state !== 'serving') return true;
-  const since = Math.max(answer?.renewedAt ?? 0, state.holder.since);
+  const since = Math.max(answer?.renewedAt ?? -Infinity, state.holder.since);
   return now - since > holderMs(state.settings) + WITNESS_SILENCE_MS;
 }
 
-function isSilentProcess(
-  lost: ReadonlySet<string>,
-  holder: Holder,
-  member: Member,
-): boolean {
-  if (!lost.has(member.instance)) return false;
-  return holder.current.witnesses.some(
-    witness => witness.process === member.process,
-  );
+/** Tells whether a process was asked to renew and has not answered lately. */
+function isSilent(state: State, member: Member, now: number): boolean {
+  const answer = state.holder.answers.get(member.process);
+  if (!answer) return false;
+  if (answer.refused) return true;
+  const silence = holderMs(state.settings) + WITNESS_SILENCE_MS;
+  const askedLately = now - answer.askedAt < CANDIDATE_RETRY_MS;
+  return askedLately && now - answer.renewedAt > silence;
 }
 
 function sameWitnesses(a: readonly Witness[], b: readonly Witness[]): boolean {
--- a/src/ownership/takeover.ts
+++ b/src/ownership/takeover.ts
@@ -1,5 +1,5 @@
 import {formatLease} from '../model/index.js';
-import type {LeaseId, Member, WitnessSet} from '../model/index.js';
+import type {LeaseId, Member, Witness, WitnessSet} from '../model/index.js';
 import {hasMajority} from './holder.js';
 import type {SealAnswer} from './messages.js';
 
@@ -9,8 +9,12 @@
   readonly startedAt: number;
   /** Processes of witnesses whose promises have lapsed. */
   readonly lapsed: ReadonlySet<string>;
-  /** Processes of witnesses that have sealed the lease. */
-  readonly sealed: ReadonlySet<string>;
+  /**
+   * Processes of witnesses that have sealed the lease, with the number of the
+   * newest set that each had noted. A witness that has noted a newer set proves
+   * nothing for an older one, which the holder may have left.
+   */
+  readonly sealed: ReadonlyMap<string, number>;
   /** A newer witness set than the recorded one, told by a witness. */
   readonly newer?: WitnessSet;
   readonly askedAt: number;
@@ -34,6 +38,9 @@
 /** Time after which a fresh read of the record is worth a call, in milliseconds. */
 export const READ_AFTER_MS = 250;
 
+/** Time between two fresh reads of the same record, in milliseconds. */
+export const READ_REPEAT_MS = 1_000;
+
 /** Time after which a takeover without result is forgotten, in milliseconds. */
 export const TAKEOVER_LIMIT_MS = 10_000;
 
@@ -49,7 +56,7 @@
     lease,
     startedAt: now,
     lapsed: new Set<string>(),
-    sealed: new Set<string>(),
+    sealed: new Map<string, number>(),
     askedAt: -Infinity,
     readAt: -Infinity,
     gone: new Set<string>(),
@@ -83,7 +90,8 @@
       return {...takeover, newer, askedAt: -Infinity};
     }
     if (!answer.sealed) return takeover;
-    return {...takeover, sealed: new Set(takeover.sealed).add(process)};
+    const sealed = new Map(takeover.sealed).set(process, answer.noted);
+    return {...takeover, sealed};
   });
 }
 
@@ -108,7 +116,7 @@
 ): boolean {
   const set = witnessesOf(takeover, member);
   if (!set || set.witnesses.length === 0) return false;
-  return hasMajority(set, witness => takeover.sealed.has(witness.process));
+  return hasMajority(set, witness => isSealed(takeover, set, witness));
 }
 
 /**
@@ -133,18 +141,26 @@
   if (!set || set.witnesses.length === 0) return false;
   return hasMajority(
     set,
-    ({process}) => takeover.sealed.has(process) || takeover.gone.has(process),
+    witness =>
+      isSealed(takeover, set, witness) || takeover.gone.has(witness.process),
   );
 }
 
-/** Returns what a takeover asks for now. */
+/**
+ * Returns what a takeover asks for now.
+ *
+ * @param isDoubted Whether something speaks for the end of the lease, so that a
+ *     read of the platform is worth a call.
+ */
 export function nextAction(
   takeover: Takeover,
   set: WitnessSet | undefined,
+  isDoubted: boolean,
   now: number,
 ): TakeoverAction {
   const waited = now - takeover.startedAt >= READ_AFTER_MS;
-  if (waited && now - takeover.readAt >= 4 * READ_AFTER_MS) return 'read';
+  const readDue = now - takeover.readAt >= READ_REPEAT_MS;
+  if (waited && readDue && isDoubted) return 'read';
   if (now - takeover.askedAt < SEAL_REPEAT_MS) return 'none';
   if (!set) return 'none';
   const lapsed = hasMajority(set, witness =>
@@ -195,6 +211,15 @@
   return rest;
 }
 
+function isSealed(
+  takeover: Takeover,
+  set: WitnessSet,
+  witness: Witness,
+): boolean {
+  const noted = takeover.sealed.get(witness.process);
+  return noted !== undefined && noted <= set.number;
+}
+
 function change(
   takeovers: Takeovers,
   lease: LeaseId,
--- a/src/ownership/witness.ts
+++ b/src/ownership/witness.ts
@@ -58,12 +58,13 @@
   number: number,
   now: number,
 ): WitnessStep<SealAnswer> {
-  const answer = {kind: 'sealAnswer', lease} as const;
   const known = promises.get(lease.instance);
+  const same = sameGeneration(known, lease);
+  const noted = same?.noted?.number ?? 0;
+  const answer = {kind: 'sealAnswer', lease, noted} as const;
   if (known && known.generation > lease.generation) {
     return {promises, answer: {...answer, sealed: true}};
   }
-  const same = sameGeneration(known, lease);
   if (same?.noted && same.noted.number > number) {
     return {promises, answer: {...answer, sealed: false, newer: same.noted}};
   }
--- a/test/ownership/commands.ts
+++ b/test/ownership/commands.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {newFleet} from './fleet.js';
-import type {Decide, Fleet} from './fleet.js';
+import type {Decide, Fleet, Plan} from './fleet.js';
 
 /** What the commands expect; the fixture itself checks after every step. */
 interface Expectation {
@@ -108,6 +108,7 @@
   readonly sizes?: readonly number[];
   readonly fencing?: 'enforced' | 'ignored';
   readonly decide?: Decide;
+  readonly plan?: Plan;
 }
 
 /**
@@ -130,6 +131,7 @@
         seed: fleetSeed,
         fencing: exploration.fencing,
         decide: exploration.decide,
+        plan: exploration.plan,
       });
       fleet.run(START_MS);
       fc.modelRun(() => ({model: {steps: 0}, real: fleet}), commands);
--- a/test/ownership/fleet.ts
+++ b/test/ownership/fleet.ts
@@ -27,6 +27,9 @@
 /** A decision function; tests replace it by broken ones. */
 export type Decide = (state: State, input: Input, now: number) => Step;
 
+/** A planner of chunks; tests replace it by broken ones. */
+export type Plan = typeof planChunk;
+
 /** One daemon of the fixture together with its upstream. */
 export interface Node {
   readonly index: number;
@@ -99,6 +102,7 @@
   readonly seed: number;
   readonly fencing?: 'enforced' | 'ignored';
   readonly decide?: Decide;
+  readonly plan?: Plan;
   readonly slices?: number;
 }
 
@@ -121,6 +125,7 @@
 export function newFleet(options: FleetOptions): Fleet {
   const {size, seed, fencing = 'enforced', slices = 4} = options;
   const step = options.decide ?? decide;
+  const plan = options.plan ?? planChunk;
   const random = seededRandom(seed);
   const service: Service = {
     name: 'rota',
@@ -401,7 +406,7 @@
     const subject = chunkSubject(service.name, 0);
     const [chosen] = chooseStewards(subject, live, 1);
     if (chosen?.instance !== node.state.self.instance) return;
-    const chunk = planChunk({
+    const chunk = plan({
       service,
       index: 0,
       chunk: view.chunks.get('rota/0'),
--- /dev/null
+++ b/test/ownership/mutants.test.ts
@@ -0,0 +1,131 @@
+import test from 'ava';
+import {decide} from '../../src/ownership/index.js';
+import type {State} from '../../src/ownership/index.js';
+import {planChunk} from '../../src/placement/index.js';
+import type {Chunk, SliceRecord} from '../../src/model/index.js';
+import {explore} from './commands.js';
+import type {Decide, Plan} from './fleet.js';
+
+const RUNS = 200;
+
+/** A witness that seals a lease whose promise still runs. */
+const sealWithoutWait: Decide = (state, input, now) => {
+  const isSeal =
+    input.kind === 'message' && input.envelope.message.kind === 'seal';
+  return decide(isSeal ? withPromises(state, lapse) : state, input, now);
+};
+
+/** A witness that forgets what it has promised and sealed. */
+const forgetPromises: Decide = (state, input, now) => {
+  const isTick = input.kind === 'tick';
+  return decide(isTick ? withPromises(state, forget) : state, input, now);
+};
+
+/** A successor that takes a lapse at a majority of the witnesses for proof. */
+const takeLapseForProof: Decide = (state, input, now) => {
+  if (input.kind !== 'message' || input.envelope.message.kind !== 'lapsed') {
+    return decide(state, input, now);
+  }
+  const {lease} = input.envelope.message;
+  const message = {kind: 'sealAnswer', lease, sealed: true, noted: 0} as const;
+  const first = decide(state, input, now);
+  const second = decide(
+    first.state,
+    {kind: 'message', envelope: {...input.envelope, message}},
+    now,
+  );
+  return {...second, effects: [...first.effects, ...second.effects]};
+};
+
+/** An instance that forgets up to which epoch it has released. */
+const forgetReleases: Decide = (state, input, now) => {
+  const step = decide(state, input, now);
+  const holdings = new Map(step.state.holdings);
+  for (const [id, holding] of holdings) {
+    if (holding.state === 'draining') continue;
+    holdings.set(id, {...holding, releasedUpTo: 0});
+  }
+  return {...step, state: {...step.state, holdings}};
+};
+
+/** A steward that starts each new chain with the epoch of the one before. */
+const keepEpoch: Plan = input => {
+  const next = planChunk(input);
+  return next && mapRecords(next, input.chunk, lowerEpochs);
+};
+
+/** A steward that drops the standing successors of the chain before. */
+const overlookSuccessors: Plan = input => {
+  const next = planChunk(input);
+  return next && mapRecords(next, input.chunk, dropSuccessors);
+};
+
+const CASES: readonly {
+  readonly name: string;
+  readonly decide?: Decide;
+  readonly plan?: Plan;
+}[] = [
+  {name: 'a witness seals before the lapse', decide: sealWithoutWait},
+  {name: 'a witness forgets', decide: forgetPromises},
+  {name: 'a lapse is taken for proof', decide: takeLapseForProof},
+  {name: 'a release is forgotten', decide: forgetReleases},
+  {name: 'the epoch is not raised', plan: keepEpoch},
+  {name: 'a standing successor is overlooked', plan: overlookSuccessors},
+];
+
+for (const {name, ...broken} of CASES) {
+  test(`the exploration finds the fault when ${name}`, t => {
+    const error = t.throws(() => explore({seed: 7, runs: RUNS, ...broken}));
+    t.regex(error.message, /two owners|went back|was used before/);
+  });
+}
+
+type Promises = State['promises'];
+
+function withPromises(
+  state: State,
+  change: (promises: Promises) => Promises,
+): State {
+  return {...state, promises: change(state.promises)};
+}
+
+function lapse(promises: Promises): Promises {
+  const entries = [...promises].map(
+    ([instance, promised]) =>
+      [instance, {...promised, until: -Infinity}] as const,
+  );
+  return new Map(entries);
+}
+
+function forget(): Promises {
+  return new Map();
+}
+
+function mapRecords(
+  next: Chunk,
+  before: Chunk | undefined,
+  change: (next: SliceRecord, before: SliceRecord) => SliceRecord,
+): Chunk {
+  if (!before) return next;
+  const slices = next.slices.map((record, i) =>
+    change(record, before.slices[i]),
+  );
+  return {...next, slices};
+}
+
+function lowerEpochs(next: SliceRecord, before: SliceRecord): SliceRecord {
+  if (next.wantedFrom === before.wantedFrom) return next;
+  const by = next.wantedFrom - before.wantedFrom;
+  const terms = next.terms
+    .filter(({epoch}) => epoch >= next.wantedFrom)
+    .map(term => ({...term, epoch: term.epoch - by}));
+  return {...next, wantedFrom: before.wantedFrom, terms};
+}
+
+function dropSuccessors(next: SliceRecord, before: SliceRecord): SliceRecord {
+  if (next.wantedFrom === before.wantedFrom) return next;
+  const terms = next.terms.filter(
+    ({epoch}, i) => i === 0 || epoch >= next.wantedFrom,
+  );
+  return {...next, terms};
+}
