Add vanillaspoolctl: check, diff, apply, status, explain, drain, lost, history, rollback

Cause: operators drive the fleet by files and need to see what takes effect. Ruled out: calling a change done when it is stored (in force is what every daemon of each site reports); declaring an instance lost while its daemon answers or after it registered anew (a key could get two owners); one watch for each waiting command in place of reading the members each second. Before: a change could be submitted only from code. After: sade commands that return a typed result, printed as lines or as one JSON object, with documented exit codes; bars on a terminal and plain lines elsewhere.

--- /dev/null
+++ b/src/cli/context.ts
@@ -0,0 +1,22 @@
+import type {Address} from '../model/index.js';
+import type {Platform} from '../platform/index.js';
+import type {Log} from '../telemetry/index.js';
+import type {Control} from './control.js';
+import type {Pace} from './pace.js';
+import type {Progress} from './progress.js';
+
+/** Everything through which a command reaches the world. */
+export interface Context {
+  readonly platform: Platform;
+  readonly control: Control;
+  readonly pace: Pace;
+  readonly log: Log;
+  readonly progress: Progress;
+  readonly author: string;
+  /** Reads a text file; throws `UsageError` if it cannot be read. */
+  readonly readText: (file: string) => string;
+  /** Creates a random identifier of a change. */
+  readonly newChange: () => string;
+  /** A daemon to ask for the members in place of the platform. */
+  readonly daemon?: Address;
+}
--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,225 @@
+import sade, {type Sade} from 'sade';
+import {textOption, wholeNumber, type Options} from './arguments.js';
+import {
+  apply,
+  check,
+  diff,
+  rollback,
+  type ChangeOptions,
+  type Files,
+} from './configure.js';
+import type {Context} from './context.js';
+import {declareLost, drain, explain, status} from './fleet.js';
+import {history, readCurrent} from './history.js';
+import {EXIT, UsageError, type Result} from './result.js';
+
+/** Time limit for a version to be in force, in seconds. */
+const TIMEOUT_DEFAULT_S = 30;
+
+/** Entries of the history that are shown. */
+const HISTORY_LIMIT_DEFAULT = 20;
+
+/** What the program needs in order to run a command. */
+export interface Environment {
+  readonly version: string;
+  readonly readText: (file: string) => string;
+  /** Opens what a command needs of the world, and closes it afterwards. */
+  readonly withContext: (
+    options: Options,
+    run: (context: Context) => Promise<Result>,
+  ) => Promise<Result>;
+}
+
+/**
+ * Creates the command line of `vanillaspoolctl`. The handler of each command
+ * returns its result.
+ *
+ * @example
+ * const {handler, args} = createProgram(environment).parse(argv, {lazy: true});
+ * const result = await handler(...args);
+ */
+export function createProgram(environment: Environment): Sade {
+  const program = sade('vanillaspoolctl');
+  program
+    .version(environment.version)
+    .option('--json', 'Print one JSON object instead of lines')
+    .option('--platform', 'Address of the platform, host:port by IP number')
+    .option('--daemon', 'Control address of a daemon to ask for the members')
+    .option('--author', 'Name that is recorded with a change');
+  addConfigurationCommands(program, environment);
+  addHistoryCommands(program, environment);
+  addFleetCommands(program, environment);
+  addVersionCommand(program, environment);
+  return program;
+}
+
+function addConfigurationCommands(
+  program: Sade,
+  {readText, withContext}: Environment,
+): void {
+  program
+    .command('check <base> [overlay]')
+    .describe('Check a base file and its overlays without the platform.')
+    .example('check base.jsonc brussels.jsonc')
+    .action((base: string, overlay: string | undefined, options: Options) =>
+      check(filesOf(base, overlay, options), readText),
+    );
+  program
+    .command('diff <base> [overlay]')
+    .describe('Show what applying the files would change.')
+    .example('diff base.jsonc brussels.jsonc --platform 127.0.0.1:7000')
+    .action((base: string, overlay: string | undefined, options: Options) =>
+      withContext(options, context =>
+        diff(context, filesOf(base, overlay, options)),
+      ),
+    );
+  const applied = program
+    .command('apply <base> [overlay]')
+    .describe('Apply the files and wait until every daemon reports them.')
+    .example('apply base.jsonc brussels.jsonc --platform 127.0.0.1:7000');
+  addChangeOptions(applied).action(
+    (base: string, overlay: string | undefined, options: Options) =>
+      withContext(options, context =>
+        apply(context, filesOf(base, overlay, options), changeOptions(options)),
+      ),
+  );
+}
+
+function addHistoryCommands(program: Sade, {withContext}: Environment): void {
+  program
+    .command('history')
+    .describe('List the accepted configurations, the newest first.')
+    .option('--limit', `Entries to show; ${HISTORY_LIMIT_DEFAULT} if absent`)
+    .example('history --limit 5 --platform 127.0.0.1:7000')
+    .action((options: Options) =>
+      withContext(options, context =>
+        history(context, numberOption(options, 'limit', HISTORY_LIMIT_DEFAULT)),
+      ),
+    );
+  const rolledBack = program
+    .command('rollback <version>')
+    .describe('Go back to an earlier configuration, as a new version.')
+    .example('rollback 12 --platform 127.0.0.1:7000');
+  addChangeOptions(rolledBack).action((text: string, options: Options) =>
+    withContext(options, context =>
+      rollback(context, wholeNumber(text, 'version'), changeOptions(options)),
+    ),
+  );
+}
+
+function addFleetCommands(program: Sade, {withContext}: Environment): void {
+  program
+    .command('status')
+    .describe('Show what every daemon reports of itself.')
+    .example('status --platform 127.0.0.1:7000')
+    .example('status --daemon 127.0.0.1:8103')
+    .action((options: Options) => withContext(options, status));
+  program
+    .command('explain <key>')
+    .describe('Explain which instance serves a key, and why.')
+    .option('--service', 'Name of the service')
+    .example(
+      'explain night-desk --service rota-display --platform 127.0.0.1:7000',
+    )
+    .action((key: string, options: Options) =>
+      withContext(options, context =>
+        explain(context, requiredText(options, 'service'), key),
+      ),
+    );
+  program
+    .command('drain <instance>')
+    .describe('Move the keys of an instance to others and finish its requests.')
+    .example('drain rota-display-1 --platform 127.0.0.1:7000')
+    .action((instance: string, options: Options) =>
+      withContext(options, context => drain(context, instance)),
+    );
+  program
+    .command('lost <instance>')
+    .describe('Declare that an instance is switched off and lost for good.')
+    .option('--yes', 'Confirm that the instance is switched off')
+    .example('lost rota-display-1 --yes --platform 127.0.0.1:7000')
+    .action((instance: string, options: Options) => {
+      confirm(instance, options);
+      return withContext(options, context => declareLost(context, instance));
+    });
+}
+
+function addVersionCommand(program: Sade, environment: Environment): void {
+  program
+    .command('version')
+    .describe('Show the version of this program and of the configuration.')
+    .example('version')
+    .example('version --platform 127.0.0.1:7000')
+    .action((options: Options) => showVersion(environment, options));
+}
+
+async function showVersion(
+  {version, withContext}: Environment,
+  options: Options,
+): Promise<Result> {
+  const lines = [`vanillaspoolctl ${version}`];
+  if (textOption(options, 'platform') === undefined) {
+    return {code: EXIT.ok, lines, report: {version}};
+  }
+  return withContext(options, async ({platform}) => {
+    const configurationVersion = (await readCurrent(platform))?.version ?? 0;
+    return {
+      code: EXIT.ok,
+      lines: [...lines, `configuration ${configurationVersion}`],
+      report: {version, configurationVersion},
+    };
+  });
+}
+
+function addChangeOptions(program: Sade): Sade {
+  return program
+    .option(
+      '--timeout',
+      `Seconds to be in force; ${TIMEOUT_DEFAULT_S} if absent`,
+    )
+    .option('--based-on', 'Version that the change is based on')
+    .option('--change', 'Identifier of an earlier attempt of the same change');
+}
+
+function changeOptions(options: Options): ChangeOptions {
+  const basedOn = textOption(options, 'based-on');
+  const seconds = numberOption(options, 'timeout', TIMEOUT_DEFAULT_S);
+  return {
+    timeoutMs: seconds * 1000,
+    change: textOption(options, 'change'),
+    basedOn:
+      basedOn === undefined ? undefined : wholeNumber(basedOn, '--based-on'),
+  };
+}
+
+function filesOf(
+  base: string,
+  overlay: string | undefined,
+  options: Options,
+): Files {
+  const overlays = overlay === undefined ? [] : [overlay, ...options._];
+  return {base, overlays};
+}
+
+function numberOption(
+  options: Options,
+  name: string,
+  otherwise: number,
+): number {
+  const text = textOption(options, name);
+  return text === undefined ? otherwise : wholeNumber(text, `--${name}`);
+}
+
+function requiredText(options: Options, name: string): string {
+  const text = textOption(options, name);
+  if (text !== undefined) return text;
+  throw new UsageError(`--${name} is missing`);
+}
+
+function confirm(instance: string, options: Options): void {
+  if (options.yes === true) return;
+  throw new UsageError(
+    `if ${instance} still runs, a key may get two owners; confirm with --yes` +
+      ' that it is switched off for good',
+  );
+}
--- a/src/cli/submit.ts
+++ b/src/cli/submit.ts
@@ -15,6 +15,7 @@
   type Proposal,
   type Recorded,
 } from '../settings/index.js';
+import {readHistory} from './history.js';
 import type {Pace} from './pace.js';
 
 /** Attempts to submit a change before giving up. */
@@ -121,23 +122,6 @@
   return {current, follower: await readHistory(platform, basedOn + 1)};
 }
 
-/**
- * Reads an earlier configuration from the history; undefined when the history
- * does not reach back to it.
- *
- * @throws {PlatformError} when the platform cannot be reached.
- *
- * @example
- * const entry = await readHistory(platform, 12);
- */
-export async function readHistory(
-  platform: Platform,
-  version: number,
-): Promise<AcceptedConfiguration | undefined> {
-  const object = await platform.get(historyKey(version));
-  return object && parseAccepted(object.value);
-}
-
 async function keepHistory(
   platform: Platform,
   entry: AcceptedConfiguration,
--- a/src/settings/accept.ts
+++ b/src/settings/accept.ts
@@ -70,11 +70,12 @@
   const {current, follower} = recorded;
   const earlier = [current, follower].find(entry => entry?.change === change);
   if (earlier) return {kind: 'repeated', accepted: earlier};
-  if ((current?.version ?? 0) !== basedOn)
-    return refuse('stale', current, sites);
   if (current && differences(current.sites, sites).length === 0) {
     return {kind: 'unchanged', accepted: current};
   }
+  if ((current?.version ?? 0) !== basedOn) {
+    return refuse('stale', current, sites);
+  }
   return decideFresh(current, proposal, now);
 }
 
--- a/src/settings/difference.ts
+++ b/src/settings/difference.ts
@@ -11,9 +11,6 @@
   readonly after?: string;
 }
 
-/** The values of one site by path, as JSON texts. */
-type Values = ReadonlyMap<string, string>;
-
 /**
  * Lists the values that differ between two configurations of all sites, by
  * site and path.
@@ -28,8 +25,11 @@
   const sites = new Set([...before, ...after].map(({site}) => site));
   return [...sites].sort().flatMap(site => {
     const find = (all: readonly Configuration[]) =>
-      all.find(candidate => candidate.site === site);
-    return siteDifferences(site, valuesOf(find(before)), valuesOf(find(after)));
+      partsOf(all.find(candidate => candidate.site === site));
+    return compare(find(before), find(after), '').map(found => ({
+      site,
+      ...found,
+    }));
   });
 }
 
@@ -45,44 +45,37 @@
   return `${site} ${path}: ${before} -> ${after}`;
 }
 
-function siteDifferences(
-  site: string,
-  before: Values,
-  after: Values,
-): readonly Difference[] {
-  const paths = new Set([...before.keys(), ...after.keys()]);
-  return [...paths]
-    .sort()
-    .filter(path => before.get(path) !== after.get(path))
-    .map(path => ({
-      site,
-      path,
-      ...(before.has(path) && {before: before.get(path)}),
-      ...(after.has(path) && {after: after.get(path)}),
-    }));
+/** The parts of a configuration that are compared, with services by name. */
+function partsOf(site: Configuration | undefined): object {
+  if (!site) return {services: {}};
+  const {services, limits, weights} = site;
+  const byName = services.map(({name, ...service}) => [name, service]);
+  return {services: Object.fromEntries(byName), limits, weights};
 }
 
-function valuesOf(site: Configuration | undefined): Values {
-  const values = new Map<string, string>();
-  if (!site) return values;
-  collect(values, 'limits', site.limits);
-  collect(values, 'weights', site.weights);
-  for (const {name, ...service} of site.services) {
-    collect(values, `services.${name}`, service);
+function compare(
+  before: unknown,
+  after: unknown,
+  path: string,
+): readonly Omit<Difference, 'site'>[] {
+  if (isObject(before) && isObject(after)) {
+    const names = new Set([...Object.keys(before), ...Object.keys(after)]);
+    return [...names].sort().flatMap(name => {
+      const below = path === '' ? name : `${path}.${name}`;
+      return compare(before[name], after[name], below);
+    });
   }
-  return values;
+  const [earlier, later] = [JSON.stringify(before), JSON.stringify(after)];
+  if (earlier === later) return [];
+  return [
+    {
+      path,
+      ...(before !== undefined && {before: earlier}),
+      ...(after !== undefined && {after: later}),
+    },
+  ];
 }
 
-function collect(
-  values: Map<string, string>,
-  path: string,
-  value: unknown,
-): void {
-  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
-    if (value !== undefined) values.set(path, JSON.stringify(value));
-    return;
-  }
-  for (const [name, part] of Object.entries(value)) {
-    collect(values, `${path}.${name}`, part);
-  }
+function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
