--- a/src/cli/members.ts
+++ b/src/cli/members.ts
@@ -9,7 +9,7 @@
 import {ControlError} from './control.js';
 
 /** Daemons that are asked for their status at a time. */
-const CONCURRENT_CALLS = 32;
+const CONCURRENT_CALLS = 256;
 
 /** The report of one member, absent if its daemon did not answer. */
 export interface MemberReport {
