Refuse a change that leaves a site out unless it says so

Cause: an overlay forgotten on the command line removed its whole site. Ruled out: a warning, which a script does not read; keeping the old configuration of the site, which would hide a removal that is meant. Before: the site's daemons had no configuration in the new version.

--- a/src/cli/arguments.ts
+++ b/src/cli/arguments.ts
@@ -21,7 +21,7 @@
 ] as const;
 
 /** Options that are set by being named. */
-export const FLAG_OPTIONS = ['json', 'yes'] as const;
+export const FLAG_OPTIONS = ['json', 'yes', 'remove-sites'] as const;
 
 /**
  * Reads a text option; undefined if it is absent.
--- a/src/cli/configure.ts
+++ b/src/cli/configure.ts
@@ -29,12 +29,17 @@
   readonly basedOn?: number;
   /** Identifier of an earlier attempt whose outcome is unknown. */
   readonly change?: string;
+  /** Whether sites without an overlay are removed. */
+  readonly removesSites?: boolean;
   /** Time limit for the version to be in force, in milliseconds. */
   readonly timeoutMs: number;
 }
 
 const REFUSALS: Readonly<Record<Refusal, string>> = {
   stale: 'refused: the configuration has changed since; what differs:',
+  'missing-site':
+    'refused: these sites have no overlay' +
+    ' (name it, or remove the sites with --remove-sites):',
   'fixed-field':
     'refused: these fields are fixed while the service exists' +
     ' (declare a service of a new name instead):',
@@ -151,7 +156,8 @@
   const change = options.change ?? newChange();
   const basedOn =
     options.basedOn ?? (await readCurrent(platform))?.version ?? 0;
-  return {sites, basedOn, change, author};
+  const {removesSites} = options;
+  return {sites, basedOn, change, author, removesSites};
 }
 
 async function change(
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -177,6 +177,7 @@
       '--timeout',
       `Seconds to be in force; ${TIMEOUT_DEFAULT_S} if absent`,
     )
+    .option('--remove-sites', 'Remove the sites that have no overlay')
     .option('--based-on', 'Version that the change is based on')
     .option('--change', 'Identifier of an earlier attempt of the same change');
 }
@@ -186,6 +187,7 @@
   const seconds = numberOption(options, 'timeout', TIMEOUT_DEFAULT_S);
   return {
     timeoutMs: seconds * 1000,
+    removesSites: options['remove-sites'] === true,
     change: textOption(options, 'change'),
     basedOn:
       basedOn === undefined ? undefined : wholeNumber(basedOn, '--based-on'),
--- a/src/settings/accept.ts
+++ b/src/settings/accept.ts
@@ -16,6 +16,8 @@
   /** Random identifier of the change, kept through its retries. */
   readonly change: string;
   readonly author: string;
+  /** Whether sites that the proposal leaves out are removed; else refused. */
+  readonly removesSites?: boolean;
 }
 
 /** What the platform holds when a proposal is decided. */
@@ -29,7 +31,7 @@
 }
 
 /** Why a proposal is refused. */
-export type Refusal = 'stale' | 'fixed-field' | 'too-large';
+export type Refusal = 'stale' | 'missing-site' | 'fixed-field' | 'too-large';
 
 /** What becomes of a proposal. */
 export type ChangeDecision =
@@ -85,6 +87,11 @@
   now: number,
 ): ChangeDecision {
   const {sites, basedOn, change, author} = proposal;
+  const missing = missingSites(current?.sites ?? [], sites);
+  if (missing.length > 0 && !proposal.removesSites) {
+    const reason = 'missing-site';
+    return {kind: 'refused', reason, current, differences: missing};
+  }
   const fixed = fixedDifferences(current?.sites ?? [], sites);
   if (fixed.length > 0) {
     return {
@@ -111,6 +118,17 @@
   return {kind: 'refused', reason, current, differences: changed};
 }
 
+/** Finds sites that are left out, as by an overlay that was forgotten. */
+function missingSites(
+  before: readonly Configuration[],
+  after: readonly Configuration[],
+): readonly Difference[] {
+  const names = new Set(after.map(({site}) => site));
+  return before
+    .filter(({site}) => !names.has(site))
+    .map(({site}) => ({site, path: 'site', before: JSON.stringify(site)}));
+}
+
 /**
  * Finds changes of the fields that decide in which slice a key is. They are
  * fixed while a service exists: two daemons that differ on them would serve
--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -141,6 +141,7 @@
   'apply base.jsonc x.jsonc y.jsonc --based-on 1',
   'apply base2.jsonc x.jsonc y.jsonc --change change-2 --based-on 1',
   'apply sliced.jsonc x.jsonc y.jsonc',
+  'apply base2.jsonc x.jsonc',
   'status',
   'explain night-desk --service rota',
   'explain night-desk',
--- a/test/settings/accept.test.ts
+++ b/test/settings/accept.test.ts
@@ -55,6 +55,15 @@
   ]);
 });
 
+test('a site is removed only where the proposal says so', t => {
+  const two = [...sites(4), {...sites(4)[0], site: 'y'}];
+  const current = {...accepted(4), sites: two};
+  const forgotten = decideChange({current}, proposal(4, 70), NOW);
+  t.deepEqual(refusal(forgotten), ['missing-site', 'y site: "y" -> absent']);
+  const meant = {...proposal(4, 70), removesSites: true};
+  t.is(decideChange({current}, meant, NOW).kind, 'accepted');
+});
+
 test('a configuration larger than the platform holds is refused', t => {
   const prefixes = [...Array(60_000).keys()].map(n => `key-prefix-${1e9 + n}`);
   const handover = {oldAddress: '127.0.0.1:9', share: 0, prefixes};
