--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,2 @@
+export * from './choose.js';
+export * from './mirror.js';
--- /dev/null
+++ b/src/upstream/exchange.ts
@@ -0,0 +1,196 @@
+import type {ServerResponse} from 'node:http';
+import type {Dispatcher} from 'undici';
+import {readAnswerHead, type AnswerHead} from './answer.js';
+
+/** A request as sent to one address. */
+export interface Call {
+  readonly method: string;
+  readonly path: string;
+  /** Name and value of each header in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | AsyncIterable<Uint8Array> | null;
+}
+
+/** How an exchange ended. */
+export type ExchangeResult =
+  /** The whole answer was passed on. */
+  | {readonly kind: 'answered'; readonly status: number}
+  /** The answer was held back; nothing was passed on. */
+  | {readonly kind: 'held'; readonly head: AnswerHead}
+  /** No answer; without `sent` the request was certainly not sent. */
+  | {readonly kind: 'failed'; readonly sent: boolean; readonly error: Error}
+  /** The answer broke off after a part of it was passed on. */
+  | {readonly kind: 'broken'; readonly error: Error};
+
+/** What takes part in an exchange besides the call and the response. */
+export interface ExchangeHooks {
+  /**
+   * Called immediately before the request is written to its connection; returns
+   * false to give it up.
+   */
+  readonly ready: () => boolean;
+  /**
+   * Looks at the head of the answer before anything is passed on, and returns
+   * the headers to pass on, or undefined to hold the answer back.
+   */
+  readonly accept: (head: AnswerHead) => string[] | undefined;
+  /** Called once, when the exchange has ended. */
+  readonly ended: (result: ExchangeResult) => void;
+}
+
+/** Gives an exchange up and closes its connection. */
+export type Abort = (reason: Error) => void;
+
+/** Where an exchange stands. */
+type Stage = 'unsent' | 'sent' | 'passing' | 'over';
+
+/**
+ * Sends a request and passes the answer on as it arrives. The answer is not
+ * read faster than the response takes it. The response is ended only after the
+ * last byte of the answer arrived; a broken answer leaves it open, for the
+ * caller of this function to destroy.
+ *
+ * @example
+ * const abort = exchange(pool, call, response, {
+ *   ready: () => true,
+ *   accept: head => head.headers,
+ *   ended: result => {
+ *     if (result.kind === 'broken') response.destroy();
+ *   },
+ * });
+ */
+export function exchange(
+  pool: Dispatcher,
+  call: Call,
+  response: ServerResponse,
+  hooks: ExchangeHooks,
+): Abort {
+  let stage: Stage = 'unsent';
+  let abortRequest: Abort | undefined;
+  let givenUp: Error | undefined;
+  let head: AnswerHead | undefined;
+  /** Bytes of the body still to come; NaN when its length is not stated. */
+  let left = NaN;
+  let paused = false;
+
+  const fail = (error: Error) => {
+    if (stage === 'over') return;
+    const passing = stage === 'passing';
+    const sent = stage !== 'unsent';
+    stage = 'over';
+    if (passing) hooks.ended({kind: 'broken', error});
+    else hooks.ended({kind: 'failed', sent, error});
+  };
+
+  const finish = (status: number, last?: Buffer) => {
+    stage = 'over';
+    response.end(last);
+    hooks.ended({kind: 'answered', status});
+  };
+
+  const begin = (received: AnswerHead) => {
+    const headers = hooks.accept(received);
+    if (!headers) {
+      stage = 'over';
+      hooks.ended({kind: 'held', head: received});
+      return;
+    }
+    stage = 'passing';
+    head = received;
+    left = received.contentLength;
+    const {status} = received;
+    response.writeHead(status, headers);
+    if (hasNoBody(call.method, status) || left === 0) finish(status);
+  };
+
+  const passOn = (chunk: Buffer, resume: () => void): boolean => {
+    left -= chunk.length;
+    if (left === 0) {
+      finish(head?.status ?? 0, chunk);
+      return true;
+    }
+    if (response.write(chunk)) return true;
+    paused = true;
+    response.once('drain', resume);
+    return false;
+  };
+
+  let resume = () => {};
+  const handler: Dispatcher.DispatchHandler = {
+    onConnect(abort) {
+      if (givenUp) return abort(givenUp);
+      if (!hooks.ready()) return abort(new Error('the request is withdrawn'));
+      abortRequest = abort;
+      stage = 'sent';
+    },
+
+    onHeaders(status, raw, resumeAnswer) {
+      if (stage !== 'sent') return true;
+      if (status < 200) {
+        if (status === 103) passHints(response, readAnswerHead(status, raw));
+        return true;
+      }
+      resume = resumeAnswer;
+      begin(readAnswerHead(status, raw));
+      return true;
+    },
+
+    onData(chunk) {
+      return stage === 'passing' ? passOn(chunk, resume) : true;
+    },
+
+    onComplete(trailers) {
+      if (stage !== 'passing') return;
+      if (trailers?.length) passTrailers(response, head, trailers);
+      finish(head?.status ?? 0);
+    },
+
+    onError(error) {
+      if (paused) response.off('drain', resume);
+      fail(error);
+    },
+  };
+  pool.dispatch(
+    {
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+      body: call.body as Dispatcher.DispatchOptions['body'],
+    },
+    handler,
+  );
+  return reason => {
+    if (stage === 'over') return;
+    givenUp = reason;
+    if (abortRequest) abortRequest(reason);
+    else fail(reason);
+  };
+}
+
+function hasNoBody(method: string, status: number): boolean {
+  return method === 'HEAD' || status === 204 || status === 304;
+}
+
+function passHints(response: ServerResponse, head: AnswerHead): void {
+  const links: string[] = [];
+  for (let i = 0; i < head.headers.length; i += 2) {
+    if (head.headers[i].toLowerCase() === 'link')
+      links.push(head.headers[i + 1]);
+  }
+  if (links.length > 0) response.writeEarlyHints({link: links});
+}
+
+function passTrailers(
+  response: ServerResponse,
+  head: AnswerHead | undefined,
+  trailers: readonly (string | Buffer)[],
+): void {
+  if (!head?.chunked) return;
+  const raw = trailers.map(part => Buffer.from(part as string));
+  const {headers} = readAnswerHead(head.status, raw);
+  const pairs: [string, string][] = [];
+  for (let i = 0; i < headers.length; i += 2) {
+    pairs.push([headers[i], headers[i + 1]]);
+  }
+  response.addTrailers(pairs);
+}
