Answer every shape of exchange as HTTP says, at most once

Cause: the thin path took requests and answers as they came. Ruled out: a clock window alone against replays, which a restart would empty; a table of all idempotency keys, which grows without bound.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -43,6 +43,8 @@
   readonly judge: (head: AnswerHead) => FailedTry | undefined;
   /** Adds to the headers of an answer that is passed on. */
   readonly extend: (head: AnswerHead) => void;
+  /** Called with each part of the body before it is passed on. */
+  readonly copied?: (part: Buffer) => void;
   /** What it means that the request was certainly not sent. */
   readonly unsent: (error: Error) => FailedTry;
   /** Called once, when the attempt has ended. */
@@ -72,6 +74,7 @@
         manner.extend(head);
         return head.headers;
       },
+      copied: manner.copied,
       ended: result => {
         state.giveUp = undefined;
         manner.ended();
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,8 +1,11 @@
 import type {Address, Configuration, Ownership} from '../model/index.js';
 import type {Log} from '../telemetry/index.js';
+import type {PreviousHandover} from '../routing/index.js';
 import type {Pools, Upstream} from '../upstream/index.js';
 import type {Admit} from './admission.js';
 import type {ObservedLoads} from './observed.js';
+import type {ReceivedHops} from './received.js';
+import type {Repeats} from './repeats.js';
 import type {Signer} from './signature.js';
 import type {Trace} from './trace.js';
 
@@ -35,6 +38,13 @@
   readonly random: () => number;
   readonly log: Log;
   readonly trace: Trace;
+  /**
+   * The handover of a service that was in force before, until no request that
+   * began under it is in flight at any daemon; undefined from then on.
+   */
+  readonly previousHandover?: (service: string) => PreviousHandover | undefined;
+  /** Resolves when a previous handover may have ended. */
+  readonly handoverChanged?: (service: string) => Promise<void>;
   /** Reports that the upstream shed a request and asked to wait. */
   readonly shed?: (service: string, retryAfterMs: number) => void;
 }
@@ -44,8 +54,12 @@
   readonly upstreamPools: Pools;
   readonly peerPools: Pools;
   readonly oldPools: Pools;
-  /** Numbers for request identifiers and hops. */
+  /** Next number for a request identifier. */
   readonly nextNumber: () => number;
+  /** Next sequence number of the hops to one process. */
+  readonly nextSequence: (process: string) => number;
+  readonly received: ReceivedHops;
+  readonly repeats: Repeats;
   readonly loads: ObservedLoads;
   /** Callers' address of this daemon, as told to callers. */
   readonly ownerHint: string;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {
   formatAddress,
   sliceOfKey,
@@ -17,11 +18,13 @@
 import {bodyMode} from './body.js';
 import type {Context, GatewayOptions} from './context.js';
 import {GATEWAY_EVENTS} from './events.js';
-import {REASON_HEADER, notRun, sendFailure} from './failure.js';
+import {REASON_HEADER, notRun, sendFailure, unknown} from './failure.js';
 import {readRequestHead, type RequestHead} from './head.js';
 import {verifyHop, type Hop} from './hop.js';
 import {REQUEST_HEADER} from './local.js';
 import {createObservedLoads} from './observed.js';
+import {createReceivedHops} from './received.js';
+import {createRepeats} from './repeats.js';
 import {stopper, type Pass, type PassState} from './pass.js';
 import {serve, type PassResult} from './serve.js';
 
@@ -37,8 +40,15 @@
   readonly callers: Handler;
   /** Handles a request that another daemon forwarded. */
   readonly peers: Handler;
+  /** Tells whether the next answer on a connection may be written to it. */
+  readonly isReady: (socket: Socket) => boolean;
   /** Returns the number of requests that are not answered yet. */
   readonly inFlight: () => number;
+  /**
+   * Returns the number of requests in flight that began under another
+   * configuration object than the one in force.
+   */
+  readonly earlierInFlight: () => number;
   /** Makes every further answer close its connection. */
   readonly drain: () => void;
   /** Resolves when no request is in flight, and closes the connections. */
@@ -59,22 +69,30 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const context = createContext(options);
   const state: GatewayState = {
-    inFlight: 0,
+    inFlight: new Map(),
     draining: false,
+    latest: new WeakMap(),
     idle: [],
   };
   return {
     callers: (request, response) =>
-      handle(context, state, request, response, false),
+      inTurn(state, request, response, () =>
+        handle(context, state, request, response, false),
+      ),
     peers: (request, response) =>
       handle(context, state, request, response, true),
-    inFlight: () => state.inFlight,
+    isReady: socket => isReady(state, socket),
+    inFlight: () => countInFlight(state, () => true),
+    earlierInFlight: () => {
+      const current = context.configuration();
+      return countInFlight(state, configuration => configuration !== current);
+    },
     drain: () => {
       state.draining = true;
     },
     close: async () => {
       state.draining = true;
-      if (state.inFlight > 0) {
+      if (countInFlight(state, () => true) > 0) {
         await new Promise<void>(resolve => state.idle.push(resolve));
       }
       await closePools(context);
@@ -83,14 +101,58 @@
 }
 
 interface GatewayState {
-  inFlight: number;
+  /** Number of passes by the configuration under which they began. */
+  readonly inFlight: Map<Configuration, number>;
   draining: boolean;
+  /** The latest response of each connection. */
+  readonly latest: WeakMap<Socket, ServerResponse>;
   /** Called when no request is in flight any more. */
-  idle: (() => void)[];
+  readonly idle: (() => void)[];
+}
+
+function countInFlight(
+  state: GatewayState,
+  counts: (configuration: Configuration) => boolean,
+): number {
+  let total = 0;
+  for (const [configuration, passes] of state.inFlight) {
+    if (counts(configuration)) total += passes;
+  }
+  return total;
+}
+
+/**
+ * Handles a request once the one before it on its connection is answered, so
+ * that pipelined requests take effect in order.
+ */
+function inTurn(
+  state: GatewayState,
+  request: IncomingMessage,
+  response: ServerResponse,
+  begin: () => void,
+): void {
+  const {socket} = request;
+  const before = state.latest.get(socket);
+  state.latest.set(socket, response);
+  if (!before || isOver(before)) return begin();
+  before.once('close', () => {
+    if (!socket.destroyed) begin();
+  });
+}
+
+/** No answer is under way, and none was the last of the connection. */
+function isReady(state: GatewayState, socket: Socket): boolean {
+  const latest = state.latest.get(socket);
+  return !latest || (isOver(latest) && latest.shouldKeepAlive);
+}
+
+function isOver(response: ServerResponse): boolean {
+  return response.writableFinished || response.destroyed;
 }
 
 function createContext(options: GatewayOptions): Context {
   let number = 0;
+  const sequences = new Map<string, number>();
   const connectTimeoutMs = CONNECT_TIMEOUT_MS;
   const pools = (keepAliveMs: number) =>
     createPools({connectTimeoutMs, keepAliveMs});
@@ -100,6 +162,13 @@
     oldPools: pools(UPSTREAM_KEEP_ALIVE_MS),
     peerPools: pools(PEER_KEEP_ALIVE_MS),
     nextNumber: () => (number += 1),
+    nextSequence: process => {
+      const next = (sequences.get(process) ?? 0) + 1;
+      sequences.set(process, next);
+      return next;
+    },
+    received: createReceivedHops(options.wallClock),
+    repeats: createRepeats(options.clock),
     ownerHint: formatAddress(options.self.callers),
     loads: createObservedLoads(options.clock, options.random),
   };
@@ -117,16 +186,22 @@
   response: ServerResponse,
   forwarded: boolean,
 ): void {
-  state.inFlight += 1;
   if (state.draining) response.shouldKeepAlive = false;
   const pass = open(context, request, response, forwarded);
   if (pass) void run(context, state, pass);
-  else leave(state);
 }
 
-function leave(state: GatewayState): void {
-  state.inFlight -= 1;
-  if (state.inFlight > 0) return;
+function enter(state: GatewayState, pass: Pass): void {
+  const {inFlight} = state;
+  inFlight.set(pass.configuration, (inFlight.get(pass.configuration) ?? 0) + 1);
+}
+
+function leave(state: GatewayState, pass: Pass): void {
+  const {inFlight} = state;
+  const left = (inFlight.get(pass.configuration) ?? 1) - 1;
+  if (left > 0) inFlight.set(pass.configuration, left);
+  else inFlight.delete(pass.configuration);
+  if (inFlight.size > 0) return;
   for (const notify of state.idle.splice(0)) notify();
 }
 
@@ -171,7 +246,14 @@
     target: request.url ?? '',
     traceparent: head.traceparent ?? '',
   });
-  if (result.kind === 'accepted') return {hop: result.hop};
+  if (result.kind === 'accepted') {
+    const {hop} = result;
+    if (context.received.accept(hop)) return {hop};
+    const {request} = hop;
+    const message = 'the request was received before';
+    context.log(GATEWAY_EVENTS.hopRefused, {request, message});
+    return {hop, failure: unknown('not-owner', message)};
+  }
   context.log(GATEWAY_EVENTS.hopRefused, {message: result.message});
   return {failure: notRun('not-owner', result.message)};
 }
@@ -181,6 +263,7 @@
   readonly configuration: Configuration;
   readonly service: Service;
   readonly target: string;
+  readonly path: string;
   readonly key?: string;
   readonly slice: number;
 }
@@ -191,6 +274,9 @@
   head: RequestHead,
 ): Target | Failure {
   if (head.problem) return notRun('bad-request', head.problem);
+  if (head.host === undefined && request.httpVersion !== '1.0') {
+    return notRun('bad-request', 'host is missing');
+  }
   const configuration = context.configuration();
   if (!configuration) {
     return notRun('no-owner', 'no configuration is in force', 1000);
@@ -205,11 +291,11 @@
   }
   const service = findService(configuration.services, path);
   if (!service) return notRun('no-service', 'no service has this path');
-  if (!service.key) return {configuration, service, target, slice: -1};
+  if (!service.key) return {configuration, service, target, path, slice: -1};
   const result = findKey(service.key, path, request.rawHeaders);
   if (result.kind === 'bad') return notRun('bad-key', result.message);
   const slice = sliceOfKey(result.key, service.slices);
-  return {configuration, service, target, key: result.key, slice};
+  return {configuration, service, target, path, key: result.key, slice};
 }
 
 function refuse(
@@ -245,19 +331,22 @@
   id: string,
   hop: Hop | undefined,
 ): Pass {
-  const {service, target, key, slice} = found;
-  const {limits} = found.configuration;
+  const {service, target, path, key, slice} = found;
+  const {configuration} = found;
+  const {limits} = configuration;
   const state: PassState = {consumed: false};
   const stop = stopper(state);
   const timeMs = hop?.deadlineMs ?? head.deadlineMs ?? service.deadlineMs;
   const name = hop ? 'owner' : 'entry';
   return {
+    configuration,
     request,
     response,
     id,
     head,
     service,
     target,
+    path,
     key,
     slice,
     hop,
@@ -296,6 +385,7 @@
   pass: Pass,
 ): Promise<void> {
   const {state, response} = pass;
+  enter(gateway, pass);
   const timeMs = Math.max(1, pass.deadlineAt - context.clock());
   state.timer = setTimeout(stopForDeadline, timeMs, pass);
   response.on('close', () => {
@@ -308,7 +398,7 @@
     response.destroy();
   } finally {
     clearTimeout(state.timer);
-    leave(gateway);
+    leave(gateway, pass);
   }
 }
 
--- a/src/gateway/head.ts
+++ b/src/gateway/head.ts
@@ -19,6 +19,7 @@
 export interface RequestHead {
   /** Name and value of each header in turn that may be passed on. */
   readonly headers: string[];
+  readonly host?: string;
   readonly deadlineMs?: number;
   readonly traceparent?: string;
   readonly idempotencyKey?: string;
@@ -48,7 +49,6 @@
   const headers: string[] = [];
   const head: Writable<RequestHead> = {headers, chunked: false};
   let listed = '';
-  let host: string | undefined;
   for (let i = 0; i < raw.length; i += 2) {
     const name = raw[i];
     const value = raw[i + 1];
@@ -70,8 +70,8 @@
         head.contentLength = Number(value);
         break;
       case 'host':
-        if (host !== undefined) head.problem = 'host is given twice';
-        host = value;
+        if (head.host !== undefined) head.problem = 'host is given twice';
+        head.host = value;
         break;
       case 'expect':
         if (value.toLowerCase() !== '100-continue') {
--- a/src/gateway/local.ts
+++ b/src/gateway/local.ts
@@ -12,6 +12,12 @@
 /** Header that carries the identifier of a request. */
 export const REQUEST_HEADER = 'vanillaspool-request';
 
+/** Takes a copy of an answer while it is passed on. */
+export interface AnswerCopy {
+  readonly head: (head: AnswerHead) => void;
+  readonly body: (part: Buffer) => void;
+}
+
 const DEFAULT_SHED_MS = 1000;
 const FENCED_PAUSE_MS = 50;
 const MS_PER_SECOND = 1000;
@@ -29,12 +35,15 @@
   context: Context,
   pass: Pass,
   epoch: number,
+  copy?: AnswerCopy,
 ): Promise<Attempt> | Attempt {
   const admitted = context.admit(admissionOf(pass));
   if (!(admitted instanceof Promise)) {
-    return sendIfAdmitted(context, pass, epoch, admitted);
+    return sendIfAdmitted(context, pass, epoch, admitted, copy);
   }
-  return admitted.then(result => sendIfAdmitted(context, pass, epoch, result));
+  return admitted.then(result =>
+    sendIfAdmitted(context, pass, epoch, result, copy),
+  );
 }
 
 function sendIfAdmitted(
@@ -42,6 +51,7 @@
   pass: Pass,
   epoch: number,
   admitted: Admitted,
+  copy: AnswerCopy | undefined,
 ): Promise<Attempt> | Attempt {
   const {service, slice, state} = pass;
   if (admitted.kind === 'refused') {
@@ -58,11 +68,11 @@
     release();
     return refused(pass, notRun('upstream-refused', 'no upstream is ready'));
   }
-  if (slice < 0) return sendTo(context, pass, upstream, epoch, release);
-  const leave = context.ownership.enter(service.name, slice);
-  return sendTo(context, pass, upstream, epoch, () => {
+  const leave =
+    slice < 0 ? release : context.ownership.enter(service.name, slice);
+  return sendTo(context, pass, upstream, epoch, copy, () => {
     leave();
-    release();
+    if (slice >= 0) release();
   });
 }
 
@@ -76,15 +86,17 @@
   pass: Pass,
   upstream: Upstream,
   epoch: number,
+  copy: AnswerCopy | undefined,
   ended: () => void,
 ): Promise<Attempt> {
   const {service, slice, request} = pass;
   const {ownership} = context;
   const pool = context.upstreamPools.to(upstream.address, upstream.connections);
+  const span = context.trace.start('upstream', pass.span.traceparent, {epoch});
   const call = {
     method: request.method ?? 'GET',
     path: pass.target,
-    headers: upstreamHeaders(context, pass, epoch),
+    headers: upstreamHeaders(context, pass, epoch, span.traceparent),
     body: bodyOf(pass),
   };
   const holds = () => slice < 0 || ownership.holds(service.name, slice, epoch);
@@ -95,9 +107,16 @@
       return !lapsed;
     },
     judge: head => judge(context, pass, head, holds),
-    extend: head => addOwner(context, pass, head),
+    extend: head => {
+      addOwner(context, pass, head);
+      copy?.head(head);
+    },
+    copied: copy?.body,
     unsent: error => (lapsed ? termLapsed() : unreachable(pass, error)),
-    ended,
+    ended: () => {
+      span.end();
+      ended();
+    },
   });
 }
 
@@ -105,11 +124,12 @@
   context: Context,
   pass: Pass,
   epoch: number,
+  traceparent: string,
 ): string[] {
   const {head, slice, deadlineAt} = pass;
   const left = Math.max(1, Math.floor(deadlineAt - context.clock()));
   const headers = head.headers.slice();
-  headers.push('traceparent', pass.span.traceparent);
+  headers.push('traceparent', traceparent);
   headers.push('vanillaspool-deadline', String(left));
   headers.push(REQUEST_HEADER, pass.id);
   if (slice >= 0) {
--- a/src/gateway/pass.ts
+++ b/src/gateway/pass.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Failure, Service} from '../model/index.js';
+import type {Configuration, Failure, Service} from '../model/index.js';
 import type {AdmissionRequest} from './admission.js';
 import {keepBody, streamBody, type BodyLimits, type BodyMode} from './body.js';
 import {notRun} from './failure.js';
@@ -9,6 +9,8 @@
 
 /** The life of one request in this daemon, from its headers to its answer. */
 export interface Pass {
+  /** Configuration in force when the request arrived. */
+  readonly configuration: Configuration;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly id: string;
@@ -16,6 +18,8 @@
   readonly service: Service;
   /** Request target in origin form. */
   readonly target: string;
+  /** Path of the target, without its query. */
+  readonly path: string;
   readonly key?: string;
   /** Slice of the key; -1 without a key. */
   readonly slice: number;
--- a/src/gateway/remote.ts
+++ b/src/gateway/remote.ts
@@ -1,5 +1,6 @@
 import type {FailureReason, Member} from '../model/index.js';
 import type {AnswerHead} from '../upstream/index.js';
+import {REPLAYED_HEADER} from './answered.js';
 import {runExchange, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
 import {OUTCOME_HEADER, REASON_HEADER, notRun, unknown} from './failure.js';
@@ -12,7 +13,7 @@
 const PEER_CONNECTIONS = 64;
 
 /** Own headers of a peer's answer that callers see. */
-const PASSED_ON = [OWNER_HEADER, OUTCOME_HEADER] as const;
+const PASSED_ON = [OWNER_HEADER, OUTCOME_HEADER, REPLAYED_HEADER] as const;
 
 /** Reasons of a peer for which another daemon may still run the request. */
 const ELSEWHERE: ReadonlySet<string> = new Set<FailureReason>([
@@ -86,7 +87,7 @@
   return {
     to: member.process,
     from: context.self.process,
-    sequence: context.nextNumber(),
+    sequence: context.nextSequence(member.process),
     sentAt: Math.floor(context.wallClock()),
     deadlineMs: Math.max(1, left),
     epoch,
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -1,11 +1,14 @@
-import type {Failure, Member} from '../model/index.js';
+import type {Failure, Member, Service} from '../model/index.js';
+import {sideOf, type Side} from '../routing/index.js';
 import {failed, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
 import {GATEWAY_EVENTS} from './events.js';
 import {notRun, unknown} from './failure.js';
 import {sendLocal} from './local.js';
 import {isReplayable, prepareBody, untilStopped, type Pass} from './pass.js';
+import {sendOld} from './old.js';
 import {sendRemote} from './remote.js';
+import {isRepeatable, sendOnce} from './repeats.js';
 import {decideRetry, isIdempotent} from './retry.js';
 
 /** Most attempts to get an answer for one request. */
@@ -14,6 +17,9 @@
 /** Longest wait for an owner where none is known, in milliseconds. */
 const OWNER_WAIT_LIMIT_MS = 3000;
 
+/** Time after which a handover is looked at again, in milliseconds. */
+const HANDOVER_POLL_MS = 200;
+
 const RETRY_AFTER_MS = 1000;
 
 /** How a pass ended. */
@@ -58,7 +64,9 @@
     if (attempt.kind !== 'failed') return attempt;
     if (pass.state.stopped) return stoppedResult(pass, attempt);
     if (!retries(context, pass, progress, attempt)) return attempt;
-    if (attempt.pauseMs) await pause(pass, attempt.pauseMs);
+    if (attempt.pauseMs) {
+      await untilStoppedOrTime(pass, undefined, attempt.pauseMs);
+    }
   }
 }
 
@@ -67,10 +75,40 @@
   pass: Pass,
   progress: Progress,
 ): Promise<Attempt | 'waited'> | Attempt {
+  const side = pass.hop ? NEW_SIDE : sideOfPass(context, pass);
+  if (side.kind === 'old') return sendOld(context, pass, side.handover);
+  if (side.kind === 'moving') return waitForHandover(context, pass);
   if (pass.slice < 0) return attemptUnkeyed(context, pass, progress);
   return attemptKeyed(context, pass, progress);
 }
 
+const NEW_SIDE: Side = {kind: 'new'};
+
+/** Finds who serves a request by the handover that is in force now. */
+function sideOfPass(context: Context, pass: Pass): Side {
+  const {name} = pass.service;
+  const previous = context.previousHandover?.(name);
+  const {handover} = currentService(context, pass);
+  if (!handover && !previous) return NEW_SIDE;
+  return sideOf(handover, previous, pass.key ?? pass.path);
+}
+
+function currentService(context: Context, pass: Pass): Service {
+  const services = context.configuration()?.services ?? [];
+  const {service} = pass;
+  if (services.includes(service)) return service;
+  return services.find(other => other.name === service.name) ?? service;
+}
+
+async function waitForHandover(
+  context: Context,
+  pass: Pass,
+): Promise<'waited'> {
+  const changed = context.handoverChanged?.(pass.service.name);
+  await untilStoppedOrTime(pass, changed, HANDOVER_POLL_MS);
+  return 'waited';
+}
+
 function attemptKeyed(
   context: Context,
   pass: Pass,
@@ -82,7 +120,9 @@
   switch (route.kind) {
     case 'local':
       if (ownership.holds(service.name, slice, route.epoch)) {
-        return sendLocal(context, pass, route.epoch);
+        return isRepeatable(pass)
+          ? sendOnce(context, pass, route.epoch)
+          : sendLocal(context, pass, route.epoch);
       }
       return waitForChange(context, pass, pass.deadlineAt);
     case 'wait':
@@ -126,30 +166,21 @@
 ): Promise<'waited'> {
   const {service, slice} = pass;
   const changed = context.ownership.changed(service.name, slice);
-  await untilStoppedOrTime(context, pass, changed, until);
+  await untilStoppedOrTime(pass, changed, until - context.clock());
   return 'waited';
 }
 
+/** Waits for an event, at most for some time and until the pass is stopped. */
 async function untilStoppedOrTime(
-  context: Context,
   pass: Pass,
-  event: Promise<unknown>,
-  until: number,
+  event: Promise<unknown> | undefined,
+  timeMs: number,
 ): Promise<void> {
   let timer: NodeJS.Timeout | undefined;
   const time = new Promise(resolve => {
-    timer = setTimeout(resolve, Math.max(1, until - context.clock()));
-  });
-  await untilStopped(pass, Promise.race([event, time]));
-  clearTimeout(timer);
-}
-
-async function pause(pass: Pass, timeMs: number): Promise<void> {
-  let timer: NodeJS.Timeout | undefined;
-  const time = new Promise(resolve => {
-    timer = setTimeout(resolve, timeMs);
+    timer = setTimeout(resolve, Math.max(1, timeMs));
   });
-  await untilStopped(pass, time);
+  await untilStopped(pass, event ? Promise.race([event, time]) : time);
   clearTimeout(timer);
 }
 
--- a/src/gateway/trace.ts
+++ b/src/gateway/trace.ts
@@ -1,7 +1,7 @@
 import {randomBytes} from 'node:crypto';
 
 /** A part of a request's path that a trace shows as a span. */
-export type HopName = 'entry' | 'owner' | 'admission' | 'forward' | 'upstream';
+export type HopName = 'entry' | 'owner' | 'forward' | 'upstream' | 'old';
 
 /** Values that describe a span. */
 export type SpanFields = Readonly<Record<string, string | number | undefined>>;
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -34,6 +34,8 @@
    * the headers to pass on, or undefined to hold the answer back.
    */
   readonly accept: (head: AnswerHead) => string[] | undefined;
+  /** Called with each part of the body before it is passed on. */
+  readonly copied?: (part: Buffer) => void;
   /** Called once, when the exchange has ended. */
   readonly ended: (result: ExchangeResult) => void;
 }
@@ -105,6 +107,7 @@
 
   const passOn = (chunk: Buffer, resume: () => void): boolean => {
     left -= chunk.length;
+    hooks.copied?.(chunk);
     if (left === 0) {
       finish(head?.status ?? 0, chunk);
       return true;
--- a/test/gateway/fixture.ts
+++ b/test/gateway/fixture.ts
@@ -1,11 +1,13 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import net, {type AddressInfo, type Socket} from 'node:net';
 import {
+  createCallersServer,
   createGateway,
+  createPeersServer,
   createSigner,
-  passTrace,
   type Gateway,
   type GatewayOptions,
+  type Trace,
 } from '../../src/gateway/index.js';
 import type {
   Address,
@@ -15,6 +17,7 @@
   Route,
   Service,
 } from '../../src/model/index.js';
+import type {Log} from '../../src/telemetry/index.js';
 
 /** Returns a keyed service; the given fields replace the defaults. */
 export function service(fields: Partial<Service> = {}): Service {
@@ -128,6 +131,8 @@
   readonly gateway: Gateway;
   readonly member: Member;
   readonly events: string[];
+  readonly spans: string[];
+  readonly servers: readonly http.Server[];
 }
 
 /** A fake fleet: one daemon for each upstream. */
@@ -172,18 +177,17 @@
   upstream: Address,
 ): Promise<Daemon> {
   const instance = `daemon-${index}`;
-  const name = fleet.configuration.services[0].name;
+  const {limits, services} = fleet.configuration;
+  const {name} = services[0];
   const events: string[] = [];
-  const callersServer = http.createServer({requireHostHeader: false});
-  const peersServer = http.createServer();
-  const callers = await listen(callersServer);
-  const peers = await listen(peersServer);
-  const member = memberOf(instance, name, callers.address, peers.address);
-  members.push(member);
+  const spans: string[] = [];
+  const log: Log = (kind, fields) => {
+    events.push(`${kind.number} ${String(fields?.reason ?? '')}`.trim());
+  };
   const gateway = createGateway({
     configuration: () => fleet.configuration,
     ownership: ownershipOf(terms, instance, members),
-    self: {instance, process: member.process, callers: callers.address},
+    self: {instance, process: `${instance}-process`, callers: hint(index)},
     admit: () => ({kind: 'admitted', release: () => {}}),
     retryAllowed: () => true,
     upstream: () => ({
@@ -196,20 +200,38 @@
     clock: () => performance.now(),
     wallClock: () => Date.now(),
     random: () => 0,
-    log: (kind, fields) => {
-      events.push(`${kind.number} ${String(fields?.reason ?? '')}`.trim());
-    },
-    trace: passTrace(),
+    log,
+    trace: recordingTrace(instance, spans),
     ...fleet.options,
   });
-  callersServer.on('request', gateway.callers);
-  callersServer.on('checkContinue', gateway.callers);
-  peersServer.on('request', gateway.peers);
+  const callersServer = createCallersServer(gateway, limits, log);
+  const peersServer = createPeersServer(limits, gateway.peers);
+  const callers = await listen(callersServer);
+  const peers = await listen(peersServer);
+  const member = memberOf(instance, name, callers.address, peers.address);
+  members.push(member);
   const stop = async () => {
     await Promise.all([callers.stop(), peers.stop()]);
   };
   const {address} = callers;
-  return {instance, gateway, member, events, address, stop};
+  const servers = [callersServer, peersServer];
+  return {instance, gateway, member, events, spans, servers, address, stop};
+}
+
+/** Address that a daemon tells callers, which nothing listens on. */
+function hint(index: number): Address {
+  return {host: '10.0.0.1', port: 9000 + index};
+}
+
+/** Records each span as its name, its parent's name and its instance. */
+function recordingTrace(instance: string, spans: string[]): Trace {
+  return {
+    start: (name, parent) => {
+      const parentName = parent?.split(' ')[0] ?? 'none';
+      spans.push(`${instance} ${name} within ${parentName}`);
+      return {traceparent: `${name} of ${instance}`, end: () => {}};
+    },
+  };
 }
 
 function memberOf(
@@ -243,16 +265,19 @@
   return listen(http.createServer(handler));
 }
 
-/** Starts an upstream that answers whatever bytes arrive with fixed bytes. */
+/**
+ * Starts an upstream that shows the bytes received on a connection to `answer`,
+ * until that returns true: then it shows only what follows.
+ */
 export function startRawUpstream(
-  answer: (socket: Socket, received: string) => void,
+  answer: (socket: Socket, received: string) => boolean,
 ): Promise<Listening> {
   const server = net.createServer(socket => {
     let received = '';
     socket.on('error', () => {});
     socket.on('data', chunk => {
       received += chunk.toString('latin1');
-      answer(socket, received);
+      if (answer(socket, received)) received = '';
     });
   });
   return listen(server);
--- a/test/gateway/path.test.ts
+++ b/test/gateway/path.test.ts
@@ -25,8 +25,7 @@
     const {text} = await sendRaw(daemon.address, rawRequest('GET /rota/a'));
     t.regex(text, /^HTTP\/1.1 200 OK\r\n[^]*\r\n\r\n/);
     t.true(text.includes('upstream 0'));
-    const {host, port} = fleet.daemons[0].address;
-    t.true(text.includes(`vanillaspool-owner: ${host}:${port}`));
+    t.true(text.includes('vanillaspool-owner: 10.0.0.1:9000'));
   }
   t.deepEqual(seen, ['1', '1']);
   await fleet.stop();
