Simulate admission under overload against first-in first-out queues

Cause: the target for overload needs a run that anyone can repeat. Ruled out: real time only (its figures change with the machine's load). Before: no measurement. After: npm run measure -- overload, a seeded discrete-event run of the pure decisions with two baselines, rows as JSON lines and a plot.

--- /dev/null
+++ b/measure/overload.ts
@@ -0,0 +1,199 @@
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {createAdmission} from '../src/admission/index.js';
+import {admissionPolicy, fifoPolicy, type Policy} from './overload/policies.js';
+import {plotOverload} from './overload/plot.js';
+import {createRandom} from './overload/random.js';
+import {simulate, type Ending} from './overload/simulate.js';
+import {summarise, type Summary} from './overload/summary.js';
+import {
+  GREEDY_CALLER,
+  HOT_KEY,
+  MIXED,
+  NEWSROOM,
+  drawJobs,
+  meanServiceMs,
+  type Workload,
+} from './overload/workload.js';
+
+/** One row of the results: a policy under one load, over all or some of the jobs. */
+export interface Row extends Summary {
+  readonly scenario: string;
+  readonly policy: string;
+  /** Offered load as a multiple of the capacity. */
+  readonly load: number;
+  /** The jobs that the row is about. */
+  readonly of: string;
+}
+
+/** Settings of the measurement. */
+interface Settings {
+  readonly seed: number;
+  readonly durationMs: number;
+}
+
+const SLOTS = 12;
+const QUEUE = 64;
+const WARM_UP_MS = 5000;
+const LOADS = [0.5, 0.75, 0.9, 1, 1.25, 1.5, 2, 3, 4];
+const GOODPUT_TARGET = 0.9;
+const LATE_TARGET = 0.01;
+const RESULTS = 'measure/results';
+const ADMIT_ROUNDS = 2_000_000;
+
+const POLICIES: Readonly<Record<string, () => Policy>> = {
+  admission: () => admissionPolicy(SLOTS, QUEUE),
+  'fifo-unlimited': () => fifoPolicy(SLOTS, Infinity),
+  'fifo-limited': () => fifoPolicy(SLOTS, QUEUE),
+};
+
+/**
+ * Measures admission under overload in virtual time, against first-in
+ * first-out queues, and the time that one admission takes.
+ *
+ * @example
+ * await run(['--seed', '7', '--seconds', '60']);
+ */
+export async function run(args: readonly string[]): Promise<void> {
+  const settings = readSettings(args);
+  const rows = [...mixedRows(settings), ...scenarioRows(settings)];
+  const verdict = judge(rows);
+  const cost = await measureAdmit();
+  const lines = [...rows, verdict, cost].map(line => JSON.stringify(line));
+  mkdirSync(RESULTS, {recursive: true});
+  writeFileSync(`${RESULTS}/overload.jsonl`, lines.join('\n') + '\n');
+  writeFileSync(`${RESULTS}/overload.svg`, plotOverload(rows));
+  for (const line of lines) console.log(line);
+}
+
+function readSettings(args: readonly string[]): Settings {
+  const numberAfter = (name: string, fallback: number) => {
+    const index = args.indexOf(name);
+    return index < 0 ? fallback : Number(args[index + 1]);
+  };
+  const seed = numberAfter('--seed', 20261203);
+  return {seed, durationMs: numberAfter('--seconds', 60) * 1000};
+}
+
+function mixedRows(settings: Settings): readonly Row[] {
+  return LOADS.flatMap(load =>
+    Object.keys(POLICIES).flatMap(policy => {
+      const endings = endingsOf(MIXED, policy, load, settings);
+      const row = (of: string, some: readonly Ending[]) =>
+        rowOf('mixed', policy, load, of, some, settings);
+      const ofServices = NEWSROOM.map(({service}) =>
+        row(
+          service,
+          endings.filter(ending => ending.job.work.service === service),
+        ),
+      );
+      return [row('all', endings), ...ofServices];
+    }),
+  );
+}
+
+function scenarioRows(settings: Settings): readonly Row[] {
+  const greedy = {...MIXED, greedyShare: 0.5};
+  const hot = {...MIXED, hotShare: 0.5};
+  const slow = slowHalfway(settings.durationMs);
+  const isGreedy = ({job}: Ending) => job.work.caller === GREEDY_CALLER;
+  const isHot = ({job}: Ending) => job.work.key === HOT_KEY;
+  const halfMs = settings.durationMs / 2;
+  const isLater = ({job}: Ending) => job.arriveAt >= halfMs;
+  return [
+    ...splitRows('greedy-caller', greedy, 1.5, isGreedy, settings),
+    ...splitRows('hot-key', hot, 1.5, isHot, settings),
+    ...splitRows('slows-to-a-third', slow, 0.9, isLater, settings),
+  ];
+}
+
+function slowHalfway(durationMs: number): Workload {
+  return {...MIXED, slowdownAt: atMs => (atMs < durationMs / 2 ? 1 : 3)};
+}
+
+function splitRows(
+  scenario: string,
+  workload: Workload,
+  load: number,
+  isPart: (ending: Ending) => boolean,
+  settings: Settings,
+): readonly Row[] {
+  return Object.keys(POLICIES).flatMap(policy => {
+    const endings = endingsOf(workload, policy, load, settings);
+    const part = endings.filter(isPart);
+    const others = endings.filter(ending => !isPart(ending));
+    return [
+      rowOf(scenario, policy, load, 'part', part, settings),
+      rowOf(scenario, policy, load, 'others', others, settings),
+    ];
+  });
+}
+
+function endingsOf(
+  workload: Workload,
+  policy: string,
+  load: number,
+  settings: Settings,
+): readonly Ending[] {
+  const capacityPerSecond = (SLOTS * 1000) / meanServiceMs(workload.kinds);
+  const random = createRandom(settings.seed);
+  const perSecond = load * capacityPerSecond;
+  const jobs = drawJobs(workload, perSecond, settings.durationMs, random);
+  return simulate(jobs, POLICIES[policy]());
+}
+
+function rowOf(
+  scenario: string,
+  policy: string,
+  load: number,
+  of: string,
+  endings: readonly Ending[],
+  settings: Settings,
+): Row {
+  const {durationMs} = settings;
+  const summary = summarise(endings, SLOTS, WARM_UP_MS, durationMs);
+  return {scenario, policy, load, of, ...summary};
+}
+
+/** Compares the figures of admission at the highest load with their targets. */
+function judge(rows: readonly Row[]) {
+  const own = rows.filter(
+    row =>
+      row.scenario === 'mixed' &&
+      row.policy === 'admission' &&
+      row.of === 'all',
+  );
+  const last = own[own.length - 1];
+  const ratioOf = (field: 'goodputPerSecond' | 'usefulShare') =>
+    last[field] / Math.max(...own.map(row => row[field]));
+  const goodputRatio = ratioOf('goodputPerSecond');
+  const usefulRatio = ratioOf('usefulShare');
+  const lateShare = Math.max(...own.map(row => row.lateShare));
+  const met =
+    goodputRatio >= GOODPUT_TARGET &&
+    usefulRatio >= GOODPUT_TARGET &&
+    lateShare <= LATE_TARGET;
+  return {verdict: 'overload', goodputRatio, usefulRatio, lateShare, met};
+}
+
+/** Measures one admission and release with a free slot and an empty queue. */
+async function measureAdmit() {
+  const clock = () => performance.now();
+  const admission = createAdmission({slots: SLOTS, queue: QUEUE, clock});
+  const request = {
+    service: 'rota-display',
+    priority: 2,
+    deadlineAt: Infinity,
+    caller: 'desk-7',
+    key: 'night',
+  };
+  const once = async () => {
+    const result = await admission.admit(request);
+    if (result.kind === 'admitted') result.release();
+  };
+  for (let i = 0; i < ADMIT_ROUNDS / 10; i++) await once();
+  const startedAt = performance.now();
+  for (let i = 0; i < ADMIT_ROUNDS; i++) await once();
+  const tookMs = performance.now() - startedAt;
+  const nanoseconds = Math.round((tookMs * 1e6) / ADMIT_ROUNDS);
+  return {measure: 'admit-and-release', nanoseconds, rounds: ADMIT_ROUNDS};
+}
--- /dev/null
+++ b/measure/overload/summary.ts
@@ -0,0 +1,68 @@
+import type {Ending, Fate} from './simulate.js';
+
+/** Figures of some of the jobs of a run. */
+export interface Summary {
+  readonly jobs: number;
+  /** Jobs answered by their deadline, per second. */
+  readonly goodputPerSecond: number;
+  /** Service time of the jobs answered by their deadline, per second of one slot. */
+  readonly usefulShare: number;
+  /** Share of the jobs that were answered by their deadline. */
+  readonly inTimeShare: number;
+  /** Share of the admitted jobs whose answer came after their deadline. */
+  readonly lateShare: number;
+  /** Share of the jobs that were refused after they had waited. */
+  readonly givenUpShare: number;
+  /** Longest wait of a job that was refused in the end. */
+  readonly givenUpAfterMsP99: number;
+  readonly answeredMsP99: number;
+}
+
+/**
+ * Summarises the jobs that arrived after a warm-up.
+ *
+ * @example
+ * summarise(endings, 12, 10_000, 60_000).goodputPerSecond;
+ */
+export function summarise(
+  endings: readonly Ending[],
+  slots: number,
+  warmUpMs: number,
+  durationMs: number,
+): Summary {
+  const counted = endings.filter(ending => ending.job.arriveAt >= warmUpMs);
+  const seconds = (durationMs - warmUpMs) / 1000;
+  const inTime = having(counted, 'in-time');
+  const late = having(counted, 'late');
+  const givenUp = having(counted, 'given-up');
+  const usefulMs = inTime.reduce((sum, {job}) => sum + job.serviceMs, 0);
+  const answered = [...inTime, ...late];
+  return {
+    jobs: counted.length,
+    goodputPerSecond: rounded(inTime.length / seconds),
+    usefulShare: rounded(usefulMs / (slots * seconds * 1000)),
+    inTimeShare: shareOf(inTime, counted),
+    lateShare: shareOf(late, answered),
+    givenUpShare: shareOf(givenUp, counted),
+    givenUpAfterMsP99: p99(givenUp),
+    answeredMsP99: p99(answered),
+  };
+}
+
+function having(endings: readonly Ending[], fate: Fate): readonly Ending[] {
+  return endings.filter(ending => ending.fate === fate);
+}
+
+function shareOf(part: readonly Ending[], all: readonly Ending[]): number {
+  return all.length === 0 ? 0 : rounded(part.length / all.length);
+}
+
+function p99(endings: readonly Ending[]): number {
+  if (endings.length === 0) return 0;
+  const sorted = endings.map(ending => ending.tookMs).sort((a, b) => a - b);
+  return rounded(sorted[Math.floor((sorted.length - 1) * 0.99)]);
+}
+
+function rounded(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
