Run a whole deployment under traffic and faults

Cause: nothing ran the whole path with every process apart. Ruled out: upstreams within the demo's process, because they could not be killed or frozen with their daemon. Before: none. After: npm run demo starts the deployment, applies the configuration with the operator's tool, sends traffic, changes the configuration, drains, kills and freezes an instance, takes the platform away, and checks every answer against the journals.

--- a/demo/check.ts
+++ b/demo/check.ts
@@ -1,9 +1,8 @@
-import type {Result} from '../src/load/index.js';
+import {isIdempotent, type Result} from '../src/load/index.js';
 import {sliceOfKey} from '../src/model/index.js';
-import {isIdempotent} from '../src/load/index.js';
 import type {Execution} from '../standin/upstream/execution.js';
 import type {Base} from './deployment.js';
-import type {Record} from './fleet.js';
+import type {ExecutionLog} from './fleet.js';
 
 /** Figures of one service, or of all. */
 export interface Row {
@@ -42,22 +41,22 @@
  * committed, or when a slice was committed under an epoch after a higher one.
  *
  * @example
- * const {rows, findings} = checkResults(base, results, records);
+ * const {rows, findings} = checkResults(base, results, logs);
  */
 export function checkResults(
   base: Base,
   results: readonly Result[],
-  records: readonly Record[],
+  logs: readonly ExecutionLog[],
 ): Report {
   const findings: string[] = [];
-  const commits = commitsByPath(records);
+  const commits = commitsByPath(logs);
   const rows = Object.entries(base.services).map(([service, declared]) => {
     const own = results.filter(({request}) =>
       request.path.startsWith(declared.pathPrefix),
     );
     const wrong = own.flatMap(result => findWrong(result, commits));
     const duplicated = own.flatMap(result => findDuplicated(result, commits));
-    const late = findLateCommits(records.filter(r => r.service === service));
+    const late = findLateCommits(logs.filter(r => r.service === service));
     findings.push(...wrong, ...duplicated, ...late);
     const ok = own.filter(({verdict}) => verdict === 'ok');
     const notAnswered = own.filter(
@@ -96,10 +95,10 @@
 }
 
 function commitsByPath(
-  records: readonly Record[],
+  logs: readonly ExecutionLog[],
 ): ReadonlyMap<string, readonly Commit[]> {
   const byPath = new Map<string, Commit[]>();
-  for (const commit of records.flatMap(commitsOf)) {
+  for (const commit of logs.flatMap(commitsOf)) {
     const found = byPath.get(commit.path);
     if (found) found.push(commit);
     else byPath.set(commit.path, [commit]);
@@ -107,7 +106,7 @@
   return byPath;
 }
 
-function commitsOf({instance, executions}: Record): readonly Commit[] {
+function commitsOf({instance, executions}: ExecutionLog): readonly Commit[] {
   return executions.flatMap(execution => {
     const {committed} = execution;
     return committed === undefined ? [] : [{...execution, committed, instance}];
@@ -142,8 +141,8 @@
 }
 
 /** Finds commits under an epoch after another upstream committed a higher one. */
-function findLateCommits(records: readonly Record[]): readonly string[] {
-  const keyed = records.flatMap(commitsOf).filter(c => c.epoch !== undefined);
+function findLateCommits(logs: readonly ExecutionLog[]): readonly string[] {
+  const keyed = logs.flatMap(commitsOf).filter(c => c.epoch !== undefined);
   keyed.sort((a, b) => a.committed - b.committed);
   const highest = new Map<number, Commit>();
   return keyed.flatMap(commit => {
@@ -161,7 +160,9 @@
 
 /**
  * Returns the longest time, in milliseconds, from the time a request was due to
- * the next answer among the requests of its slice that were sent since.
+ * the next answer among the requests of its slice that were due since. A
+ * request that failed without any answer is passed over: it was lost with the
+ * daemon where it entered, which says nothing of the slice.
  */
 function longestUnavailable(
   results: readonly Result[],
@@ -169,6 +170,7 @@
 ): number {
   const bySlice = new Map<number, Result[]>();
   for (const result of results) {
+    if (result.verdict !== 'ok' && result.status === undefined) continue;
     const {key} = result.request;
     const slice = key === undefined ? 0 : sliceOfKey(key, slices);
     const found = bySlice.get(slice);
--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -9,7 +9,7 @@
 import type {Process, Processes} from './processes.js';
 
 /** Time between two looks at the state of a fleet, in milliseconds. */
-const POLL_INTERVAL_MS = 100;
+const POLL_INTERVAL_MS = 400;
 
 /** Time limit of one call to a daemon's control address, in milliseconds. */
 const STATUS_TIMEOUT_MS = 1000;
@@ -31,7 +31,7 @@
 }
 
 /** What one upstream executed. */
-export interface Record {
+export interface ExecutionLog {
   readonly instance: string;
   readonly service: string;
   readonly executions: readonly Execution[];
@@ -132,10 +132,10 @@
 }
 
 /** Reads what every upstream executed, whether it still runs or not. */
-export function readRecords(
+export function readExecutionLogs(
   {nodes}: Fleet,
   directory: string,
-): readonly Record[] {
+): readonly ExecutionLog[] {
   return nodes.map(({instance}) => {
     const text = readFileSync(journalOf(directory, instance.name), 'utf8');
     const executions = readJournal(text);
--- /dev/null
+++ b/demo/main.ts
@@ -0,0 +1,173 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import sade from 'sade';
+import {runLoad, type LoadOptions, type Result} from '../src/load/index.js';
+import {checkResults, totalOf} from './check.js';
+import {waitForExit} from './control.js';
+import {readExample} from './deployment.js';
+import {
+  isServed,
+  readExecutionLogs,
+  startFleet,
+  waitForFleet,
+  type Fleet,
+} from './fleet.js';
+import {createProcesses, type Processes} from './processes.js';
+import {SCENES, TRAFFIC_S, applyExample, type Stage} from './scenes.js';
+import {formatRows, formatTotal} from './table.js';
+import {MIXES} from './workloads.js';
+
+/** Time limit of the whole demo, in milliseconds. */
+const DEMO_TIMEOUT_MS = 39_000;
+
+/** Time limit for the fleet to start and to serve, in milliseconds. */
+const START_TIMEOUT_MS = 15_000;
+
+/** Time limit for the daemons to end, in milliseconds. */
+const STOP_TIMEOUT_MS = 3500;
+
+/** Findings that are printed. */
+const FINDING_LIMIT = 10;
+
+interface Flags {
+  readonly deployment: string;
+  readonly rate: number;
+  readonly seed: number;
+  readonly keep?: boolean;
+}
+
+function loadOptions(fleet: Fleet, {rate, seed}: Flags): LoadOptions {
+  return {
+    targets: fleet.nodes.map(({callers}) => callers),
+    deadlineMs: 4000,
+    attemptMs: 1000,
+    attempts: 8,
+    connections: 16,
+    hints: 10_000,
+    hintPrefix: 256,
+    workload: {
+      run: 'demo',
+      kinds: MIXES[fleet.example.name],
+      requestsPerSecond: rate,
+      seconds: TRAFFIC_S,
+      keys: 2000,
+      skew: 0.9,
+      seed,
+    },
+  };
+}
+
+async function run(flags: Flags, directory: string): Promise<number> {
+  const startMs = performance.now();
+  const say = (line: string) => {
+    const seconds = ((performance.now() - startMs) / 1000).toFixed(1);
+    process.stdout.write(`${seconds.padStart(5)} s  ${line}\n`);
+  };
+  const example = readExample(flags.deployment);
+  const processes = createProcesses(directory);
+  const timer = setTimeout(() => {
+    process.stderr.write('demo: the time is up\n');
+    process.exit(1);
+  }, DEMO_TIMEOUT_MS);
+  try {
+    const fleet = await startFleet(processes, directory, example);
+    say(`started ${fleet.nodes.length} instances of ${example.name}`);
+    const stage = {processes, fleet, directory, say};
+    await prepare(stage);
+    const results = await drive(stage, flags);
+    await stop(processes, fleet);
+    say('stopped');
+    return report(fleet, directory, results);
+  } finally {
+    await processes.killAll();
+    clearTimeout(timer);
+  }
+}
+
+async function prepare(stage: Stage): Promise<void> {
+  const {fleet, say} = stage;
+  await waitForFleet(fleet, 'start', START_TIMEOUT_MS, () => true);
+  say('every daemon answers');
+  await applyExample(stage);
+  await waitForFleet(fleet, 'readiness', START_TIMEOUT_MS, statuses =>
+    isServed(fleet.example, statuses),
+  );
+  say('every slice is served');
+}
+
+async function drive(stage: Stage, flags: Flags): Promise<readonly Result[]> {
+  const results: Result[] = [];
+  const options = loadOptions(stage.fleet, flags);
+  const load = runLoad(options, result => results.push(result));
+  const startMs = performance.now();
+  for (const {atMs, name, play} of SCENES) {
+    await sleep(Math.max(0, startMs + atMs - performance.now()));
+    stage.say(`${results.length} requests ended; now: ${name}`);
+    await play(stage);
+  }
+  await load;
+  stage.say(`${results.length} requests ended`);
+  return results;
+}
+
+async function stop(processes: Processes, fleet: Fleet): Promise<void> {
+  const daemons = fleet.nodes.map(({daemon}) => daemon);
+  daemons.forEach(daemon => daemon.signal('SIGTERM'));
+  await Promise.all(daemons.map(d => waitForExit(d, STOP_TIMEOUT_MS)));
+  await processes.killAll();
+}
+
+function report(
+  fleet: Fleet,
+  directory: string,
+  results: readonly Result[],
+): number {
+  const logs = readExecutionLogs(fleet, directory);
+  const {rows, findings} = checkResults(fleet.example.base, results, logs);
+  const total = totalOf(rows);
+  const lines = [
+    ...findings.slice(0, FINDING_LIMIT),
+    ...formatReasons(results),
+    '',
+    ...formatRows([...rows, total]),
+    formatTotal(total),
+  ];
+  process.stdout.write(lines.join('\n') + '\n');
+  return total.wrong + total.duplicated > 0 ? 1 : 0;
+}
+
+function formatReasons(results: readonly Result[]): readonly string[] {
+  const counts = new Map<string, number>();
+  for (const {verdict, status, reason} of results) {
+    if (verdict === 'ok') continue;
+    const text = `failed: ${verdict}, ${reason ?? 'no reason'} (${status ?? 'no answer'})`;
+    counts.set(text, (counts.get(text) ?? 0) + 1);
+  }
+  return [...counts].map(([text, count]) => `${text}: ${count}`);
+}
+
+async function main(flags: Flags): Promise<void> {
+  const directory = mkdtempSync(join(tmpdir(), 'vanillaspool-demo-'));
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(signal, () => process.exit(1));
+  }
+  try {
+    process.exitCode = await run(flags, directory);
+  } catch (error) {
+    process.stderr.write(`demo: ${(error as Error).message}\n`);
+    process.exitCode = 1;
+  }
+  if (flags.keep) process.stdout.write(`files: ${directory}\n`);
+  else rmSync(directory, {recursive: true, force: true});
+}
+
+sade('demo', true)
+  .describe('Runs a deployment under traffic and faults, and checks it.')
+  .option('--deployment', 'newsroom or rental', 'newsroom')
+  .option('--rate', 'Requests a second', 200)
+  .option('--seed', 'Seed of the traffic', 1)
+  .option('--keep', 'Keep the logs and settings of the processes')
+  .action(main)
+  .parse(process.argv);
--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -5,6 +5,9 @@
 import {fileURLToPath} from 'node:url';
 import type {Address} from '../src/model/index.js';
 
+/** The line by which a stand-in tells where it listens. */
+const LISTENING_LINE = /^\{"listening":.*\}$/m;
+
 /** A process that the demo started. */
 export interface Process {
   readonly name: string;
@@ -87,9 +90,8 @@
     let text = '';
     child.stdout?.on('data', (part: Buffer) => {
       text += part.toString();
-      if (!text.includes('\n')) return;
-      const line = text.slice(0, text.indexOf('\n'));
-      resolve((JSON.parse(line) as {listening: Address}).listening);
+      const line = LISTENING_LINE.exec(text)?.[0];
+      if (line) resolve((JSON.parse(line) as {listening: Address}).listening);
     });
     child.once('exit', () => reject(new Error(`${name} ended at its start`)));
   });
--- a/src/load/sender.ts
+++ b/src/load/sender.ts
@@ -145,7 +145,7 @@
 
 function failed(error: unknown): Attempt {
   const {code, name} = error as NodeJS.ErrnoException;
-  const reason = String(code ?? name);
+  const reason = typeof code === 'string' ? code : name;
   const isUnsent = UNSENT_CODES.has(reason);
   return {verdict: isUnsent ? 'not-sent' : 'unknown', reason};
 }
