--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,4 +1,4 @@
-import {mkdtempSync, rmSync} from 'node:fs';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -78,6 +78,7 @@
     await prepare(stage);
     const results = await drive(stage, flags);
     await stop(processes, fleet);
+    keepResults(directory, results);
     say('stopped');
     return report(fleet, directory, results);
   } finally {
@@ -112,6 +113,11 @@
   return results;
 }
 
+function keepResults(directory: string, results: readonly Result[]): void {
+  const lines = results.map(result => JSON.stringify(result) + '\n');
+  writeFileSync(join(directory, 'results.jsonl'), lines.join(''));
+}
+
 async function stop(processes: Processes, fleet: Fleet): Promise<void> {
   const daemons = fleet.nodes.map(({daemon}) => daemon);
   daemons.forEach(daemon => daemon.signal('SIGTERM'));
@@ -168,6 +174,9 @@
   .option('--deployment', 'newsroom or rental', 'newsroom')
   .option('--rate', 'Requests a second', 200)
   .option('--seed', 'Seed of the traffic', 1)
-  .option('--keep', 'Keep the logs and settings of the processes')
+  .option(
+    '--keep',
+    'Keep the logs and settings of the processes, and the results',
+  )
   .action(main)
   .parse(process.argv);
