Write the registration record once at a time and keep a doubtful proposal

Cause: a proposed witness set was written again while an earlier write was still on its way; the later one failed by conflict, the holder withdrew the proposal, and the earlier one had been recorded. Others sealed the recorded set while the holder renewed on the old one. Ruled out: seals counted for the wrong set (fixed before; the seals were those of the recorded set). After: one write at a time; after a conflict the record itself tells whether the set is in force; a write whose answer was lost keeps the proposal.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,15 +1,18 @@
 import {randomUUID} from 'node:crypto';
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createAdmission} from '../admission/index.js';
 import {
   createGateway,
   createSigner as createHopSigner,
-  passTrace,
+  closeServers,
+  createCallersServer,
+  createPeersServer,
+  isForwarded,
 } from '../gateway/index.js';
 import type {Gateway} from '../gateway/index.js';
-import {formatAddress} from '../model/index.js';
+import {formatAddress, sameAddress} from '../model/index.js';
 import type {
   AcceptedConfiguration,
   Address,
@@ -22,19 +25,20 @@
   newState,
   OWNERSHIP_EVENTS,
 } from '../ownership/index.js';
-import type {Self, State} from '../ownership/index.js';
+import type {Load, Self, State} from '../ownership/index.js';
 import {
   createMirrorHandler,
   createSigner,
   follow,
   openDatagrams,
-  RPC_PREFIX,
 } from '../peer/index.js';
 import {createPlatform, memberKey, putResolved} from '../platform/index.js';
 import type {Platform} from '../platform/index.js';
+import {DEFAULT_LIMITS} from '../settings/index.js';
 import type {Settings} from '../settings/index.js';
 import {createMetrics} from '../telemetry/index.js';
 import type {Log} from '../telemetry/index.js';
+import {createBalancer, loadReport, LOAD_REPORT_MS} from './balancer.js';
 import {createControlServer} from './control.js';
 import {createEffects} from './effects.js';
 import {DAEMON_EVENTS} from './events.js';
@@ -47,6 +51,7 @@
 import {createPublisher} from './publish.js';
 import {watchReachability} from './reachability.js';
 import {startSteward} from './steward.js';
+import {createTrace} from './trace.js';
 import {createUpstreamLink} from './upstreamlink.js';
 import type {UpstreamLink} from './upstreamlink.js';
 import {createObjects} from './versions.js';
@@ -87,6 +92,7 @@
   const signer = createSigner(settings.secrets);
   const controller = new AbortController();
   const metrics = createMetrics();
+  const {trace, close: closeTrace} = createTrace(settings);
   let fail: (error: Error) => void = () => {};
   const failed = new Promise<Error>(resolve => (fail = resolve));
   let accepted: AcceptedConfiguration | undefined;
@@ -141,9 +147,16 @@
       log(DAEMON_EVENTS.configurationIgnored, {site: settings.site});
     }
     log(DAEMON_EVENTS.configurationInForce, {version: next.version});
+    applyLimits();
     updateUpstream();
     view.notify();
   };
+  const applyLimits = () => {
+    const limits = configuration()?.limits;
+    if (!limits) return;
+    callers.maxConnections = limits.connections;
+    callers.headersTimeout = limits.headerTimeoutMs;
+  };
   const objectChanged = (entry: MirrorEntry) => {
     const object = readObject(entry);
     switch (object.kind) {
@@ -175,6 +188,7 @@
     log,
     metrics,
   });
+  const balancer = createBalancer(configuration, clock);
   const gateway = createGateway({
     configuration,
     ownership: view,
@@ -194,7 +208,8 @@
     wallClock: () => Date.now(),
     random: () => Math.random(),
     log,
-    trace: passTrace(),
+    trace,
+    shed: (_service, retryAfterMs) => admission.observeShed(retryAfterMs),
   });
 
   const datagrams = await openDatagrams({
@@ -203,10 +218,16 @@
     process: self.process,
     signer,
     receive: envelope => {
+      const {message} = envelope;
+      if (message.kind === 'load') return balancer.receive(message);
       loop.dispatch({kind: 'message', envelope});
-      if (envelope.message.kind === 'began') view.notify();
+      if (message.kind === 'began') view.notify();
     },
   });
+  const sendLoad = (to: Address, message: Load) => {
+    if (sameAddress(to, self.peers)) balancer.receive(message);
+    else datagrams.send(to, message);
+  };
   const run = createEffects({
     platform,
     objects,
@@ -232,8 +253,9 @@
   const mirrorHandler = createMirrorHandler(publisher.publish, signer, () =>
     Date.now(),
   );
-  const callers = createServer(gateway.callers);
-  const peers = createServer(peersHandler(gateway, mirrorHandler));
+  const callers = createCallersServer(gateway, DEFAULT_LIMITS, log);
+  const dispatch = peersHandler(gateway, mirrorHandler);
+  const peers = createPeersServer(DEFAULT_LIMITS, dispatch);
   const control = createControlServer({
     status: () => statusOf(),
     explain: (name, key) => {
@@ -264,8 +286,14 @@
     configuration,
     platform,
     objects,
+    moves: balancer.moves,
+    clock,
     log,
   });
+  const loadTimer = setInterval(() => {
+    const report = loadReport(loop.state(), view.takeLoads());
+    if (report) sendLoad(report.to, report.message);
+  }, LOAD_REPORT_MS);
   void runFeed({
     instance: self.instance,
     domain: self.domain,
@@ -292,13 +320,19 @@
   const close = async () => {
     controller.abort();
     stopSteward();
+    clearInterval(loadTimer);
     reachability.close();
     loop.stop();
     callers.closeAllConnections();
     peers.closeAllConnections();
     control.closeAllConnections();
     [callers, peers, control].forEach(server => server.close());
-    await Promise.all([datagrams.close(), upstream.close(), client.close()]);
+    await Promise.all([
+      datagrams.close(),
+      upstream.close(),
+      client.close(),
+      closeTrace(),
+    ]);
     log(DAEMON_EVENTS.stopped);
   };
   log(DAEMON_EVENTS.started, {
@@ -314,10 +348,9 @@
     drain: async () => {
       log(OWNERSHIP_EVENTS.draining);
       loop.dispatch({kind: 'drain'});
-      gateway.drain();
-      await untilIdle(loop, gateway);
-      callers.close();
-      await gateway.close();
+      await untilReleased(loop);
+      await closeServers(gateway, [callers], new Promise(() => {}));
+      await untilIdle(gateway);
       await recordEnd(platform, objects.version, loop.state());
       await close();
     },
@@ -335,9 +368,8 @@
   mirror: (request: IncomingMessage, response: ServerResponse) => void,
 ): (request: IncomingMessage, response: ServerResponse) => void {
   return (request, response) => {
-    const isCall = request.url?.startsWith(RPC_PREFIX) === true;
-    if (isCall) mirror(request, response);
-    else gateway.peers(request, response);
+    if (isForwarded(request)) gateway.peers(request, response);
+    else mirror(request, response);
   };
 }
 
@@ -372,11 +404,12 @@
   };
 }
 
-async function untilIdle(loop: Loop, gateway: Gateway): Promise<void> {
-  const idle = () => isIdle(loop.state()) && gateway.inFlight() === 0;
-  while (!idle()) {
-    await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS));
-  }
+async function untilReleased(loop: Loop): Promise<void> {
+  while (!isIdle(loop.state())) await sleep(IDLE_CHECK_MS);
+}
+
+async function untilIdle(gateway: Gateway): Promise<void> {
+  while (gateway.inFlight() > 0) await sleep(IDLE_CHECK_MS);
 }
 
 async function recordEnd(
--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -99,7 +99,7 @@
     objects.learn(result.current);
   }
   log(OWNERSHIP_EVENTS.registrationFailed, {reason: result.kind});
-  dispatch({kind: 'unstored', certain: result.kind !== 'unknown'});
+  dispatch({kind: 'unstored', result: result.kind});
 }
 
 async function read(options: EffectOptions, lease: LeaseId): Promise<void> {
--- a/src/daemon/ownership.ts
+++ b/src/daemon/ownership.ts
@@ -7,6 +7,11 @@
 export interface RequestView extends Ownership {
   /** Slices that have requests in flight. */
   readonly busy: () => ReadonlySet<string>;
+  /**
+   * Returns the mean number of requests in flight of each slice since the last
+   * call.
+   */
+  readonly takeLoads: () => ReadonlyMap<string, number>;
   /** Wakes the requests that wait for a route. */
   readonly notify: () => void;
 }
@@ -27,13 +32,23 @@
   clock: () => number,
 ): RequestView {
   const inFlight = new Map<string, number>();
+  const meter = createMeter(clock);
   const waiting = new Set<() => void>();
   return {
     route: (service, slice) => routeOf(state(), service, slice, clock()),
     members: service => liveMembers(state(), service),
     holds: (service, slice, epoch) =>
       holdsTerm(state(), service, slice, epoch, clock()),
-    enter: (service, slice) => enter(inFlight, formatSlice({service, slice})),
+    enter: (service, slice) => {
+      const id = formatSlice({service, slice});
+      const enteredAt = clock();
+      const leave = enter(inFlight, id);
+      return () => {
+        leave();
+        meter.add(id, enteredAt);
+      };
+    },
+    takeLoads: meter.take,
     changed: () => nextChange(waiting),
     unreachable: () => {},
     busy: () => new Set(inFlight.keys()),
@@ -41,6 +56,32 @@
   };
 }
 
+interface Meter {
+  readonly add: (id: string, enteredAt: number) => void;
+  readonly take: () => ReadonlyMap<string, number>;
+}
+
+/** Measures the mean number of requests in flight of each slice. */
+function createMeter(clock: () => number): Meter {
+  let busyMs = new Map<string, number>();
+  let since = clock();
+  return {
+    add: (id, enteredAt) => {
+      const time = clock() - Math.max(enteredAt, since);
+      busyMs.set(id, (busyMs.get(id) ?? 0) + time);
+    },
+    take: () => {
+      const elapsed = Math.max(1, clock() - since);
+      const loads = [...busyMs].map(
+        ([id, time]) => [id, time / elapsed] as const,
+      );
+      busyMs = new Map();
+      since = clock();
+      return new Map(loads);
+    },
+  };
+}
+
 function enter(inFlight: Map<string, number>, id: string): () => void {
   inFlight.set(id, (inFlight.get(id) ?? 0) + 1);
   let left = false;
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -8,7 +8,8 @@
   releasedEpoch,
 } from '../ownership/index.js';
 import type {State} from '../ownership/index.js';
-import {planChunk} from '../placement/index.js';
+import {chunkOfSlice, planChunk} from '../placement/index.js';
+import type {Move} from '../placement/index.js';
 import {chunkKey, putResolved} from '../platform/index.js';
 import type {Platform} from '../platform/index.js';
 import type {Log} from '../telemetry/index.js';
@@ -17,12 +18,22 @@
 /** Time between two reviews of the chunks, in milliseconds. */
 const REVIEW_MS = 100;
 
+/** Time for which no member may join before chunks are created. */
+const JOIN_SETTLE_MS = 1_500;
+
+/** Longest time for which the creation of chunks waits for more members. */
+const JOIN_LIMIT_MS = 6_000;
+
 /** What a steward needs. */
 export interface StewardOptions {
   readonly state: () => State;
   readonly configuration: () => Configuration | undefined;
   readonly platform: Platform;
   readonly objects: Objects;
+  /** Slices that are wished elsewhere. */
+  readonly moves: (service: Service, state: State) => readonly Move[];
+  /** Monotonic time in milliseconds. */
+  readonly clock: () => number;
   readonly log: Log;
 }
 
@@ -36,25 +47,62 @@
  * const stop = startSteward(options);
  */
 export function startSteward(options: StewardOptions): () => void {
-  const writing = new Set<string>();
-  const timer = setInterval(() => review(options, writing), REVIEW_MS);
+  const work: Work = {
+    writing: new Set(),
+    joins: {members: 0, firstAt: Infinity, lastAt: Infinity},
+  };
+  const timer = setInterval(() => review(options, work), REVIEW_MS);
   return () => clearInterval(timer);
 }
 
-function review(options: StewardOptions, writing: Set<string>): void {
+/** What a steward remembers between reviews. */
+interface Work {
+  readonly writing: Set<string>;
+  joins: Joins;
+}
+
+/** When members joined. */
+interface Joins {
+  readonly members: number;
+  readonly firstAt: number;
+  readonly lastAt: number;
+}
+
+function noteJoins(joins: Joins, members: number, now: number): Joins {
+  if (members === joins.members) return joins;
+  const firstAt = Math.min(joins.firstAt, now);
+  return {members, firstAt, lastAt: now};
+}
+
+/** Tells whether enough members may have joined to share the slices out. */
+function mayCreate(joins: Joins, now: number): boolean {
+  if (now - joins.lastAt >= JOIN_SETTLE_MS) return true;
+  return now - joins.firstAt >= JOIN_LIMIT_MS;
+}
+
+function review(options: StewardOptions, work: Work): void {
+  const {writing} = work;
   const state = options.state();
+  const now = options.clock();
+  work.joins = noteJoins(work.joins, state.view.members.size, now);
   if (!state.platformReachable) return;
   const services = options.configuration()?.services ?? [];
   const live = [...state.view.members.values()].filter(
     member => !leaseEnded(state.view, leaseOf(member)),
   );
   for (const service of services.filter(({key}) => key !== undefined)) {
+    const moves = options.moves(service, state);
     for (let index = 0; index < service.chunks; index++) {
       const key = chunkKey(service.name, index);
-      if (writing.has(key) || !isSteward(state, service, index, live)) {
+      const exists = state.view.chunks.has(`${service.name}/${index}`);
+      if (writing.has(key) || (!exists && !mayCreate(work.joins, now))) {
         continue;
       }
-      const next = plan(state, service, index);
+      const moved = moves.some(
+        ({slice}) => chunkOfSlice(service, slice) === index,
+      );
+      if (!moved && !isSteward(state, service, index, live)) continue;
+      const next = plan(state, service, index, moves);
       if (!next) continue;
       writing.add(key);
       void write(options, key, next).finally(() => writing.delete(key));
@@ -77,6 +125,7 @@
   state: State,
   service: Service,
   index: number,
+  moves: readonly Move[],
 ): Chunk | undefined {
   const {view} = state;
   const members = [...view.members.values()].filter(
@@ -87,6 +136,7 @@
     index,
     chunk: view.chunks.get(`${service.name}/${index}`),
     members,
+    moves,
     ended: lease => leaseEnded(view, lease),
     released: (id, lease) => releasedEpoch(view, id.service, id.slice, lease),
   });
--- a/src/ownership/decide.ts
+++ b/src/ownership/decide.ts
@@ -11,7 +11,7 @@
 } from './proof.js';
 import {
   endLease,
-  ownRecord,
+  recordDraining,
   register,
   renewLease,
   replaceWitnesses,
@@ -19,7 +19,15 @@
 } from './renewal.js';
 import type {LeaseSettings} from './settings.js';
 import {checkLeaseSettings, witnessMs} from './settings.js';
-import type {Effect, Input, OwnPart, Self, State, Step} from './state.js';
+import type {
+  Effect,
+  Input,
+  OwnPart,
+  Self,
+  State,
+  Step,
+  StoreFailure,
+} from './state.js';
 import {applyAll, unchanged} from './state.js';
 import {noteLapse, noteSealAnswer} from './takeover.js';
 import {renewGrant, repeatReleases, reviewTerms} from './tenure.js';
@@ -58,6 +66,8 @@
     registeredAt: -Infinity,
     attempts: 0,
     startedAt: now,
+    storing: false,
+    doubtful: false,
   };
 }
 
@@ -85,7 +95,7 @@
     case 'stored':
       return stored(state, input.member, now);
     case 'unstored':
-      return unchanged(unstored(state, input.certain));
+      return unchanged(unstored(state, input.result));
     case 'read':
       return applyAll(state, now, [
         (current, time) => applyRead(current, input.lease, input.member, time),
@@ -112,6 +122,7 @@
     register,
     renewLease,
     replaceWitnesses,
+    recordDraining,
     notifyLapses,
     probeOwners,
     advanceTakeovers,
@@ -122,11 +133,7 @@
 }
 
 function review(state: State, now: number): Step {
-  const draining = [...state.holdings.values()].filter(
-    holding => holding.state === 'draining' || holding.state === 'serving',
-  );
-  const busy = new Set(draining.map(holding => formatSlice(holding)));
-  return reviewTerms(state, now, busy);
+  return reviewTerms(state, now, undefined);
 }
 
 function receive(state: State, envelope: Envelope, now: number): Step {
@@ -166,6 +173,8 @@
       return review({...state, view: withBegan(state.view, message)}, now);
     case 'released':
       return review({...state, view: withReleased(state.view, message)}, now);
+    case 'load':
+      return unchanged(state);
   }
 }
 
@@ -236,7 +245,8 @@
 
 function stored(state: State, member: Member, now: number): Step {
   const view = withMember(state.view, member);
-  const next = {...state, view, record: member};
+  const answered = {...state, storing: false, doubtful: false};
+  const next = {...answered, view, record: member};
   if (state.holder.state === 'registering') {
     const event = {kind: 'stored', witnesses: member.witnesses, now} as const;
     const acquired = withHolder(next, event);
@@ -249,23 +259,34 @@
   return unchanged(next);
 }
 
-function unstored(state: State, certain: boolean): State {
+/**
+ * Applies the failure of a write. A conflict shows the record as it is, and no
+ * earlier write can take effect after it; a write that certainly failed says
+ * nothing of an earlier one whose answer was lost.
+ */
+function unstored(state: State, result: StoreFailure): State {
+  const doubtful =
+    result === 'unknown' || (result === 'unavailable' && state.doubtful);
+  const answered = {...state, storing: false, doubtful};
   if (state.holder.state === 'registering') {
-    return withHolder(state, {kind: 'failed'});
+    return withHolder(answered, {kind: 'failed'});
+  }
+  const {next} = state.holder;
+  if (state.holder.replacement !== 'recording' || !next || doubtful) {
+    return answered;
   }
-  const recording = state.holder.replacement === 'recording';
-  return recording && certain ? withHolder(state, {kind: 'unrecorded'}) : state;
+  const known = state.view.members.get(state.self.instance);
+  const isRecorded =
+    known !== undefined &&
+    sameLease(leaseOf(known), state.holder.lease) &&
+    known.witnesses.number >= next.number;
+  if (!isRecorded) return withHolder(answered, {kind: 'unrecorded'});
+  return withHolder({...answered, record: known}, {kind: 'recorded'});
 }
 
 function drain(state: State, now: number): Step {
   if (state.draining) return unchanged(state);
-  const next = {...state, draining: true};
-  const record = ownRecord(next, {state: 'draining'});
-  const effects: readonly Effect[] = record
-    ? [{kind: 'store', member: record}]
-    : [];
-  const step = review(next, now);
-  return {state: step.state, effects: [...effects, ...step.effects]};
+  return applyAll({...state, draining: true}, now, [recordDraining, review]);
 }
 
 function withOwnChunk(state: State, chunk: Chunk): State {
--- a/src/ownership/messages.ts
+++ b/src/ownership/messages.ts
@@ -83,7 +83,21 @@
   readonly slices: readonly SliceEpoch[];
 }
 
-/** What daemons tell each other about ownership. */
+/** Load of one slice at its owner. */
+export interface SliceUse {
+  readonly slice: number;
+  /** Mean number of slots that the slice's requests occupied. */
+  readonly load: number;
+}
+
+/** An owner reports the load of its slices to the balancer of the service. */
+export interface Load {
+  readonly kind: 'load';
+  readonly service: string;
+  readonly slices: readonly SliceUse[];
+}
+
+/** What daemons tell each other. */
 export type Message =
   | Renew
   | Renewed
@@ -94,7 +108,8 @@
   | Seal
   | SealAnswer
   | Began
-  | Released;
+  | Released
+  | Load;
 
 /** A message together with who sent it. */
 export interface Envelope {
--- a/src/ownership/renewal.ts
+++ b/src/ownership/renewal.ts
@@ -20,9 +20,12 @@
 /** Time out of force after which a lease is given up for a new one, in milliseconds. */
 export const REACQUIRE_MS = 1_000;
 
-/** Time between attempts to register, in milliseconds. */
+/** Time between the first attempts to register, in milliseconds. */
 export const REGISTER_RETRY_MS = 300;
 
+/** How often the time between attempts to register is doubled at most. */
+const REGISTER_DOUBLINGS = 4;
+
 /** Applies an event to the holder of the state's lease. */
 export function withHolder(state: State, event: HolderEvent): State {
   const holder = stepHolder(state.holder, event, state.settings);
@@ -35,16 +38,20 @@
   if (holder.state !== 'unregistered' || !upstream || state.draining) {
     return unchanged(state);
   }
-  const due = now - state.registeredAt >= REGISTER_RETRY_MS;
-  if (!due || !state.platformReachable) return unchanged(state);
+  const backoff = 2 ** Math.min(state.attempts, REGISTER_DOUBLINGS);
+  const due = now - state.registeredAt >= REGISTER_RETRY_MS * backoff;
+  if (!due || state.storing || !state.platformReachable) {
+    return unchanged(state);
+  }
   if (!predecessorEnded(state, now)) return unchanged(state);
   const member = nextRecord(state, upstream.service);
   const lease = leaseOf(member);
   const registered = withHolder(state, {kind: 'register', lease});
-  return {
-    state: {...registered, registeredAt: now, attempts: state.attempts + 1},
-    effects: [{kind: 'store', member}],
-  };
+  const {attempts} = state;
+  return store(
+    {...registered, registeredAt: now, attempts: attempts + 1},
+    member,
+  );
 }
 
 /** Advances the lease with time and sends the renewals that are due. */
@@ -77,7 +84,7 @@
   if (!due || !leaseValid(holder, now)) return unchanged(state);
   const reviewed = {...state, reviewedAt: now, attempts: 0};
   if (holder.replacement === 'recording') {
-    return {state: reviewed, effects: storeNext(reviewed)};
+    return storeNext(reviewed);
   }
   if (holder.replacement !== 'stable') return unchanged(reviewed);
   const candidate = betterSet(reviewed, now);
@@ -96,13 +103,15 @@
   };
 }
 
-/** Builds the record of the state's own registration with changed fields. */
-export function ownRecord(
-  state: State,
-  change: Partial<Member>,
-): Member | undefined {
+/** Records that this instance is leaving, once its record can be written. */
+export function recordDraining(state: State): Step {
   const {record} = state;
-  return record ? {...record, ...change} : undefined;
+  if (!state.draining || record?.state !== 'serving' || state.storing) {
+    return unchanged(state);
+  }
+  if (state.holder.replacement === 'recording') return unchanged(state);
+  if (!state.platformReachable) return unchanged(state);
+  return store(state, {...record, state: 'draining'});
 }
 
 /**
@@ -185,19 +194,25 @@
 function proposeSet(state: State, now: number): Step {
   const proposed = withHolder(state, {kind: 'propose', now});
   if (proposed.holder.replacement === 'recording') {
-    return {
-      state: {...proposed, reviewedAt: now},
-      effects: storeNext(proposed),
-    };
+    return storeNext({...proposed, reviewedAt: now});
   }
   const waited = now - state.reviewedAt;
   if (waited < 2 * REVIEW_MS) return unchanged(proposed);
   return unchanged(withHolder(proposed, {kind: 'unrecorded'}));
 }
 
-function storeNext(state: State): readonly Effect[] {
-  const member = ownRecord(state, {witnesses: state.holder.next});
-  return member ? [{kind: 'store', member}] : [];
+function storeNext(state: State): Step {
+  const {record} = state;
+  const {next} = state.holder;
+  if (!record || !next || state.storing) return unchanged(state);
+  return store(state, {...record, witnesses: next});
+}
+
+function store(state: State, member: Member): Step {
+  return {
+    state: {...state, storing: true},
+    effects: [{kind: 'store', member}],
+  };
 }
 
 function betterSet(state: State, now: number): WitnessSet | undefined {
--- a/src/ownership/state.ts
+++ b/src/ownership/state.ts
@@ -67,6 +67,10 @@
   readonly holder: Holder;
   /** The registration record that this process last stored. */
   readonly record?: Member;
+  /** A registration record is being written; there is one write at a time. */
+  readonly storing: boolean;
+  /** An earlier write of the record may still take effect. */
+  readonly doubtful: boolean;
   readonly promises: Promises;
   readonly takeovers: Takeovers;
   /** Records that name this instance, by slice: an index of the view. */
@@ -83,6 +87,12 @@
   readonly attempts: number;
 }
 
+/**
+ * Why a registration record was not stored: another writer changed it, the
+ * write had no effect, or it may have had one.
+ */
+export type StoreFailure = 'conflict' | 'unavailable' | 'unknown';
+
 /** What happens to the ownership state of a daemon. */
 export type Input =
   | {readonly kind: 'tick'; readonly busy: ReadonlySet<string>}
@@ -91,7 +101,7 @@
   | {readonly kind: 'chunk'; readonly chunk: Chunk}
   | {readonly kind: 'upstream'; readonly upstream: UpstreamState | undefined}
   | {readonly kind: 'stored'; readonly member: Member}
-  | {readonly kind: 'unstored'; readonly certain: boolean}
+  | {readonly kind: 'unstored'; readonly result: StoreFailure}
   | {readonly kind: 'read'; readonly lease: LeaseId; readonly member: Member}
   | {
       readonly kind: 'granted';
--- a/src/ownership/tenure.ts
+++ b/src/ownership/tenure.ts
@@ -27,18 +27,24 @@
   return state.upstream?.healthy === true && leaseValid(state.holder, now);
 }
 
-/** Applies the term rules to every slice in which this daemon has a part. */
+/**
+ * Applies the term rules to every slice in which this daemon has a part.
+ *
+ * @param busy Slices with requests in flight; undefined when that is not known
+ *     now, so that what was known last counts.
+ */
 export function reviewTerms(
   state: State,
   now: number,
-  busy: ReadonlySet<string>,
+  busy: ReadonlySet<string> | undefined,
 ): Step {
   const began: SliceEpoch[] = [];
   const released: SliceEpoch[] = [];
   const holdings = new Map<string, Holding>();
   for (const [id, {record}] of state.own) {
     const before = state.holdings.get(id) ?? newHolding(id, record);
-    const after = reviewTerm(state, record, before, now, busy.has(id));
+    const isBusy = busy ? busy.has(id) : before.busy;
+    const after = reviewTerm(state, record, {...before, busy: isBusy}, now);
     holdings.set(id, after);
     if (hasBegun(before, after)) began.push(entryOf(after, after.epoch));
     if (after.releasedUpTo > before.releasedUpTo) {
@@ -111,14 +117,13 @@
   record: SliceRecord,
   holding: Holding,
   now: number,
-  busy: boolean,
 ): Holding {
   switch (holding.state) {
     case 'granting':
     case 'serving':
-      return reviewActive(state, record, holding, now, busy);
+      return reviewActive(state, record, holding, now);
     case 'draining':
-      return reviewDraining(state, holding, now, busy);
+      return reviewDraining(state, holding, now);
     default:
       return reviewStanding(state, record, holding, now);
   }
@@ -129,12 +134,11 @@
   record: SliceRecord,
   holding: Holding,
   now: number,
-  busy: boolean,
 ): Holding {
   const releaseTo = releaseTarget(state, record, holding);
   if (releaseTo > 0) {
-    const draining = move({...holding, releaseTo}, 'RELEASE');
-    return reviewDraining(state, draining, now, busy);
+    const draining = move({...holding, releaseTo, busy: true}, 'RELEASE');
+    return reviewDraining(state, draining, now);
   }
   if (holding.state === 'granting' && isGranted(state, holding)) {
     return move(holding, 'GRANTED');
@@ -172,21 +176,15 @@
  * Releases a draining term once its requests have finished and the upstream has
  * confirmed a grant without it, or once every grant has lapsed.
  */
-function reviewDraining(
-  state: State,
-  holding: Holding,
-  now: number,
-  busy: boolean,
-): Holding {
-  const noted = holding.busy === busy ? holding : {...holding, busy};
+function reviewDraining(state: State, holding: Holding, now: number): Holding {
   const fenced = state.upstream?.fencing === 'enforced';
   const {grant} = state;
   const key = grantKey(holding);
   const withdrawn = !grant.sent.has(key) && !grant.confirmed.has(key);
   const lapsed = fenced && now > grant.latestUntil;
-  const finished = !busy && (!fenced || withdrawn);
-  if (!lapsed && !finished) return noted;
-  const released = move(noted, 'IDLE');
+  const finished = !holding.busy && (!fenced || withdrawn);
+  if (!lapsed && !finished) return holding;
+  const released = move(holding, 'IDLE');
   return {...released, releasedUpTo: holding.releaseTo, toldAt: now};
 }
 
--- a/src/platform/put.ts
+++ b/src/platform/put.ts
@@ -1,5 +1,5 @@
 import {AnswerLostError, UnavailableError} from './errors.js';
-import type {Platform, StoredObject} from './platform.js';
+import type {Platform, StoredObject, WriteResult} from './platform.js';
 
 /** Result of a conditional write after a lost answer was resolved. */
 export type PutResult =
@@ -25,7 +25,8 @@
   expected: number,
 ): Promise<PutResult> {
   try {
-    return await platform.put(key, value, expected);
+    const result = await platform.put(key, value, expected);
+    return result.kind === 'conflict' ? compare(result, value) : result;
   } catch (error) {
     if (error instanceof UnavailableError) return {kind: 'unavailable'};
     if (!(error instanceof AnswerLostError)) throw error;
@@ -33,6 +34,16 @@
   }
 }
 
+/** An earlier try of the same write may have taken effect after all. */
+function compare(
+  conflict: Extract<WriteResult, {kind: 'conflict'}>,
+  value: string,
+): PutResult {
+  const {current} = conflict;
+  if (current?.value !== value) return conflict;
+  return {kind: 'stored', version: current.version};
+}
+
 async function readBack(
   platform: Platform,
   key: string,
--- a/src/settings/declaration.ts
+++ b/src/settings/declaration.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {Configuration, Service} from '../model/index.js';
+import type {Configuration, Limits, Service} from '../model/index.js';
 import {
   address,
   milliseconds,
@@ -102,6 +102,9 @@
   retryShare: share.default(0.1),
 });
 
+/** Limits in force before a configuration says others. */
+export const DEFAULT_LIMITS: Limits = limits.parse({});
+
 const weight = z.number().min(0).max(1000).default(1);
 
 /** Schema of the weights of placement. */
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,6 +1,7 @@
 export * from './accept.js';
 export * from './configuration.js';
 export * from './daemon.js';
+export {DEFAULT_LIMITS} from './declaration.js';
 export * from './difference.js';
 export {parseAddress} from './fields.js';
 export * from './finding.js';
--- a/test/ownership/fleet.ts
+++ b/test/ownership/fleet.ts
@@ -21,6 +21,7 @@
   SliceEpoch,
   State,
   Step,
+  StoreFailure,
 } from '../../src/ownership/index.js';
 import {planChunk} from '../../src/placement/index.js';
 
@@ -240,7 +241,7 @@
       case 'store':
         return put(node, `members/${effect.member.instance}`, effect.member, {
           stored: () => give(node, {kind: 'stored', member: effect.member}),
-          failed: certain => give(node, {kind: 'unstored', certain}),
+          failed: reason => give(node, {kind: 'unstored', result: reason}),
         });
       case 'markEnded': {
         const key = `members/${effect.lease.instance}`;
@@ -316,7 +317,7 @@
     object: Member | Chunk,
     result: {
       readonly stored: (version: number) => void;
-      readonly failed: (certain: boolean) => void;
+      readonly failed: (result: StoreFailure) => void;
     },
   ): void {
     const value = JSON.stringify(object);
@@ -330,8 +331,9 @@
         const current = objects.get(key);
         if ((current?.version ?? 0) !== expected) {
           return () => {
+            if (current?.value === value) result.stored(current.version);
             learn(current);
-            result.failed(true);
+            if (current?.value !== value) result.failed('conflict');
           };
         }
         const version = log.length + 1;
@@ -344,7 +346,7 @@
         };
       },
       () => readBack(node, key, value, expected, result),
-      () => result.failed(true),
+      () => result.failed('unavailable'),
     );
   }
 
@@ -355,7 +357,7 @@
     expected: number,
     result: {
       readonly stored: (version: number) => void;
-      readonly failed: (certain: boolean) => void;
+      readonly failed: (result: StoreFailure) => void;
     },
   ): void {
     platformCall(
@@ -363,13 +365,15 @@
       () => {
         const current = objects.get(key);
         return () => {
-          if (current?.value === value) result.stored(current.version);
-          else result.failed((current?.version ?? 0) !== expected);
+          const isOwn = current?.value === value;
+          if (isOwn) result.stored(current.version);
           if (current) apply(node, key, current.value, current.version);
+          const moved = (current?.version ?? 0) !== expected;
+          if (!isOwn) result.failed(moved ? 'conflict' : 'unknown');
         };
       },
       undefined,
-      () => result.failed(false),
+      () => result.failed('unknown'),
     );
   }
 
