Record a lost instance's process as ended, and read addresses once

Cause: a lease that others had recorded as ended counted as already declared lost, so that nothing was written; as a witness the process still counted as alive. The reading of addresses stood twice. Ruled out: a new state of the registration; processEnded already says it. Before: "lost" left processEnded unset. After: it sets both, also where the lease has ended before; addresses are read by the model's parseAddress.

--- a/src/cli/arguments.ts
+++ b/src/cli/arguments.ts
@@ -1,5 +1,5 @@
 import type {Address} from '../model/index.js';
-import {parseAddress} from '../settings/index.js';
+import {parseAddress} from '../model/parse-address.js';
 import {UsageError} from './result.js';
 
 /** Options of a command line, by name, as the parser leaves them. */
@@ -48,9 +48,12 @@
 ): Address | undefined {
   const text = textOption(options, name);
   if (text === undefined) return undefined;
-  const address = parseAddress(text);
-  if (address) return address;
-  throw new UsageError(`--${name} is not host:port by IP number: ${text}`);
+  try {
+    return parseAddress(text);
+  } catch (error) {
+    if (!(error instanceof RangeError)) throw error;
+    throw new UsageError(`--${name} is ${error.message}`);
+  }
 }
 
 /**
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -112,7 +112,8 @@
 
 /**
  * Declares that an instance is lost for good, so that others may take over its
- * keys without proof that its lease has lapsed. Refused while its daemon
+ * keys without proof that its lease has lapsed, and that its process, as a
+ * witness, never answers again. Refused while its daemon
  * answers, and if it has registered anew.
  *
  * @throws {PlatformError} when the platform cannot be reached.
@@ -140,7 +141,7 @@
 ): Promise<Result> {
   const isEnded = (text: string) => {
     const member = parseMember(text);
-    return member.generation === generation && member.state === 'ended';
+    return member.generation === generation && member.processEnded === true;
   };
   const result = await update(
     context.platform,
@@ -167,7 +168,7 @@
 ): string | undefined {
   const member = text === undefined ? undefined : parseMember(text);
   if (member?.generation !== generation) return undefined;
-  return JSON.stringify({...member, state: 'ended'});
+  return JSON.stringify({...member, state: 'ended', processEnded: true});
 }
 
 async function isAnswering(context: Context, member: Member): Promise<boolean> {
--- a/src/settings/fields.ts
+++ b/src/settings/fields.ts
@@ -1,34 +1,17 @@
 import {isIP} from 'node:net';
 import {z} from 'zod';
 import type {Address} from '../model/index.js';
+import {parseAddress} from '../model/parse-address.js';
 
 /** Highest TCP or UDP port. */
 const PORT_MAX = 65_535;
 
-const ADDRESS_TEXT = /^(?:\[(?<v6>[^\]]+)\]|(?<v4>[^:\]]+)):(?<port>\d{1,5})$/;
-
 const ADDRESS_HELP =
   'expected "host:port" with an IP number, such as "127.0.0.1:8080"';
 
-/**
- * Reads an address from `host:port` or `[host]:port`; undefined when the host
- * is not an IP number or the port is not from 1 to 65535.
- *
- * @example
- * parseAddress('[::1]:80'); // {host: '::1', port: 80}
- */
-export function parseAddress(text: string): Address | undefined {
-  const parts = ADDRESS_TEXT.exec(text)?.groups;
-  if (!parts) return undefined;
-  const host = parts.v6 ?? parts.v4;
-  const port = Number(parts.port);
-  const known = isIP(host) === (parts.v6 === undefined ? 4 : 6);
-  return known && port >= 1 && port <= PORT_MAX ? {host, port} : undefined;
-}
-
 const addressText = z.string().transform((text, context): Address => {
-  const address = parseAddress(text);
-  if (address) return address;
+  const parsed = tryParse(text);
+  if (parsed) return parsed;
   context.addIssue({code: 'custom', message: ADDRESS_HELP});
   return z.NEVER;
 });
@@ -71,6 +54,16 @@
     .refine(isPowerOfTwo, 'expected a power of two');
 }
 
+function tryParse(text: string): Address | undefined {
+  try {
+    const parsed = parseAddress(text);
+    return parsed.port === 0 ? undefined : parsed;
+  } catch (error) {
+    if (error instanceof RangeError) return undefined;
+    throw error;
+  }
+}
+
 function isPowerOfTwo(value: number): boolean {
   return value > 0 && (value & (value - 1)) === 0;
 }
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -2,7 +2,6 @@
 export * from './configuration.js';
 export * from './daemon.js';
 export * from './difference.js';
-export {parseAddress} from './fields.js';
 export * from './finding.js';
 export * from './force.js';
 export * from './merge.js';
--- a/test/cli/control.test.ts
+++ b/test/cli/control.test.ts
@@ -35,6 +35,20 @@
   });
 });
 
+test('a lease that was recorded as ended can still be declared lost', async t => {
+  const platform = memoryPlatform();
+  const key = memberKey('a');
+  const record = {instance: 'a', generation: 1, state: 'ended'};
+  await platform.put(key, JSON.stringify(record), 0);
+  const status = async () => {
+    throw new ControlError('silent');
+  };
+  const context = {platform, control: {status}, log: () => {}};
+  const result = await declareLost(context as unknown as Context, 'a');
+  t.is(result.code, 0);
+  t.regex((await platform.get(key))!.value, /"processEnded":true/);
+});
+
 test('an instance that registers anew meanwhile is not declared lost', async t => {
   const platform = memoryPlatform();
   const key = memberKey('a');
