Say so when no daemon is registered, and why a key is not explained

Cause: on three daemons and stand-ins on loopback, the first apply said "in force" before any daemon had registered, and a refusal to explain was shown as silence. Ruled out: a failing exit code for the first apply, since a fleet may be configured before it starts. Before: "in force after 10 ms" of nobody. After: "accepted; no daemon is registered yet"; explain shows the answer of the last daemon asked.

--- a/src/cli/configure.ts
+++ b/src/cli/configure.ts
@@ -15,7 +15,7 @@
 import {formatProgress} from './progress.js';
 import {EXIT, failure, type Result} from './result.js';
 import {submitChange, type Submission} from './submit.js';
-import {waitUntilInForce} from './wait.js';
+import {waitUntilInForce, type Arrival} from './wait.js';
 
 /** The base file and the overlays that a command line names. */
 export interface Files {
@@ -213,17 +213,25 @@
   const arrival = await waitUntilInForce(context, version, options.timeoutMs);
   const elapsedMs = context.pace.now() - startedAt;
   const what = isNew ? `version ${version}` : `version ${version} (unchanged)`;
-  const state = arrival.isInForce
-    ? `${what} is in force after ${elapsedMs} ms`
-    : `${what} is accepted but not in force within ${options.timeoutMs} ms`;
+  const state = formatArrival(arrival, elapsedMs, options.timeoutMs);
   const late = arrival.sites.filter(site => site.waiting.length > 0);
   return {
     code: arrival.isInForce ? EXIT.ok : EXIT.notInForce,
-    lines: [state, ...late.map(formatProgress)],
+    lines: [`${what} ${state}`, ...late.map(formatProgress)],
     report: {version, change: id, isNew, elapsedMs, ...arrival},
   };
 }
 
+function formatArrival(
+  {isInForce, sites}: Arrival,
+  elapsedMs: number,
+  timeoutMs: number,
+): string {
+  if (!isInForce) return `is accepted but not in force within ${timeoutMs} ms`;
+  if (sites.length === 0) return 'is accepted; no daemon is registered yet';
+  return `is in force after ${elapsedMs} ms`;
+}
+
 function refused(
   context: Context,
   submission: Extract<Submission, {kind: 'refused'}>,
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -72,11 +72,18 @@
   if (own.length === 0) {
     return failure(EXIT.refused, `no instance serves ${service}`);
   }
+  let message = '';
   for (const member of own.slice(0, EXPLAIN_ATTEMPTS)) {
-    const explanation = await tryExplain(context, member, service, key);
-    if (explanation) return explained(member, explanation);
+    try {
+      const {control} = member;
+      const found = await context.control.explain(control, service, key);
+      return explained(member, found);
+    } catch (error) {
+      if (!(error instanceof ControlError)) throw error;
+      message = error.message;
+    }
   }
-  return failure(EXIT.unreachable, `no daemon of ${service} answers`);
+  return failure(EXIT.unreachable, message);
 }
 
 /**
@@ -176,20 +183,6 @@
   return report?.instance === member.instance;
 }
 
-async function tryExplain(
-  context: Context,
-  member: Member,
-  service: string,
-  key: string,
-): Promise<Explanation | undefined> {
-  try {
-    return await context.control.explain(member.control, service, key);
-  } catch (error) {
-    if (!(error instanceof ControlError)) throw error;
-    return undefined;
-  }
-}
-
 function explained(member: Member, explanation: Explanation): Result {
   const {service, key, slice, owner = 'none', epoch} = explanation;
   const term = epoch === undefined ? '' : ` at epoch ${epoch}`;
--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -63,9 +63,8 @@
   };
 }
 
-async function createFleet(): Promise<Fleet> {
+async function createFleet(members: readonly Member[]): Promise<Fleet> {
   const platform = memoryPlatform();
-  const members = [member('rota-1', 100), member('rota-2', 200, 'y')];
   for (const one of members) {
     await platform.put(memberKey(one.instance), JSON.stringify(one), 0);
   }
@@ -159,7 +158,10 @@
 ] as const;
 
 test('a whole session of an operator', async t => {
-  const fleet = await createFleet();
+  const fleet = await createFleet([
+    member('rota-1', 100),
+    member('rota-2', 200, 'y'),
+  ]);
   let shown = '';
   for (const line of SESSION) {
     const [name, instance] = line.split(' ');
@@ -170,6 +172,12 @@
   t.is(shown, readFileSync(url, 'utf8'));
 });
 
+test('a version that no daemon can report is not called in force', async t => {
+  const fleet = await createFleet([]);
+  const shown = await fleet.run('apply base.jsonc x.jsonc');
+  t.regex(shown, /version 1 is accepted; no daemon is registered yet\nexit 0/);
+});
+
 test('the process exits with the documented codes', t => {
   const bin = new URL('build/src/bin/vanillaspoolctl.js', ROOT);
   const codes = [
