--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -72,11 +72,18 @@
   if (own.length === 0) {
     return failure(EXIT.refused, `no instance serves ${service}`);
   }
+  let message = '';
   for (const member of own.slice(0, EXPLAIN_ATTEMPTS)) {
-    const explanation = await tryExplain(context, member, service, key);
-    if (explanation) return explained(member, explanation);
+    try {
+      const {control} = member;
+      const found = await context.control.explain(control, service, key);
+      return explained(member, found);
+    } catch (error) {
+      if (!(error instanceof ControlError)) throw error;
+      message = error.message;
+    }
   }
-  return failure(EXIT.unreachable, `no daemon of ${service} answers`);
+  return failure(EXIT.unreachable, message);
 }
 
 /**
@@ -112,7 +119,8 @@
 
 /**
  * Declares that an instance is lost for good, so that others may take over its
- * keys without proof that its lease has lapsed. Refused while its daemon
+ * keys without proof that its lease has lapsed, and that its process, as a
+ * witness, never answers again. Refused while its daemon
  * answers, and if it has registered anew.
  *
  * @throws {PlatformError} when the platform cannot be reached.
@@ -140,7 +148,7 @@
 ): Promise<Result> {
   const isEnded = (text: string) => {
     const member = parseMember(text);
-    return member.generation === generation && member.state === 'ended';
+    return member.generation === generation && member.processEnded === true;
   };
   const result = await update(
     context.platform,
@@ -167,7 +175,7 @@
 ): string | undefined {
   const member = text === undefined ? undefined : parseMember(text);
   if (member?.generation !== generation) return undefined;
-  return JSON.stringify({...member, state: 'ended'});
+  return JSON.stringify({...member, state: 'ended', processEnded: true});
 }
 
 async function isAnswering(context: Context, member: Member): Promise<boolean> {
@@ -175,20 +183,6 @@
   return report?.instance === member.instance;
 }
 
-async function tryExplain(
-  context: Context,
-  member: Member,
-  service: string,
-  key: string,
-): Promise<Explanation | undefined> {
-  try {
-    return await context.control.explain(member.control, service, key);
-  } catch (error) {
-    if (!(error instanceof ControlError)) throw error;
-    return undefined;
-  }
-}
-
 function explained(member: Member, explanation: Explanation): Result {
   const {service, key, slice, owner = 'none', epoch} = explanation;
   const term = epoch === undefined ? '' : ` at epoch ${epoch}`;
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -3,7 +3,6 @@
 export * from './daemon.js';
 export {DEFAULT_LIMITS} from './declaration.js';
 export * from './difference.js';
-export {parseAddress} from './fields.js';
 export * from './finding.js';
 export * from './force.js';
 export * from './merge.js';
