--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -72,6 +72,7 @@
         judged = manner.judge(head);
         if (judged) return undefined;
         manner.extend(head);
+        if (endsEarly(pass)) response.shouldKeepAlive = false;
         return head.headers;
       },
       copied: manner.copied,
@@ -85,6 +86,11 @@
   });
 }
 
+/** The answer begins before the whole body of the request has arrived. */
+function endsEarly(pass: Pass): boolean {
+  return pass.bodyMode === 'streamed' && !pass.request.complete;
+}
+
 function describe(
   result: ExchangeResult,
   judged: FailedTry | undefined,
--- a/src/gateway/pass.ts
+++ b/src/gateway/pass.ts
@@ -47,7 +47,6 @@
   kept?: Buffer;
   /** A part of a streamed body has been taken. */
   consumed: boolean;
-  timer?: NodeJS.Timeout;
 }
 
 /**
--- /dev/null
+++ b/src/gateway/run.ts
@@ -0,0 +1,118 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Failure} from '../model/index.js';
+import type {Context} from './context.js';
+import {GATEWAY_EVENTS} from './events.js';
+import {REASON_HEADER, notRun, sendFailure} from './failure.js';
+import {REQUEST_HEADER} from './local.js';
+import type {Pass} from './pass.js';
+import {serve, type PassResult} from './serve.js';
+
+const CANCELLED = notRun('cancelled', 'the caller closed the connection');
+
+/**
+ * Runs a pass to its end: the caller has its answer, or its connection is closed.
+ *
+ * @example
+ * await runPass(context, pass);
+ */
+export async function runPass(context: Context, pass: Pass): Promise<void> {
+  const {request, response} = pass;
+  const timeMs = Math.max(1, pass.deadlineAt - context.clock());
+  const timer = setTimeout(stopForDeadline, timeMs, pass);
+  response.on('close', () => {
+    if (!response.writableFinished) pass.stop(CANCELLED);
+    if (!request.complete) request.destroy();
+  });
+  try {
+    finish(context, pass, await serve(context, pass));
+  } catch (error) {
+    context.log(GATEWAY_EVENTS.fault, {request: pass.id, error: String(error)});
+    response.destroy();
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+function stopForDeadline(pass: Pass): void {
+  pass.stop(notRun('deadline', 'the deadline has passed'));
+}
+
+function finish(context: Context, pass: Pass, result: PassResult): void {
+  const {request, response, id, span} = pass;
+  switch (result.kind) {
+    case 'answered':
+      span.end({status: result.status});
+      return;
+    case 'broken':
+      span.end({reason: 'broken'});
+      context.log(GATEWAY_EVENTS.broken, {
+        request: id,
+        error: result.error.message,
+      });
+      closeAbruptly(response);
+      return;
+    case 'failed': {
+      const {failure} = result;
+      span.end({reason: failure.reason});
+      if (failure.reason === 'cancelled') {
+        const {outcome} = failure;
+        context.log(GATEWAY_EVENTS.cancelled, {request: id, outcome});
+        response.destroy();
+      } else {
+        refuse(context, request, response, {id, failure}, !!pass.hop);
+      }
+    }
+  }
+}
+
+/** Closes a connection so that a part of an answer is not taken for a whole. */
+function closeAbruptly(response: ServerResponse): void {
+  const {socket} = response;
+  if (socket) socket.resetAndDestroy();
+  else response.destroy();
+}
+
+/** A failure and the identifier of its request. */
+export interface Refusal {
+  readonly id: string;
+  readonly failure: Failure;
+}
+
+/**
+ * Answers a request with a failure. The connection is closed after it if a part
+ * of the request's body is still to come.
+ *
+ * @example
+ * refuse(context, request, response, {id, failure}, false);
+ */
+export function refuse(
+  context: Context,
+  request: IncomingMessage,
+  response: ServerResponse,
+  refusal: Refusal,
+  forwarded: boolean,
+): void {
+  const {id, failure} = refusal;
+  const {reason, outcome, message} = failure;
+  context.log(GATEWAY_EVENTS.failed, {request: id, outcome, reason, message});
+  if (hasUnreadBody(request)) response.shouldKeepAlive = false;
+  sendFailure(response, failure, id, hopHeaders(refusal, forwarded));
+}
+
+/**
+ * Tells whether a part of a request's body is still to come. A request is marked
+ * as complete only after its handler was called, also one without a body.
+ */
+function hasUnreadBody(request: IncomingMessage): boolean {
+  if (request.complete) return false;
+  const {headers} = request;
+  const length = headers['content-length'];
+  return 'transfer-encoding' in headers || (!!length && length !== '0');
+}
+
+/** Headers by which the forwarding daemon recognises a failure. */
+function hopHeaders(refusal: Refusal, forwarded: boolean): readonly string[] {
+  if (!forwarded) return [];
+  const {id, failure} = refusal;
+  return [REQUEST_HEADER, id, REASON_HEADER, failure.reason];
+}
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -97,11 +97,11 @@
       hooks.ended({kind: 'held', head: received});
       return;
     }
+    const {status} = received;
+    response.writeHead(status, headers);
     stage = 'passing';
     head = received;
     left = received.contentLength;
-    const {status} = received;
-    response.writeHead(status, headers);
     if (hasNoBody(call.method, status) || left === 0) finish(status);
   };
 
--- a/test/gateway/fixture.ts
+++ b/test/gateway/fixture.ts
@@ -311,3 +311,50 @@
   const head = [`${line} HTTP/1.1`, 'Host: rota', 'Connection: close'];
   return [...head, ...headers, '', body].join('\r\n');
 }
+
+/** A request of a caller. */
+export interface HttpCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: string;
+  /** Closes the connection after this time. */
+  readonly cancelAfterMs?: number;
+}
+
+/** What a caller gets: a whole answer, or a connection that broke. */
+export type HttpAnswer =
+  | {
+      readonly kind: 'whole';
+      readonly status: number;
+      readonly headers: http.IncomingHttpHeaders;
+      readonly text: string;
+    }
+  | {readonly kind: 'broken'};
+
+/** Sends a request on a connection of its own. */
+export function callHttp(
+  address: Address,
+  call: HttpCall,
+): Promise<HttpAnswer> {
+  const {method, path, headers, body, cancelAfterMs} = call;
+  return new Promise(resolve => {
+    const broken = () => resolve({kind: 'broken'});
+    const {host, port} = address;
+    const options = {host, port, method, path, headers, agent: false};
+    const request = http.request(options, response => {
+      let text = '';
+      response.setEncoding('utf8');
+      response.on('data', (chunk: string) => (text += chunk));
+      response.on('error', broken);
+      response.on('end', () => {
+        const status = response.statusCode ?? 0;
+        resolve({kind: 'whole', status, headers: response.headers, text});
+      });
+    });
+    request.on('error', broken);
+    request.end(body);
+    if (cancelAfterMs === undefined) return;
+    setTimeout(() => request.destroy(), cancelAfterMs);
+  });
+}
