Replay traces of both users against placement and baselines

Cause: placement is judged by imbalance, churn and unavailable time on traces of both users, against textbook baselines. Ruled out: scoring a slice count alone; load decides. Before: no measurement of placement. Conclusion: not measured yet.

--- /dev/null
+++ b/measure/placement/baselines.ts
@@ -0,0 +1,119 @@
+import {hashText, type Member} from '../../src/model/index.js';
+import {score} from '../../src/placement/index.js';
+import type {NamedPolicy, Policy, View} from './policy.js';
+
+/** Points of each member on the ring of consistent hashing. */
+const RING_POINTS = 100;
+
+/** Load that bounded loads allows a member, as a multiple of the mean. */
+const LOAD_BOUND = 1.25;
+
+/** Seed of the slices' positions on the ring. */
+const POSITION_SEED = hashText('slice');
+
+/** A point on the ring. */
+interface RingPoint {
+  readonly position: number;
+  readonly member: Member;
+}
+
+/** The textbook policies that placement is compared with. */
+export const BASELINES: readonly NamedPolicy[] = [
+  {name: 'modulo', create: () => whenChanged(modulo)},
+  {name: 'consistent hashing', create: () => whenChanged(consistent)},
+  {name: 'rendezvous', create: () => whenChanged(rendezvous)},
+  {name: 'bounded loads', create: () => boundedLoads},
+];
+
+/** Keeps the placement until a member joins, drains or is lost. */
+function whenChanged(place: Policy): Policy {
+  let last: readonly string[] = [];
+  return view => {
+    if (view.changed || last.length === 0) last = place(view);
+    return last;
+  };
+}
+
+function modulo(view: View): readonly string[] {
+  const members = serving(view);
+  return forSlices(view, slice => members[slice % members.length].instance);
+}
+
+function consistent(view: View): readonly string[] {
+  const ring = ringOf(serving(view));
+  return forSlices(view, slice => {
+    return ring[firstPoint(ring, positionOf(slice))].member.instance;
+  });
+}
+
+function rendezvous(view: View): readonly string[] {
+  const members = serving(view);
+  const hashes = members.map(m => hashText(m.instance));
+  return forSlices(view, slice => {
+    let best = 0;
+    for (let i = 1; i < members.length; i++) {
+      if (score(slice, hashes[i]) > score(slice, hashes[best])) best = i;
+    }
+    return members[best].instance;
+  });
+}
+
+/** Consistent hashing that passes over members whose load is at the bound. */
+function boundedLoads(view: View): readonly string[] {
+  const members = serving(view);
+  const ring = ringOf(members);
+  const total = view.loads.reduce((sum, load) => sum + load, 0);
+  const slots = members.reduce((sum, m) => sum + m.slots, 0);
+  const bound = (LOAD_BOUND * total) / slots;
+  const used = new Map<Member, number>();
+  return forSlices(view, slice => {
+    const load = view.loads[slice];
+    const start = firstPoint(ring, positionOf(slice));
+    const fits = ({member}: RingPoint) =>
+      (used.get(member) ?? 0) + load <= bound * member.slots;
+    let at = start;
+    for (let i = 0; i < ring.length && !fits(ring[at]); i++) {
+      at = (at + 1) % ring.length;
+    }
+    const {member} = ring[at];
+    used.set(member, (used.get(member) ?? 0) + load);
+    return member.instance;
+  });
+}
+
+function serving(view: View): readonly Member[] {
+  return view.members.filter(m => m.state === 'serving');
+}
+
+function forSlices(
+  view: View,
+  place: (slice: number) => string,
+): readonly string[] {
+  return Array.from({length: view.service.slices}, (_, slice) => place(slice));
+}
+
+function ringOf(members: readonly Member[]): readonly RingPoint[] {
+  const points = members.flatMap(member => {
+    const hash = hashText(member.instance);
+    return Array.from({length: RING_POINTS}, (_, i) => ({
+      position: score(i, hash),
+      member,
+    }));
+  });
+  return points.sort((a, b) => a.position - b.position);
+}
+
+function firstPoint(ring: readonly RingPoint[], position: number): number {
+  let low = 0;
+  let high = ring.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (ring[middle].position < position) low = middle + 1;
+    else high = middle;
+  }
+  return low % ring.length;
+}
+
+function positionOf(slice: number): number {
+  return score(slice, POSITION_SEED);
+}
--- /dev/null
+++ b/measure/placement/planner.ts
@@ -0,0 +1,123 @@
+import {
+  formatLease,
+  leaseOf,
+  type Chunk,
+  type LeaseId,
+  type SliceId,
+} from '../../src/model/index.js';
+import {
+  chunkOfSlice,
+  planChunk,
+  planMoves,
+  startMoves,
+  type Move,
+  type MoveState,
+  type SliceLoad,
+} from '../../src/placement/index.js';
+import type {NamedPolicy, Policy, View} from './policy.js';
+
+/** Plans that a chunk may need before it is at rest. */
+const MAX_ROUNDS = 10;
+
+/** The project's own placement: `planChunk` with the moves of `planMoves`. */
+export const PLANNER: NamedPolicy = {
+  name: 'vanillaspool',
+  create: createPlanner,
+};
+
+function createPlanner(): Policy {
+  let chunks: readonly (Chunk | undefined)[] = [];
+  let state: MoveState | undefined;
+  const since = new Map<string, number>();
+  return view => {
+    noteStarts(since, view);
+    const indexes = Array.from({length: view.service.chunks}, (_, i) => i);
+    if (view.changed || chunks.length === 0) {
+      chunks = indexes.map(i => settle(view, i, chunks[i], []));
+    }
+    const plan = planMoves(state ?? startMoves(view.now), {
+      now: view.now,
+      weights: view.weights,
+      members: view.members.filter(m => m.state === 'serving'),
+      servingSince: instance => since.get(instance) ?? -Infinity,
+      slices: sliceLoads(view, chunks),
+    });
+    state = plan.state;
+    chunks = applyMoves(view, chunks, plan.moves);
+    return ownersOf(chunks);
+  };
+}
+
+/** Notes when each new lease was first seen; the first members are warm. */
+function noteStarts(since: Map<string, number>, view: View): void {
+  const first = since.size === 0;
+  for (const member of view.members) {
+    const lease = formatLease(leaseOf(member));
+    if (since.has(lease)) continue;
+    since.set(lease, view.now);
+    since.set(member.instance, first ? -Infinity : view.now);
+  }
+}
+
+function applyMoves(
+  view: View,
+  chunks: readonly (Chunk | undefined)[],
+  moves: readonly Move[],
+): readonly (Chunk | undefined)[] {
+  if (moves.length === 0) return chunks;
+  return chunks.map((chunk, i) => {
+    const own = moves.filter(m => chunkOfSlice(view.service, m.slice) === i);
+    return own.length > 0 ? settle(view, i, chunk, own) : chunk;
+  });
+}
+
+/** Plans a chunk until it is at rest, with every release made at once. */
+function settle(
+  view: View,
+  index: number,
+  start: Chunk | undefined,
+  moves: readonly Move[],
+): Chunk | undefined {
+  const live = new Set(
+    view.members
+      .filter(m => m.state !== 'ended')
+      .map(m => formatLease(leaseOf(m))),
+  );
+  const ended = (lease: LeaseId) => !live.has(formatLease(lease));
+  let chunk = start;
+  let pending = moves;
+  for (let round = 0; round < MAX_ROUNDS; round++) {
+    const released = releasesOf(chunk);
+    const {service, members} = view;
+    const input = {service, index, chunk, members, ended, released};
+    const next = planChunk({...input, moves: pending});
+    if (!next) return chunk;
+    chunk = next;
+    pending = [];
+  }
+  throw new Error(`chunk ${index} does not come to rest`);
+}
+
+function releasesOf(chunk: Chunk | undefined): (slice: SliceId) => number {
+  const epochs = new Map(chunk?.slices.map(s => [s.slice, s.wantedFrom - 1]));
+  return ({slice}) => epochs.get(slice) ?? 0;
+}
+
+function sliceLoads(
+  view: View,
+  chunks: readonly (Chunk | undefined)[],
+): readonly SliceLoad[] {
+  return ownersOf(chunks).map((owner, slice) => {
+    return {slice, owner, load: view.loads[slice], settled: true};
+  });
+}
+
+function ownersOf(chunks: readonly (Chunk | undefined)[]): readonly string[] {
+  return chunks.flatMap(chunk => {
+    const slices = chunk?.slices ?? [];
+    return slices.map(
+      ({terms, wantedFrom}) =>
+        terms.find(t => t.epoch >= wantedFrom)?.lease.instance ?? '',
+    );
+  });
+}
