--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -379,6 +379,7 @@
   return Array.from({length: size}, (_, i): Member => {
     const host = `10.${i % 6}.${Math.floor(i / 250)}.${i % 250}`;
     const witness = (w: number) => ({
+      generation: 1,
       instance: `rota-display-${(i + 7 * w) % size}`,
       process: `01234567-89ab-cdef-0123-${String(i + w).padStart(12, '0')}`,
       address: {host: `10.${w}.0.${i % 250}`, port: 7001},
