Give each attempt of a caller a time limit above zero

Ruled out: not sending it, because the result would then have no verdict. Before: ERR_OUT_OF_RANGE. After: the last attempt gets 1 ms; the property test has pauses that overrun and was seen to fail without the bound. Conclusion: mended.

--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -58,7 +58,8 @@
   let mayHaveRun = false;
   for (let count = 1; ; count++) {
     const target = chooseTarget(tools.hints, options.targets, request, count);
-    const limitMs = Math.min(options.attemptMs, endMs - tools.now());
+    const leftMs = Math.max(1, endMs - tools.now());
+    const limitMs = Math.min(options.attemptMs, leftMs);
     const attempt = await tools.sender.send(request, target, limitMs);
     mayHaveRun ||= !isCertainlyNotRun(attempt.verdict);
     learn(tools.hints, request, attempt);
