Measure admission on the real clock against an upstream process

Cause: virtual time shows the decisions, not the edge with its timers. Ruled out: services of 5 ms as in the simulation (too near the grain of timers). Before: virtual time only.

--- a/measure/overload.ts
+++ b/measure/overload.ts
@@ -3,6 +3,7 @@
 import {admissionPolicy, fifoPolicy, type Policy} from './overload/policies.js';
 import {plotOverload} from './overload/plot.js';
 import {createRandom} from './overload/random.js';
+import {runRealtime} from './overload/realtime.js';
 import {simulate, type Ending} from './overload/simulate.js';
 import {summarise, type Summary} from './overload/summary.js';
 import {
@@ -11,6 +12,7 @@
   MIXED,
   NEWSROOM,
   READS_ONLY,
+  SLOW_READS,
   drawJobs,
   meanServiceMs,
   type Workload,
@@ -39,6 +41,7 @@
 const GOODPUT_TARGET = 0.9;
 const LATE_TARGET = 0.01;
 const RESULTS = 'measure/results';
+const PROCESS_LOADS = [0.5, 1, 2, 4];
 const ADMIT_ROUNDS = 2_000_000;
 
 const POLICIES: Readonly<Record<string, () => Policy>> = {
@@ -53,9 +56,11 @@
  *
  * @example
  * await run(['--seed', '7', '--seconds', '60']);
+ * await run(['--processes', '--seconds', '15']);
  */
 export async function run(args: readonly string[]): Promise<void> {
   const settings = readSettings(args);
+  if (args.includes('--processes')) return runProcesses(settings);
   const rows = [
     ...loadRows('mixed', MIXED, settings),
     ...loadRows('reads', READS_ONLY, settings),
@@ -63,10 +68,34 @@
   ];
   const verdict = judge(rows);
   const cost = await measureAdmit();
-  const lines = [...rows, verdict, cost].map(line => JSON.stringify(line));
-  mkdirSync(RESULTS, {recursive: true});
-  writeFileSync(`${RESULTS}/overload.jsonl`, lines.join('\n') + '\n');
+  writeLines('overload.jsonl', [...rows, verdict, cost]);
   writeFileSync(`${RESULTS}/overload.svg`, plotOverload(rows));
+}
+
+/** Measures the edge of admission on the real clock with an upstream process. */
+async function runProcesses(settings: Settings): Promise<void> {
+  const {seed, durationMs} = settings;
+  const capacityPerSecond = (SLOTS * 1000) / meanServiceMs(SLOW_READS.kinds);
+  const rows: object[] = [];
+  for (const load of PROCESS_LOADS) {
+    const {endings, exceeded} = await runRealtime({
+      workload: SLOW_READS,
+      slots: SLOTS,
+      queue: QUEUE,
+      perSecond: load * capacityPerSecond,
+      durationMs,
+      seed,
+    });
+    const row = rowOf('processes', 'admission', load, 'all', endings, settings);
+    rows.push({...row, exceeded});
+  }
+  writeLines('overload-processes.jsonl', rows);
+}
+
+function writeLines(name: string, values: readonly object[]): void {
+  const lines = values.map(value => JSON.stringify(value));
+  mkdirSync(RESULTS, {recursive: true});
+  writeFileSync(`${RESULTS}/${name}`, lines.join('\n') + '\n');
   for (const line of lines) console.log(line);
 }
 
--- a/measure/overload/workload.ts
+++ b/measure/overload/workload.ts
@@ -57,6 +57,12 @@
 /** Reads alone, from many callers for many keys. */
 export const READS_ONLY: Workload = {...MIXED, kinds: READS};
 
+/** Reads of 20 ms, long against the grain of real timers. */
+export const SLOW_READS: Workload = {
+  ...MIXED,
+  kinds: [kind('rota-display', 2, 1, 20, 500)],
+};
+
 function kind(
   service: string,
   priority: number,
