Let a later round count on being passed by other callers

Cause: near the capacity requests of busy callers waited for most of their time and were given up: the forecast saw only the queue as it was. Ruled out: rounds of a fixed number of admissions (short waits, but a busy caller then gets a quarter of the slots whatever the others need). After: a round is one admission for each caller that waits, and the forecast of a request in a later round counts them.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -2,7 +2,7 @@
 import {cautiousMs, meanMs, observeTime} from './estimate.js';
 import {aheadOf, forecast, startMs} from './forecast.js';
 import {coldRamp, limitAt, nextRiseAt} from './limit.js';
-import {advance, enqueue, outranks} from './order.js';
+import {advance, countCallers, enqueue, outranks} from './order.js';
 import {
   checkCount,
   replaceFinished,
@@ -114,6 +114,7 @@
   const startsInMs = startMs(
     forecast(state, now, work.priority),
     aheadOf(waiting, index),
+    entry,
   );
   const victim = findVictim(state, waiting, entry);
   const isFull = victim !== undefined && !outranks(entry, victim);
@@ -151,6 +152,7 @@
   const startsInMs = startMs(
     forecast(state, now, victim.priority),
     aheadOf(state.waiting, index),
+    victim,
   );
   return {
     state: withWaiting(state, state.waiting.toSpliced(index, 1)),
@@ -172,7 +174,7 @@
       priority = entry.priority;
       expected = forecast(state, now, priority);
     }
-    const startsInMs = startMs(expected, {count: kept.length, workMs});
+    const startsInMs = startMs(expected, {count: kept.length, workMs}, entry);
     if (now + startsInMs >= entry.latestStartAt) {
       verdicts.push(refuseLate(entry, startsInMs));
     } else {
@@ -248,7 +250,8 @@
     const rest = withWaiting(state, waiting);
     return {state: rest, verdicts: [refuseLate(entry, firstMs)]};
   }
-  const moved = advance(progress, entry, state.waiting.length);
+  const callers = countCallers(state.waiting, entry.priority);
+  const moved = advance(progress, entry, callers);
   const kept = waiting.length === 0 ? [] : moved;
   const rest = replaceRequests(state, running, waiting, kept);
   return start(rest, entry, entry.expectedMs, now);
--- a/src/admission/forecast.ts
+++ b/src/admission/forecast.ts
@@ -1,6 +1,7 @@
 import {demandAbove} from './demand.js';
 import {cautiousMs} from './estimate.js';
 import {limitAfterPause} from './limit.js';
+import {countCallers, virtualTimeOf} from './order.js';
 import type {AdmissionState, Waiting} from './state.js';
 
 /** What is expected of the slots for the requests of one class. */
@@ -15,6 +16,9 @@
   readonly limit: number;
   /** Share of the slots that the arrivals of higher classes leave. */
   readonly shareLeft: number;
+  readonly virtualTime: number;
+  /** Callers that wait in the class. */
+  readonly callers: number;
 }
 
 /** The requests that are before another in the queue. */
@@ -45,24 +49,36 @@
   const busy = pauseMs > 0 ? 0 : state.running.length;
   const firstMs =
     pauseMs > 0 ? 0 : Math.max(nextFinishMs(state), stalledForMs(state, now));
-  return {pauseMs, free: limit - busy, firstMs, limit, shareLeft};
+  const virtualTime = virtualTimeOf(state.progress, priority);
+  const callers = countCallers(state.waiting, priority);
+  const free = limit - busy;
+  return {pauseMs, free, firstMs, limit, shareLeft, virtualTime, callers};
 }
 
 /**
  * Returns the expected time until a request starts, in milliseconds; infinity
- * when there are no slots or higher classes fill them all.
+ * when there are no slots or higher classes fill them all. A request of a later
+ * round is expected to be passed by other callers until its round is due.
  *
  * @example
- * startMs({pauseMs: 0, free: 0, firstMs: 5, limit: 2, shareLeft: 1}, {count: 1, workMs: 4}); // 7
+ * startMs(forecast(state, now, 2), {count: 3, workMs: 30}, entry);
  */
-export function startMs(expected: Forecast, ahead: Ahead): number {
+export function startMs(
+  expected: Forecast,
+  ahead: Ahead,
+  entry: Waiting,
+): number {
   const {pauseMs, free, firstMs, limit, shareLeft} = expected;
   if (limit === 0) return Infinity;
-  const finishes = ahead.count + 1 - free;
+  const rounds = entry.round - expected.virtualTime;
+  const before = Math.max(ahead.count, rounds * expected.callers);
+  const finishes = before + 1 - free;
   if (finishes <= 0) return pauseMs;
   if (shareLeft === 0) return Infinity;
-  const gapMs = ahead.count === 0 ? 0 : ahead.workMs / ahead.count / limit;
-  return pauseMs + (firstMs + (finishes - 1) * gapMs) / shareLeft;
+  const workMs =
+    ahead.count === 0 ? entry.expectedMs : ahead.workMs / ahead.count;
+  const gapMs = workMs / limit;
+  return pauseMs + (firstMs + Math.max(0, finishes - 1) * gapMs) / shareLeft;
 }
 
 /**
--- a/src/admission/order.ts
+++ b/src/admission/order.ts
@@ -55,24 +55,60 @@
 
 /**
  * Returns the progress of the classes after a request left the queue for a
- * slot. The virtual time grows by at least one for each `waiting` admissions,
- * so a request is passed only by those that arrive before its round is over.
+ * slot. With N callers waiting in its class, the virtual time grows by at least
+ * one for each N admissions, so a request is passed only by those that arrive
+ * before its round is over.
+ *
+ * @param callers Callers that waited in the class, the request's included.
  *
  * @example
- * advance([], work, 4); // [{priority: work.priority, virtualTime: 0.25}] in round 0
+ * advance([], entry, 4); // [{priority: entry.priority, virtualTime: 0.25}] in round 0
  */
 export function advance(
   progress: readonly ClassProgress[],
-  work: Waiting,
-  waiting: number,
+  entry: Waiting,
+  callers: number,
 ): readonly ClassProgress[] {
-  const {priority, round} = work;
+  const {priority, round} = entry;
   const before = virtualTimeOf(progress, priority);
-  const virtualTime = Math.max(before + 1 / Math.max(1, waiting), round);
-  const others = progress.filter(entry => entry.priority !== priority);
+  const virtualTime = Math.max(before + 1 / Math.max(1, callers), round);
+  const others = progress.filter(other => other.priority !== priority);
   return [...others, {priority, virtualTime}];
 }
 
+/**
+ * Counts the callers with requests of a class in the queue.
+ *
+ * @example
+ * countCallers(state.waiting, 1); // 0 when the queue is empty
+ */
+export function countCallers(
+  waiting: readonly Waiting[],
+  priority: number,
+): number {
+  const callers = new Set<string>();
+  for (const entry of waiting) {
+    if (entry.priority === priority) callers.add(entry.caller);
+  }
+  return callers.size;
+}
+
+/**
+ * Returns the virtual time of a class; 0 before its first admission.
+ *
+ * @example
+ * virtualTimeOf([{priority: 1, virtualTime: 2.5}], 1); // 2.5
+ */
+export function virtualTimeOf(
+  progress: readonly ClassProgress[],
+  priority: number,
+): number {
+  for (const entry of progress) {
+    if (entry.priority === priority) return entry.virtualTime;
+  }
+  return 0;
+}
+
 function isSameFlow(a: Work, b: Work): boolean {
   return a.priority === b.priority && a.caller === b.caller;
 }
@@ -88,16 +124,6 @@
   return last ? Math.max(first, last.round + 1) : first;
 }
 
-function virtualTimeOf(
-  progress: readonly ClassProgress[],
-  priority: number,
-): number {
-  for (const entry of progress) {
-    if (entry.priority === priority) return entry.virtualTime;
-  }
-  return 0;
-}
-
 function createWaiting(
   work: Work,
   round: number,
--- a/test/admission/decide.test.ts
+++ b/test/admission/decide.test.ts
@@ -88,13 +88,24 @@
   t.like(verdicts, [{kind: 'refused', work: {id: 1}, reason: 'overloaded'}]);
 });
 
+test('a request of a later round counts on others to pass it', t => {
+  const target = busyBench();
+  const deadlineAt = target.now() + 64;
+  for (const id of [1, 2, 3]) target.arrive(id, {caller: 'many', deadlineAt});
+  target.arrive(4, {caller: 'single'});
+  t.is(target.state().waiting.length, 4);
+  const late = target.arrive(5, {caller: 'many', deadlineAt: deadlineAt + 1});
+  t.like(late, [{kind: 'refused', work: {id: 5}}]);
+});
+
 test('a class waits longer for the share that those above it leave', t => {
   const target = busyBench();
   const now = target.now();
   const demand = [{priority: 0, slots: 0.5, updatedAt: now}];
   const state = {...target.state(), demand};
+  const first = {...work(1), round: 0, expectedMs: 10, latestStartAt: 1e6};
   const waits = [0, 1].map(priority =>
-    startMs(forecast(state, now, priority), {count: 0, workMs: 0}),
+    startMs(forecast(state, now, priority), {count: 0, workMs: 0}, first),
   );
   t.is(waits[1], 2 * waits[0]);
 });
