Split the decisions of admission into queue, slots and verdict

Before: one file. After: decide.ts chooses by event; queue.ts, slots.ts and verdict.ts hold the parts; a key's share of a quarter is measured beside a half.

--- a/measure/overload.ts
+++ b/measure/overload.ts
@@ -28,6 +28,9 @@
   readonly of: string;
 }
 
+/** Ways to make a policy, by name. */
+type Policies = Readonly<Record<string, () => Policy>>;
+
 /** Settings of the measurement. */
 interface Settings {
   readonly seed: number;
@@ -44,12 +47,17 @@
 const PROCESS_LOADS = [0.5, 1, 2, 4];
 const ADMIT_ROUNDS = 2_000_000;
 
-const POLICIES: Readonly<Record<string, () => Policy>> = {
+const POLICIES: Policies = {
   admission: () => admissionPolicy(SLOTS, QUEUE),
   'fifo-unlimited': () => fifoPolicy(SLOTS, Infinity),
   'fifo-limited': () => fifoPolicy(SLOTS, QUEUE),
 };
 
+const HOT_KEY_POLICIES: Policies = {
+  ...POLICIES,
+  'admission-key-quarter': () => admissionPolicy(SLOTS, QUEUE, 0.25),
+};
+
 /**
  * Measures admission under overload in virtual time, against first-in
  * first-out queues, and the time that one admission takes.
@@ -114,8 +122,8 @@
   settings: Settings,
 ): readonly Row[] {
   return LOADS.flatMap(load =>
-    Object.keys(POLICIES).flatMap(policy => {
-      const endings = endingsOf(workload, policy, load, settings);
+    Object.entries(POLICIES).flatMap(([policy, create]) => {
+      const endings = endingsOf(workload, create(), load, settings);
       const row = (of: string, some: readonly Ending[]) =>
         rowOf(scenario, policy, load, of, some, settings);
       if (workload.kinds.length === 1) return [row('all', endings)];
@@ -140,7 +148,7 @@
   const isLater = ({job}: Ending) => job.arriveAt >= halfMs;
   return [
     ...splitRows('greedy-caller', greedy, 1.5, isGreedy, settings),
-    ...splitRows('hot-key', hot, 1.5, isHot, settings),
+    ...splitRows('hot-key', hot, 1.5, isHot, settings, HOT_KEY_POLICIES),
     ...splitRows('slows-to-a-third', slow, 0.9, isLater, settings),
   ];
 }
@@ -155,9 +163,10 @@
   load: number,
   isPart: (ending: Ending) => boolean,
   settings: Settings,
+  policies: Policies = POLICIES,
 ): readonly Row[] {
-  return Object.keys(POLICIES).flatMap(policy => {
-    const endings = endingsOf(workload, policy, load, settings);
+  return Object.entries(policies).flatMap(([policy, create]) => {
+    const endings = endingsOf(workload, create(), load, settings);
     const part = endings.filter(isPart);
     const others = endings.filter(ending => !isPart(ending));
     return [
@@ -169,7 +178,7 @@
 
 function endingsOf(
   workload: Workload,
-  policy: string,
+  policy: Policy,
   load: number,
   settings: Settings,
 ): readonly Ending[] {
@@ -177,7 +186,7 @@
   const random = createRandom(settings.seed);
   const perSecond = load * capacityPerSecond;
   const jobs = drawJobs(workload, perSecond, settings.durationMs, random);
-  return simulate(jobs, POLICIES[policy]());
+  return simulate(jobs, policy);
 }
 
 function rowOf(
--- a/measure/overload/policies.ts
+++ b/measure/overload/policies.ts
@@ -16,7 +16,7 @@
   readonly nextTickAt: (now: number) => number;
 }
 
-const PARAMETERS = {keyShare: 0.5, rampMs: 5000, coldShare: 0.25};
+const PARAMETERS = {rampMs: 5000, coldShare: 0.25};
 const COMPACT_AT = 1024;
 
 /**
@@ -25,8 +25,12 @@
  * @example
  * admissionPolicy(12, 64).arrive(work, 0); // [{kind: 'admitted', work}]
  */
-export function admissionPolicy(slots: number, queueLimit: number): Policy {
-  let state = createState(slots, {...PARAMETERS, queueLimit});
+export function admissionPolicy(
+  slots: number,
+  queueLimit: number,
+  keyShare = 0.5,
+): Policy {
+  let state = createState(slots, {...PARAMETERS, queueLimit, keyShare});
   const apply = (event: AdmissionEvent, now: number) => {
     const step = decide(state, event, now);
     state = step.state;
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -4,3 +4,4 @@
 export * from './events.js';
 export * from './metrics.js';
 export * from './state.js';
+export * from './verdict.js';
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -116,6 +116,8 @@
   readonly verdicts: readonly Verdict[];
 }
 
+const NO_VERDICTS: readonly Verdict[] = [];
+
 /**
  * Creates the state of an upstream that is warm and idle.
  *
@@ -202,6 +204,31 @@
   };
 }
 
+/**
+ * Returns the state with another queue. The rounds begin anew when the queue
+ * becomes empty.
+ *
+ * @example
+ * replaceWaiting(state, []).progress; // []
+ */
+export function replaceWaiting(
+  state: AdmissionState,
+  waiting: readonly Waiting[],
+): AdmissionState {
+  const progress = waiting.length === 0 ? [] : state.progress;
+  return replaceRequests(state, state.running, waiting, progress);
+}
+
+/**
+ * Returns a step that changes nothing.
+ *
+ * @example
+ * unchanged(state).verdicts; // []
+ */
+export function unchanged(state: AdmissionState): Step {
+  return {state, verdicts: NO_VERDICTS};
+}
+
 /**
  * Refuses a number that is not a whole count.
  *
