Keep a wrong estimate from shutting a service out

Cause: one slow first answer made the estimate longer than every deadline; all later requests were refused and nothing could correct the estimate. Ruled out: a cap on the estimate (a service may really take long). Before: a service with a first answer of 800 ms and deadlines of 500 ms was never served again. After: a request of a service of which nothing runs is tried; the first samples weigh more; an estimate that nothing has confirmed for 10 s is dropped.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -67,8 +67,8 @@
 
 function arrive(state: AdmissionState, work: Work, now: number): Step {
   const {running, waiting, estimates} = state;
-  const expectedMs = meanMs(estimates, work.service);
-  if (now + expectedMs >= work.deadlineAt) {
+  const expectedMs = meanMs(estimates, work.service, now);
+  if (isHopeless(state, work, expectedMs, now)) {
     return {state, verdicts: [refuse(work, 'deadline', 0)]};
   }
   if (waiting.length === 0 && running.length < limitAt(state, now)) {
@@ -78,6 +78,22 @@
   return wait({...state, demand}, work, expectedMs, now);
 }
 
+/**
+ * Tells whether a request can't be done in time even if it starts now. A
+ * service of which nothing runs is given the benefit of the doubt, or an
+ * estimate that is too high would never be corrected.
+ */
+function isHopeless(
+  state: AdmissionState,
+  work: Work,
+  expectedMs: number,
+  now: number,
+): boolean {
+  if (now >= work.deadlineAt) return true;
+  if (now + expectedMs < work.deadlineAt) return false;
+  return state.running.some(entry => entry.work.service === work.service);
+}
+
 function cancel(state: AdmissionState, id: number): Step {
   const index = state.waiting.findIndex(work => work.id === id);
   if (index < 0) return unchanged(state);
--- a/src/admission/estimate.ts
+++ b/src/admission/estimate.ts
@@ -4,85 +4,97 @@
   readonly meanMs: number;
   /** Moving mean of the absolute difference from the mean. */
   readonly deviationMs: number;
+  readonly samples: number;
+  readonly updatedAt: number;
 }
 
+const VALIDITY_MS = 10_000;
 const MEAN_GAIN = 1 / 16;
 const DEVIATION_GAIN = 1 / 8;
 const CAUTION_DEVIATIONS = 3;
 
-/**
- * Returns the estimate of a service, if any of its requests has finished.
- *
- * @example
- * findEstimate([{service: 'a', meanMs: 5, deviationMs: 1}], 'a')?.meanMs; // 5
- */
-export function findEstimate(
-  estimates: readonly Estimate[],
-  service: string,
-): Estimate | undefined {
-  for (const estimate of estimates) {
-    if (estimate.service === service) return estimate;
-  }
-  return undefined;
-}
-
 /**
  * Returns the time that a request of a service is expected to take, in
- * milliseconds; 0 when nothing is known.
+ * milliseconds; 0 when no request of it has finished of late.
  *
  * @example
- * meanMs([{service: 'a', meanMs: 5, deviationMs: 1}], 'a'); // 5
+ * meanMs(observeTime([], 'a', 10, now), 'a', now); // 10
  */
 export function meanMs(
   estimates: readonly Estimate[],
   service: string,
+  now: number,
 ): number {
-  return findEstimate(estimates, service)?.meanMs ?? 0;
+  return findValid(estimates, service, now)?.meanMs ?? 0;
 }
 
 /**
  * Returns a time that nearly all requests of a service stay under, in
- * milliseconds; 0 when nothing is known.
+ * milliseconds; 0 when no request of it has finished of late.
  *
  * @example
- * cautiousMs([{service: 'a', meanMs: 5, deviationMs: 1}], 'a'); // 8
+ * cautiousMs(observeTime([], 'a', 10, now), 'a', now); // 25
  */
 export function cautiousMs(
   estimates: readonly Estimate[],
   service: string,
+  now: number,
 ): number {
-  const estimate = findEstimate(estimates, service);
+  const estimate = findValid(estimates, service, now);
   if (!estimate) return 0;
   return estimate.meanMs + CAUTION_DEVIATIONS * estimate.deviationMs;
 }
 
 /**
- * Returns the estimates after a request took `tookMs`.
+ * Returns the estimates after a request took `tookMs`. The first ones weigh
+ * more, and an estimate that has become too old begins anew.
  *
  * @example
- * observeTime([], 'a', 10); // [{service: 'a', meanMs: 10, deviationMs: 5}]
+ * observeTime([], 'a', 10, now)[0].meanMs; // 10
  */
 export function observeTime(
   estimates: readonly Estimate[],
   service: string,
   tookMs: number,
+  now: number,
 ): readonly Estimate[] {
-  const old = findEstimate(estimates, service);
-  if (!old) {
-    const first = {service, meanMs: tookMs, deviationMs: tookMs / 2};
-    return [...estimates, first];
+  const old = findValid(estimates, service, now);
+  const next = old
+    ? adjust(old, tookMs, now)
+    : firstEstimate(service, tookMs, now);
+  if (old && estimates.length === 1) return [next];
+  const others = estimates.filter(estimate => estimate.service !== service);
+  return [...others, next];
+}
+
+function findValid(
+  estimates: readonly Estimate[],
+  service: string,
+  now: number,
+): Estimate | undefined {
+  for (const estimate of estimates) {
+    if (estimate.service !== service) continue;
+    return now - estimate.updatedAt <= VALIDITY_MS ? estimate : undefined;
   }
-  const next = adjust(old, tookMs);
-  if (estimates.length === 1) return [next];
-  return estimates.map(estimate => (estimate === old ? next : estimate));
+  return undefined;
+}
+
+function firstEstimate(service: string, tookMs: number, now: number): Estimate {
+  const deviationMs = tookMs / 2;
+  return {service, meanMs: tookMs, deviationMs, samples: 1, updatedAt: now};
 }
 
-function adjust(old: Estimate, tookMs: number): Estimate {
+function adjust(old: Estimate, tookMs: number, now: number): Estimate {
+  const samples = old.samples + 1;
   const error = tookMs - old.meanMs;
   const deviationError = Math.abs(error) - old.deviationMs;
+  const meanGain = Math.max(MEAN_GAIN, 1 / samples);
+  const deviationGain = Math.max(DEVIATION_GAIN, 1 / samples);
   return {
     service: old.service,
-    meanMs: old.meanMs + MEAN_GAIN * error,
-    deviationMs: old.deviationMs + DEVIATION_GAIN * deviationError,
+    meanMs: old.meanMs + meanGain * error,
+    deviationMs: old.deviationMs + deviationGain * deviationError,
+    samples,
+    updatedAt: now,
   };
 }
--- a/src/admission/forecast.ts
+++ b/src/admission/forecast.ts
@@ -35,7 +35,7 @@
  * expected no sooner than after the same time again.
  *
  * @example
- * startMs(forecast(state, now, 2), {count: 3, workMs: 30});
+ * startMs(forecast(state, now, 2), {count: 3, workMs: 30}, entry);
  */
 export function forecast(
   state: AdmissionState,
@@ -104,6 +104,6 @@
   const newest = state.running.at(-1);
   if (!newest) return 0;
   const quietMs = now - Math.max(state.lastFinishAt, newest.startedAt);
-  const usualMs = cautiousMs(state.estimates, newest.work.service);
+  const usualMs = cautiousMs(state.estimates, newest.work.service, now);
   return quietMs > usualMs ? quietMs : 0;
 }
--- a/src/admission/queue.ts
+++ b/src/admission/queue.ts
@@ -26,7 +26,7 @@
   now: number,
 ): Step {
   const latestStartAt =
-    work.deadlineAt - cautiousMs(state.estimates, work.service);
+    work.deadlineAt - cautiousMs(state.estimates, work.service, now);
   const waiting = enqueue(state, work, expectedMs, latestStartAt);
   const index = waiting.findIndex(other => other.id === work.id);
   const entry = waiting[index];
--- a/src/admission/slots.ts
+++ b/src/admission/slots.ts
@@ -53,7 +53,7 @@
   const {work, startedAt} = running[index];
   const estimates =
     completion === 'ran'
-      ? observeTime(state.estimates, work.service, now - startedAt)
+      ? observeTime(state.estimates, work.service, now - startedAt, now)
       : state.estimates;
   const rest = running.toSpliced(index, 1);
   return fill(replaceFinished(state, rest, estimates, now), now);
--- a/test/admission/decide.test.ts
+++ b/test/admission/decide.test.ts
@@ -63,6 +63,35 @@
   t.like(hopeless, {reason: 'deadline', retryAfterMs: 0});
 });
 
+test('a slow first answer does not shut a service out', t => {
+  const target = bench(4, parameters());
+  const arrive = (id: number) =>
+    target.apply({
+      kind: 'arrive',
+      work: work(id, {deadlineAt: target.now() + 500}),
+    });
+  arrive(1);
+  target.advance(800);
+  target.apply({kind: 'finish', id: 1, completion: 'ran'});
+  t.deepEqual(admittedIds(arrive(2)), [2]);
+  t.like(arrive(3), [{kind: 'refused', reason: 'deadline'}]);
+  target.advance(10);
+  target.apply({kind: 'finish', id: 2, completion: 'ran'});
+  t.deepEqual(admittedIds([...arrive(4), ...arrive(5)]), [4, 5]);
+});
+
+test('an estimate that nothing has confirmed for long is dropped', t => {
+  const target = busyBench();
+  const event = {kind: 'finish', id: 0, completion: 'cut-short'} as const;
+  target.advance(10_000);
+  t.like(target.arrive(1, {deadlineAt: target.now() + 5}), [{work: {id: 1}}]);
+  target.apply(event);
+  target.arrive(2, {});
+  target.advance(100);
+  const deadlineAt = target.now() + 105;
+  t.deepEqual(target.arrive(3, {deadlineAt}), []);
+});
+
 test('a higher class goes first and gives up those it makes late', t => {
   const target = busyBench();
   target.arrive(1, {priority: 2, deadlineAt: target.now() + 25});
