Give a hot key a slice of its own inside its home chunk

Cause: one key can be a large share of an owner's slots; moving its whole slice carries its neighbours along. Ruled out: a table of keys in an object of its own, since home and own slice could not change in one conditional put; releases in any order, since a successor that had not heard of the isolation could begin its home term while the owner served the key under its own slice (found by the property). Before: no way to isolate a key. After: isolateKey, returnKey, forgetReturned and the order of releases, with a property over stale views, moves, losses and unfinished requests. Conclusion: a proposal until routing and ownership take it up.

--- a/src/placement/chunk.ts
+++ b/src/placement/chunk.ts
@@ -17,6 +17,7 @@
   trim,
   type Chain,
 } from './chain.js';
+import {isDormant} from './hot.js';
 import {slicesOfChunk} from './layout.js';
 import {holdersIn, poolOf, type Pool} from './pool.js';
 import {
@@ -114,6 +115,9 @@
     ({lease, epoch}) =>
       scope.ended(lease) || scope.released(id, lease) >= epoch,
   );
+  if (scope.chunk && isDormant(scope.service, scope.chunk, record.slice)) {
+    return trim(chain);
+  }
   const change = planLoss(scope, chain) ?? planSettled(scope, chain);
   return change ?? trim(chain);
 }
--- /dev/null
+++ b/src/placement/hot.ts
@@ -0,0 +1,308 @@
+import {
+  sameLease,
+  sliceOfKey,
+  type Chunk,
+  type LeaseId,
+  type Service,
+  type SliceRecord,
+} from '../model/index.js';
+import {
+  append,
+  leasesOf,
+  readChain,
+  type Chain,
+  type TermOver,
+} from './chain.js';
+import {chunkOfSlice} from './layout.js';
+
+/** Slice numbers that each chunk reserves for single hot keys. */
+export const HOT_SLICES_PER_CHUNK = 4;
+
+/**
+ * A key that has, or had, a slice of its own. While `isolated`, requests of
+ * the key belong to its own slice. While `returning`, they belong to the home
+ * slice again, but only to terms from `homeFrom` on.
+ *
+ * While isolated, the terms of the home slice below `homeFrom` are released in
+ * descending order, so that no holder that has not heard of the isolation can
+ * begin one; a holder releases a term of the key's own slice only after these.
+ * While the key returns, a holder releases its terms of the home slice below
+ * `homeFrom` only after it has released its terms of the key's own slice.
+ */
+export interface HotKey {
+  readonly key: string;
+  /** The slice that the key hashes to. */
+  readonly home: number;
+  /** The slice of its own. */
+  readonly slice: number;
+  readonly state: 'isolated' | 'returning';
+  /** First epoch of the home slice that was recorded with this state. */
+  readonly homeFrom: number;
+}
+
+/** A chunk with the hot keys whose home is one of its slices. */
+export interface HotChunk extends Chunk {
+  readonly hotKeys: readonly HotKey[];
+}
+
+/**
+ * Lists the slice numbers that a chunk reserves for hot keys.
+ *
+ * @example
+ * hotSlicesOf({...service, slices: 64}, 1); // [68, 69, 70, 71]
+ */
+export function hotSlicesOf(
+  service: Service,
+  index: number,
+): readonly number[] {
+  const first = service.slices + index * HOT_SLICES_PER_CHUNK;
+  return Array.from({length: HOT_SLICES_PER_CHUNK}, (_, i) => first + i);
+}
+
+/** Where the requests of a key belong. */
+export interface KeyPlace {
+  readonly slice: number;
+  /** Terms of the slice with a lower epoch must not serve the key. */
+  readonly fromEpoch: number;
+}
+
+/**
+ * Finds the slice of a key, which is its own one while it is isolated.
+ *
+ * @example
+ * placeOfKey(service, index => chunks[index], 'night-desk').slice;
+ */
+export function placeOfKey(
+  service: Service,
+  chunkAt: (index: number) => HotChunk | undefined,
+  key: string,
+): KeyPlace {
+  const home = sliceOfKey(key, service.slices);
+  const chunk = chunkAt(chunkOfSlice(service, home));
+  const hot = chunk?.hotKeys.find(h => h.key === key);
+  if (!hot) return {slice: home, fromEpoch: 0};
+  if (hot.state === 'isolated') return {slice: hot.slice, fromEpoch: 0};
+  return {slice: home, fromEpoch: hot.homeFrom};
+}
+
+/**
+ * Tells whether a slice is reserved for hot keys and serves none now. Such a
+ * slice has no owner.
+ *
+ * @example
+ * isDormant(service, chunk, 70);
+ */
+export function isDormant(
+  service: Service,
+  chunk: Chunk & Partial<HotChunk>,
+  slice: number,
+): boolean {
+  if (slice < service.slices) return false;
+  const hot = chunk.hotKeys?.find(h => h.slice === slice);
+  return hot?.state !== 'isolated';
+}
+
+/** Tells whether a term of a slice can never serve again. */
+export type SliceTermOver = (slice: number) => TermOver;
+
+/**
+ * Gives a key a slice of its own, with the owner and successors of its home
+ * slice. The home slice gets higher epochs in the same version, so that an
+ * upstream refuses requests of the key that were sent under the earlier ones
+ * once these are released. Moving the key's slice is then an ordinary move.
+ *
+ * @returns The next version; undefined when the key already has a slice, none
+ *   is free, or the home slice still has terms to be released.
+ *
+ * @example
+ * isolateKey(service, chunk, 'night-desk', isOver);
+ */
+export function isolateKey(
+  service: Service,
+  chunk: HotChunk,
+  key: string,
+  isOver: SliceTermOver,
+): HotChunk | undefined {
+  const home = sliceOfKey(key, service.slices);
+  const homeChain = chainOf(chunk, home, isOver);
+  const ownChain = freeChain(service, chunk, isOver);
+  if (!homeChain?.settled || homeChain.live.length === 0) return undefined;
+  if (!ownChain || chunk.hotKeys.some(h => h.key === key)) return undefined;
+  const leases = leasesOf(homeChain.live);
+  const homeRecord = append(homeChain, leases);
+  const own = append(ownChain, leases);
+  const hot: HotKey = {
+    key,
+    home,
+    slice: own.slice,
+    state: 'isolated',
+    homeFrom: homeRecord.wantedFrom,
+  };
+  const hotKeys = [...chunk.hotKeys, hot];
+  return withRecords({...chunk, hotKeys}, [homeRecord, own]);
+}
+
+/**
+ * Gives a key back to its home slice. The holders of the key's own slice are
+ * listed in the home slice as terms to be released, so that no term from the
+ * new first wanted one on begins before they have stopped.
+ *
+ * @returns The next version; undefined when the key has no slice of its own,
+ *   or one of the two slices still has terms to be released.
+ *
+ * @example
+ * returnKey(chunk, 'night-desk', isOver);
+ */
+export function returnKey(
+  chunk: HotChunk,
+  key: string,
+  isOver: SliceTermOver,
+): HotChunk | undefined {
+  const hot = chunk.hotKeys.find(h => h.key === key);
+  if (hot?.state !== 'isolated') return undefined;
+  const home = chainOf(chunk, hot.home, isOver);
+  const own = chainOf(chunk, hot.slice, isOver);
+  if (!home?.settled || !own?.settled) return undefined;
+  const owners = leasesOf(home.live);
+  const holders = leasesOf(own.live);
+  if (owners.length === 0) return undefined;
+  const joined = append(home, [...holders, ...owners]);
+  const homeFrom = joined.wantedFrom + holders.length;
+  const homeRecord = {...joined, wantedFrom: homeFrom};
+  const last = own.record.terms.at(-1)?.epoch ?? 0;
+  const retired = {...own.record, wantedFrom: last + 1};
+  const returning: HotKey = {...hot, state: 'returning', homeFrom};
+  const hotKeys = chunk.hotKeys.map(h => (h === hot ? returning : h));
+  return withRecords({...chunk, hotKeys}, [homeRecord, retired]);
+}
+
+/**
+ * Drops the keys that have returned: no live term of the home slice is older
+ * than the return.
+ *
+ * @returns The next version, or undefined when no key can be dropped.
+ *
+ * @example
+ * forgetReturned(chunk, isOver);
+ */
+export function forgetReturned(
+  chunk: HotChunk,
+  isOver: SliceTermOver,
+): HotChunk | undefined {
+  const hotKeys = chunk.hotKeys.filter(hot => {
+    if (hot.state !== 'returning') return true;
+    const live = chainOf(chunk, hot.home, isOver)?.live ?? [];
+    return live.some(term => term.epoch < hot.homeFrom);
+  });
+  if (hotKeys.length === chunk.hotKeys.length) return undefined;
+  return {...chunk, hotKeys};
+}
+
+/** What a holder knows of its own releases. */
+export type OwnRelease = (slice: number) => number;
+
+/**
+ * Returns the epoch up to which a holder may release its terms of a slice. It
+ * keeps the order of the two releases that a hot key needs; see `HotKey`.
+ *
+ * @param released The epoch up to which the holder has released a slice.
+ * @param isOver What the holder knows of the terms of others.
+ *
+ * @example
+ * releasable(chunk, 7, lease, slice => released.get(slice) ?? 0, isOver);
+ */
+export function releasable(
+  chunk: HotChunk,
+  slice: number,
+  lease: LeaseId,
+  released: OwnRelease,
+  isOver: SliceTermOver,
+): number {
+  const record = recordOf(chunk, slice);
+  if (!record) return 0;
+  const held = (other: number, below: number) =>
+    holds(chunk, other, lease, released(other), below);
+  const waits = chunk.hotKeys.some(hot => {
+    if (hot.state === 'returning') {
+      return hot.home === slice && held(hot.slice, Infinity);
+    }
+    if (hot.slice === slice) return held(hot.home, hot.homeFrom);
+    return hot.home === slice && hasLaterTerm(chunk, hot, lease, isOver);
+  });
+  return waits ? released(slice) : record.wantedFrom - 1;
+}
+
+/**
+ * Tells whether another lease may still hold a term of the home slice from
+ * before the isolation, later than the first one of this lease.
+ */
+function hasLaterTerm(
+  chunk: HotChunk,
+  hot: HotKey,
+  lease: LeaseId,
+  isOver: SliceTermOver,
+): boolean {
+  const record = recordOf(chunk, hot.home);
+  const earlier = record?.terms.filter(t => t.epoch < hot.homeFrom) ?? [];
+  const first = earlier.findIndex(term => sameLease(term.lease, lease));
+  if (first < 0) return false;
+  return earlier
+    .slice(first)
+    .some(t => !sameLease(t.lease, lease) && !isOver(hot.home)(t));
+}
+
+/** Tells whether a lease has an unreleased term of a slice below an epoch. */
+function holds(
+  chunk: HotChunk,
+  slice: number,
+  lease: LeaseId,
+  released: number,
+  below: number,
+): boolean {
+  const terms = recordOf(chunk, slice)?.terms ?? [];
+  return terms.some(
+    term =>
+      sameLease(term.lease, lease) &&
+      term.epoch > released &&
+      term.epoch < below,
+  );
+}
+
+function recordOf(chunk: Chunk, slice: number): SliceRecord | undefined {
+  return chunk.slices.find(record => record.slice === slice);
+}
+
+function chainOf(
+  chunk: Chunk,
+  slice: number,
+  isOver: SliceTermOver,
+): Chain | undefined {
+  const record = recordOf(chunk, slice);
+  return record && readChain(record, isOver(slice));
+}
+
+/** Finds a reserved slice that no key uses and no term may still serve. */
+function freeChain(
+  service: Service,
+  chunk: HotChunk,
+  isOver: SliceTermOver,
+): Chain | undefined {
+  const used = chunk.hotKeys.map(h => h.slice);
+  const free = hotSlicesOf(service, chunk.index).filter(s => !used.includes(s));
+  const chains = free.map(slice => {
+    const unused = {slice, wantedFrom: 1, terms: []};
+    return readChain(recordOf(chunk, slice) ?? unused, isOver(slice));
+  });
+  return chains.find(chain => chain.live.length === 0);
+}
+
+function withRecords(
+  chunk: HotChunk,
+  records: readonly SliceRecord[],
+): HotChunk {
+  const kept = chunk.slices.filter(
+    old => !records.some(record => record.slice === old.slice),
+  );
+  const slices = [...kept, ...records];
+  return {...chunk, slices: slices.toSorted((a, b) => a.slice - b.slice)};
+}
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -2,6 +2,7 @@
 export * from './chain.js';
 export * from './chunk.js';
 export * from './hosts.js';
+export * from './hot.js';
 export * from './layout.js';
 export * from './load.js';
 export * from './moves.js';
--- /dev/null
+++ b/test/placement/hot.test.ts
@@ -0,0 +1,222 @@
+import {fc, testProp} from '@fast-check/ava';
+import {
+  formatLease,
+  leaseOf,
+  type LeaseId,
+  type Term,
+} from '../../src/model/index.js';
+import {
+  forgetReturned,
+  isolateKey,
+  placeOfKey,
+  planChunk,
+  releasable,
+  returnKey,
+  type HotChunk,
+} from '../../src/placement/index.js';
+import {fleet, service} from './fixtures.js';
+
+const KEY = 'night-desk';
+const SERVICE = service({slices: 2, chunks: 1, successors: 1});
+const MEMBERS = fleet(4);
+const LEASES = MEMBERS.map(leaseOf);
+
+/** A request of the key that an upstream may still commit. */
+interface Request {
+  readonly holder: number;
+  readonly slice: number;
+  readonly epoch: number;
+}
+
+interface World {
+  readonly latest: HotChunk;
+  /** The version that each holder has adopted. */
+  readonly views: readonly HotChunk[];
+  readonly released: ReadonlyMap<string, number>;
+  readonly ended: readonly number[];
+  readonly requests: readonly Request[];
+}
+
+type Step =
+  | {readonly kind: 'isolate' | 'return' | 'forget' | 'plan'}
+  | {readonly kind: 'move'; readonly to: number}
+  | {readonly kind: 'adopt' | 'release' | 'admit'; readonly holder: number}
+  | {readonly kind: 'end'; readonly holder: number};
+
+const holder = fc.integer({min: 0, max: LEASES.length - 1});
+const step: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({
+    kind: fc.constantFrom(
+      'isolate' as const,
+      'return' as const,
+      'forget' as const,
+      'plan' as const,
+    ),
+  }),
+  fc.record({kind: fc.constant('move' as const), to: holder}),
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constantFrom(
+        'adopt' as const,
+        'release' as const,
+        'admit' as const,
+      ),
+      holder,
+    }),
+  },
+);
+const history = fc.tuple(
+  fc.array(step, {minLength: 20, maxLength: 150}),
+  fc.option(holder, {freq: 2}),
+);
+
+function start(): World {
+  const first = planChunk({
+    service: SERVICE,
+    index: 0,
+    chunk: undefined,
+    members: MEMBERS,
+    ended: () => false,
+    released: () => 0,
+  });
+  const latest: HotChunk = {...first!, hotKeys: []};
+  const views = LEASES.map(() => latest);
+  return {latest, views, released: new Map(), ended: [], requests: []};
+}
+
+function releasedBy(world: World, index: number, slice: number): number {
+  return world.released.get(`${index} ${slice}`) ?? 0;
+}
+
+function indexOf(lease: LeaseId): number {
+  return LEASES.findIndex(l => formatLease(l) === formatLease(lease));
+}
+
+function isOver(world: World) {
+  return (slice: number) =>
+    ({lease, epoch}: Term) => {
+      const index = indexOf(lease);
+      const gone = world.ended.includes(index);
+      return gone || releasedBy(world, index, slice) >= epoch;
+    };
+}
+
+function apply(world: World, event: Step): World {
+  const over = isOver(world);
+  switch (event.kind) {
+    case 'isolate':
+      return store(world, isolateKey(SERVICE, world.latest, KEY, over));
+    case 'return':
+      return store(world, returnKey(world.latest, KEY, over));
+    case 'forget':
+      return store(world, forgetReturned(world.latest, over));
+    case 'plan':
+      return store(world, planned(world));
+    case 'move': {
+      const {slice} = placeOfKey(SERVICE, () => world.latest, KEY);
+      const to = MEMBERS[event.to].instance;
+      return store(world, planned(world, [{slice, to}]));
+    }
+    case 'adopt':
+      return {...world, views: world.views.with(event.holder, world.latest)};
+    case 'release':
+      return release(world, event.holder);
+    case 'admit':
+      return admit(world, event.holder);
+    case 'end':
+      return {...world, ended: [...world.ended, event.holder]};
+  }
+}
+
+function planned(
+  world: World,
+  moves: readonly {slice: number; to: string}[] = [],
+): HotChunk | undefined {
+  const members = MEMBERS.filter((_, i) => !world.ended.includes(i));
+  const next = planChunk({
+    service: SERVICE,
+    index: 0,
+    chunk: world.latest,
+    members,
+    ended: lease => world.ended.includes(indexOf(lease)),
+    released: ({slice}, lease) => releasedBy(world, indexOf(lease), slice),
+    moves,
+  });
+  return next as HotChunk | undefined;
+}
+
+function store(world: World, latest: HotChunk | undefined): World {
+  return latest ? {...world, latest} : world;
+}
+
+function release(world: World, index: number): World {
+  const view = world.views[index];
+  const own = (slice: number) => releasedBy(world, index, slice);
+  const released = new Map(world.released);
+  for (const {slice} of view.slices) {
+    const epoch = releasable(view, slice, LEASES[index], own, isOver(world));
+    released.set(`${index} ${slice}`, Math.max(epoch, own(slice)));
+  }
+  return {...world, released};
+}
+
+/** The term under which a holder would serve the key now, as it sees things. */
+function servingTerm(world: World, index: number): Request | undefined {
+  if (world.ended.includes(index)) return undefined;
+  const view = world.views[index];
+  const {slice, fromEpoch} = placeOfKey(SERVICE, () => view, KEY);
+  const terms = view.slices.find(r => r.slice === slice)?.terms ?? [];
+  const over = isOver(world)(slice);
+  const own = terms.find(
+    (t, at) =>
+      indexOf(t.lease) === index &&
+      !over(t) &&
+      t.epoch >= fromEpoch &&
+      terms.slice(0, at).every(e => indexOf(e.lease) === index || over(e)),
+  );
+  return own && {holder: index, slice, epoch: own.epoch};
+}
+
+function admit(world: World, index: number): World {
+  const request = servingTerm(world, index);
+  if (!request) return world;
+  return {...world, requests: [...world.requests, request]};
+}
+
+/** Holders whose upstream may still commit a request of the key. */
+function executing(world: World): ReadonlySet<number> {
+  const live = world.requests.filter(
+    r =>
+      !world.ended.includes(r.holder) &&
+      releasedBy(world, r.holder, r.slice) < r.epoch,
+  );
+  return new Set(live.map(r => r.holder));
+}
+
+function everyone(kind: 'adopt' | 'release'): readonly Step[] {
+  return LEASES.map((_, index) => ({kind, holder: index}));
+}
+
+testProp(
+  'a hot key has one server at most, and one in the end, wherever it goes',
+  [history],
+  (t, [steps, lost]) => {
+    const half = Math.floor(steps.length / 2);
+    const end: readonly Step[] =
+      lost === null ? [] : [{kind: 'end', holder: lost}];
+    const all = [...steps.slice(0, half), ...end, ...steps.slice(half)];
+    let world = start();
+    for (const event of all) {
+      world = apply(world, event);
+      t.true(executing(world).size <= 1);
+    }
+    const round = [...everyone('adopt'), ...everyone('release')];
+    for (let i = 0; i < 8; i++) {
+      world = [...round, {kind: 'plan' as const}].reduce(apply, world);
+    }
+    world = everyone('adopt').reduce(apply, world);
+    t.true(LEASES.some((_, index) => servingTerm(world, index)));
+  },
+  {seed: 20261203, numRuns: 1000},
+);
