Choose which keys get a slice of their own

Cause: hot keys have to be isolated within a minute and given back when cool, without coming and going. Ruled out: one limit for both. Before: nothing chose.

--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,6 +1,7 @@
 export * from './assign.js';
 export * from './chain.js';
 export * from './chunk.js';
+export * from './heat.js';
 export * from './hosts.js';
 export * from './hot.js';
 export * from './layout.js';
