Budget moves by slices and move ordinary slices in balancing

Ruled out: a wider band for the newsroom, which leaves members with unequal numbers of slices, so that the next lost domain takes more keys with it; the heaviest slice first in plain balancing, for the same reason.

--- a/src/placement/hosts.ts
+++ b/src/placement/hosts.ts
@@ -25,6 +25,8 @@
   /** Slots that the upstream can use now. */
   readonly capacity: number;
   readonly load: number;
+  /** Time at which the upstream began to serve. */
+  readonly servingSince: number;
   readonly slices: readonly SliceLoad[];
 }
 
@@ -43,7 +45,8 @@
       const own = slices.get(instance) ?? [];
       const load = own.reduce((sum, slice) => sum + slice.load, 0);
       const capacity = slots * warmth(input, instance);
-      return {instance, capacity, load, slices: own};
+      const servingSince = input.servingSince(instance);
+      return {instance, capacity, load, servingSince, slices: own};
     });
 }
 
--- a/src/placement/moves.ts
+++ b/src/placement/moves.ts
@@ -22,13 +22,13 @@
 const MAX_BAND = 1;
 
 /** Share of the start band at which balancing stops again. */
-const STOP_SHARE = 0.4;
+const STOP_SHARE = 0.5;
 
 /** Used share of its slots from which a member is to be relieved at once. */
 export const HOT_UTILISATION = 0.8;
 
-/** Moves a minute for each member that serves, before weights. */
-const MOVES_PER_MEMBER_MINUTE = 1;
+/** Share of a service's slices that may move in a minute. */
+const MOVED_SHARE_PER_MINUTE = 0.1;
 
 /** Moves that may be saved up, in minutes of the budget. */
 const BUDGET_MINUTES = 2;
@@ -36,9 +36,15 @@
 /** Smallest number of moves that the full budget holds. */
 const MIN_BUDGET = 4;
 
+/** Load from which a slice is hot, as a multiple of its owner's mean slice. */
+const HOT_SLICE_FACTOR = 6;
+
 /** Load above the mean, as a share of slots, below which nothing is evened out. */
 const NEGLIGIBLE_EXCESS = 0.02;
 
+/** Load of a slice, as a share of the mean one, that is not worth a move. */
+const NEGLIGIBLE_SLICE_SHARE = 0.1;
+
 /** Time for which a moved slice stays. */
 export const HOLD_MS = 5 * 60_000;
 
@@ -85,9 +91,12 @@
   readonly budget: number;
 }
 
-/** The input with the recent moves of each slice. */
+/** The input with what all moves of a plan share. */
 interface Scope extends MoveInput {
+  /** Recent moves of each slice. */
   readonly earlier: ReadonlyMap<number, readonly RecentMove[]>;
+  /** Load that a move must take off the higher one of its two members. */
+  readonly minimumLoad: number;
 }
 
 /**
@@ -107,7 +116,7 @@
  * Each move must lower the higher load of its two members; a slice that was
  * moved stays for a while and does not return to an owner that it left. A
  * budget bounds the number of moves over time. The site's weights widen or
- * narrow the band and the budget.
+ * narrow the band.
  *
  * @throws {RangeError} when the weight of imbalance is not positive.
  *
@@ -116,8 +125,12 @@
  */
 export function planMoves(state: MoveState, input: MoveInput): MovePlan {
   const recent = state.recent.filter(m => input.now - m.at < RETURN_MS);
-  const scope = {...input, earlier: groupBy(recent, move => move.slice)};
   const hosts = hostsOf(input);
+  const scope = {
+    ...input,
+    earlier: groupBy(recent, move => move.slice),
+    minimumLoad: NEGLIGIBLE_SLICE_SHARE * meanSliceLoad(input),
+  };
   const balancing = isBalancing(state, input, hosts);
   const start = {hosts, planned: [], budget: refill(state, input)};
   const draft = relieve(start, scope, targetOf(input, hosts, balancing));
@@ -132,6 +145,11 @@
   };
 }
 
+function meanSliceLoad({slices}: MoveInput): number {
+  const load = slices.reduce((sum, slice) => sum + slice.load, 0);
+  return load / Math.max(1, slices.length);
+}
+
 function isBalancing(
   state: MoveState,
   input: MoveInput,
@@ -152,7 +170,8 @@
 ): number {
   const mean = meanUtilisation(hosts);
   const even = mean * (1 + bandOf(input.weights) * STOP_SHARE);
-  return balancing ? even : Math.max(HOT_UTILISATION, even);
+  const hot = Math.max(HOT_UTILISATION, mean * (1 + MIN_BAND));
+  return balancing ? Math.min(even, hot) : hot;
 }
 
 function bandOf(weights: Weights): number {
@@ -162,8 +181,8 @@
 
 /** Returns the budget with what it has gained since it was last filled up. */
 function refill(state: MoveState, input: MoveInput): number {
-  const {now, weights, members} = input;
-  const rate = (MOVES_PER_MEMBER_MINUTE * members.length) / reluctance(weights);
+  const {now, slices} = input;
+  const rate = MOVED_SHARE_PER_MINUTE * slices.length;
   const full = Math.max(MIN_BUDGET, rate * BUDGET_MINUTES);
   const gained = (rate * (now - state.filledAt)) / MINUTE_MS;
   return Math.min(full, state.budget + gained);
@@ -183,25 +202,33 @@
   return draft;
 }
 
-/** Finds the move off a member that lowers the higher load of the two most. */
+/**
+ * Finds a move off a member that lowers the higher load of its two members.
+ * Off a hot member, or one with a hot slice, it is the one that lowers it most.
+ * Otherwise it is the one of the most ordinary slice, so that members differ
+ * little in the number of their slices as well.
+ */
 function bestMove(
   draft: Draft,
   scope: Scope,
   source: Host,
 ): RecentMove | undefined {
   const hot = utilisation(source) > HOT_UTILISATION;
+  const limit = utilisation(source) - scope.minimumLoad / source.capacity;
+  const ordinary = source.load / Math.max(1, source.slices.length);
+  const heated = source.slices.some(s => s.load > HOT_SLICE_FACTOR * ordinary);
   let best: RecentMove | undefined;
-  let bestPeak = utilisation(source) * (1 - minimumGain(scope.weights));
+  let bestCost = Infinity;
   for (const slice of source.slices) {
     if (!slice.settled || slice.load <= 0) continue;
     const earlier = scope.earlier.get(slice.slice) ?? [];
     if (isHeld(earlier, scope.now, hot)) continue;
     const to = bestTarget(draft.hosts, source, slice, earlier);
     if (!to) continue;
-    const left = (source.load - slice.load) / source.capacity;
-    const peak = Math.max(left, (to.load + slice.load) / to.capacity);
-    if (peak >= bestPeak) continue;
-    bestPeak = peak;
+    const peak = peakAfter(source, to, slice);
+    const cost = hot || heated ? peak : Math.abs(slice.load - ordinary);
+    if (peak >= limit || cost >= bestCost) continue;
+    bestCost = cost;
     best = {
       slice: slice.slice,
       from: source.instance,
@@ -212,9 +239,10 @@
   return best;
 }
 
-/** Share by which a move must lower the higher load of its two members. */
-function minimumGain(weights: Weights): number {
-  return bandOf(weights) / 10;
+/** Returns the higher utilisation of two hosts after a move between them. */
+function peakAfter(from: Host, to: Host, slice: SliceLoad): number {
+  const left = (from.load - slice.load) / from.capacity;
+  return Math.max(left, (to.load + slice.load) / to.capacity);
 }
 
 function isHeld(
@@ -238,13 +266,18 @@
   for (const host of hosts) {
     const used = (host.load + slice.load) / host.capacity;
     if (host === source || used >= bestUsed) continue;
-    if (earlier.some(move => move.from === host.instance)) continue;
+    if (earlier.some(move => hasLeft(host, move))) continue;
     best = host;
     bestUsed = used;
   }
   return best;
 }
 
+/** Tells whether a move took its slice off a host that still runs since. */
+function hasLeft(host: Host, move: RecentMove): boolean {
+  return move.from === host.instance && host.servingSince <= move.at;
+}
+
 function applyMove(draft: Draft, move: RecentMove): Draft {
   const source = draft.hosts.find(h => h.instance === move.from);
   const moved = source?.slices.find(s => s.slice === move.slice);
