Fit the hysteresis fixture to the least gain of a move

Cause: in the earlier fixture no move could lower the higher load of its two members by the least gain, so it asked for a move that must not be made. After: it passes, and fails without a start band or a stop share. Conclusion: the rule tested is as strict as before.

--- a/test/placement/moves.test.ts
+++ b/test/placement/moves.test.ts
@@ -55,8 +55,8 @@
     input([
       ['a', 0.5],
       ['a', peak],
-      ['b', 4],
-      ['c', 4],
+      ['b', 3.5],
+      ['c', 4.2],
     ]);
   const state = startMoves(0);
   t.deepEqual(planMoves(state, at(3.9)).moves, []);
