--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -132,7 +132,12 @@
   return new Promise(resolve => server.close(() => resolve()));
 }
 
-/** Tells whether a request of the peers' server belongs to the request path. */
+/**
+ * Tells whether a request of the peers' server belongs to the request path.
+ *
+ * @example
+ * if (isForwarded(request)) gateway.peers(request, response);
+ */
 export function isForwarded(request: IncomingMessage): boolean {
   return !request.url?.startsWith('/vanillaspool.');
 }
--- a/src/membership/mirror.ts
+++ b/src/membership/mirror.ts
@@ -27,7 +27,12 @@
   readonly changed: readonly MirrorEntry[];
 }
 
-/** Returns a mirror that knows nothing. */
+/**
+ * Returns a mirror that knows nothing.
+ *
+ * @example
+ * let mirror = emptyMirror();
+ */
 export function emptyMirror(): Mirror {
   return {entries: new Map(), revision: 0};
 }
@@ -60,6 +65,9 @@
 /**
  * Applies an object that this daemon wrote or read itself. It is not told to
  * others before the feed has brought it, since older ones may still be missing.
+ *
+ * @example
+ * const {mirror, changed} = applyOwn(before, {key, value, version: 8});
  */
 export function applyOwn(mirror: Mirror, object: ReceivedObject): MirrorStep {
   const known = mirror.entries.get(object.key);
@@ -69,7 +77,12 @@
   return {mirror: {...mirror, entries}, changed: [entry]};
 }
 
-/** Returns the entries newer than a revision that others may be told of. */
+/**
+ * Returns the entries newer than a revision that others may be told of.
+ *
+ * @example
+ * for (const {key, value} of entriesAfter(mirror, 41)) send(key, value);
+ */
 export function entriesAfter(
   mirror: Mirror,
   revision: number,
--- a/src/ownership/decide.ts
+++ b/src/ownership/decide.ts
@@ -42,7 +42,12 @@
 } from './view.js';
 import {noteSet, renewPromise, sealPromise} from './witness.js';
 
-/** Returns the state of a daemon that has just started. */
+/**
+ * Returns the state of a daemon that has just started.
+ *
+ * @example
+ * const state = newState(self, settings, performance.now());
+ */
 export function newState(
   self: Self,
   settings: LeaseSettings,
@@ -310,12 +315,22 @@
   );
 }
 
-/** Tells whether this daemon has given away all its slices. */
+/**
+ * Tells whether this daemon has given away all its slices.
+ *
+ * @example
+ * if (isIdle(state)) close();
+ */
 export function isIdle(state: State): boolean {
   return ![...state.holdings.values()].some(holding => isActive(holding.state));
 }
 
-/** Tells whether a member's registration is the one of this process. */
+/**
+ * Tells whether a member's registration is the one of this process.
+ *
+ * @example
+ * if (!isOwnRecord(state, member)) return;
+ */
 export function isOwnRecord(state: State, member: Member): boolean {
   return sameLease(leaseOf(member), state.holder.lease);
 }
--- a/src/ownership/grant.ts
+++ b/src/ownership/grant.ts
@@ -27,7 +27,12 @@
   readonly slices: readonly SliceEpoch[];
 }
 
-/** Returns the state before the first grant. */
+/**
+ * Returns the state before the first grant.
+ *
+ * @example
+ * newGrant().sequence; // 0
+ */
 export function newGrant(): Grant {
   return {
     sequence: 0,
@@ -58,6 +63,9 @@
  *
  * @param leaseUntil End of the lease by the daemon's clock, in milliseconds.
  * @param driftShare Bound on the difference between the rates of the clocks.
+ *
+ * @example
+ * const {grant, request} = prepareGrant(before, entries, leaseUntil, 0.02, now);
  */
 export function prepareGrant(
   grant: Grant,
@@ -84,7 +92,12 @@
   return {grant: next, request: {sequence, until, slices}};
 }
 
-/** Applies the upstream's confirmation of the latest grant. */
+/**
+ * Applies the upstream's confirmation of the latest grant.
+ *
+ * @example
+ * const grant = confirmGrant(before, request.sequence, clock, now);
+ */
 export function confirmGrant(
   grant: Grant,
   sequence: number,
@@ -102,7 +115,12 @@
   };
 }
 
-/** Applies the failure of the latest grant, which may have reached the upstream. */
+/**
+ * Applies the failure of the latest grant, which may have reached the upstream.
+ *
+ * @example
+ * failGrant(before, request.sequence).waiting; // false
+ */
 export function failGrant(grant: Grant, sequence: number): Grant {
   if (sequence !== grant.sequence) return grant;
   return {...grant, waiting: false};
--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -86,7 +86,12 @@
 
 const NO_WITNESSES: WitnessSet = {number: 0, witnesses: []};
 
-/** Returns the state of a holder that has not registered yet. */
+/**
+ * Returns the state of a holder that has not registered yet.
+ *
+ * @example
+ * newHolder('rota-display-1').state; // 'unregistered'
+ */
 export function newHolder(instance: string): Holder {
   return {
     state: HOLDER.initial,
@@ -105,6 +110,9 @@
  * majority of every set in force was last asked with success, plus the duration
  * that a holder counts. A set without witnesses can be sealed by nobody, so its
  * lease does not lapse.
+ *
+ * @example
+ * const leftMs = leaseUntil(holder, settings) - now;
  */
 export function leaseUntil(holder: Holder, settings: LeaseSettings): number {
   if (holder.state !== 'valid' && holder.state !== 'acquiring') return 0;
@@ -112,12 +120,22 @@
   return Math.min(...sets.map(set => setUntil(holder, set, settings)));
 }
 
-/** Tells whether the lease is in force. */
+/**
+ * Tells whether the lease is in force.
+ *
+ * @example
+ * if (!leaseValid(holder, now)) refuse();
+ */
 export function leaseValid(holder: Holder, now: number): boolean {
   return holder.state === 'valid' && now < holder.until;
 }
 
-/** Applies an event to a holder. */
+/**
+ * Applies an event to a holder.
+ *
+ * @example
+ * const next = stepHolder(holder, {kind: 'tick', now}, settings);
+ */
 export function stepHolder(
   holder: Holder,
   event: HolderEvent,
@@ -161,7 +179,12 @@
   }
 }
 
-/** Tells whether a majority of the set satisfies a condition. */
+/**
+ * Tells whether a majority of the set satisfies a condition.
+ *
+ * @example
+ * hasMajority(set, witness => sealed.has(witness.process));
+ */
 export function hasMajority(
   set: WitnessSet,
   holds: (witness: Witness) => boolean,
--- a/src/ownership/route.ts
+++ b/src/ownership/route.ts
@@ -4,7 +4,12 @@
 import type {State} from './state.js';
 import {leaseEnded, termEnded} from './view.js';
 
-/** Finds where the requests of a slice go, as far as this daemon knows. */
+/**
+ * Finds where the requests of a slice go, as far as this daemon knows.
+ *
+ * @example
+ * routeOf(state, 'rota-display', 7, now).kind; // 'local' at the owner
+ */
 export function routeOf(
   state: State,
   service: string,
@@ -24,7 +29,12 @@
   return remote(state, terms);
 }
 
-/** Returns the members of a service that new requests may be sent to. */
+/**
+ * Returns the members of a service that new requests may be sent to.
+ *
+ * @example
+ * const candidates = liveMembers(state, 'season-import');
+ */
 export function liveMembers(state: State, service: string): readonly Member[] {
   return [...state.view.members.values()].filter(
     member =>
@@ -37,6 +47,9 @@
 /**
  * Returns the terms of a slice that may be in force, the one believed to be
  * served first.
+ *
+ * @example
+ * const [owner] = liveTerms(state, 'rota-display', 7);
  */
 export function liveTerms(
   state: State,
--- a/src/ownership/settings.ts
+++ b/src/ownership/settings.ts
@@ -33,12 +33,22 @@
   return settings;
 }
 
-/** How long a holder counts a renewal, by its own clock. */
+/**
+ * How long a holder counts a renewal, by its own clock.
+ *
+ * @example
+ * holderMs({durationMs: 450, renewMs: 150, driftShare: 0.02, witnesses: 3}); // 441
+ */
 export function holderMs(settings: LeaseSettings): number {
   return settings.durationMs * (1 - settings.driftShare);
 }
 
-/** How long a witness observes a renewal, by its own clock. */
+/**
+ * How long a witness observes a renewal, by its own clock.
+ *
+ * @example
+ * witnessMs({durationMs: 450, renewMs: 150, driftShare: 0.02, witnesses: 3}); // 459
+ */
 export function witnessMs(settings: LeaseSettings): number {
   return settings.durationMs * (1 + settings.driftShare);
 }
--- a/src/ownership/state.ts
+++ b/src/ownership/state.ts
@@ -159,7 +159,12 @@
   return {state: current, effects};
 }
 
-/** Returns a step that changes nothing. */
+/**
+ * Returns a step that changes nothing.
+ *
+ * @example
+ * if (!due) return unchanged(state);
+ */
 export function unchanged(state: State): Step {
   return {state, effects: []};
 }
--- a/src/ownership/tenure.ts
+++ b/src/ownership/tenure.ts
@@ -22,7 +22,12 @@
 /** Stewards of a chunk that are told of releases. */
 const RELEASE_STEWARDS = 2;
 
-/** Tells whether this daemon may serve any slice now. */
+/**
+ * Tells whether this daemon may serve any slice now.
+ *
+ * @example
+ * if (!mayServe(state, now)) return [];
+ */
 export function mayServe(state: State, now: number): boolean {
   return state.upstream?.healthy === true && leaseValid(state.holder, now);
 }
@@ -32,6 +37,9 @@
  *
  * @param busy Slices with requests in flight; undefined when that is not known
  *     now, so that what was known last counts.
+ *
+ * @example
+ * const {state, effects} = reviewTerms(before, now, new Set(['rota-display/7']));
  */
 export function reviewTerms(
   state: State,
@@ -55,7 +63,12 @@
   return announce(next, began, released, now);
 }
 
-/** Sends a new grant when its entries changed or a renewal is due. */
+/**
+ * Sends a new grant when its entries changed or a renewal is due.
+ *
+ * @example
+ * const {state, effects} = renewGrant(before, now);
+ */
 export function renewGrant(state: State, now: number): Step {
   const {upstream, grant} = state;
   if (!upstream || upstream.fencing === 'ignored') return unchanged(state);
@@ -76,7 +89,12 @@
   };
 }
 
-/** Repeats the releases that the records still wait for. */
+/**
+ * Repeats the releases that the records still wait for.
+ *
+ * @example
+ * const {state, effects} = repeatReleases(before, now);
+ */
 export function repeatReleases(state: State, now: number): Step {
   const due = [...state.holdings].filter(
     ([id, holding]) =>
@@ -95,7 +113,12 @@
   };
 }
 
-/** Tells whether this daemon serves a slice under an epoch, as of now. */
+/**
+ * Tells whether this daemon serves a slice under an epoch, as of now.
+ *
+ * @example
+ * if (!holdsTerm(state, 'rota-display', 7, epoch, now)) giveUp();
+ */
 export function holdsTerm(
   state: State,
   service: string,
--- a/src/ownership/view.ts
+++ b/src/ownership/view.ts
@@ -23,7 +23,12 @@
   readonly began: ReadonlyMap<string, Term>;
 }
 
-/** Returns a view that knows nothing. */
+/**
+ * Returns a view that knows nothing.
+ *
+ * @example
+ * withMember(emptyView(), member).members.size; // 1
+ */
 export function emptyView(): View {
   return {
     members: new Map(),
@@ -35,7 +40,12 @@
   };
 }
 
-/** Adds a registration record, unless one of a later generation is known. */
+/**
+ * Adds a registration record, unless one of a later generation is known.
+ *
+ * @example
+ * const view = withMember(before, member);
+ */
 export function withMember(view: View, member: Member): View {
   const known = view.members.get(member.instance);
   if (known && known.generation > member.generation) return view;
@@ -43,7 +53,12 @@
   return {...view, members};
 }
 
-/** Replaces a chunk and its slice records. */
+/**
+ * Replaces a chunk and its slice records.
+ *
+ * @example
+ * const view = withChunk(before, {service: 'rota-display', index: 0, slices});
+ */
 export function withChunk(view: View, chunk: Chunk): View {
   const {service, index} = chunk;
   const chunks = new Map(view.chunks).set(`${service}/${index}`, chunk);
@@ -58,7 +73,12 @@
   return {...view, chunks, records, began};
 }
 
-/** Adds leases that are proved to have ended. */
+/**
+ * Adds leases that are proved to have ended.
+ *
+ * @example
+ * const view = withEnded(before, [{instance: 'a', generation: 3}]);
+ */
 export function withEnded(view: View, leases: readonly LeaseId[]): View {
   const fresh = leases.filter(lease => !view.ended.has(formatLease(lease)));
   if (fresh.length === 0) return view;
@@ -67,7 +87,12 @@
   return {...view, ended};
 }
 
-/** Adds what an instance has said to have begun. */
+/**
+ * Adds what an instance has said to have begun.
+ *
+ * @example
+ * const view = withBegan(before, message);
+ */
 export function withBegan(view: View, message: Began): View {
   const began = new Map(view.began);
   for (const entry of message.slices) {
@@ -79,7 +104,12 @@
   return withEnded({...view, began}, message.ended);
 }
 
-/** Adds what an instance has said to have released. */
+/**
+ * Adds what an instance has said to have released.
+ *
+ * @example
+ * const view = withReleased(before, message);
+ */
 export function withReleased(view: View, message: Released): View {
   const released = new Map(view.released);
   for (const entry of message.slices) {
@@ -92,6 +122,9 @@
 /**
  * Tells whether a lease can never be in force again: a later generation of its
  * instance is recorded, it is recorded as ended, or it was proved ended.
+ *
+ * @example
+ * leaseEnded(withEnded(view, [lease]), lease); // true
  */
 export function leaseEnded(view: View, lease: LeaseId): boolean {
   const member = view.members.get(lease.instance);
@@ -102,7 +135,12 @@
   return view.ended.has(formatLease(lease));
 }
 
-/** Returns the highest epoch of a slice that a lease has released, or 0. */
+/**
+ * Returns the highest epoch of a slice that a lease has released, or 0.
+ *
+ * @example
+ * releasedEpoch(view, 'rota-display', 7, lease) >= 9;
+ */
 export function releasedEpoch(
   view: View,
   service: string,
@@ -112,7 +150,12 @@
   return view.released.get(releaseKey({service, slice}, lease)) ?? 0;
 }
 
-/** Tells whether a term can never be in force again. */
+/**
+ * Tells whether a term can never be in force again.
+ *
+ * @example
+ * const live = record.terms.filter(t => !termEnded(view, 'rota-display', 7, t));
+ */
 export function termEnded(
   view: View,
   service: string,
@@ -123,7 +166,12 @@
   return releasedEpoch(view, service, slice, term.lease) >= term.epoch;
 }
 
-/** Forgets the releases of slices whose records no longer need them. */
+/**
+ * Forgets the releases of slices whose records no longer need them.
+ *
+ * @example
+ * const view = pruneReleases(withChunk(before, chunk));
+ */
 export function pruneReleases(view: View): View {
   const released = new Map(view.released);
   for (const [key, epoch] of view.released) {
