Start a process test of kills, freezes and outages

Ruled out: reusing the demo's fleet, which cannot restart an instance. Before: no test under test/process. After: nine scenes on one fleet, checked against the journals of the upstreams.

--- /dev/null
+++ b/measure/fleet.ts
@@ -0,0 +1,251 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {findPorts} from '../demo/ports.js';
+import type {Process, Processes} from '../demo/processes.js';
+import {formatAddress} from '../src/model/index.js';
+import type {Address, Service, Status} from '../src/model/index.js';
+import {CONFIGURATION_KEY} from '../src/platform/index.js';
+import {DEFAULT_LIMITS} from '../src/settings/index.js';
+import {LOOPBACK} from '../standin/listen.js';
+import {readJournal, type Execution} from '../standin/upstream/execution.js';
+
+/** Time between two looks at the state of a fleet, in milliseconds. */
+const POLL_INTERVAL_MS = 50;
+
+/** Time limit of one call to a control address, in milliseconds. */
+const CALL_TIMEOUT_MS = 1000;
+
+/** Time limit of a daemon's graceful shutdown, in milliseconds. */
+const SHUTDOWN_MS = 10_000;
+
+const SITE = 'site';
+
+/** The keyed service of every fleet. */
+export const SERVICE: Service = {
+  name: 'ledger',
+  pathPrefix: '/ledger/',
+  key: {path: '/ledger/{key}'},
+  slices: 16,
+  chunks: 4,
+  priority: 10,
+  deadlineMs: 2000,
+  fencing: 'enforced',
+  successors: 2,
+};
+
+/** One instance of a fleet: a daemon and, unless left out, its upstream. */
+export interface Node {
+  readonly name: string;
+  readonly domain: string;
+  readonly callers: Address;
+  readonly control: Address;
+  /** Settings file of the daemon. */
+  readonly file: string;
+  daemon?: Process;
+  upstream?: Process;
+  /** Journal files of the upstream, one for each of its starts. */
+  readonly journals: string[];
+}
+
+/** Running processes of one keyed service. */
+export interface Fleet {
+  readonly processes: Processes;
+  readonly directory: string;
+  readonly platform: Address;
+  readonly nodes: readonly Node[];
+}
+
+/** The shape of a fleet. */
+export interface Shape {
+  readonly domains: number;
+  readonly instancesPerDomain: number;
+}
+
+/** A committed execution and the instance that committed it. */
+export interface Commit extends Execution {
+  readonly committed: number;
+  readonly instance: string;
+}
+
+/**
+ * Starts a platform with a configuration and prepares the instances, which
+ * `startNode` starts.
+ *
+ * @param directory Holds the settings, journals and logs.
+ * @throws {RangeError} when the shape has no instance.
+ *
+ * @example
+ * const fleet = await createFleet(processes, directory, {domains: 4, instancesPerDomain: 1});
+ * fleet.nodes.forEach(node => startNode(fleet, node));
+ */
+export async function createFleet(
+  processes: Processes,
+  directory: string,
+  {domains, instancesPerDomain}: Shape,
+): Promise<Fleet> {
+  const size = domains * instancesPerDomain;
+  if (!(size >= 1)) throw new RangeError('a fleet has at least one instance');
+  const stand = processes.start('platform', 'standin/platform/main.js', []);
+  const platform = await stand.listening;
+  await putConfiguration(platform);
+  const addresses = (await findPorts(size * 3)).map(port => ({
+    host: LOOPBACK,
+    port,
+  }));
+  const nodes = Array.from({length: size}, (_, index) => {
+    const [callers, peers, control] = addresses.slice(3 * index, 3 * index + 3);
+    const name = `ledger-${index}`;
+    const domain = `domain-${index % domains}`;
+    const seeds = [1, 2, 3]
+      .filter(step => step < size)
+      .map(step => addresses[3 * ((index + step) % size) + 1]);
+    const file = join(directory, `${name}.jsonc`);
+    const settings = {
+      instance: name,
+      site: SITE,
+      region: 'region',
+      domain,
+      callers: formatAddress(callers),
+      peers: formatAddress(peers),
+      control: formatAddress(control),
+      platform: formatAddress(platform),
+      seeds: seeds.map(formatAddress),
+      secrets: [{id: 'fleet', key: 'a-key-for-this-fleet-alone'}],
+      shutdownMs: SHUTDOWN_MS,
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    return {name, domain, callers, control, file, journals: []};
+  });
+  return {processes, directory, platform, nodes};
+}
+
+async function putConfiguration(platform: Address): Promise<void> {
+  const accepted = {
+    version: 1,
+    change: 'first',
+    author: 'fleet',
+    acceptedAt: new Date().toISOString(),
+    sites: [
+      {
+        site: SITE,
+        services: [SERVICE],
+        limits: DEFAULT_LIMITS,
+        weights: {imbalance: 1, churn: 1, unavailable: 1},
+      },
+    ],
+  };
+  const url = `http://${formatAddress(platform)}/objects?key=${CONFIGURATION_KEY}&expected=0`;
+  const answer = await fetch(url, {
+    method: 'PUT',
+    body: JSON.stringify(accepted),
+  });
+  if (!answer.ok) throw new Error(`configuration: ${answer.status}`);
+}
+
+/** Starts the daemon and the upstream of an instance. */
+export function startNode(fleet: Fleet, node: Node): void {
+  startDaemon(fleet, node);
+  startUpstream(fleet, node);
+}
+
+/** Starts the daemon of an instance. */
+export function startDaemon({processes}: Fleet, node: Node): void {
+  const args = ['run', '--settings', node.file];
+  node.daemon = processes.start(node.name, 'src/bin/vanillaspoold.js', args);
+}
+
+/** Starts the upstream of an instance, with a journal of its own. */
+export function startUpstream({processes, directory}: Fleet, node: Node): void {
+  const journal = join(
+    directory,
+    `${node.name}-${node.journals.length}.journal`,
+  );
+  node.journals.push(journal);
+  const args = [
+    ['--announce', formatAddress(node.control)],
+    ['--service', SERVICE.name],
+    ['--fencing', SERVICE.fencing],
+    ['--journal', journal],
+  ].flat();
+  const name = `${node.name}-upstream`;
+  node.upstream = processes.start(name, 'standin/upstream/main.js', args);
+}
+
+/** Signals the daemon and the upstream of an instance. */
+export function signalNode(node: Node, signal: NodeJS.Signals): void {
+  node.daemon?.signal(signal);
+  node.upstream?.signal(signal);
+}
+
+/** Kills the daemon and the upstream of an instance and waits for their end. */
+export async function killNode(node: Node): Promise<void> {
+  signalNode(node, 'SIGKILL');
+  await Promise.all([node.daemon?.exited, node.upstream?.exited]);
+}
+
+/** Asks a daemon for its status; undefined when it does not answer. */
+export async function readStatus(node: Node): Promise<Status | undefined> {
+  try {
+    const url = `http://${formatAddress(node.control)}/status`;
+    const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+    return (await (await fetch(url, {signal})).json()) as Status;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Waits until every instance serves under the lease of its running process,
+ * and together they serve every slice.
+ *
+ * @throws {Error} when the time limit, in milliseconds, has passed.
+ */
+export async function waitUntilServing(
+  {nodes}: Fleet,
+  timeoutMs: number,
+): Promise<void> {
+  await waitUntil('every slice is served', timeoutMs, async () => {
+    const statuses = await Promise.all(nodes.map(readStatus));
+    const serving = statuses.filter(
+      status => status?.state === 'serving' && status.leaseValid,
+    );
+    const slices = serving.reduce((sum, status) => sum + status!.slices, 0);
+    return serving.length === nodes.length && slices === SERVICE.slices;
+  });
+}
+
+/**
+ * Polls until a condition holds.
+ *
+ * @throws {Error} when the time limit, in milliseconds, has passed.
+ *
+ * @example
+ * await waitUntil('the file exists', 1000, async () => existsSync(file));
+ */
+export async function waitUntil(
+  what: string,
+  timeoutMs: number,
+  isReached: () => Promise<boolean>,
+): Promise<void> {
+  const endMs = performance.now() + timeoutMs;
+  while (!(await isReached())) {
+    if (performance.now() > endMs) {
+      throw new Error(`not within ${timeoutMs} ms: ${what}`);
+    }
+    await sleep(POLL_INTERVAL_MS);
+  }
+}
+
+/** Reads the committed executions of all upstreams, also of those that ended. */
+export function readCommits({nodes}: Fleet): readonly Commit[] {
+  return nodes.flatMap(({name, journals}) =>
+    journals.flatMap(file =>
+      readJournal(readFileSync(file, 'utf8')).flatMap(execution => {
+        const {committed} = execution;
+        if (committed === undefined) return [];
+        return [{...execution, committed, instance: name}];
+      }),
+    ),
+  );
+}
--- /dev/null
+++ b/test/process/process.test.ts
@@ -0,0 +1,207 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {setPlatformFaults} from '../../demo/control.js';
+import {createProcesses} from '../../demo/processes.js';
+import {
+  createFleet,
+  killNode,
+  readCommits,
+  readStatus,
+  signalNode,
+  startNode,
+  startUpstream,
+  waitUntil,
+  waitUntilServing,
+  type Fleet,
+  type Node,
+} from '../../measure/fleet.js';
+import {KEYS, startCaller, type Caller} from './caller.js';
+import {findContradictions} from './check.js';
+
+/** Time limit of every wait, in milliseconds. */
+const WAIT_LIMIT_MS = 30_000;
+
+/** Time for which a process is frozen, in milliseconds. */
+const FREEZE_MS = 2000;
+
+const directory = mkdtempSync(join(tmpdir(), 'vanillaspool-process-'));
+const processes = createProcesses(directory);
+let fleet: Fleet;
+let caller: Caller;
+/** Instances that the caller sends to. */
+let entries: readonly Node[] = [];
+
+test.before(async () => {
+  const shape = {domains: 4, instancesPerDomain: 1};
+  fleet = await createFleet(processes, directory, shape);
+  fleet.nodes.forEach(node => startNode(fleet, node));
+  await waitUntilServing(fleet, WAIT_LIMIT_MS);
+  entries = fleet.nodes;
+  caller = startCaller(() => entries.map(({callers}) => callers));
+});
+
+test.after.always(async t => {
+  await caller?.stop();
+  await processes.killAll();
+  if (t.passed) rmSync(directory, {recursive: true, force: true});
+  else t.log(`logs and journals: ${directory}`);
+});
+
+/** Waits until a write of every key is answered through every entry. */
+async function waitUntilEveryKeyIsServed(): Promise<void> {
+  const left = new Set(KEYS);
+  let turn = 0;
+  await waitUntil('every key is served', WAIT_LIMIT_MS, async () => {
+    const entry = entries[turn++ % entries.length].callers;
+    const writes = [...left].map(key => caller.write(entry, key));
+    for (const {key, ending} of await Promise.all(writes)) {
+      if (ending.kind === 'answered') left.delete(key);
+    }
+    return left.size === 0;
+  });
+}
+
+/** Waits for the whole fleet to serve and checks all that happened so far. */
+async function settle(t: ExecutionContext): Promise<void> {
+  await waitUntilServing(fleet, WAIT_LIMIT_MS);
+  entries = fleet.nodes;
+  await waitUntilEveryKeyIsServed();
+  const commits = readCommits(fleet);
+  const found = findContradictions(caller.writes(), commits);
+  t.deepEqual(found, []);
+}
+
+/** Returns the others, which the caller sends to during a loss. */
+function others(lost: Node): readonly Node[] {
+  return fleet.nodes.filter(node => node !== lost);
+}
+
+/** Returns an instance that serves slices. */
+async function owner(index: number): Promise<Node> {
+  const node = fleet.nodes[index];
+  await waitUntil(`${node.name} owns slices`, WAIT_LIMIT_MS, async () => {
+    const status = await readStatus(node);
+    return status !== undefined && status.slices > 0;
+  });
+  return node;
+}
+
+/** Waits until an upstream refuses the last term that it executed under. */
+async function waitUntilFenced(node: Node): Promise<void> {
+  const {slice, epoch} = readCommits(fleet).findLast(
+    ({instance}) => instance === node.name,
+  )!;
+  const address = await node.upstream!.listening;
+  const url = `http://${address.host}:${address.port}/ledger/direct`;
+  await waitUntil(`${node.name} is fenced`, WAIT_LIMIT_MS, async () => {
+    const headers = {
+      'vanillaspool-slice': String(slice),
+      'vanillaspool-epoch': String(epoch),
+    };
+    const answer = await fetch(url, {method: 'GET', headers});
+    await answer.text();
+    return answer.headers.get('vanillaspool-fenced') === 'true';
+  });
+}
+
+test.serial('a killed instance is taken over and returns', async t => {
+  const node = await owner(0);
+  await killNode(node);
+  entries = others(node);
+  await waitUntilEveryKeyIsServed();
+  startNode(fleet, node);
+  await settle(t);
+});
+
+test.serial('the grant of a frozen daemon lapses at its upstream', async t => {
+  const node = await owner(1);
+  node.daemon!.signal('SIGSTOP');
+  const thaw = sleep(FREEZE_MS);
+  await waitUntilFenced(node);
+  await waitUntilEveryKeyIsServedBy(others(node));
+  await thaw;
+  node.daemon!.signal('SIGCONT');
+  await settle(t);
+});
+
+async function waitUntilEveryKeyIsServedBy(
+  nodes: readonly Node[],
+): Promise<void> {
+  const before = entries;
+  entries = nodes;
+  await waitUntilEveryKeyIsServed();
+  entries = before;
+}
+
+test.serial('a frozen upstream executes nothing when it returns', async t => {
+  const node = await owner(2);
+  node.upstream!.signal('SIGSTOP');
+  await sleep(FREEZE_MS);
+  node.upstream!.signal('SIGCONT');
+  await settle(t);
+});
+
+test.serial('a frozen instance executes nothing when it returns', async t => {
+  const node = await owner(3);
+  signalNode(node, 'SIGSTOP');
+  await sleep(FREEZE_MS);
+  await waitUntilEveryKeyIsServedBy(others(node));
+  signalNode(node, 'SIGCONT');
+  await settle(t);
+});
+
+test.serial('a loss is taken over while the platform is away', async t => {
+  const node = await owner(1);
+  await setPlatformFaults(fleet.platform, {down: true});
+  await killNode(node);
+  entries = others(node);
+  await waitUntilEveryKeyIsServed();
+  startNode(fleet, node);
+  await setPlatformFaults(fleet.platform, {down: false, loseAnswers: 1});
+  await settle(t);
+});
+
+test.serial('a daemon that ends on request cuts nothing off', async t => {
+  const node = await owner(2);
+  const before = caller.writes().length;
+  node.daemon!.signal('SIGTERM');
+  t.is(await node.daemon!.exited, 0);
+  entries = others(node);
+  await waitUntilEveryKeyIsServed();
+  const cut = caller
+    .writes()
+    .slice(before)
+    .filter(({ending}) => ending.kind === 'unknown');
+  t.deepEqual(cut, []);
+  await killNode(node);
+  startNode(fleet, node);
+  await settle(t);
+});
+
+test.serial(
+  'an instance killed and restarted at once serves again',
+  async t => {
+    const node = await owner(3);
+    await killNode(node);
+    startNode(fleet, node);
+    await settle(t);
+  },
+);
+
+test.serial('an upstream killed and restarted alone serves again', async t => {
+  const node = await owner(0);
+  node.upstream!.signal('SIGKILL');
+  await node.upstream!.exited;
+  startUpstream(fleet, node);
+  await settle(t);
+});
+
+test.serial('a fleet killed and restarted at once serves again', async t => {
+  entries = [];
+  await Promise.all(fleet.nodes.map(killNode));
+  fleet.nodes.forEach(node => startNode(fleet, node));
+  await settle(t);
+});
