--- a/measure/fleet.ts
+++ b/measure/fleet.ts
@@ -3,9 +3,20 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {findPorts} from '../demo/ports.js';
 import type {Process, Processes} from '../demo/processes.js';
-import {formatAddress} from '../src/model/index.js';
-import type {Address, Service, Status} from '../src/model/index.js';
-import {CONFIGURATION_KEY} from '../src/platform/index.js';
+import {formatAddress, sliceOfKey} from '../src/model/index.js';
+import type {
+  Address,
+  Chunk,
+  Explanation,
+  Member,
+  Service,
+  Status,
+} from '../src/model/index.js';
+import {
+  CHUNKS_PREFIX,
+  CONFIGURATION_KEY,
+  MEMBERS_PREFIX,
+} from '../src/platform/index.js';
 import {DEFAULT_LIMITS} from '../src/settings/index.js';
 import {LOOPBACK} from '../standin/listen.js';
 import {readJournal, type Execution} from '../standin/upstream/execution.js';
@@ -19,6 +30,9 @@
 /** Time limit of a daemon's graceful shutdown, in milliseconds. */
 const SHUTDOWN_MS = 10_000;
 
+/** Witnesses of a lease in a fleet that has as many. */
+const WITNESSES = 3;
+
 const SITE = 'site';
 
 /** The keyed service of every fleet. */
@@ -249,3 +263,63 @@
     ),
   );
 }
+
+interface Listing {
+  readonly objects: readonly {readonly key: string; readonly value: string}[];
+}
+
+/** Reads the objects of the platform under a prefix. */
+async function readObjects<T>(
+  {platform}: Fleet,
+  prefix: string,
+): Promise<readonly T[]> {
+  const url = `http://${formatAddress(platform)}/objects?prefix=${prefix}`;
+  const {objects} = (await (await fetch(url)).json()) as Listing;
+  return objects.map(({value}) => JSON.parse(value) as T);
+}
+
+/**
+ * Waits until every slice has a standing successor on the platform, and every
+ * lease has all its witnesses among the running processes.
+ *
+ * @throws {Error} when the time limit, in milliseconds, has passed.
+ */
+export async function waitUntilStanding(
+  fleet: Fleet,
+  timeoutMs: number,
+): Promise<void> {
+  await waitUntilServing(fleet, timeoutMs);
+  await waitUntil('successors stand ready', timeoutMs, async () => {
+    const statuses = await Promise.all(fleet.nodes.map(readStatus));
+    const running = new Set(statuses.map(status => status?.process));
+    const members = await readObjects<Member>(fleet, MEMBERS_PREFIX);
+    const chunks = await readObjects<Chunk>(fleet, CHUNKS_PREFIX);
+    const wanted = Math.min(WITNESSES, fleet.nodes.length - 1);
+    return (
+      members.every(
+        ({witnesses: {witnesses}}) =>
+          witnesses.length === wanted &&
+          witnesses.every(({process}) => running.has(process)),
+      ) &&
+      chunks.every(({slices}) => slices.every(({terms}) => terms.length > 1))
+    );
+  });
+}
+
+/** Asks a daemon who owns a key. */
+export async function readOwner(node: Node, key: string): Promise<Explanation> {
+  const call = `explain?service=${SERVICE.name}&key=${key}`;
+  const url = `http://${formatAddress(node.control)}/${call}`;
+  return (await (await fetch(url)).json()) as Explanation;
+}
+
+/** Returns one key of each slice of the service. */
+export function keyOfEachSlice(): readonly string[] {
+  const bySlice = new Map<number, string>();
+  for (let number = 0; bySlice.size < SERVICE.slices; number++) {
+    const key = `key-${number}`;
+    const slice = sliceOfKey(key, SERVICE.slices);
+    if (!bySlice.has(slice)) bySlice.set(slice, key);
+  }
+  return [...bySlice.values()];
+}
--- a/test/process/process.test.ts
+++ b/test/process/process.test.ts
@@ -15,6 +15,7 @@
   startUpstream,
   waitUntil,
   waitUntilServing,
+  waitUntilStanding,
   type Fleet,
   type Node,
 } from '../../measure/fleet.js';
@@ -31,6 +32,7 @@
 const processes = createProcesses(directory);
 let fleet: Fleet;
 let caller: Caller;
+let hasFailed = false;
 /** Instances that the caller sends to. */
 let entries: readonly Node[] = [];
 
@@ -46,8 +48,12 @@
 test.after.always(async t => {
   await caller?.stop();
   await processes.killAll();
-  if (t.passed) rmSync(directory, {recursive: true, force: true});
-  else t.log(`logs and journals: ${directory}`);
+  if (hasFailed) t.log(`logs and journals: ${directory}`);
+  else rmSync(directory, {recursive: true, force: true});
+});
+
+test.afterEach.always(t => {
+  if (!t.passed) hasFailed = true;
 });
 
 /** Waits until a write of every key is answered through every entry. */
@@ -79,14 +85,11 @@
   return fleet.nodes.filter(node => node !== lost);
 }
 
-/** Returns an instance that serves slices. */
-async function owner(index: number): Promise<Node> {
-  const node = fleet.nodes[index];
-  await waitUntil(`${node.name} owns slices`, WAIT_LIMIT_MS, async () => {
-    const status = await readStatus(node);
-    return status !== undefined && status.slices > 0;
-  });
-  return node;
+/** Returns the instance that serves the most slices. */
+async function owner(): Promise<Node> {
+  const statuses = await Promise.all(fleet.nodes.map(readStatus));
+  const slices = statuses.map(status => status?.slices ?? 0);
+  return fleet.nodes[slices.indexOf(Math.max(...slices))];
 }
 
 /** Waits until an upstream refuses the last term that it executed under. */
@@ -108,7 +111,7 @@
 }
 
 test.serial('a killed instance is taken over and returns', async t => {
-  const node = await owner(0);
+  const node = await owner();
   await killNode(node);
   entries = others(node);
   await waitUntilEveryKeyIsServed();
@@ -117,7 +120,7 @@
 });
 
 test.serial('the grant of a frozen daemon lapses at its upstream', async t => {
-  const node = await owner(1);
+  const node = await owner();
   node.daemon!.signal('SIGSTOP');
   const thaw = sleep(FREEZE_MS);
   await waitUntilFenced(node);
@@ -137,7 +140,7 @@
 }
 
 test.serial('a frozen upstream executes nothing when it returns', async t => {
-  const node = await owner(2);
+  const node = await owner();
   node.upstream!.signal('SIGSTOP');
   await sleep(FREEZE_MS);
   node.upstream!.signal('SIGCONT');
@@ -145,7 +148,7 @@
 });
 
 test.serial('a frozen instance executes nothing when it returns', async t => {
-  const node = await owner(3);
+  const node = await owner();
   signalNode(node, 'SIGSTOP');
   await sleep(FREEZE_MS);
   await waitUntilEveryKeyIsServedBy(others(node));
@@ -154,18 +157,22 @@
 });
 
 test.serial('a loss is taken over while the platform is away', async t => {
-  const node = await owner(1);
+  await waitUntilStanding(fleet, WAIT_LIMIT_MS);
+  const node = await owner();
   await setPlatformFaults(fleet.platform, {down: true});
-  await killNode(node);
-  entries = others(node);
-  await waitUntilEveryKeyIsServed();
-  startNode(fleet, node);
-  await setPlatformFaults(fleet.platform, {down: false, loseAnswers: 1});
+  try {
+    await killNode(node);
+    entries = others(node);
+    await waitUntilEveryKeyIsServed();
+    startNode(fleet, node);
+  } finally {
+    await setPlatformFaults(fleet.platform, {down: false, loseAnswers: 1});
+  }
   await settle(t);
 });
 
 test.serial('a daemon that ends on request cuts nothing off', async t => {
-  const node = await owner(2);
+  const node = await owner();
   const before = caller.writes().length;
   node.daemon!.signal('SIGTERM');
   t.is(await node.daemon!.exited, 0);
@@ -184,7 +191,7 @@
 test.serial(
   'an instance killed and restarted at once serves again',
   async t => {
-    const node = await owner(3);
+    const node = await owner();
     await killNode(node);
     startNode(fleet, node);
     await settle(t);
@@ -192,7 +199,7 @@
 );
 
 test.serial('an upstream killed and restarted alone serves again', async t => {
-  const node = await owner(0);
+  const node = await owner();
   node.upstream!.signal('SIGKILL');
   await node.upstream!.exited;
   startUpstream(fleet, node);
