Split the daemon into parts that are created before they start

Nothing is measured; behaviour stays as it is, but that an accepted configuration is read through its schema and applied by the rule that versions only grow.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,61 +1,60 @@
 import {randomUUID} from 'node:crypto';
-import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createAdmission} from '../admission/index.js';
+import type {Admission} from '../admission/index.js';
 import {
+  closeServers,
   createGateway,
   createSigner as createHopSigner,
-  closeServers,
-  createCallersServer,
-  createPeersServer,
-  isForwarded,
 } from '../gateway/index.js';
 import type {Gateway} from '../gateway/index.js';
+import type {MirrorEntry} from '../membership/index.js';
 import {formatAddress, sameAddress} from '../model/index.js';
-import type {
-  AcceptedConfiguration,
-  Address,
-  Member,
-  Status,
-} from '../model/index.js';
-import {
-  isIdle,
-  leaseValid,
-  newState,
-  OWNERSHIP_EVENTS,
-} from '../ownership/index.js';
-import type {Load, Self, State} from '../ownership/index.js';
+import type {Address, Member, Status} from '../model/index.js';
+import {isIdle, newState, OWNERSHIP_EVENTS} from '../ownership/index.js';
+import type {Envelope, Load, Self, State} from '../ownership/index.js';
 import {
   createMirrorHandler,
   createSigner,
   follow,
   openDatagrams,
 } from '../peer/index.js';
+import type {DatagramEndpoint, Signer} from '../peer/index.js';
 import {createPlatform, memberKey, putResolved} from '../platform/index.js';
 import type {Platform} from '../platform/index.js';
-import {DEFAULT_LIMITS} from '../settings/index.js';
 import type {Settings} from '../settings/index.js';
 import {createMetrics} from '../telemetry/index.js';
-import type {Log} from '../telemetry/index.js';
+import type {Log, Metrics} from '../telemetry/index.js';
 import {createBalancer, loadReport, LOAD_REPORT_MS} from './balancer.js';
-import {createControlServer} from './control.js';
+import type {Balancer} from './balancer.js';
+import {createSiteConfiguration} from './configuration.js';
+import type {SiteConfiguration} from './configuration.js';
+import type {ControlOptions} from './control.js';
 import {createEffects} from './effects.js';
 import {DAEMON_EVENTS} from './events.js';
 import {explainKey} from './explain.js';
 import {runFeed} from './feed.js';
-import {startLoop} from './loop.js';
+import {createInbox} from './inbox.js';
+import type {Inbox} from './inbox.js';
+import {createLoop} from './loop.js';
 import type {Loop} from './loop.js';
 import {readObject} from './objects.js';
 import {createRequestView} from './ownership.js';
+import type {RequestView} from './ownership.js';
 import {createPublisher} from './publish.js';
+import type {Publisher} from './publish.js';
 import {watchReachability} from './reachability.js';
+import type {Reachability} from './reachability.js';
+import {applyLimits, closeNow, createServers, listen} from './servers.js';
+import type {Servers} from './servers.js';
+import {statusOf} from './status.js';
 import {startSteward} from './steward.js';
 import {createTrace} from './trace.js';
+import type {DaemonTrace} from './trace.js';
 import {createUpstreamLink} from './upstreamlink.js';
-import type {UpstreamLink} from './upstreamlink.js';
+import type {UpstreamChange, UpstreamLink} from './upstreamlink.js';
 import {createObjects} from './versions.js';
-import type {MirrorEntry} from '../membership/index.js';
+import type {Objects} from './versions.js';
 
 /** A running daemon. */
 export interface Daemon {
@@ -68,12 +67,42 @@
   readonly failed: Promise<Error>;
 }
 
+/** The parts of a daemon that do no input or output before it starts. */
+interface Parts {
+  readonly settings: Settings;
+  readonly self: Self;
+  readonly log: Log;
+  /** Monotonic time in milliseconds. */
+  readonly clock: () => number;
+  readonly inbox: Inbox;
+  readonly loop: Loop;
+  readonly view: RequestView;
+  readonly signer: Signer;
+  readonly reachability: Reachability;
+  readonly closePlatform: () => Promise<void>;
+  readonly configuration: SiteConfiguration;
+  readonly upstream: UpstreamLink;
+  readonly admission: Admission;
+  readonly metrics: Metrics;
+  readonly trace: DaemonTrace;
+  readonly gateway: Gateway;
+  readonly objects: Objects;
+  readonly publisher: Publisher;
+  readonly balancer: Balancer;
+  readonly servers: Servers;
+  /** Whether the objects come straight from the platform. */
+  readonly feed: {isDirect: boolean};
+}
+
 /** Time between two checks whether a draining daemon is idle, in milliseconds. */
 const IDLE_CHECK_MS = 20;
 
 /** Requests that wait before a configuration says how many may. */
 const DEFAULT_QUEUE = 256;
 
+/** Name that signatures of forwarded requests are bound to. */
+const HOP_SCOPE = 'vanillaspool';
+
 /**
  * Starts a daemon.
  *
@@ -86,101 +115,60 @@
   settings: Settings,
   log: Log,
 ): Promise<Daemon> {
-  const clock = () => performance.now();
-  const self = selfOf(settings);
-  const client = createPlatform(settings.platform);
-  const signer = createSigner(settings.secrets);
-  const controller = new AbortController();
-  const metrics = createMetrics();
-  const {trace, close: closeTrace} = createTrace(settings);
+  const parts = createParts(settings, log);
+  const {self, loop, inbox, servers} = parts;
+  const datagrams = await openDatagrams({
+    address: settings.peers,
+    instance: self.instance,
+    process: self.process,
+    signer: parts.signer,
+    receive: envelope => receive(parts, envelope),
+  });
+  await listen(servers, settings);
   let fail: (error: Error) => void = () => {};
   const failed = new Promise<Error>(resolve => (fail = resolve));
-  let accepted: AcceptedConfiguration | undefined;
-  let feedLive = false;
-
-  const configuration = () =>
-    accepted?.sites.find(({site}) => site === settings.site);
-  const reachability = watchReachability(client, reachable => {
-    log(
-      reachable ? DAEMON_EVENTS.platformRecovered : DAEMON_EVENTS.platformLost,
-      {platform: formatAddress(settings.platform)},
-    );
-    loop.dispatch({kind: 'platform', reachable});
-  });
-  const platform = reachability.platform;
-
-  const upstream = createUpstreamLink(change => {
-    const announced = upstream.upstream();
-    const kind = {
-      announced: DAEMON_EVENTS.upstreamAnnounced,
-      lost: DAEMON_EVENTS.upstreamLost,
-      recovered: DAEMON_EVENTS.upstreamRecovered,
-    }[change];
-    log(kind, {service: announced?.service});
-    updateUpstream();
+  loop.run(effectsOf(parts, datagrams, fail)).catch(fail);
+  inbox.dispatch({kind: 'platform', reachable: true});
+  const stopTasks = startTasks(parts, datagrams);
+  const {callers, peers, control} = settings;
+  log(DAEMON_EVENTS.started, {
+    callers: formatAddress(callers),
+    peers: formatAddress(peers),
+    control: formatAddress(control),
+    process: self.process,
   });
-  const updateUpstream = () => {
-    const announced = upstream.upstream();
-    if (!announced) return;
-    const service = configuration()?.services.find(
-      ({name}) => name === announced.service,
-    );
-    if (!service) return;
-    const {slots, connections} = announced;
-    admission.setSlots(slots);
-    loop.dispatch({
-      kind: 'upstream',
-      upstream: {
-        service: service.name,
-        slots,
-        connections,
-        fencing: service.fencing,
-        healthy: upstream.healthy(),
-      },
-    });
+  const close = () => closeParts(parts, datagrams, stopTasks);
+  return {
+    status: () => status(parts),
+    failed,
+    close,
+    drain: async () => {
+      await drain(parts);
+      await close();
+    },
   };
+}
 
-  const applyConfiguration = (next: AcceptedConfiguration) => {
-    if (accepted && accepted.version >= next.version) return;
-    accepted = next;
-    if (!configuration()) {
-      log(DAEMON_EVENTS.configurationIgnored, {site: settings.site});
-    }
-    log(DAEMON_EVENTS.configurationInForce, {version: next.version});
-    applyLimits();
-    updateUpstream();
-    view.notify();
-  };
-  const applyLimits = () => {
-    const limits = configuration()?.limits;
-    if (!limits) return;
-    callers.maxConnections = limits.connections;
-    callers.headersTimeout = limits.headerTimeoutMs;
-  };
-  const objectChanged = (entry: MirrorEntry) => {
-    const object = readObject(entry);
-    switch (object.kind) {
-      case 'member':
-        return loop.dispatch({kind: 'member', member: object.member});
-      case 'chunk':
-        loop.dispatch({kind: 'chunk', chunk: object.chunk});
-        return view.notify();
-      case 'configuration':
-        return applyConfiguration(object.accepted);
-      case 'malformed': {
-        const {message} = object;
-        return log(DAEMON_EVENTS.objectMalformed, {key: entry.key, message});
-      }
-      case 'other':
-    }
-  };
-  const objects = createObjects(objectChanged);
-  const publisher = createPublisher(
-    () => objects.mirror(),
-    () => feedLive && reachability.reachable(),
+function createParts(settings: Settings, log: Log): Parts {
+  const clock = () => performance.now();
+  const self = selfOf(settings);
+  const inbox = createInbox();
+  const view: RequestView = createRequestView(() => loop.state(), clock);
+  const loop = createLoop({
+    initial: newState(self, settings.lease, clock()),
+    inbox,
+    clock,
+    busy: view.busy,
+  });
+  const client = createPlatform(settings.platform);
+  const reachability = watchReachability(client, reachable =>
+    platformChanged(parts, reachable),
   );
-
-  const view = createRequestView(() => loop.state(), clock);
+  const configuration = createSiteConfiguration(settings.site, log, () =>
+    configurationChanged(parts),
+  );
+  const upstream = createUpstreamLink(change => upstreamChanged(parts, change));
+  const metrics = createMetrics();
   const admission = createAdmission({
     slots: 1,
     queue: DEFAULT_QUEUE,
@@ -188,52 +176,150 @@
     log,
     metrics,
   });
-  const balancer = createBalancer(configuration, clock);
+  const trace = createTrace(settings);
+  const signer = createSigner(settings.secrets);
+  const objects = createObjects(entry => objectChanged(parts, entry));
+  const feed = {isDirect: false};
+  const publisher = createPublisher(
+    () => objects.mirror(),
+    () => feed.isDirect && reachability.reachable(),
+  );
   const gateway = createGateway({
-    configuration,
+    configuration: configuration.current,
     ownership: view,
-    self: {
-      instance: self.instance,
-      process: self.process,
-      callers: self.callers,
-    },
+    self,
     admit: admission.admit,
     retryAllowed: admission.retryAllowed,
     upstream: () => (upstream.healthy() ? upstream.upstream() : undefined),
     signer: createHopSigner(
-      'vanillaspool',
+      HOP_SCOPE,
       settings.secrets.map(({key}) => key),
     ),
     clock,
     wallClock: () => Date.now(),
     random: () => Math.random(),
     log,
-    trace,
+    trace: trace.trace,
     shed: (_service, retryAfterMs) => admission.observeShed(retryAfterMs),
   });
-
-  const datagrams = await openDatagrams({
-    address: settings.peers,
-    instance: self.instance,
-    process: self.process,
-    signer,
-    receive: envelope => {
-      const {message} = envelope;
-      if (message.kind === 'load') return balancer.receive(message);
-      loop.dispatch({kind: 'message', envelope});
-      if (message.kind === 'began') view.notify();
-    },
+  const servers = createServers({
+    gateway,
+    mirror: createMirrorHandler(publisher.publish, signer, () => Date.now()),
+    control: controlOf(() => parts),
+    log,
   });
-  const sendLoad = (to: Address, message: Load) => {
-    if (sameAddress(to, self.peers)) balancer.receive(message);
-    else datagrams.send(to, message);
+  const parts: Parts = {
+    settings,
+    self,
+    log,
+    clock,
+    inbox,
+    loop,
+    view,
+    signer,
+    reachability,
+    closePlatform: client.close,
+    configuration,
+    upstream,
+    admission,
+    metrics,
+    trace,
+    gateway,
+    objects,
+    publisher,
+    balancer: createBalancer(configuration.current, clock),
+    servers,
+    feed,
+  };
+  return parts;
+}
+
+function selfOf(settings: Settings): Self {
+  const {instance, site, region, domain, callers, peers, control} = settings;
+  const process = randomUUID();
+  return {instance, process, site, region, domain, callers, peers, control};
+}
+
+function receive(parts: Parts, envelope: Envelope): void {
+  const {message} = envelope;
+  if (message.kind === 'load') return parts.balancer.receive(message);
+  parts.inbox.dispatch({kind: 'message', envelope});
+  if (message.kind === 'began') parts.view.notify();
+}
+
+function platformChanged(parts: Parts, reachable: boolean): void {
+  const {platformRecovered, platformLost} = DAEMON_EVENTS;
+  const platform = formatAddress(parts.settings.platform);
+  parts.log(reachable ? platformRecovered : platformLost, {platform});
+  parts.inbox.dispatch({kind: 'platform', reachable});
+}
+
+function configurationChanged(parts: Parts): void {
+  const {configuration, servers, view} = parts;
+  const limits = configuration.current()?.limits;
+  if (limits) applyLimits(servers, limits);
+  tellUpstream(parts);
+  view.notify();
+}
+
+function upstreamChanged(parts: Parts, change: UpstreamChange): void {
+  const kinds = {
+    announced: DAEMON_EVENTS.upstreamAnnounced,
+    lost: DAEMON_EVENTS.upstreamLost,
+    recovered: DAEMON_EVENTS.upstreamRecovered,
   };
-  const run = createEffects({
-    platform,
+  const service = parts.upstream.upstream()?.service;
+  parts.log(kinds[change], {service});
+  tellUpstream(parts);
+}
+
+/** Tells the decisions what the upstream beside the daemon is. */
+function tellUpstream(parts: Parts): void {
+  const {upstream, configuration, admission, inbox} = parts;
+  const announced = upstream.upstream();
+  const service = announced && configuration.service(announced.service);
+  if (!service) return;
+  const {slots, connections} = announced;
+  const {name, fencing} = service;
+  const healthy = upstream.healthy();
+  admission.setSlots(slots);
+  inbox.dispatch({
+    kind: 'upstream',
+    upstream: {service: name, slots, connections, fencing, healthy},
+  });
+}
+
+function objectChanged(parts: Parts, entry: MirrorEntry): void {
+  const {inbox, view, configuration, log} = parts;
+  const object = readObject(entry);
+  switch (object.kind) {
+    case 'member':
+      return inbox.dispatch({kind: 'member', member: object.member});
+    case 'chunk':
+      inbox.dispatch({kind: 'chunk', chunk: object.chunk});
+      return view.notify();
+    case 'configuration':
+      return configuration.apply(object.accepted);
+    case 'malformed': {
+      const {message} = object;
+      return log(DAEMON_EVENTS.objectMalformed, {key: entry.key, message});
+    }
+    case 'other':
+  }
+}
+
+function effectsOf(
+  parts: Parts,
+  datagrams: DatagramEndpoint,
+  fail: (error: Error) => void,
+): ReturnType<typeof createEffects> {
+  const {reachability, objects, upstream, inbox, view, log} = parts;
+  return createEffects({
+    platform: reachability.platform,
     objects,
     datagrams,
     upstream,
-    dispatch: input => loop.dispatch(input),
+    dispatch: inbox.dispatch,
     routesChanged: view.notify,
     replaced: () => {
       log(DAEMON_EVENTS.replaced);
@@ -241,180 +327,116 @@
     },
     log,
   });
-  const loop: Loop = startLoop({
-    initial: newState(self, settings.lease, clock()),
-    clock,
-    busy: view.busy,
-    run,
-  });
-  loop.ended.catch(fail);
-  loop.dispatch({kind: 'platform', reachable: true});
+}
 
-  const mirrorHandler = createMirrorHandler(publisher.publish, signer, () =>
-    Date.now(),
-  );
-  const callers = createCallersServer(gateway, DEFAULT_LIMITS, log);
-  const dispatch = peersHandler(gateway, mirrorHandler);
-  const peers = createPeersServer(DEFAULT_LIMITS, dispatch);
-  const control = createControlServer({
-    status: () => statusOf(),
+function controlOf(parts: () => Parts): ControlOptions {
+  return {
+    status: () => status(parts()),
     explain: (name, key) => {
-      const service = configuration()?.services.find(
-        candidate => candidate.name === name && candidate.key,
-      );
-      return service && explainKey(loop.state(), service, key);
+      const {configuration, loop} = parts();
+      const service = configuration.service(name);
+      return service?.key && explainKey(loop.state(), service, key);
     },
-    metrics: async () => ({
-      text: await metrics.text(),
-      contentType: metrics.contentType,
-    }),
-    announce: announced => {
-      upstream.announce(announced);
-      updateUpstream();
+    metrics: async () => {
+      const {text, contentType} = parts().metrics;
+      return {text: await text(), contentType};
     },
-    drain: () => {
-      log(OWNERSHIP_EVENTS.draining);
-      loop.dispatch({kind: 'drain'});
+    announce: announced => {
+      parts().upstream.announce(announced);
+      tellUpstream(parts());
     },
-  });
-  await listen(callers, settings.callers);
-  await listen(peers, settings.peers);
-  await listen(control, settings.control);
+    drain: () => startDrain(parts()),
+  };
+}
+
+function status(parts: Parts): Status {
+  const {loop, configuration, gateway, upstream, clock} = parts;
+  const facts = {
+    configurationVersion: configuration.version(),
+    inFlight: gateway.inFlight(),
+    upstreamHealthy: upstream.healthy(),
+  };
+  return statusOf(loop.state(), facts, clock());
+}
 
+/** Starts what a daemon does beside its loop; the result stops it. */
+function startTasks(parts: Parts, datagrams: DatagramEndpoint): () => void {
+  const {loop, configuration, reachability, objects, balancer} = parts;
+  const controller = new AbortController();
   const stopSteward = startSteward({
-    state: () => loop.state(),
-    configuration,
-    platform,
+    state: loop.state,
+    configuration: configuration.current,
+    platform: reachability.platform,
     objects,
     moves: balancer.moves,
-    clock,
-    log,
+    clock: parts.clock,
+    log: parts.log,
   });
-  const loadTimer = setInterval(() => {
-    const report = loadReport(loop.state(), view.takeLoads());
-    if (report) sendLoad(report.to, report.message);
-  }, LOAD_REPORT_MS);
-  void runFeed({
+  const loads = setInterval(
+    () => reportLoads(parts, datagrams),
+    LOAD_REPORT_MS,
+  );
+  void startFeed(parts, controller.signal);
+  return () => {
+    controller.abort();
+    stopSteward();
+    clearInterval(loads);
+  };
+}
+
+function reportLoads(parts: Parts, datagrams: DatagramEndpoint): void {
+  const {loop, view, self, balancer} = parts;
+  const report = loadReport(loop.state(), view.takeLoads());
+  if (!report) return;
+  const send = (to: Address, load: Load) =>
+    sameAddress(to, self.peers)
+      ? balancer.receive(load)
+      : datagrams.send(to, load);
+  send(report.to, report.message);
+}
+
+function startFeed(parts: Parts, signal: AbortSignal): Promise<void> {
+  const {self, settings, reachability, loop, objects, publisher} = parts;
+  return runFeed({
     instance: self.instance,
     domain: self.domain,
     seeds: settings.seeds,
-    platform,
+    platform: reachability.platform,
     members: () => [...loop.state().view.members.values()],
     revision: () => objects.mirror().revision,
-    follow: (address, after, signal) =>
-      follow(address, after, signer, signal, () => Date.now()),
+    follow: (address, after, ended) =>
+      follow(address, after, parts.signer, ended, () => Date.now()),
     receive: received => {
       objects.receive(received);
       publisher.notify();
     },
     sourceChanged: source => {
-      feedLive = source.kind === 'platform';
-      log(DAEMON_EVENTS.feedChanged, {source: source.kind});
+      parts.feed.isDirect = source.kind === 'platform';
+      parts.log(DAEMON_EVENTS.feedChanged, {source: source.kind});
     },
     random: () => Math.random(),
-    signal: controller.signal,
-  });
-
-  const statusOf = (): Status =>
-    createStatus(loop.state(), accepted, gateway, upstream, clock());
-  const close = async () => {
-    controller.abort();
-    stopSteward();
-    clearInterval(loadTimer);
-    reachability.close();
-    loop.stop();
-    callers.closeAllConnections();
-    peers.closeAllConnections();
-    control.closeAllConnections();
-    [callers, peers, control].forEach(server => server.close());
-    await Promise.all([
-      datagrams.close(),
-      upstream.close(),
-      client.close(),
-      closeTrace(),
-    ]);
-    log(DAEMON_EVENTS.stopped);
-  };
-  log(DAEMON_EVENTS.started, {
-    callers: formatAddress(settings.callers),
-    peers: formatAddress(settings.peers),
-    control: formatAddress(settings.control),
-    process: self.process,
+    signal,
   });
-  return {
-    status: statusOf,
-    failed,
-    close,
-    drain: async () => {
-      log(OWNERSHIP_EVENTS.draining);
-      loop.dispatch({kind: 'drain'});
-      await untilReleased(loop);
-      await closeServers(gateway, [callers], new Promise(() => {}));
-      await untilIdle(gateway);
-      await recordEnd(platform, objects.version, loop.state());
-      await close();
-    },
-  };
-}
-
-function selfOf(settings: Settings): Self {
-  const {instance, site, region, domain, callers, peers, control} = settings;
-  const process = randomUUID();
-  return {instance, process, site, region, domain, callers, peers, control};
-}
-
-function peersHandler(
-  gateway: Gateway,
-  mirror: (request: IncomingMessage, response: ServerResponse) => void,
-): (request: IncomingMessage, response: ServerResponse) => void {
-  return (request, response) => {
-    if (isForwarded(request)) gateway.peers(request, response);
-    else mirror(request, response);
-  };
-}
-
-async function listen(server: Server, address: Address): Promise<void> {
-  server.listen(address.port, address.host);
-  await once(server, 'listening');
 }
 
-function createStatus(
-  state: State,
-  accepted: AcceptedConfiguration | undefined,
-  gateway: Gateway,
-  upstream: UpstreamLink,
-  now: number,
-): Status {
-  const holdings = [...state.holdings.values()];
-  const {self, holder, record} = state;
-  return {
-    instance: self.instance,
-    generation: holder.lease.generation,
-    process: self.process,
-    state: state.draining ? 'draining' : (record?.state ?? 'starting'),
-    site: self.site,
-    service: state.upstream?.service ?? '',
-    configurationVersion: accepted?.version ?? 0,
-    leaseValid: leaseValid(holder, now),
-    slices: holdings.filter(holding => holding.state === 'serving').length,
-    inFlight: gateway.inFlight(),
-    upstreamHealthy: upstream.healthy(),
-    platformReachable: state.platformReachable,
-    members: [...state.view.members.values()],
-  };
+function startDrain(parts: Parts): void {
+  parts.log(OWNERSHIP_EVENTS.draining);
+  parts.inbox.dispatch({kind: 'drain'});
 }
 
-async function untilReleased(loop: Loop): Promise<void> {
+async function drain(parts: Parts): Promise<void> {
+  const {loop, gateway, servers, reachability, objects} = parts;
+  startDrain(parts);
   while (!isIdle(loop.state())) await sleep(IDLE_CHECK_MS);
-}
-
-async function untilIdle(gateway: Gateway): Promise<void> {
+  await closeServers(gateway, [servers.callers], new Promise(() => {}));
   while (gateway.inFlight() > 0) await sleep(IDLE_CHECK_MS);
+  await recordEnd(reachability.platform, objects, loop.state());
 }
 
+/** Records that this process has ended, so that nobody has to prove it. */
 async function recordEnd(
   platform: Platform,
-  version: (key: string) => number,
+  objects: Objects,
   state: State,
 ): Promise<void> {
   if (!state.record || !state.platformReachable) return;
@@ -424,5 +446,24 @@
     state: 'ended',
     processEnded: true,
   };
-  await putResolved(platform, key, JSON.stringify(ended), version(key));
+  await putResolved(platform, key, JSON.stringify(ended), objects.version(key));
+}
+
+async function closeParts(
+  parts: Parts,
+  datagrams: DatagramEndpoint,
+  stopTasks: () => void,
+): Promise<void> {
+  const {reachability, loop, servers, upstream, trace, log} = parts;
+  stopTasks();
+  reachability.close();
+  loop.stop();
+  closeNow(servers);
+  await Promise.all([
+    datagrams.close(),
+    upstream.close(),
+    parts.closePlatform(),
+    trace.close(),
+  ]);
+  log(DAEMON_EVENTS.stopped);
 }
--- a/src/daemon/loop.ts
+++ b/src/daemon/loop.ts
@@ -2,43 +2,43 @@
 import {fromEvent, merge, periodic} from 'most';
 import type {Effect, Input, State, Step} from '../ownership/index.js';
 import {decide} from '../ownership/index.js';
+import type {Inbox} from './inbox.js';
 
 /** Time between two ticks, in milliseconds. */
 export const TICK_MS = 25;
 
 /** The single loop that applies inputs to the ownership state. */
 export interface Loop {
-  /** Applies an input at once. */
-  readonly dispatch: (input: Input) => void;
   readonly state: () => State;
-  /** Resolves when the loop has ended, rejects when a decision failed. */
-  readonly ended: Promise<void>;
+  /** Starts to apply inputs and to run effects; rejects when a decision fails. */
+  readonly run: (
+    runEffects: (effects: readonly Effect[], state: State) => void,
+  ) => Promise<void>;
   readonly stop: () => void;
 }
 
 /** What a loop needs. */
 export interface LoopOptions {
   readonly initial: State;
+  readonly inbox: Inbox;
   /** Monotonic time in milliseconds. */
   readonly clock: () => number;
   /** Slices that have requests in flight. */
   readonly busy: () => ReadonlySet<string>;
-  readonly run: (effects: readonly Effect[], state: State) => void;
 }
 
 /**
- * Starts a loop: inputs and ticks are merged into one stream, folded through
+ * Creates a loop: inputs and ticks are merged into one stream, folded through
  * the decisions, and the effects of each step are run.
  *
  * @example
- * const loop = startLoop({initial, clock, busy, run});
- * loop.dispatch({kind: 'drain'});
+ * const loop = createLoop({initial, inbox, clock, busy});
+ * loop.run(effects => console.log(effects));
  */
-export function startLoop(options: LoopOptions): Loop {
-  const {initial, clock, busy, run} = options;
-  const emitter = new EventEmitter();
+export function createLoop(options: LoopOptions): Loop {
+  const {initial, inbox, clock, busy} = options;
+  const stops = new EventEmitter();
   let current = initial;
-  const inputs = fromEvent<Input>('input', emitter);
   const ticks = periodic(TICK_MS).map((): Input => ({
     kind: 'tick',
     busy: busy(),
@@ -49,14 +49,14 @@
     return next;
   };
   const first: Step = {state: initial, effects: []};
-  const ended = merge(inputs, ticks)
-    .until(fromEvent('stop', emitter))
-    .scan(apply, first)
-    .observe(step => run(step.effects, step.state));
   return {
-    dispatch: input => void emitter.emit('input', input),
     state: () => current,
-    ended: ended.then(() => undefined),
-    stop: () => void emitter.emit('stop'),
+    run: async runEffects => {
+      await merge(inbox.inputs, ticks)
+        .until(fromEvent('stop', stops))
+        .scan(apply, first)
+        .observe(step => runEffects(step.effects, step.state));
+    },
+    stop: () => void stops.emit('stop'),
   };
 }
--- a/src/daemon/objects.ts
+++ b/src/daemon/objects.ts
@@ -5,6 +5,7 @@
   CONFIGURATION_KEY,
   MEMBERS_PREFIX,
 } from '../platform/index.js';
+import {parseAccepted} from '../settings/index.js';
 
 /** An object of the platform, read by its key. */
 export type FleetObject =
@@ -36,8 +37,7 @@
     return {kind: 'chunk', chunk: JSON.parse(value) as Chunk};
   }
   if (key === CONFIGURATION_KEY) {
-    const accepted = JSON.parse(value) as AcceptedConfiguration;
-    return {kind: 'configuration', accepted};
+    return {kind: 'configuration', accepted: parseAccepted(value)};
   }
   return {kind: 'other'};
 }
--- /dev/null
+++ b/src/daemon/status.ts
@@ -0,0 +1,40 @@
+import type {Status} from '../model/index.js';
+import {leaseValid} from '../ownership/index.js';
+import type {State} from '../ownership/index.js';
+
+/** What a status tells beside the ownership state. */
+export interface StatusFacts {
+  readonly configurationVersion: number;
+  readonly inFlight: number;
+  readonly upstreamHealthy: boolean;
+}
+
+/**
+ * Builds what a daemon reports of itself.
+ *
+ * @param now Monotonic time of the daemon, in milliseconds.
+ *
+ * @example
+ * statusOf(loop.state(), facts, performance.now()).leaseValid;
+ */
+export function statusOf(
+  state: State,
+  facts: StatusFacts,
+  now: number,
+): Status {
+  const {self, holder, record} = state;
+  const holdings = [...state.holdings.values()];
+  return {
+    ...facts,
+    instance: self.instance,
+    generation: holder.lease.generation,
+    process: self.process,
+    state: state.draining ? 'draining' : (record?.state ?? 'starting'),
+    site: self.site,
+    service: state.upstream?.service ?? '',
+    leaseValid: leaseValid(holder, now),
+    slices: holdings.filter(holding => holding.state === 'serving').length,
+    platformReachable: state.platformReachable,
+    members: [...state.view.members.values()],
+  };
+}
