Answer at once where admission knows the answer at once

Cause: a promise and a microtask for each request cost as much as the decision, and reading a caller's abort signal makes one. Ruled out: a second method beside admit (two ways to ask the same). Before: admit always returned a promise and read the signal first. After: admit returns the result itself unless the request has to wait, and reads the signal only then.

--- a/measure/overload.ts
+++ b/measure/overload.ts
@@ -75,7 +75,7 @@
     ...scenarioRows(settings),
   ];
   const verdict = judge(rows);
-  const cost = await measureAdmit();
+  const cost = measureAdmit();
   writeLines('overload.jsonl', [...rows, verdict, cost]);
   writeFileSync(`${RESULTS}/overload.svg`, plotOverload(rows));
 }
@@ -251,7 +251,7 @@
 }
 
 /** Measures one admission and release with a free slot and an empty queue. */
-async function measureAdmit() {
+function measureAdmit() {
   const clock = () => performance.now();
   const admission = createAdmission({slots: SLOTS, queue: QUEUE, clock});
   const request = {
@@ -261,13 +261,13 @@
     caller: 'desk-7',
     key: 'night',
   };
-  const once = async () => {
-    const result = await admission.admit(request);
-    if (result.kind === 'admitted') result.release();
+  const once = () => {
+    const result = admission.admit(request);
+    if ('release' in result) result.release();
   };
-  for (let i = 0; i < ADMIT_ROUNDS / 10; i++) await once();
+  for (let i = 0; i < ADMIT_ROUNDS / 10; i++) once();
   const startedAt = performance.now();
-  for (let i = 0; i < ADMIT_ROUNDS; i++) await once();
+  for (let i = 0; i < ADMIT_ROUNDS; i++) once();
   const tookMs = performance.now() - startedAt;
   const nanoseconds = Math.round((tookMs * 1e6) / ADMIT_ROUNDS);
   return {measure: 'admit-and-release', nanoseconds, rounds: ADMIT_ROUNDS};
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -27,7 +27,7 @@
   readonly deadlineAt: number;
   /** Identifies the caller among whom slots are shared fairly. */
   readonly caller: string;
-  /** Aborts when the caller has gone. */
+  /** Aborts when the caller has gone. Read only when the request has to wait. */
   readonly signal?: AbortSignal;
   readonly key?: string;
 }
@@ -69,10 +69,13 @@
 /** Admission to the slots of one upstream. */
 export interface Admission {
   /**
-   * Waits for a slot. The promise never rejects and settles as soon as the
+   * Asks for a slot. The answer comes at once where it is known at once, and
+   * otherwise as a promise that never rejects and that settles as soon as the
    * request is admitted or given up.
    */
-  readonly admit: (request: AdmissionRequest) => Promise<AdmissionResult>;
+  readonly admit: (
+    request: AdmissionRequest,
+  ) => Promise<AdmissionResult> | AdmissionResult;
   /** Counts a first attempt that was sent to another daemon or the upstream. */
   readonly countForwarded: () => void;
   /** Takes one retry from the budget; false when none is left. */
@@ -100,12 +103,6 @@
 const DEFAULT_RETRIES: RetryLimits = {share: 0.1, reserve: 10};
 const TIMER_LIMIT_MS = 60_000;
 
-const CANCELLED: Promise<Refused> = Promise.resolve({
-  kind: 'refused',
-  reason: 'cancelled',
-  retryAfterMs: 0,
-});
-
 /**
  * Creates the admission to one upstream.
  *
@@ -176,16 +173,16 @@
     entry.resolve(resultOf(verdict));
   };
 
-  const queue = (id: number, signal: AbortSignal | undefined) =>
+  const settled = (id: number, signal: AbortSignal | undefined) =>
     new Promise<AdmissionResult>(resolve => {
       const onAbort = () => dispatchAndSettle({kind: 'cancel', id});
       signal?.addEventListener('abort', onAbort, {once: true});
       pending.set(id, {resolve, signal, onAbort});
+      if (signal?.aborted) onAbort();
     });
 
-  const admit = (request: AdmissionRequest): Promise<AdmissionResult> => {
-    const {service, priority, deadlineAt, caller, key, signal} = request;
-    if (signal?.aborted) return CANCELLED;
+  const admit = (request: AdmissionRequest) => {
+    const {service, priority, deadlineAt, caller, key} = request;
     const id = nextId++;
     const work = {id, service, priority, caller, key, deadlineAt};
     let own: Verdict | undefined;
@@ -193,7 +190,7 @@
       if (verdict.work.id === id) own = verdict;
       else settle(verdict);
     }
-    return own ? Promise.resolve(resultOf(own)) : queue(id, signal);
+    return own ? resultOf(own) : settled(id, request.signal);
   };
 
   const retryAllowed = () => {
--- a/test/admission/admission.test.ts
+++ b/test/admission/admission.test.ts
@@ -42,7 +42,7 @@
       deadlineAt,
       signal,
     });
-  return {...admission, admit, advance, timers};
+  return {...admission, admission, admit, advance, timers};
 }
 
 test('a slot goes to the next request once, however often it is released', async t => {
@@ -70,6 +70,20 @@
   t.like(await waiting, {kind: 'refused', reason: 'cancelled'});
   t.is(target.state().waiting.length, 0);
   t.like(await target.admit(1000, AbortSignal.abort()), {reason: 'cancelled'});
+  t.is(target.state().waiting.length, 0);
+});
+
+test('an answer that is known comes at once and reads no signal', t => {
+  const target = manualAdmission({queue: 0});
+  const common = {service: 'rota', priority: 1, caller: 'a', deadlineAt: 1000};
+  const request = {
+    ...common,
+    get signal(): AbortSignal {
+      throw new Error('the signal was read');
+    },
+  };
+  t.like(target.admission.admit(request), {kind: 'admitted'});
+  t.like(target.admission.admit(request), {kind: 'refused'});
 });
 
 test('a waiting request is given up by the timer', async t => {
