End a takeover once a majority of the witnesses still observes the lease

Cause: the check of owners at rest asked every witness to seal every 100 ms for 10 s, whatever it answered. Ruled out: repeated releases and lapses (none were received at rest). Before: 77 requests to seal a second at a daemon of a fleet of four at rest.

--- a/src/ownership/proof.ts
+++ b/src/ownership/proof.ts
@@ -6,6 +6,7 @@
 import {unchanged} from './state.js';
 import {
   endTakeover,
+  isAlive,
   nextAction,
   noteAsked,
   noteFresh,
@@ -24,7 +25,7 @@
 export const LAPSE_REPEAT_MS = 200;
 
 /** Time between the checks of the owners that this daemon stands to succeed. */
-export const PROBE_MS = 5_000;
+export const PROBE_MS = 10_000;
 
 /** Instances that record the end of the lease of a lost instance. */
 const OBITUARY_STEWARDS = 2;
@@ -91,11 +92,13 @@
   const proved =
     provedBySeals(takeover, member) || provedByRecord(takeover, promiseMs, now);
   if (proved) return concludeTakeover(state, lease);
-  if (now - takeover.startedAt > TAKEOVER_LIMIT_MS) {
+  const set = witnessesOf(takeover, member);
+  const isOver =
+    isAlive(takeover, set) || now - takeover.startedAt > TAKEOVER_LIMIT_MS;
+  if (isOver) {
     const takeovers = endTakeover(state.takeovers, lease);
     return unchanged({...state, takeovers});
   }
-  const set = witnessesOf(takeover, member);
   const doubted = isDoubted(state, takeover, set);
   const action = nextAction(takeover, set, doubted, now);
   if (action === 'seal' && set) return askToSeal(state, lease, set, now);
--- a/src/ownership/takeover.ts
+++ b/src/ownership/takeover.ts
@@ -15,6 +15,8 @@
    * nothing for an older one, which the holder may have left.
    */
   readonly sealed: ReadonlyMap<string, number>;
+  /** Processes of witnesses that refused to seal: their promises still run. */
+  readonly alive: ReadonlySet<string>;
   /** A newer witness set than the recorded one, told by a witness. */
   readonly newer?: WitnessSet;
   readonly askedAt: number;
@@ -56,6 +58,7 @@
     lease,
     startedAt: now,
     lapsed: new Set<string>(),
+    alive: new Set<string>(),
     sealed: new Map<string, number>(),
     askedAt: -Infinity,
     readAt: -Infinity,
@@ -75,6 +78,7 @@
   return change(started, lease, takeover => ({
     ...takeover,
     lapsed: new Set(takeover.lapsed).add(process),
+    alive: without(takeover.alive, process),
   }));
 }
 
@@ -89,7 +93,10 @@
     if (newer && newer.number > (takeover.newer?.number ?? 0)) {
       return {...takeover, newer, askedAt: -Infinity};
     }
-    if (!answer.sealed) return takeover;
+    if (!answer.sealed) {
+      const alive = new Set(takeover.alive).add(process);
+      return {...takeover, alive, lapsed: without(takeover.lapsed, process)};
+    }
     const sealed = new Map(takeover.sealed).set(process, answer.noted);
     return {...takeover, sealed};
   });
@@ -119,6 +126,15 @@
   return hasMajority(set, witness => isSealed(takeover, set, witness));
 }
 
+/** Tells whether a majority of the witnesses still observes the lease. */
+export function isAlive(
+  takeover: Takeover,
+  set: WitnessSet | undefined,
+): boolean {
+  if (!set) return false;
+  return hasMajority(set, witness => takeover.alive.has(witness.process));
+}
+
 /**
  * Tells whether a fresh read of the record, together with the seals and the
  * witnesses that had ended before the read, proves that the lease has ended. A
@@ -211,6 +227,14 @@
   return rest;
 }
 
+function without(
+  set: ReadonlySet<string>,
+  member: string,
+): ReadonlySet<string> {
+  if (!set.has(member)) return set;
+  return new Set([...set].filter(other => other !== member));
+}
+
 function isSealed(
   takeover: Takeover,
   set: WitnessSet,
--- a/test/ownership/commands.ts
+++ b/test/ownership/commands.ts
@@ -105,8 +105,6 @@
 export interface Exploration {
   readonly seed: number;
   readonly runs: number;
-  /** Starts at this case of the seed. */
-  readonly path?: string;
   readonly sizes?: readonly number[];
   readonly fencing?: 'enforced' | 'ignored';
   readonly decide?: Decide;
@@ -142,7 +140,6 @@
   );
   fc.assert(property, {
     seed,
-    path: exploration.path,
     numRuns: runs,
     endOnFailure: true,
     includeErrorInReport: true,
--- a/test/ownership/mutants.test.ts
+++ b/test/ownership/mutants.test.ts
@@ -4,9 +4,10 @@
 import {planChunk} from '../../src/placement/index.js';
 import type {Chunk, SliceRecord} from '../../src/model/index.js';
 import {explore} from './commands.js';
-import type {Decide, Plan} from './fleet.js';
+import {newFleet} from './fleet.js';
+import type {Decide, Fleet, Plan} from './fleet.js';
 
-const RUNS = 40;
+const RUNS = 300;
 
 /** A witness that seals a lease whose promise still runs. */
 const sealWithoutWait: Decide = (state, input, now) => {
@@ -73,19 +74,12 @@
   readonly name: string;
   readonly decide?: Decide;
   readonly plan?: Plan;
-  /** Case of the seed that finds the fault, where it is a late one. */
-  readonly path?: string;
 }[] = [
   {name: 'a witness seals before the lapse', decide: sealWithoutWait},
   {name: 'a witness forgets', decide: forgetPromises},
   {name: 'a lapse is taken for proof', decide: takeLapseForProof},
   {name: 'a release is told too early', decide: releaseEarly},
   {name: 'the epoch is not raised', plan: keepEpoch},
-  {
-    name: 'a standing successor is overlooked',
-    plan: overlookSuccessors,
-    path: '260',
-  },
 ];
 
 for (const {name, ...broken} of CASES) {
@@ -95,6 +89,41 @@
   });
 }
 
+/**
+ * Moves a slice while its first successor does not hear of it, then kills the
+ * earlier owner, so that the successor takes over by the record that it knows.
+ */
+function moveBehindSuccessor(plan: Plan): Fleet {
+  let target: string | undefined;
+  const fleet = newFleet({
+    size: 5,
+    seed: 3,
+    plan: input =>
+      plan({...input, moves: target ? [{slice: 0, to: target}] : []}),
+  });
+  fleet.run(4000);
+  const terms = fleet.nodes[0].state.view.records.get('rota/0')?.terms ?? [];
+  const named = terms.map(({lease}) => Number(lease.instance.slice(1)));
+  const [owner, successor] = named;
+  const stranger = fleet.nodes.find(({index}) => !named.includes(index));
+  fleet.nodes[successor].platformCut = true;
+  target = `i${stranger?.index}`;
+  fleet.run(1000);
+  fleet.kill(owner);
+  fleet.run(2000);
+  return fleet;
+}
+
+test('a successor that did not hear of a move makes no second owner', t => {
+  const fleet = moveBehindSuccessor(planChunk);
+  t.deepEqual(fleet.unserved(), []);
+});
+
+test('the check finds the fault when a standing successor is overlooked', t => {
+  const error = t.throws(() => moveBehindSuccessor(overlookSuccessors));
+  t.regex(error.message, /two owners|went back/);
+});
+
 type Promises = State['promises'];
 
 function withPromises(
