Bound the moves of one plan

Cause: a full budget at 16,384 slices let one plan choose thousands of moves, which would hold up the loop that renews the lease. Ruled out: a smaller budget, which small services need. Before: up to a fifth of the slices in one plan. After: at most 64; seen to fail without the bound. Conclusion: a large imbalance is worked off over several plans.

--- a/src/placement/moves.ts
+++ b/src/placement/moves.ts
@@ -33,6 +33,9 @@
 /** Moves that may be saved up, in minutes of the budget. */
 const BUDGET_MINUTES = 2;
 
+/** Moves that one plan makes at most, so that it does not hold up the loop. */
+export const MOVES_PER_PLAN = 64;
+
 /** Smallest number of moves that the full budget holds. */
 const MIN_BUDGET = 4;
 
@@ -192,7 +195,7 @@
 function relieve(start: Draft, scope: Scope, target: number): Draft {
   let draft = start;
   const stuck = new Set<string>();
-  while (draft.budget >= 1) {
+  while (draft.budget >= 1 && draft.planned.length < MOVES_PER_PLAN) {
     const source = fullest(draft.hosts.filter(h => !stuck.has(h.instance)));
     if (!source || utilisation(source) <= target) break;
     const move = bestMove(draft, scope, source);
--- a/test/placement/moves.test.ts
+++ b/test/placement/moves.test.ts
@@ -4,6 +4,7 @@
 import {
   HOLD_MS,
   HOT_HOLD_MS,
+  MOVES_PER_PLAN,
   planMoves,
   RETURN_MS,
   startMoves,
@@ -89,6 +90,12 @@
   t.deepEqual(moves, [{slice: 0, to: 'b'}]);
 });
 
+test('makes a bounded number of moves in one plan', t => {
+  const loads = Array.from({length: 1000}, () => ['a', 0.01] as const);
+  const state = {...startMoves(0), budget: 200};
+  t.is(planMoves(state, input(loads)).moves.length, MOVES_PER_PLAN);
+});
+
 test('leaves slices alone whose earlier terms are not released', t => {
   const slices = [{slice: 0, owner: 'a', load: 5, settled: false}];
   t.deepEqual(planMoves(startMoves(0), input([], {slices})).moves, []);
