--- /dev/null
+++ b/measure/slopes/plans.ts
@@ -0,0 +1,85 @@
+import type {Member} from '../../src/model/index.js';
+import {
+  createSketch,
+  planChunk,
+  planMoves,
+  startMoves,
+  type SliceLoad,
+} from '../../src/placement/index.js';
+import type {Point} from '../fit.js';
+import {seeded} from '../random.js';
+import type {Result} from '../results.js';
+import {figure, fitted, timeUs} from './figures.js';
+import {fleet, FLEETS, serviceOf} from './fleet.js';
+
+/** Seed of the loads and keys. */
+export const SEED = 1;
+
+/**
+ * Times a steward's plan of one chunk and the moves of a whole service.
+ *
+ * @example
+ * planTimes().map(result => result.name);
+ */
+export function planTimes(): readonly Result[] {
+  const idle: Point[] = [];
+  const loss: Point[] = [];
+  const moves: Point[] = [];
+  for (const size of FLEETS) {
+    const members = fleet(size);
+    const service = serviceOf(16_384);
+    const released = () => 0;
+    const base = {service, index: 0, members, released};
+    const chunk = planChunk({...base, chunk: undefined, ended: () => false});
+    const [first] = chunk?.slices[0].terms ?? [];
+    const lost = first.lease.instance;
+    const quiet = {...base, chunk, ended: () => false};
+    const hurt = {
+      ...base,
+      chunk,
+      ended: (id: {instance: string}) => id.instance === lost,
+    };
+    idle.push({x: size, y: timeUs(20, () => planChunk(quiet))});
+    loss.push({x: size, y: timeUs(20, () => planChunk(hurt))});
+    moves.push({x: size, y: moveTime(members, 16_384)});
+  }
+  return [
+    ...fitted('plan-chunk-idle', idle, 'us', 'members'),
+    ...fitted('plan-chunk-loss', loss, 'us', 'members'),
+    ...fitted('plan-moves', moves, 'us', 'members'),
+  ];
+}
+
+function moveTime(members: readonly Member[], count: number): number {
+  const random = seeded(SEED);
+  const each = (members.length * 12 * 0.45) / count;
+  const slices = Array.from({length: count}, (_, slice): SliceLoad => {
+    const owner = members[slice % members.length].instance;
+    return {slice, owner, load: each * 2 * random(), settled: true};
+  });
+  const weights = {imbalance: 1, churn: 1, unavailable: 4};
+  const servingSince = () => -Infinity;
+  const input = {now: 0, weights, members, servingSince, slices};
+  return timeUs(3, () => planMoves(startMoves(0), input));
+}
+
+/**
+ * Times a key counted by the sketch.
+ *
+ * @example
+ * sketchCosts()[0].value;
+ */
+export function sketchCosts(): readonly Result[] {
+  const random = seeded(SEED);
+  const sketch = createSketch(64);
+  const keys = Array.from(
+    {length: 10_000},
+    () => `key-${Math.floor(1_000_000 * random() ** 4)}`,
+  );
+  let next = 0;
+  const add = timeUs(10_000, () => {
+    sketch.add(keys[next], 1);
+    next = (next + 1) % keys.length;
+  });
+  return [figure('sketch-add', add, 'us')];
+}
