Tell the forwarding daemon the epoch that a peer knows

Cause: a daemon with an older map learned only that the peer was not the owner. Before: a not-run answer between daemons carried its reason alone. After: it carries the peer's epoch of the slice, reported by a hook; a test holds the limits on slow and long headers. Ruled out: passing the whole map entry in headers, which the peers' own protocol carries already.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -38,6 +38,8 @@
   readonly random: () => number;
   readonly log: Log;
   readonly trace: Trace;
+  /** Reports an epoch of a slice that another daemon knows. */
+  readonly epochSeen?: (service: string, slice: number, epoch: number) => void;
   /**
    * The handover of a service that was in force before, until no request that
    * began under it is in flight at any daemon; undefined from then on.
--- a/src/gateway/local.ts
+++ b/src/gateway/local.ts
@@ -12,6 +12,9 @@
 /** Header that carries the identifier of a request. */
 export const REQUEST_HEADER = 'vanillaspool-request';
 
+/** Header that carries an epoch of the slice of a request. */
+export const EPOCH_HEADER = 'vanillaspool-epoch';
+
 /** Takes a copy of an answer while it is passed on. */
 export interface AnswerCopy {
   readonly head: (head: AnswerHead) => void;
@@ -134,7 +137,7 @@
   headers.push(REQUEST_HEADER, pass.id);
   if (slice >= 0) {
     headers.push('vanillaspool-slice', String(slice));
-    headers.push('vanillaspool-epoch', String(epoch));
+    headers.push(EPOCH_HEADER, String(epoch));
   }
   return headers;
 }
--- a/src/gateway/remote.ts
+++ b/src/gateway/remote.ts
@@ -6,7 +6,7 @@
 import {OUTCOME_HEADER, REASON_HEADER, notRun, unknown} from './failure.js';
 import {HOP_HEADER, SIGNATURE_HEADER} from './head.js';
 import {formatHop, signHop, type Hop} from './hop.js';
-import {OWNER_HEADER, REQUEST_HEADER} from './local.js';
+import {EPOCH_HEADER, OWNER_HEADER, REQUEST_HEADER} from './local.js';
 import {bodyOf, type Pass} from './pass.js';
 
 /** Most connections from one daemon to one other. */
@@ -54,7 +54,7 @@
   };
   return runExchange(pass, pool, call, {
     ready: () => true,
-    judge: head => judge(pass, head),
+    judge: head => judge(context, pass, head),
     extend: passOwnHeaders,
     unsent: error => unreachable(context, member, error),
     ended: span.end,
@@ -102,9 +102,15 @@
  * request belongs to another one. A peer's failure is passed on as it is, unless
  * another daemon may run the request, or an earlier attempt may have run it.
  */
-function judge(pass: Pass, head: AnswerHead): FailedTry | undefined {
+function judge(
+  context: Context,
+  pass: Pass,
+  head: AnswerHead,
+): FailedTry | undefined {
   const {own} = head;
   if (own.get(REQUEST_HEADER) !== pass.id) return crossed();
+  const epoch = Number(own.get(EPOCH_HEADER));
+  if (epoch > 0) context.epochSeen?.(pass.service.name, pass.slice, epoch);
   const reason = own.get(REASON_HEADER);
   if (reason === undefined || own.get(OUTCOME_HEADER) !== 'not-run') {
     return undefined;
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -3,7 +3,7 @@
 import type {Context} from './context.js';
 import {GATEWAY_EVENTS} from './events.js';
 import {REASON_HEADER, notRun, sendFailure} from './failure.js';
-import {REQUEST_HEADER} from './local.js';
+import {EPOCH_HEADER, REQUEST_HEADER} from './local.js';
 import type {Pass} from './pass.js';
 import {serve, type PassResult} from './serve.js';
 
@@ -59,7 +59,8 @@
         context.log(GATEWAY_EVENTS.cancelled, {request: id, outcome});
         response.destroy();
       } else {
-        refuse(context, request, response, {id, failure}, !!pass.hop);
+        const epoch = knownEpoch(context, pass);
+        refuse(context, request, response, {id, failure, epoch}, !!pass.hop);
       }
     }
   }
@@ -72,10 +73,19 @@
   else response.destroy();
 }
 
+/** Returns the epoch that this daemon knows for the slice of a pass. */
+function knownEpoch(context: Context, pass: Pass): number | undefined {
+  if (!pass.hop || pass.slice < 0) return undefined;
+  const route = context.ownership.route(pass.service.name, pass.slice);
+  return 'epoch' in route ? route.epoch : undefined;
+}
+
 /** A failure and the identifier of its request. */
 export interface Refusal {
   readonly id: string;
   readonly failure: Failure;
+  /** Epoch of the slice, for the daemon that forwarded the request. */
+  readonly epoch?: number;
 }
 
 /**
@@ -113,6 +123,8 @@
 /** Headers by which the forwarding daemon recognises a failure. */
 function hopHeaders(refusal: Refusal, forwarded: boolean): readonly string[] {
   if (!forwarded) return [];
-  const {id, failure} = refusal;
-  return [REQUEST_HEADER, id, REASON_HEADER, failure.reason];
+  const {id, failure, epoch} = refusal;
+  const headers = [REQUEST_HEADER, id, REASON_HEADER, failure.reason];
+  if (epoch !== undefined) headers.push(EPOCH_HEADER, String(epoch));
+  return headers;
 }
--- a/test/gateway/sockets.test.ts
+++ b/test/gateway/sockets.test.ts
@@ -241,6 +241,23 @@
   await upstream.stop();
 });
 
+test('headers that stop arriving are cut off, too long ones refused', async t => {
+  const fleet = await startFleet({
+    configuration: configuration([service()], {
+      headerTimeoutMs: 50,
+      headerBytes: 8192,
+    }),
+    upstreams: [{host: '127.0.71.1', port: 1}],
+  });
+  const {address} = fleet.daemons[0];
+  const slow = await sendRaw(address, 'GET /rota/a HTTP/1.1\r\nHost: r');
+  t.regex(slow.text, /^HTTP\/1.1 408 [^]*vanillaspool-outcome: not-run/);
+  const long = rawRequest('GET /rota/a', [`X-Long: ${'a'.repeat(9000)}`]);
+  const {text} = await sendRaw(address, long);
+  t.regex(text, /^HTTP\/1.1 431 [^]*vanillaspool-outcome: not-run/);
+  await fleet.stop();
+});
+
 test('a cancelled request is cancelled at the upstream', async t => {
   let arrive = () => {};
   let close = () => {};
