--- a/src/gateway/antireplay.ts
+++ b/src/gateway/antireplay.ts
@@ -1,7 +1,8 @@
 /** Sequence numbers that a window tells apart below its highest one. */
-export const SEQUENCE_WINDOW = 8192;
+export const SEQUENCE_WINDOW = 4096;
 
-const BITS_PER_WORD = 32;
+/** Few enough that a word stays a small integer, which an array holds itself. */
+const BITS_PER_WORD = 16;
 const WORDS = SEQUENCE_WINDOW / BITS_PER_WORD;
 
 /** Sequence numbers received from one sender. */
@@ -9,13 +10,13 @@
   /** Highest number received; 0 before the first. */
   readonly highest: number;
   /** One bit for each number of the window, in a ring. */
-  readonly bits: Readonly<Uint32Array>;
+  readonly bits: readonly number[];
 }
 
 /** The window of a sender from which nothing has been received. */
 export const EMPTY_WINDOW: SequenceWindow = {
   highest: 0,
-  bits: new Uint32Array(WORDS),
+  bits: Array.from({length: WORDS}, () => 0),
 };
 
 /**
@@ -39,30 +40,35 @@
   const {highest} = window;
   if (sequence <= highest - SEQUENCE_WINDOW) return undefined;
   if (sequence <= highest && hasBit(window.bits, sequence)) return undefined;
-  const bits = Uint32Array.from(window.bits);
+  const bits = window.bits.slice();
   clearBetween(bits, highest, sequence);
   setBit(bits, sequence);
   return {highest: Math.max(highest, sequence), bits};
 }
 
-function hasBit(bits: Readonly<Uint32Array>, sequence: number): boolean {
-  const place = sequence % SEQUENCE_WINDOW;
-  return (bits[place >>> 5] & (1 << (place & 31))) !== 0;
+function hasBit(bits: readonly number[], sequence: number): boolean {
+  return (bits[wordOf(sequence)] & maskOf(sequence)) !== 0;
 }
 
-function setBit(bits: Uint32Array, sequence: number): void {
-  const place = sequence % SEQUENCE_WINDOW;
-  bits[place >>> 5] |= 1 << (place & 31);
+function setBit(bits: number[], sequence: number): void {
+  bits[wordOf(sequence)] |= maskOf(sequence);
+}
+
+function wordOf(sequence: number): number {
+  return Math.floor((sequence % SEQUENCE_WINDOW) / BITS_PER_WORD);
+}
+
+function maskOf(sequence: number): number {
+  return 1 << (sequence % BITS_PER_WORD);
 }
 
 /** Clears the places of the numbers that a new highest number brings in. */
-function clearBetween(bits: Uint32Array, highest: number, next: number): void {
+function clearBetween(bits: number[], highest: number, next: number): void {
   if (next - highest >= SEQUENCE_WINDOW) {
     bits.fill(0);
     return;
   }
   for (let sequence = highest + 1; sequence <= next; sequence++) {
-    const place = sequence % SEQUENCE_WINDOW;
-    bits[place >>> 5] &= ~(1 << (place & 31));
+    bits[wordOf(sequence)] &= ~maskOf(sequence);
   }
 }
--- a/src/gateway/signature.ts
+++ b/src/gateway/signature.ts
@@ -1,4 +1,9 @@
-import {createHmac, timingSafeEqual} from 'node:crypto';
+import {
+  createHmac,
+  createSecretKey,
+  timingSafeEqual,
+  type KeyObject,
+} from 'node:crypto';
 
 /** Signs and verifies text that passes between the daemons of one fleet. */
 export interface Signer {
@@ -21,14 +26,15 @@
   secrets: readonly string[],
 ): Signer {
   if (secrets.length === 0) throw new RangeError('no secret is given');
-  const mac = (secret: string, text: string) =>
-    createHmac('sha256', secret).update(`${fleet}\n${text}`).digest();
+  const keys = secrets.map(secret => createSecretKey(secret, 'utf8'));
+  const mac = (key: KeyObject, text: string) =>
+    createHmac('sha256', key).update(`${fleet}\n${text}`).digest();
   return {
-    sign: text => mac(secrets[0], text).toString('base64url'),
+    sign: text => mac(keys[0], text).toString('base64url'),
     verify: (text, signature) => {
       const given = Buffer.from(signature, 'base64url');
-      return secrets.some(secret => {
-        const expected = mac(secret, text);
+      return keys.some(key => {
+        const expected = mac(key, text);
         return (
           given.length === expected.length && timingSafeEqual(given, expected)
         );
