--- a/measure/overload.ts
+++ b/measure/overload.ts
@@ -3,6 +3,7 @@
 import {admissionPolicy, fifoPolicy, type Policy} from './overload/policies.js';
 import {plotOverload} from './overload/plot.js';
 import {createRandom} from './overload/random.js';
+import {runRealtime} from './overload/realtime.js';
 import {simulate, type Ending} from './overload/simulate.js';
 import {summarise, type Summary} from './overload/summary.js';
 import {
@@ -11,6 +12,7 @@
   MIXED,
   NEWSROOM,
   READS_ONLY,
+  SLOW_READS,
   drawJobs,
   meanServiceMs,
   type Workload,
@@ -26,6 +28,9 @@
   readonly of: string;
 }
 
+/** Ways to make a policy, by name. */
+type Policies = Readonly<Record<string, () => Policy>>;
+
 /** Settings of the measurement. */
 interface Settings {
   readonly seed: number;
@@ -39,34 +44,66 @@
 const GOODPUT_TARGET = 0.9;
 const LATE_TARGET = 0.01;
 const RESULTS = 'measure/results';
+const PROCESS_LOADS = [0.5, 1, 2, 4];
 const ADMIT_ROUNDS = 2_000_000;
 
-const POLICIES: Readonly<Record<string, () => Policy>> = {
+const POLICIES: Policies = {
   admission: () => admissionPolicy(SLOTS, QUEUE),
   'fifo-unlimited': () => fifoPolicy(SLOTS, Infinity),
   'fifo-limited': () => fifoPolicy(SLOTS, QUEUE),
 };
 
+const HOT_KEY_POLICIES: Policies = {
+  ...POLICIES,
+  'admission-key-quarter': () => admissionPolicy(SLOTS, QUEUE, 0.25),
+};
+
 /**
  * Measures admission under overload in virtual time, against first-in
  * first-out queues, and the time that one admission takes.
  *
  * @example
  * await run(['--seed', '7', '--seconds', '60']);
+ * await run(['--processes', '--seconds', '15']);
  */
 export async function run(args: readonly string[]): Promise<void> {
   const settings = readSettings(args);
+  if (args.includes('--processes')) return runProcesses(settings);
   const rows = [
     ...loadRows('mixed', MIXED, settings),
     ...loadRows('reads', READS_ONLY, settings),
     ...scenarioRows(settings),
   ];
   const verdict = judge(rows);
-  const cost = await measureAdmit();
-  const lines = [...rows, verdict, cost].map(line => JSON.stringify(line));
-  mkdirSync(RESULTS, {recursive: true});
-  writeFileSync(`${RESULTS}/overload.jsonl`, lines.join('\n') + '\n');
+  const cost = measureAdmit();
+  writeLines('overload.jsonl', [...rows, verdict, cost]);
   writeFileSync(`${RESULTS}/overload.svg`, plotOverload(rows));
+}
+
+/** Measures the edge of admission on the real clock with an upstream process. */
+async function runProcesses(settings: Settings): Promise<void> {
+  const {seed, durationMs} = settings;
+  const capacityPerSecond = (SLOTS * 1000) / meanServiceMs(SLOW_READS.kinds);
+  const rows: object[] = [];
+  for (const load of PROCESS_LOADS) {
+    const {endings, exceeded} = await runRealtime({
+      workload: SLOW_READS,
+      slots: SLOTS,
+      queue: QUEUE,
+      perSecond: load * capacityPerSecond,
+      durationMs,
+      seed,
+    });
+    const row = rowOf('processes', 'admission', load, 'all', endings, settings);
+    rows.push({...row, exceeded});
+  }
+  writeLines('overload-processes.jsonl', rows);
+}
+
+function writeLines(name: string, values: readonly object[]): void {
+  const lines = values.map(value => JSON.stringify(value));
+  mkdirSync(RESULTS, {recursive: true});
+  writeFileSync(`${RESULTS}/${name}`, lines.join('\n') + '\n');
   for (const line of lines) console.log(line);
 }
 
@@ -85,8 +122,8 @@
   settings: Settings,
 ): readonly Row[] {
   return LOADS.flatMap(load =>
-    Object.keys(POLICIES).flatMap(policy => {
-      const endings = endingsOf(workload, policy, load, settings);
+    Object.entries(POLICIES).flatMap(([policy, create]) => {
+      const endings = endingsOf(workload, create(), load, settings);
       const row = (of: string, some: readonly Ending[]) =>
         rowOf(scenario, policy, load, of, some, settings);
       if (workload.kinds.length === 1) return [row('all', endings)];
@@ -111,7 +148,7 @@
   const isLater = ({job}: Ending) => job.arriveAt >= halfMs;
   return [
     ...splitRows('greedy-caller', greedy, 1.5, isGreedy, settings),
-    ...splitRows('hot-key', hot, 1.5, isHot, settings),
+    ...splitRows('hot-key', hot, 1.5, isHot, settings, HOT_KEY_POLICIES),
     ...splitRows('slows-to-a-third', slow, 0.9, isLater, settings),
   ];
 }
@@ -126,9 +163,10 @@
   load: number,
   isPart: (ending: Ending) => boolean,
   settings: Settings,
+  policies: Policies = POLICIES,
 ): readonly Row[] {
-  return Object.keys(POLICIES).flatMap(policy => {
-    const endings = endingsOf(workload, policy, load, settings);
+  return Object.entries(policies).flatMap(([policy, create]) => {
+    const endings = endingsOf(workload, create(), load, settings);
     const part = endings.filter(isPart);
     const others = endings.filter(ending => !isPart(ending));
     return [
@@ -140,7 +178,7 @@
 
 function endingsOf(
   workload: Workload,
-  policy: string,
+  policy: Policy,
   load: number,
   settings: Settings,
 ): readonly Ending[] {
@@ -148,7 +186,7 @@
   const random = createRandom(settings.seed);
   const perSecond = load * capacityPerSecond;
   const jobs = drawJobs(workload, perSecond, settings.durationMs, random);
-  return simulate(jobs, POLICIES[policy]());
+  return simulate(jobs, policy);
 }
 
 function rowOf(
@@ -213,7 +251,7 @@
 }
 
 /** Measures one admission and release with a free slot and an empty queue. */
-async function measureAdmit() {
+function measureAdmit() {
   const clock = () => performance.now();
   const admission = createAdmission({slots: SLOTS, queue: QUEUE, clock});
   const request = {
@@ -223,13 +261,13 @@
     caller: 'desk-7',
     key: 'night',
   };
-  const once = async () => {
-    const result = await admission.admit(request);
-    if (result.kind === 'admitted') result.release();
+  const once = () => {
+    const result = admission.admit(request);
+    if ('release' in result) result.release();
   };
-  for (let i = 0; i < ADMIT_ROUNDS / 10; i++) await once();
+  for (let i = 0; i < ADMIT_ROUNDS / 10; i++) once();
   const startedAt = performance.now();
-  for (let i = 0; i < ADMIT_ROUNDS; i++) await once();
+  for (let i = 0; i < ADMIT_ROUNDS; i++) once();
   const tookMs = performance.now() - startedAt;
   const nanoseconds = Math.round((tookMs * 1e6) / ADMIT_ROUNDS);
   return {measure: 'admit-and-release', nanoseconds, rounds: ADMIT_ROUNDS};
