--- a/measure/failover.ts
+++ b/measure/failover.ts
@@ -123,7 +123,8 @@
   } finally {
     await processes.killAll();
   }
-  rmSync(directory, {recursive: true, force: true});
+  if (times.includes(Infinity)) process.stderr.write(`logs: ${directory}\n`);
+  else rmSync(directory, {recursive: true, force: true});
   return times;
 }
 
@@ -151,11 +152,25 @@
     keys.slice(0, KEYS_PER_LOSS).map(key => firstAnswer(entry, key, startMs)),
   );
   await Promise.all(ended);
+  await explainMissing(entry, keys, times);
   await setPlatformFaults(fleet.platform, {down: false});
   lost.forEach(node => startNode(fleet, node));
   return times;
 }
 
+/** Prints what a daemon knows of the keys that were not served again. */
+async function explainMissing(
+  entry: Node,
+  keys: readonly string[],
+  times: readonly number[],
+): Promise<void> {
+  for (const [index, time] of times.entries()) {
+    if (time !== Infinity) continue;
+    const explanation = await readOwner(entry, keys[index]);
+    process.stderr.write(JSON.stringify(explanation) + '\n');
+  }
+}
+
 /** Returns the owner of one key of each slice. */
 async function readOwners(fleet: Fleet): Promise<ReadonlyMap<string, Node>> {
   const owners = new Map<string, Node>();
