Count what a daemon uses and measure control against the fleet size

Cause: processor time, messages and heap of a daemon at rest were not measured. Ruled out: the library's default process metrics, which sample the event loop a hundred times a second and would measure themselves. Before: no metric of the process.

--- a/measure/fleet.ts
+++ b/measure/fleet.ts
@@ -70,6 +70,7 @@
   readonly processes: Processes;
   readonly directory: string;
   readonly platform: Address;
+  readonly service: Service;
   readonly nodes: readonly Node[];
 }
 
@@ -77,6 +78,8 @@
 export interface Shape {
   readonly domains: number;
   readonly instancesPerDomain: number;
+  /** Slices of the service, a power of two; those of `SERVICE` if absent. */
+  readonly slices?: number;
 }
 
 /** A committed execution and the instance that committed it. */
@@ -99,13 +102,14 @@
 export async function createFleet(
   processes: Processes,
   directory: string,
-  {domains, instancesPerDomain}: Shape,
+  {domains, instancesPerDomain, slices = SERVICE.slices}: Shape,
 ): Promise<Fleet> {
   const size = domains * instancesPerDomain;
   if (!(size >= 1)) throw new RangeError('a fleet has at least one instance');
   const stand = processes.start('platform', 'standin/platform/main.js', []);
   const platform = await stand.listening;
-  await putConfiguration(platform);
+  const service = {...SERVICE, slices};
+  await putConfiguration(platform, service);
   const addresses = (await findPorts(size * 3)).map(port => ({
     host: LOOPBACK,
     port,
@@ -134,10 +138,13 @@
     writeFileSync(file, JSON.stringify(settings));
     return {name, domain, callers, control, file, journals: []};
   });
-  return {processes, directory, platform, nodes};
+  return {processes, directory, platform, service, nodes};
 }
 
-async function putConfiguration(platform: Address): Promise<void> {
+async function putConfiguration(
+  platform: Address,
+  service: Service,
+): Promise<void> {
   const accepted = {
     version: 1,
     change: 'first',
@@ -146,7 +153,7 @@
     sites: [
       {
         site: SITE,
-        services: [SERVICE],
+        services: [service],
         limits: DEFAULT_LIMITS,
         weights: {imbalance: 1, churn: 1, unavailable: 1},
       },
@@ -219,7 +226,7 @@
  * @throws {Error} when the time limit, in milliseconds, has passed.
  */
 export async function waitUntilServing(
-  {nodes}: Fleet,
+  {nodes, service}: Fleet,
   timeoutMs: number,
 ): Promise<void> {
   await waitUntil('every slice is served', timeoutMs, async () => {
@@ -228,7 +235,7 @@
       status => status?.state === 'serving' && status.leaseValid,
     );
     const slices = serving.reduce((sum, status) => sum + status!.slices, 0);
-    return serving.length === nodes.length && slices === SERVICE.slices;
+    return serving.length === nodes.length && slices === service.slices;
   });
 }
 
--- /dev/null
+++ b/measure/fleet/upstreams.ts
@@ -0,0 +1,8 @@
+import {readOptions} from '../../standin/upstream/options.js';
+import {startUpstream} from '../../standin/upstream/start.js';
+
+/** Runs several upstreams in one process: the service, then control addresses. */
+const [service, ...controls] = process.argv.slice(2);
+for (const announce of controls) {
+  await startUpstream(readOptions({service, announce, fencing: 'enforced'}));
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -52,6 +52,7 @@
 import {watchReachability} from './reachability.js';
 import {startSteward} from './steward.js';
 import {createTrace} from './trace.js';
+import {createUsage} from './usage.js';
 import {createUpstreamLink} from './upstreamlink.js';
 import type {UpstreamLink} from './upstreamlink.js';
 import {createObjects} from './versions.js';
@@ -224,6 +225,7 @@
       if (message.kind === 'began') view.notify();
     },
   });
+  const updateUsage = createUsage(metrics, datagrams.counts);
   const sendLoad = (to: Address, message: Load) => {
     if (sameAddress(to, self.peers)) balancer.receive(message);
     else datagrams.send(to, message);
@@ -264,10 +266,11 @@
       );
       return service && explainKey(loop.state(), service, key);
     },
-    metrics: async () => ({
-      text: await metrics.text(),
-      contentType: metrics.contentType,
-    }),
+    metrics: async () => {
+      updateUsage();
+      const text = await metrics.text();
+      return {text, contentType: metrics.contentType};
+    },
     announce: announced => {
       upstream.announce(announced);
       updateUpstream();
