--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -51,6 +51,7 @@
 import {startSteward} from './steward.js';
 import {createTrace} from './trace.js';
 import type {DaemonTrace} from './trace.js';
+import {createUsage} from './usage.js';
 import {createUpstreamLink} from './upstreamlink.js';
 import type {UpstreamChange, UpstreamLink} from './upstreamlink.js';
 import {createObjects} from './versions.js';
@@ -92,6 +93,8 @@
   readonly servers: Servers;
   /** Whether the objects come straight from the platform. */
   readonly feed: {isDirect: boolean};
+  /** Called before the metrics are read. */
+  readonly beforeMetrics: {update: () => void};
 }
 
 /** Time between two checks whether a draining daemon is idle, in milliseconds. */
@@ -124,6 +127,7 @@
     signer: parts.signer,
     receive: envelope => receive(parts, envelope),
   });
+  parts.beforeMetrics.update = createUsage(parts.metrics, datagrams.counts);
   await listen(servers, settings);
   let fail: (error: Error) => void = () => {};
   const failed = new Promise<Error>(resolve => (fail = resolve));
@@ -230,6 +234,7 @@
     balancer: createBalancer(configuration.current, clock),
     servers,
     feed,
+    beforeMetrics: {update: () => {}},
   };
   return parts;
 }
@@ -338,8 +343,9 @@
       return service?.key && explainKey(loop.state(), service, key);
     },
     metrics: async () => {
-      const {text, contentType} = parts().metrics;
-      return {text: await text(), contentType};
+      const {metrics, beforeMetrics} = parts();
+      beforeMetrics.update();
+      return {text: await metrics.text(), contentType: metrics.contentType};
     },
     announce: announced => {
       parts().upstream.announce(announced);
