Apply the configured queue and retry share, and ramp a new upstream

Cause: the admission was created with fixed limits, forwards to other daemons did not feed the retry budget, and an upstream that restarted was given all its slots at once. After: the limits of the configuration reach the admission when it comes into force; forwards are counted; an announced or recovered upstream is ramped. Nothing is measured.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -4,6 +4,7 @@
   countForwarded,
   createRetryBudget,
   spendRetry,
+  withShare,
   type RetryLimits,
 } from './budget.js';
 import {decide, nextTickAt} from './decide.js';
@@ -85,6 +86,8 @@
   /** Reports that the upstream has just started. */
   readonly observeRestart: () => void;
   readonly setSlots: (slots: number) => void;
+  /** Sets the most requests that wait and the share of retries. */
+  readonly setLimits: (queue: number, retryShare: number) => void;
   /** The state as of the last event. */
   readonly state: () => AdmissionState;
 }
@@ -220,6 +223,10 @@
       dispatchAndSettle({kind: 'slots', slots});
       options.log?.(ADMISSION_EVENTS.slotsChanged, {slots});
     },
+    setLimits: (queueLimit, share) => {
+      dispatchAndSettle({kind: 'queue', queueLimit});
+      budget = withShare(budget, share);
+    },
     state: () => state,
   };
 }
--- a/src/admission/budget.ts
+++ b/src/admission/budget.ts
@@ -29,6 +29,19 @@
   return {limits, tokens: reserve};
 }
 
+/**
+ * Returns the budget with another share; what it holds stays.
+ *
+ * @throws {RangeError} when the share is not from 0 to 1.
+ *
+ * @example
+ * withShare(budget, 0.2).limits.share; // 0.2
+ */
+export function withShare(budget: RetryBudget, share: number): RetryBudget {
+  const {limits} = createRetryBudget({...budget.limits, share});
+  return {...budget, limits};
+}
+
 /**
  * Returns the budget after a first attempt was forwarded.
  *
--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -44,6 +44,8 @@
       return shed(state, event.retryAfterMs, now);
     case 'slots':
       return setSlots(state, event.slots, now);
+    case 'queue':
+      return {state: withQueue(state, event.queueLimit), verdicts: []};
     case 'restart':
       return reconsider({...state, ramp: coldRamp(state, now)}, now);
     case 'tick':
@@ -124,6 +126,12 @@
   return reconsider({...next, ramp}, now);
 }
 
+/** Sets the most requests that wait; those that wait already stay. */
+function withQueue(state: AdmissionState, queueLimit: number): AdmissionState {
+  checkCount('queue limit', queueLimit);
+  return {...state, parameters: {...state.parameters, queueLimit}};
+}
+
 /** Gives free slots away, then gives up what can't make its deadline any more. */
 function reconsider(state: AdmissionState, now: number): Step {
   const filled = fill(state, now);
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -89,6 +89,8 @@
   | {readonly kind: 'cancel'; readonly id: number}
   | {readonly kind: 'shed'; readonly retryAfterMs: number}
   | {readonly kind: 'slots'; readonly slots: number}
+  /** Applies to requests that arrive from now on. */
+  | {readonly kind: 'queue'; readonly queueLimit: number}
   | {readonly kind: 'restart'}
   | {readonly kind: 'tick'};
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -204,6 +204,7 @@
     random: () => Math.random(),
     log,
     trace: trace.trace,
+    countForwarded: admission.countForwarded,
     shed: (_service, retryAfterMs) => admission.observeShed(retryAfterMs),
   });
   const servers = createServers({
@@ -260,9 +261,12 @@
 }
 
 function configurationChanged(parts: Parts): void {
-  const {configuration, servers, view} = parts;
+  const {configuration, servers, view, admission} = parts;
   const limits = configuration.current()?.limits;
-  if (limits) applyLimits(servers, limits);
+  if (limits) {
+    applyLimits(servers, limits);
+    admission.setLimits(limits.queue, limits.retryShare);
+  }
   tellUpstream(parts);
   view.notify();
 }
@@ -275,6 +279,7 @@
   };
   const service = parts.upstream.upstream()?.service;
   parts.log(kinds[change], {service});
+  if (change !== 'lost') parts.admission.observeRestart();
   tellUpstream(parts);
 }
 
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -47,6 +47,8 @@
   readonly previousHandover?: (service: string) => PreviousHandover | undefined;
   /** Resolves when a previous handover may have ended. */
   readonly handoverChanged?: (service: string) => Promise<void>;
+  /** Counts a first attempt that is forwarded, for the retry budget. */
+  readonly countForwarded?: () => void;
   /** Reports that the upstream shed a request and asked to wait. */
   readonly shed?: (service: string, retryAfterMs: number) => void;
 }
--- a/src/gateway/remote.ts
+++ b/src/gateway/remote.ts
@@ -42,6 +42,7 @@
   member: Member,
   epoch: number,
 ): Promise<Attempt> {
+  context.countForwarded?.();
   const span = context.trace.start('forward', pass.span.traceparent, {
     to: member.instance,
   });
--- a/test/ownership/mutants.test.ts
+++ b/test/ownership/mutants.test.ts
@@ -2,6 +2,7 @@
 import {decide} from '../../src/ownership/index.js';
 import type {SliceEpoch, State} from '../../src/ownership/index.js';
 import {planChunk} from '../../src/placement/index.js';
+import type {Move} from '../../src/placement/index.js';
 import type {Chunk, SliceRecord} from '../../src/model/index.js';
 import {explore} from './commands.js';
 import {newFleet} from './fleet.js';
@@ -94,12 +95,11 @@
  * earlier owner, so that the successor takes over by the record that it knows.
  */
 function moveBehindSuccessor(plan: Plan): Fleet {
-  let target: string | undefined;
+  const moves: Move[] = [];
   const fleet = newFleet({
     size: 5,
     seed: 3,
-    plan: input =>
-      plan({...input, moves: target ? [{slice: 0, to: target}] : []}),
+    plan: input => plan({...input, moves}),
   });
   fleet.run(4000);
   const terms = fleet.nodes[0].state.view.records.get('rota/0')?.terms ?? [];
@@ -107,7 +107,7 @@
   const [owner, successor] = named;
   const stranger = fleet.nodes.find(({index}) => !named.includes(index));
   fleet.nodes[successor].platformCut = true;
-  target = `i${stranger?.index}`;
+  moves.push({slice: 0, to: `i${stranger?.index}`});
   fleet.run(1000);
   fleet.kill(owner);
   fleet.run(2000);
