Hand keys over to or from the old address only at rest

Cause: the daemon did not tell the request path that an earlier handover may still have requests in flight, so a key could be served by both sides for the time of a request at the switch. After: each daemon tells the others when no request that began under an earlier configuration is in flight; a key that changes sides waits until all live daemons have. A daemon that starts in the middle of a switch does not know the earlier handover; that remains. Nothing is measured.

--- a/src/daemon/configuration.ts
+++ b/src/daemon/configuration.ts
@@ -32,7 +32,7 @@
 export function createSiteConfiguration(
   site: string,
   log: Log,
-  changed: () => void,
+  changed: (before: Configuration | undefined) => void,
 ): SiteConfiguration {
   let inForce = NOTHING_IN_FORCE;
   const current = () => configurationInForce(inForce, site);
@@ -44,11 +44,12 @@
     apply: accepted => {
       const next = applyAccepted(inForce, accepted);
       if (next === inForce) return;
+      const before = current();
       inForce = next;
       const {version} = accepted;
       if (!current()) log(DAEMON_EVENTS.configurationIgnored, {site});
       log(DAEMON_EVENTS.configurationInForce, {version});
-      changed();
+      changed(before);
     },
   };
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,9 +9,14 @@
 } from '../gateway/index.js';
 import type {Gateway} from '../gateway/index.js';
 import type {MirrorEntry} from '../membership/index.js';
-import {formatAddress, sameAddress} from '../model/index.js';
-import type {Address, Member, Status} from '../model/index.js';
-import {isIdle, newState, OWNERSHIP_EVENTS} from '../ownership/index.js';
+import {formatAddress, leaseOf, sameAddress} from '../model/index.js';
+import type {Address, Configuration, Member, Status} from '../model/index.js';
+import {
+  isIdle,
+  leaseEnded,
+  newState,
+  OWNERSHIP_EVENTS,
+} from '../ownership/index.js';
 import type {Envelope, Load, Self, State} from '../ownership/index.js';
 import {
   createMirrorHandler,
@@ -31,6 +36,8 @@
 import type {SiteConfiguration} from './configuration.js';
 import type {ControlOptions} from './control.js';
 import {createEffects} from './effects.js';
+import {createHandoverSwitch, HANDOVER_REVIEW_MS} from './handover.js';
+import type {HandoverSwitch} from './handover.js';
 import {DAEMON_EVENTS} from './events.js';
 import {explainKey} from './explain.js';
 import {runFeed} from './feed.js';
@@ -90,6 +97,7 @@
   readonly objects: Objects;
   readonly publisher: Publisher;
   readonly balancer: Balancer;
+  readonly handover: HandoverSwitch;
   readonly servers: Servers;
   /** Whether the objects come straight from the platform. */
   readonly feed: {isDirect: boolean};
@@ -168,8 +176,8 @@
   const reachability = watchReachability(client, reachable =>
     platformChanged(parts, reachable),
   );
-  const configuration = createSiteConfiguration(settings.site, log, () =>
-    configurationChanged(parts),
+  const configuration = createSiteConfiguration(settings.site, log, before =>
+    configurationChanged(parts, before),
   );
   const upstream = createUpstreamLink(change => upstreamChanged(parts, change));
   const metrics = createMetrics();
@@ -188,6 +196,7 @@
     () => objects.mirror(),
     () => feed.isDirect && reachability.reachable(),
   );
+  const handover = createHandoverSwitch(clock);
   const gateway = createGateway({
     configuration: configuration.current,
     ownership: view,
@@ -204,6 +213,8 @@
     random: () => Math.random(),
     log,
     trace: trace.trace,
+    previousHandover: handover.previous,
+    handoverChanged: () => handover.ended(),
     countForwarded: admission.countForwarded,
     shed: (_service, retryAfterMs) => admission.observeShed(retryAfterMs),
   });
@@ -233,6 +244,7 @@
     objects,
     publisher,
     balancer: createBalancer(configuration.current, clock),
+    handover,
     servers,
     feed,
     beforeMetrics: {update: () => {}},
@@ -249,6 +261,9 @@
 function receive(parts: Parts, envelope: Envelope): void {
   const {message} = envelope;
   if (message.kind === 'load') return parts.balancer.receive(message);
+  if (message.kind === 'settled') {
+    return parts.handover.receive(envelope.instance, message.version);
+  }
   parts.inbox.dispatch({kind: 'message', envelope});
   if (message.kind === 'began') parts.view.notify();
 }
@@ -260,13 +275,21 @@
   parts.inbox.dispatch({kind: 'platform', reachable});
 }
 
-function configurationChanged(parts: Parts): void {
+function configurationChanged(
+  parts: Parts,
+  before: Configuration | undefined,
+): void {
   const {configuration, servers, view, admission} = parts;
   const limits = configuration.current()?.limits;
   if (limits) {
     applyLimits(servers, limits);
     admission.setLimits(limits.queue, limits.retryShare);
   }
+  parts.handover.changed(
+    before,
+    configuration.current(),
+    configuration.version(),
+  );
   tellUpstream(parts);
   view.notify();
 }
@@ -387,11 +410,16 @@
     () => reportLoads(parts, datagrams),
     LOAD_REPORT_MS,
   );
+  const handover = setInterval(
+    () => reviewHandover(parts, datagrams),
+    HANDOVER_REVIEW_MS,
+  );
   void startFeed(parts, controller.signal);
   return () => {
     controller.abort();
     stopSteward();
     clearInterval(loads);
+    clearInterval(handover);
   };
 }
 
@@ -406,6 +434,21 @@
   send(report.to, report.message);
 }
 
+/** Tells the others once the requests of earlier configurations have ended. */
+function reviewHandover(parts: Parts, datagrams: DatagramEndpoint): void {
+  const {handover, gateway, loop, self} = parts;
+  const {view} = loop.state();
+  const others = [...view.members.values()].filter(
+    member =>
+      member.instance !== self.instance && !leaseEnded(view, leaseOf(member)),
+  );
+  const settled = gateway.earlierInFlight() === 0;
+  const names = others.map(member => member.instance);
+  const message = handover.review(settled, names);
+  if (!message) return;
+  for (const member of others) datagrams.send(member.peers, message);
+}
+
 function startFeed(parts: Parts, signal: AbortSignal): Promise<void> {
   const {self, settings, reachability, loop, objects, publisher} = parts;
   return runFeed({
--- a/src/ownership/decide.ts
+++ b/src/ownership/decide.ts
@@ -179,6 +179,7 @@
     case 'released':
       return review({...state, view: withReleased(state.view, message)}, now);
     case 'load':
+    case 'settled':
       return unchanged(state);
   }
 }
--- a/src/ownership/messages.ts
+++ b/src/ownership/messages.ts
@@ -97,6 +97,16 @@
   readonly slices: readonly SliceUse[];
 }
 
+/**
+ * No request that began under an earlier configuration is in flight at the
+ * sender any more.
+ */
+export interface Settled {
+  readonly kind: 'settled';
+  /** Version of the configuration in force at the sender. */
+  readonly version: number;
+}
+
 /** What daemons tell each other. */
 export type Message =
   | Renew
@@ -109,7 +119,8 @@
   | SealAnswer
   | Began
   | Released
-  | Load;
+  | Load
+  | Settled;
 
 /** A message together with who sent it. */
 export interface Envelope {
