Remove the demo's files also when it is cut short

Cause: a run that ran out of time left its temporary folder. Ruled out: a fixed folder, because two runs would share it. Before: the folder stayed. After: a run ended by SIGTERM after 6 s left neither folder nor process. Conclusion: mended.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -167,14 +167,16 @@
   for (const signal of ['SIGINT', 'SIGTERM'] as const) {
     process.once(signal, () => process.exit(1));
   }
+  process.on('exit', () => {
+    if (flags.keep) process.stdout.write(`files: ${directory}\n`);
+    else rmSync(directory, {recursive: true, force: true});
+  });
   try {
     process.exitCode = await run(flags, directory);
   } catch (error) {
     process.stderr.write(`demo: ${(error as Error).message}\n`);
     process.exitCode = 1;
   }
-  if (flags.keep) process.stdout.write(`files: ${directory}\n`);
-  else rmSync(directory, {recursive: true, force: true});
 }
 
 sade('demo', true)
