--- a/measure/failover.ts
+++ b/measure/failover.ts
@@ -37,7 +37,7 @@
   readonly platform: 'up' | 'away';
 }
 
-/** Scenes in the order of the results; they run side by side. */
+/** Scenes in the order of their runs. */
 const SCENES: readonly Scene[] = [
   {loss: 'instance', platform: 'up'},
   {loss: 'instance', platform: 'away'},
@@ -93,15 +93,12 @@
   const header = startRun(command, seed);
   const results: Result[] = [];
   const series = [];
-  const measured = await Promise.all(
-    SCENES.map(scene => measureScene(scene, losses, seeded(seed))),
-  );
-  for (const [index, found] of measured.entries()) {
-    const scene = SCENES[index];
+  for (const scene of SCENES) {
+    const found = await measureScene(scene, losses, seeded(seed));
     results.push(...summarize(scene, found));
     series.push({name: nameOf(scene), points: distributionOf(found.times)});
+    writeResultFile('failover.jsonl', formatResults(header, results));
   }
-  writeResultFile('failover.jsonl', formatResults(header, results));
   process.stdout.write(formatResults(header, results));
   const plot = {
     title: 'Time from a loss to the first answer',
@@ -116,6 +113,7 @@
 interface Found {
   /** Time to the first answer for each key, in milliseconds. */
   readonly times: readonly number[];
+  readonly losses: number;
   /** How often a fleet was not whole in time after a loss and was replaced. */
   readonly notWhole: number;
 }
@@ -150,7 +148,7 @@
   await processes.killAll();
   if (times.includes(Infinity)) process.stderr.write(`logs: ${directory}\n`);
   else rmSync(directory, {recursive: true, force: true});
-  return {times, notWhole};
+  return {times, losses, notWhole};
 }
 
 async function isWhole(fleet: Fleet): Promise<boolean> {
@@ -259,9 +257,9 @@
 
 function summarize(
   {loss, platform}: Scene,
-  {times, notWhole}: Found,
+  {times, losses, notWhole}: Found,
 ): readonly Result[] {
-  const of = {loss, platform, keys: times.length};
+  const of = {loss, platform, losses, keys: times.length};
   const served = times.filter(time => time !== Infinity).sort((a, b) => a - b);
   const at = (share: number) =>
     served[Math.max(0, Math.ceil(served.length * share) - 1)];
