Put one witness of three into the holder's own domain where a region has three

Cause: the holder's domain came last, so with three failure domains in a region two of three witnesses shared one, and its loss let the leases of owners elsewhere lapse. After: each witness comes from a domain that has the fewest so far, the holder's own last among equals; the tests of ownership pass as before.

--- a/src/membership/choose.ts
+++ b/src/membership/choose.ts
@@ -39,18 +39,9 @@
     member => member.instance,
   );
   const keptNames = new Set(kept.map(({instance}) => instance));
-  const keptDomains = new Set(kept.map(({domain}) => domain));
   const fresh = ranked.filter(({instance}) => !keptNames.has(instance));
-  const isPreferred = ({domain}: Member) =>
-    domain !== place.domain && !keptDomains.has(domain);
-  const others = fresh.filter(({domain}) => domain !== place.domain);
-  const spread = [
-    ...roundRobin(others.filter(isPreferred)),
-    ...others.filter(member => !isPreferred(member)),
-    ...fresh.filter(({domain}) => domain === place.domain),
-  ];
-  const all = [...kept, ...spread.map(toWitness)];
-  return all.slice(0, oddCount(all.length, count));
+  const chosen = spreadOver(fresh.map(toWitness), kept, place.domain, count);
+  return chosen.slice(0, oddCount(chosen.length, count));
 }
 
 /**
@@ -85,6 +76,35 @@
   return chooseStewards(`relay ${domain}`, inDomain, RELAYS_PER_DOMAIN);
 }
 
+/**
+ * Adds candidates to the kept witnesses, each from a failure domain that has the
+ * fewest so far; among equal domains the holder's own comes last.
+ */
+function spreadOver(
+  candidates: readonly Witness[],
+  kept: readonly Witness[],
+  own: string,
+  count: number,
+): readonly Witness[] {
+  const chosen = [...kept];
+  const rest = [...candidates];
+  while (chosen.length < count && rest.length > 0) {
+    const costs = rest.map(({domain}) => domainCost(chosen, domain, own));
+    const best = costs.indexOf(Math.min(...costs));
+    chosen.push(...rest.splice(best, 1));
+  }
+  return chosen;
+}
+
+function domainCost(
+  chosen: readonly Witness[],
+  domain: string,
+  own: string,
+): number {
+  const used = chosen.filter(witness => witness.domain === domain).length;
+  return 2 * used + (domain === own ? 1 : 0);
+}
+
 function toWitness(member: Member): Witness {
   const {instance, generation, process, peers, domain} = member;
   return {instance, generation, process, address: peers, domain};
@@ -94,21 +114,3 @@
   const count = Math.min(available, wanted);
   return count % 2 === 0 ? Math.max(0, count - 1) : count;
 }
-
-function roundRobin(members: readonly Member[]): readonly Member[] {
-  const byDomain = new Map<string, Member[]>();
-  for (const member of members) {
-    const list = byDomain.get(member.domain) ?? [];
-    list.push(member);
-    byDomain.set(member.domain, list);
-  }
-  const lists = [...byDomain.values()];
-  const longest = Math.max(0, ...lists.map(list => list.length));
-  const result: Member[] = [];
-  for (let turn = 0; turn < longest; turn++) {
-    for (const list of lists) {
-      if (list[turn]) result.push(list[turn]);
-    }
-  }
-  return result;
-}
--- a/src/ownership/renewal.ts
+++ b/src/ownership/renewal.ts
@@ -4,7 +4,7 @@
 import {leaseValid, stepHolder} from './holder.js';
 import type {Holder, HolderEvent} from './holder.js';
 import {holderMs, witnessMs} from './settings.js';
-import type {Effect, Self, State, Step} from './state.js';
+import type {Effect, State, Step} from './state.js';
 import {unchanged} from './state.js';
 import {leaseEnded} from './view.js';
 
@@ -231,14 +231,14 @@
   );
   const {witnesses: count} = settings;
   const filled = chooseWitnesses(self, candidates, count, kept);
-  const apart = onePerDomain(kept, self.domain);
+  const apart = onePerDomain(kept);
   const spread = chooseWitnesses(self, candidates, count, apart);
-  const isWider = domainsApart(self, spread) > domainsApart(self, filled);
+  const isWider = countDomains(spread) > countDomains(filled);
   const chosen = isWider ? spread : filled;
   const worthwhile =
     lost.size > 0 ||
     chosen.length > holder.current.witnesses.length ||
-    domainsApart(self, chosen) > domainsApart(self, holder.current.witnesses);
+    countDomains(chosen) > countDomains(holder.current.witnesses);
   if (!worthwhile || sameWitnesses(chosen, holder.current.witnesses)) {
     return undefined;
   }
@@ -246,24 +246,17 @@
   return {number: holder.current.number + 1, witnesses: chosen};
 }
 
-/** Keeps the first witness of each failure domain other than the holder's. */
-function onePerDomain(
-  witnesses: readonly Witness[],
-  own: string,
-): readonly Witness[] {
+/** Keeps the first witness of each failure domain. */
+function onePerDomain(witnesses: readonly Witness[]): readonly Witness[] {
   const first = new Map<string, Witness>();
   for (const witness of witnesses) {
-    const {domain} = witness;
-    if (domain !== own && !first.has(domain)) first.set(domain, witness);
+    if (!first.has(witness.domain)) first.set(witness.domain, witness);
   }
   return [...first.values()];
 }
 
-/** Counts the failure domains of witnesses other than the holder's. */
-function domainsApart(self: Self, witnesses: readonly Witness[]): number {
-  const domains = new Set(witnesses.map(({domain}) => domain));
-  domains.delete(self.domain);
-  return domains.size;
+function countDomains(witnesses: readonly Witness[]): number {
+  return new Set(witnesses.map(({domain}) => domain)).size;
 }
 
 function isLost(state: State, witness: Witness, now: number): boolean {
