Bound a daemon's platform calls, spread registrations, load tracing on demand

Cause: the daemon did not use the budget of platform calls nor count them; a fleet that starts at once registered at once; a leaving daemon still ran unkeyed requests that came to it; events 2002 and 2003 were never written; the tracing library was loaded by every daemon. After: 20 calls a second and 100 at once at most, counted by kind and result; registrations are spread over 10 ms for each known member; a leaving daemon runs no unkeyed request that another instance can run; tracing is a module that is loaded when the settings name an export.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,11 +9,17 @@
 } from '../gateway/index.js';
 import type {Gateway} from '../gateway/index.js';
 import type {MirrorEntry} from '../membership/index.js';
-import {formatAddress, leaseOf, sameAddress} from '../model/index.js';
+import {
+  formatAddress,
+  formatLease,
+  leaseOf,
+  sameAddress,
+} from '../model/index.js';
 import type {Address, Configuration, Member, Status} from '../model/index.js';
 import {
   isIdle,
   leaseEnded,
+  liveMembers,
   newState,
   OWNERSHIP_EVENTS,
 } from '../ownership/index.js';
@@ -25,11 +31,18 @@
   openDatagrams,
 } from '../peer/index.js';
 import type {DatagramEndpoint, Signer} from '../peer/index.js';
-import {createPlatform, memberKey, putResolved} from '../platform/index.js';
+import {
+  budgeted,
+  createPlatform,
+  memberKey,
+  PROCESS_CLOCK,
+  putResolved,
+} from '../platform/index.js';
 import type {Platform} from '../platform/index.js';
 import type {Settings} from '../settings/index.js';
 import {createMetrics} from '../telemetry/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
+import type {Upstream} from '../upstream/index.js';
 import {createBalancer, loadReport, LOAD_REPORT_MS} from './balancer.js';
 import type {Balancer} from './balancer.js';
 import {createSiteConfiguration} from './configuration.js';
@@ -45,6 +58,7 @@
 import type {Inbox} from './inbox.js';
 import {createLoop} from './loop.js';
 import type {Loop} from './loop.js';
+import {DAEMON_METRICS} from './metrics.js';
 import {readObject} from './objects.js';
 import {createRequestView} from './ownership.js';
 import type {RequestView} from './ownership.js';
@@ -111,6 +125,10 @@
 /** Requests that wait before a configuration says how many may. */
 const DEFAULT_QUEUE = 256;
 
+/** Calls of the platform that a daemon makes at most, over time and at once. */
+const CALLS_PER_SECOND = 20;
+const CALLS_AT_ONCE = 100;
+
 /** Name that signatures of forwarded requests are bound to. */
 const HOP_SCOPE = 'vanillaspool';
 
@@ -126,7 +144,7 @@
   settings: Settings,
   log: Log,
 ): Promise<Daemon> {
-  const parts = createParts(settings, log);
+  const parts = createParts(settings, log, await createTrace(settings));
   const {self, loop, inbox, servers} = parts;
   const datagrams = await openDatagrams({
     address: settings.peers,
@@ -161,26 +179,29 @@
   };
 }
 
-function createParts(settings: Settings, log: Log): Parts {
+function createParts(settings: Settings, log: Log, trace: DaemonTrace): Parts {
   const clock = () => performance.now();
   const self = selfOf(settings);
   const inbox = createInbox();
   const view: RequestView = createRequestView(() => loop.state(), clock);
   const loop = createLoop({
-    initial: newState(self, settings.lease, clock()),
+    initial: newState(self, settings.lease, clock(), Math.random()),
     inbox,
     clock,
     busy: view.busy,
   });
   const client = createPlatform(settings.platform);
-  const reachability = watchReachability(client, reachable =>
-    platformChanged(parts, reachable),
+  const metrics = createMetrics();
+  const reachability = watchReachability(
+    budgeted(client, CALLS_PER_SECOND, CALLS_AT_ONCE, PROCESS_CLOCK),
+    reachable => platformChanged(parts, reachable),
+    (kind, result) =>
+      metrics.counter(DAEMON_METRICS.platformCalls, {kind, result})(),
   );
   const configuration = createSiteConfiguration(settings.site, log, before =>
     configurationChanged(parts, before),
   );
   const upstream = createUpstreamLink(change => upstreamChanged(parts, change));
-  const metrics = createMetrics();
   const admission = createAdmission({
     slots: 1,
     queue: DEFAULT_QUEUE,
@@ -188,7 +209,6 @@
     log,
     metrics,
   });
-  const trace = createTrace(settings);
   const signer = createSigner(settings.secrets);
   const objects = createObjects(entry => objectChanged(parts, entry));
   const feed = {isDirect: false};
@@ -203,7 +223,7 @@
     self,
     admit: admission.admit,
     retryAllowed: admission.retryAllowed,
-    upstream: () => (upstream.healthy() ? upstream.upstream() : undefined),
+    upstream: () => usableUpstream(parts),
     signer: createHopSigner(
       HOP_SCOPE,
       settings.secrets.map(({key}) => key),
@@ -306,6 +326,23 @@
   tellUpstream(parts);
 }
 
+/**
+ * Returns the upstream for requests that come from now on. A daemon that is
+ * leaving runs no request that another instance can run.
+ */
+function usableUpstream(parts: Parts): Upstream | undefined {
+  const {upstream, loop, configuration, self} = parts;
+  const announced = upstream.upstream();
+  if (!announced || !upstream.healthy()) return undefined;
+  const state = loop.state();
+  if (!state.draining) return announced;
+  const isKeyed = configuration.service(announced.service)?.key !== undefined;
+  const others = liveMembers(state, announced.service).filter(
+    member => member.instance !== self.instance,
+  );
+  return isKeyed || others.length === 0 ? announced : undefined;
+}
+
 /** Tells the decisions what the upstream beside the daemon is. */
 function tellUpstream(parts: Parts): void {
   const {upstream, configuration, admission, inbox} = parts;
@@ -347,7 +384,7 @@
   fail: (error: Error) => void,
 ): ReturnType<typeof createEffects> {
   const {reachability, objects, upstream, inbox, view, log} = parts;
-  return createEffects({
+  const runEffects = createEffects({
     platform: reachability.platform,
     objects,
     datagrams,
@@ -360,6 +397,26 @@
     },
     log,
   });
+  const logLease = createLeaseLog(log);
+  return (effects, state) => {
+    logLease(state);
+    runEffects(effects, state);
+  };
+}
+
+/** Creates the function that logs when the lease comes into force or lapses. */
+function createLeaseLog(log: Log): (state: State) => void {
+  const {leaseValid, leaseLapsed} = OWNERSHIP_EVENTS;
+  let before = '';
+  return ({holder}) => {
+    if (holder.state === before) return;
+    const lease = formatLease(holder.lease);
+    if (holder.state === 'valid') log(leaseValid, {lease});
+    if (before === 'valid' && holder.state === 'acquiring') {
+      log(leaseLapsed, {lease});
+    }
+    before = holder.state;
+  };
 }
 
 function controlOf(parts: () => Parts): ControlOptions {
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -20,6 +20,12 @@
     help: 'Resident memory of the process.',
     labels: [],
   },
+  platformCalls: {
+    type: 'counter',
+    name: 'vanillaspool_platform_calls_total',
+    help: 'Calls of the platform, by kind and result; a watch counts once.',
+    labels: ['kind', 'result'],
+  },
   datagrams: {
     type: 'counter',
     name: 'vanillaspool_peer_datagrams_total',
--- a/src/daemon/reachability.ts
+++ b/src/daemon/reachability.ts
@@ -1,5 +1,5 @@
 import {CONFIGURATION_KEY, counted} from '../platform/index.js';
-import type {Platform} from '../platform/index.js';
+import type {CallKind, CallResult, Platform} from '../platform/index.js';
 
 /** The platform as seen by a daemon, and whether it answers. */
 export interface Reachability {
@@ -18,12 +18,15 @@
  * Wraps a platform and tells from its calls whether it answers. While it does
  * not, it is asked at intervals until it does.
  *
+ * @param called Told of each call, for the metrics.
+ *
  * @example
- * const {platform} = watchReachability(client, reachable => log(reachable));
+ * const {platform} = watchReachability(client, reachable => log(reachable), () => {});
  */
 export function watchReachability(
   inner: Platform,
   changed: (reachable: boolean) => void,
+  called: (kind: CallKind, result: CallResult) => void,
 ): Reachability {
   let reachable = true;
   let failures = 0;
@@ -34,9 +37,10 @@
     reachable = next;
     changed(reachable);
   };
-  const platform = counted(inner, (_kind, result) =>
-    settle(result === 'done' || result === 'conflict'),
-  );
+  const platform = counted(inner, (kind, result) => {
+    called(kind, result);
+    settle(result === 'done' || result === 'conflict');
+  });
   const timer = setInterval(() => {
     if (failures > 0) platform.get(CONFIGURATION_KEY).catch(() => {});
   }, PROBE_MS);
--- a/src/daemon/trace.ts
+++ b/src/daemon/trace.ts
@@ -1,8 +1,7 @@
 import {passTrace} from '../gateway/index.js';
 import type {HopName, SpanFields, Trace} from '../gateway/index.js';
 import type {Settings} from '../settings/index.js';
-import {createTracing} from '../telemetry/index.js';
-import type {Hop, Tracing} from '../telemetry/index.js';
+import type {Hop, Tracing} from '../tracing/index.js';
 
 /** The trace of a daemon and how to end its export. */
 export interface DaemonTrace {
@@ -20,15 +19,17 @@
 
 /**
  * Creates the trace of a daemon: without an export in the settings, trace
- * context is passed on and nothing is recorded.
+ * context is passed on, nothing is recorded, and the library that records is
+ * not loaded, which spares start-up time and memory.
  *
  * @example
- * const {trace, close} = createTrace(settings);
+ * const {trace, close} = await createTrace(settings);
  */
-export function createTrace(settings: Settings): DaemonTrace {
+export async function createTrace(settings: Settings): Promise<DaemonTrace> {
   if (!settings.trace) return {trace: passTrace(), close: async () => {}};
   const {otlp, share} = settings.trace;
   const {instance} = settings;
+  const {createTracing} = await import('../tracing/index.js');
   const tracing = createTracing({instance, share, url: otlp});
   return {trace: recordedTrace(tracing), close: tracing.close};
 }
--- a/src/ownership/decide.ts
+++ b/src/ownership/decide.ts
@@ -45,6 +45,9 @@
 /**
  * Returns the state of a daemon that has just started.
  *
+ * @param startShare Random number from 0 to 1 that spreads the registrations of
+ *     processes that start at once.
+ *
  * @example
  * const state = newState(self, settings, performance.now());
  */
@@ -52,6 +55,7 @@
   self: Self,
   settings: LeaseSettings,
   now: number,
+  startShare = 0,
 ): State {
   return {
     self,
@@ -71,6 +75,7 @@
     registeredAt: -Infinity,
     attempts: 0,
     startedAt: now,
+    startShare,
     storing: false,
     doubtful: false,
   };
--- a/src/ownership/renewal.ts
+++ b/src/ownership/renewal.ts
@@ -23,6 +23,9 @@
 /** Time between the first attempts to register, in milliseconds. */
 export const REGISTER_RETRY_MS = 300;
 
+/** Mean time between two registrations of a fleet that starts at once. */
+const REGISTRATION_SPACING_MS = 10;
+
 /** How often the time between attempts to register is doubled at most. */
 const REGISTER_DOUBLINGS = 4;
 
@@ -43,6 +46,7 @@
   if (!due || state.storing || !state.platformReachable) {
     return unchanged(state);
   }
+  if (now - state.startedAt < startDelayMs(state)) return unchanged(state);
   if (!predecessorEnded(state, now)) return unchanged(state);
   const member = nextRecord(state, upstream.service);
   const lease = leaseOf(member);
@@ -114,6 +118,11 @@
   return store(state, {...record, state: 'draining'});
 }
 
+/** Spreads the registrations of a fleet that starts at once. */
+function startDelayMs(state: State): number {
+  return state.startShare * state.view.members.size * REGISTRATION_SPACING_MS;
+}
+
 /**
  * Tells whether nothing that an earlier process of this instance left at the
  * upstream can be in force, which the new registration will assert: the
--- a/src/ownership/state.ts
+++ b/src/ownership/state.ts
@@ -83,6 +83,8 @@
   readonly registeredAt: number;
   /** When the process started, by its clock. */
   readonly startedAt: number;
+  /** Place of this process among others that start at once, from 0 to 1. */
+  readonly startShare: number;
   /** Registrations since the lease was last in force for long. */
   readonly attempts: number;
 }
--- /dev/null
+++ b/src/tracing/index.ts
@@ -0,0 +1,2 @@
+export * from './traceparent.js';
+export * from './tracing.js';
--- a/test/telemetry/tracing.test.ts
+++ b/test/tracing/tracing.test.ts
@@ -5,7 +5,7 @@
   createSpanMemory,
   createTracing,
   parseTraceparent,
-} from '../../src/telemetry/index.js';
+} from '../../src/tracing/index.js';
 
 const TRACE = '0af7651916cd43dd8448eb211c80319c';
 const PARENT = 'b7ad6b7169203331';
