Stop waiting for an owner whose lease has ended

Cause: a request that had been sent to a frozen owner was waited for until its deadline, though the owner's lease was proved ended and another instance served the slice.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -47,10 +47,15 @@
   readonly copied?: (part: Buffer) => void;
   /** What it means that the request was certainly not sent. */
   readonly unsent: (error: Error) => FailedTry;
+  /** Tells that no answer is to be expected from there any more. */
+  readonly moved?: () => boolean;
   /** Called once, when the attempt has ended. */
   readonly ended: () => void;
 }
 
+/** Time between two checks whether the owner has moved, in milliseconds. */
+const OWNER_CHECK_MS = 50;
+
 /**
  * Runs one exchange for a pass and describes how it ended.
  *
@@ -66,9 +71,16 @@
   const {response, state} = pass;
   return new Promise(resolve => {
     let judged: FailedTry | undefined;
+    const {moved} = manner;
+    const check =
+      moved &&
+      setInterval(() => {
+        if (moved()) abort(new Error('the owner has moved'));
+      }, OWNER_CHECK_MS);
     const abort = exchange(pool, call, response, {
       ready: manner.ready,
       accept: head => {
+        clearInterval(check);
         judged = manner.judge(head);
         if (judged) return undefined;
         manner.extend(head);
@@ -77,6 +89,7 @@
       },
       copied: manner.copied,
       ended: result => {
+        clearInterval(check);
         state.giveUp = undefined;
         manner.ended();
         resolve(describe(result, judged, manner));
--- a/src/gateway/remote.ts
+++ b/src/gateway/remote.ts
@@ -58,10 +58,25 @@
     judge: head => judge(context, pass, head),
     extend: passOwnHeaders,
     unsent: error => unreachable(context, member, error),
+    moved: pass.slice < 0 ? undefined : () => hasMoved(context, pass, member),
     ended: span.end,
   });
 }
 
+/**
+ * Tells whether the lease under which a member was asked can't be in force any
+ * more, so that the member may be frozen and its answer may never come.
+ */
+function hasMoved(context: Context, pass: Pass, member: Member): boolean {
+  const route = context.ownership.route(pass.service.name, pass.slice);
+  if (route.kind !== 'remote') return route.kind !== 'none';
+  return !route.candidates.some(
+    candidate =>
+      candidate.instance === member.instance &&
+      candidate.generation === member.generation,
+  );
+}
+
 function peerHeaders(
   context: Context,
   pass: Pass,
