Start a daemon again whose port was taken

Cause: ports of the fleet are given back between two starts of a daemon, and a connection of another process took one, so a fleet was never whole. Ruled out: the ownership rules; the log of the instance shows EADDRINUSE. Before: fleets counted as not whole for this reason too. After: the daemon is started again until it has its port.

--- a/measure/fleet.ts
+++ b/measure/fleet.ts
@@ -33,6 +33,12 @@
 /** Time without a change of the records before a fleet counts as standing. */
 const QUIET_MS = 1500;
 
+/** Exit code of a daemon that can't start or go on. */
+const FAILED_EXIT_CODE = 1;
+
+/** Time before a daemon that failed is started again, in milliseconds. */
+const RESTART_PAUSE_MS = 200;
+
 /** Witnesses of a lease in a fleet that has as many. */
 const WITNESSES = 3;
 
@@ -173,10 +179,20 @@
   startUpstream(fleet, node);
 }
 
-/** Starts the daemon of an instance. */
-export function startDaemon({processes}: Fleet, node: Node): void {
+/**
+ * Starts the daemon of an instance, again if it fails at its start because a
+ * connection of another process has taken its port.
+ */
+export function startDaemon(fleet: Fleet, node: Node): void {
   const args = ['run', '--settings', node.file];
-  node.daemon = processes.start(node.name, 'src/bin/vanillaspoold.js', args);
+  const script = 'src/bin/vanillaspoold.js';
+  const daemon = fleet.processes.start(node.name, script, args);
+  node.daemon = daemon;
+  void daemon.exited.then(async code => {
+    if (code !== FAILED_EXIT_CODE) return;
+    await sleep(RESTART_PAUSE_MS);
+    if (node.daemon === daemon) startDaemon(fleet, node);
+  });
 }
 
 /** Starts the upstream of an instance, with a journal of its own. */
