Scope a seal to the witness sets that its asker knew

Cause: a witness that had left a set without noting its successor sealed the lease for a successor with an old record, and refused the holder for the rest of its generation, also in later sets; instances were left with one witness. A silent witness was also chosen again at once, since only candidates counted as silent. Ruled out: lost renewals (all three others were running and answered). After: a seal holds for sets up to the number that its asker named; a renewal names the lowest set that needs it and counts for that and later sets; a set is replaced only if its witnesses have not sealed it.

--- a/src/ownership/decide.ts
+++ b/src/ownership/decide.ts
@@ -154,8 +154,8 @@
     case 'seal':
       return witness(state, envelope, now);
     case 'renewed': {
-      const {lease, sentAt} = message;
-      const event = {kind: 'renewed', lease, process, sentAt} as const;
+      const {lease, sentAt, number} = message;
+      const event = {kind: 'renewed', lease, process, sentAt, number} as const;
       return unchanged(
         withHolder(withHolder(state, event), {kind: 'tick', now}),
       );
@@ -192,8 +192,8 @@
 function refused(state: State, envelope: Envelope, now: number): Step {
   const {message, process} = envelope;
   if (message.kind !== 'refused') return unchanged(state);
-  const {lease} = message;
-  const next = withHolder(state, {kind: 'refused', lease, process});
+  const {lease, number} = message;
+  const next = withHolder(state, {kind: 'refused', lease, process, number});
   const ended =
     next.holder.state === 'ending' && state.holder.state !== 'ending';
   return ended ? endLease(next, now) : unchanged(next);
@@ -205,22 +205,22 @@
   switch (message.kind) {
     case 'renew': {
       const until = now + witnessMs(state.settings);
-      const {lease, sentAt} = message;
-      const step = renewPromise(state.promises, lease, until);
+      const {lease, sentAt, number} = message;
+      const step = renewPromise(state.promises, lease, number, until);
       const renewed = step.answer === 'renewed';
       const answer = renewed
-        ? ({kind: 'renewed', lease, sentAt} as const)
-        : ({kind: 'refused', lease} as const);
+        ? ({kind: 'renewed', lease, sentAt, number} as const)
+        : ({kind: 'refused', lease, number} as const);
       const next = {...state, promises: step.promises};
       return {state: next, effects: answerTo(to, answer)};
     }
     case 'supersede': {
-      const {lease, next: set} = message;
-      const step = noteSet(state.promises, lease, set);
+      const {lease, next: set, from} = message;
+      const step = noteSet(state.promises, lease, set, from);
       const answer =
         step.answer === 'noted'
           ? ({kind: 'superseded', lease, number: set.number} as const)
-          : ({kind: 'refused', lease} as const);
+          : ({kind: 'refused', lease, number: from} as const);
       const next = {...state, promises: step.promises};
       return {state: next, effects: answerTo(to, answer)};
     }
--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -14,7 +14,10 @@
   readonly renewedAt: number;
   /** When the witness was first asked as a candidate. */
   readonly askedAt: number;
-  readonly refused: boolean;
+  /** Number of that renewal: it counts for this set and later ones. */
+  readonly number: number;
+  /** Highest number at which the witness refused to renew; 0 if it did not. */
+  readonly refusedUpTo: number;
 }
 
 /** The lease of this daemon, as its holder sees it. */
@@ -53,11 +56,13 @@
       readonly lease: LeaseId;
       readonly process: string;
       readonly sentAt: number;
+      readonly number: number;
     }
   | {
       readonly kind: 'refused';
       readonly lease: LeaseId;
       readonly process: string;
+      readonly number: number;
     }
   | {readonly kind: 'ended'}
   | {readonly kind: 'settled'}
@@ -81,7 +86,8 @@
 const NO_ANSWER: WitnessRecord = {
   renewedAt: -Infinity,
   askedAt: -Infinity,
-  refused: false,
+  number: 0,
+  refusedUpTo: 0,
 };
 
 const NO_WITNESSES: WitnessSet = {number: 0, witnesses: []};
@@ -130,6 +136,21 @@
   return holder.state === 'valid' && now < holder.until;
 }
 
+/**
+ * Tells whether a process has refused to renew for a set.
+ *
+ * @example
+ * hasRefused(holder, witness.process, holder.current); // false
+ */
+export function hasRefused(
+  holder: Holder,
+  process: string,
+  set: WitnessSet,
+): boolean {
+  const answer = holder.answers.get(process);
+  return answer !== undefined && answer.refusedUpTo >= set.number;
+}
+
 /**
  * Applies an event to a holder.
  *
@@ -150,10 +171,10 @@
       return move(holder, 'FAILED');
     case 'renewed':
       if (!sameLease(event.lease, holder.lease)) return holder;
-      return renewed(holder, event.process, event.sentAt, settings);
+      return renewed(holder, event, settings);
     case 'refused':
       if (!sameLease(event.lease, holder.lease)) return holder;
-      return refused(holder, event.process);
+      return refused(holder, event.process, event.number);
     case 'ended':
       return {...move(holder, 'ENDED'), until: 0};
     case 'settled':
@@ -216,26 +237,26 @@
 
 function renewed(
   holder: Holder,
-  process: string,
-  sentAt: number,
+  event: Extract<HolderEvent, {kind: 'renewed'}>,
   settings: LeaseSettings,
 ): Holder {
+  const {process, sentAt, number} = event;
   const before = holder.answers.get(process) ?? NO_ANSWER;
   if (before.renewedAt >= sentAt) return holder;
   const answers = new Map(holder.answers);
-  answers.set(process, {...before, renewedAt: sentAt});
+  answers.set(process, {...before, renewedAt: sentAt, number});
   const next = {...holder, answers};
   return {...next, until: leaseUntil(next, settings)};
 }
 
-function refused(holder: Holder, process: string): Holder {
+function refused(holder: Holder, process: string, number: number): Holder {
   const before = holder.answers.get(process) ?? NO_ANSWER;
   const answers = new Map(holder.answers);
-  answers.set(process, {...before, refused: true});
+  const refusedUpTo = Math.max(before.refusedUpTo, number);
+  answers.set(process, {...before, refusedUpTo});
   const next = {...holder, answers};
-  const sealed = hasMajority(
-    next.current,
-    witness => answers.get(witness.process)?.refused === true,
+  const sealed = hasMajority(next.current, witness =>
+    hasRefused(next, witness.process, next.current),
   );
   return sealed ? {...move(next, 'ENDED'), until: 0} : next;
 }
@@ -336,8 +357,15 @@
 ): number {
   if (set.witnesses.length === 0) return Infinity;
   const times = set.witnesses
-    .map(witness => holder.answers.get(witness.process)?.renewedAt ?? -Infinity)
+    .map(witness => renewedFor(holder, witness, set))
     .sort((a, b) => b - a);
   const majority = Math.floor(times.length / 2);
   return times[majority] + holderMs(settings);
 }
+
+/** Returns when a witness was last asked with success, as far as a set counts it. */
+function renewedFor(holder: Holder, witness: Witness, set: WitnessSet): number {
+  const answer = holder.answers.get(witness.process);
+  if (!answer || answer.number > set.number) return -Infinity;
+  return answer.renewedAt;
+}
--- a/src/ownership/messages.ts
+++ b/src/ownership/messages.ts
@@ -13,6 +13,8 @@
   readonly lease: LeaseId;
   /** Time of sending by the holder's clock, in milliseconds; echoed. */
   readonly sentAt: number;
+  /** Lowest number of the holder's sets that need this witness's promise. */
+  readonly number: number;
 }
 
 /** A witness has renewed its promise. */
@@ -20,12 +22,15 @@
   readonly kind: 'renewed';
   readonly lease: LeaseId;
   readonly sentAt: number;
+  /** Number of the renewal; the promise counts for this set and later ones. */
+  readonly number: number;
 }
 
-/** A witness will never renew this lease again. */
+/** A witness has sealed the lease for the set of this number. */
 export interface Refused {
   readonly kind: 'refused';
   readonly lease: LeaseId;
+  readonly number: number;
 }
 
 /** A holder tells a witness of its old set which set is in force now. */
@@ -33,6 +38,8 @@
   readonly kind: 'supersede';
   readonly lease: LeaseId;
   readonly next: WitnessSet;
+  /** Number of the set that the next one replaces. */
+  readonly from: number;
 }
 
 /** A witness has noted that a newer set is in force. */
@@ -48,7 +55,10 @@
   readonly lease: LeaseId;
 }
 
-/** A successor asks a witness never to renew a lease again. */
+/**
+ * A successor asks a witness never to renew a lease again for the set of this
+ * number or an earlier one.
+ */
 export interface Seal {
   readonly kind: 'seal';
   readonly lease: LeaseId;
@@ -60,7 +70,8 @@
 export interface SealAnswer {
   readonly kind: 'sealAnswer';
   readonly lease: LeaseId;
-  readonly sealed: boolean;
+  /** Number up to which the witness has sealed the lease; 0 if it has not. */
+  readonly sealed: number;
   /** Number of the newest set that the witness has noted; 0 if none. */
   readonly noted: number;
   /** The set that has replaced the one that the successor knows. */
--- a/src/ownership/renewal.ts
+++ b/src/ownership/renewal.ts
@@ -1,7 +1,7 @@
 import {chooseWitnesses} from '../membership/index.js';
 import {leaseOf} from '../model/index.js';
-import type {Member, Witness, WitnessSet} from '../model/index.js';
-import {leaseValid, stepHolder} from './holder.js';
+import type {Address, Member, Witness, WitnessSet} from '../model/index.js';
+import {hasRefused, leaseValid, stepHolder} from './holder.js';
 import type {Holder, HolderEvent} from './holder.js';
 import {holderMs, witnessMs} from './settings.js';
 import type {Effect, State, Step} from './state.js';
@@ -69,12 +69,11 @@
   if (now - ticked.renewedAt < ticked.settings.renewMs) {
     return unchanged(ticked);
   }
-  const witnesses = askedWitnesses(holder);
   const {lease} = holder;
-  const effects = witnesses.map((witness): Effect => ({
+  const effects = renewalsOf(holder).map(({to, number}): Effect => ({
     kind: 'send',
-    to: witness.address,
-    message: {kind: 'renew', lease, sentAt: now},
+    to,
+    message: {kind: 'renew', lease, sentAt: now, number},
   }));
   const noted = [...effects, ...supersedeEffects(holder)];
   return {state: {...ticked, renewedAt: now}, effects: noted};
@@ -177,26 +176,34 @@
   return now - lastInForce > REACQUIRE_MS * backoff;
 }
 
-function askedWitnesses(holder: Holder): readonly Witness[] {
-  const sets = [holder.current, holder.candidate, holder.next];
-  const byProcess = new Map<string, Witness>();
+/** A witness to ask, and the lowest set for which it may still renew. */
+interface Renewal {
+  readonly to: Address;
+  readonly number: number;
+}
+
+function renewalsOf(holder: Holder): readonly Renewal[] {
+  const sets = [holder.current, holder.next, holder.candidate];
+  const byProcess = new Map<string, Renewal>();
   for (const set of sets) {
-    for (const witness of set?.witnesses ?? []) {
-      byProcess.set(witness.process, witness);
+    for (const {process, address} of set?.witnesses ?? []) {
+      if (!set || byProcess.has(process)) continue;
+      if (hasRefused(holder, process, set)) continue;
+      byProcess.set(process, {to: address, number: set.number});
     }
   }
   return [...byProcess.values()];
 }
 
 function supersedeEffects(holder: Holder): readonly Effect[] {
-  const {next, lease} = holder;
+  const {next, lease, current} = holder;
   if (holder.replacement !== 'noting' || !next) return [];
   return holder.current.witnesses
     .filter(witness => !holder.noted.has(witness.process))
     .map(witness => ({
       kind: 'send',
       to: witness.address,
-      message: {kind: 'supersede', lease, next},
+      message: {kind: 'supersede', lease, next, from: current.number},
     }));
 }
 
@@ -227,16 +234,16 @@
 function betterSet(state: State, now: number): WitnessSet | undefined {
   const {holder, self, settings} = state;
   if (!state.platformReachable) return undefined;
-  const lost = new Set(
-    holder.current.witnesses
-      .filter(witness => isLost(state, witness, now))
-      .map(witness => witness.instance),
-  );
-  const kept = holder.current.witnesses.filter(
-    witness => !lost.has(witness.instance),
+  const {current} = holder;
+  const lost = current.witnesses.filter(w => isLost(state, w, now));
+  const kept = current.witnesses.filter(witness => !lost.includes(witness));
+  const gone = new Set(
+    lost
+      .filter(witness => !hasRefused(holder, witness.process, current))
+      .map(witness => witness.process),
   );
   const candidates = liveMembers(state).filter(
-    member => !isSilent(state, member, now),
+    member => !gone.has(member.process) && !isSilent(state, member, now),
   );
   const {witnesses: count} = settings;
   const filled = chooseWitnesses(self, candidates, count, kept);
@@ -245,14 +252,11 @@
   const isWider = countDomains(spread) > countDomains(filled);
   const chosen = isWider ? spread : filled;
   const worthwhile =
-    lost.size > 0 ||
-    chosen.length > holder.current.witnesses.length ||
-    countDomains(chosen) > countDomains(holder.current.witnesses);
-  if (!worthwhile || sameWitnesses(chosen, holder.current.witnesses)) {
-    return undefined;
-  }
-  if (chosen.length === 0) return undefined;
-  return {number: holder.current.number + 1, witnesses: chosen};
+    lost.length > 0 ||
+    chosen.length > current.witnesses.length ||
+    countDomains(chosen) > countDomains(current.witnesses);
+  if (!worthwhile || chosen.length === 0) return undefined;
+  return {number: current.number + 1, witnesses: chosen};
 }
 
 /** Keeps the first witness of each failure domain. */
@@ -270,7 +274,8 @@
 
 function isLost(state: State, witness: Witness, now: number): boolean {
   const answer = state.holder.answers.get(witness.process);
-  if (answer?.refused) return true;
+  const {current} = state.holder;
+  if (hasRefused(state.holder, witness.process, current)) return true;
   const member = state.view.members.get(witness.instance);
   if (member && member.process !== witness.process) return true;
   if (member && member.state !== 'serving') return true;
@@ -282,15 +287,7 @@
 function isSilent(state: State, member: Member, now: number): boolean {
   const answer = state.holder.answers.get(member.process);
   if (!answer) return false;
-  if (answer.refused) return true;
   const silence = holderMs(state.settings) + WITNESS_SILENCE_MS;
   const askedLately = now - answer.askedAt < CANDIDATE_RETRY_MS;
   return askedLately && now - answer.renewedAt > silence;
 }
-
-function sameWitnesses(a: readonly Witness[], b: readonly Witness[]): boolean {
-  const processes = new Set(b.map(witness => witness.process));
-  return (
-    a.length === b.length && a.every(witness => processes.has(witness.process))
-  );
-}
--- a/src/ownership/takeover.ts
+++ b/src/ownership/takeover.ts
@@ -10,11 +10,11 @@
   /** Processes of witnesses whose promises have lapsed. */
   readonly lapsed: ReadonlySet<string>;
   /**
-   * Processes of witnesses that have sealed the lease, with the number of the
-   * newest set that each had noted. A witness that has noted a newer set proves
-   * nothing for an older one, which the holder may have left.
+   * Answers of the witnesses that have sealed the lease, by their process. A
+   * witness that has noted a newer set proves nothing for an older one, which
+   * the holder may have left.
    */
-  readonly sealed: ReadonlyMap<string, number>;
+  readonly sealed: ReadonlyMap<string, SealAnswer>;
   /** Processes of witnesses that refused to seal: their promises still run. */
   readonly alive: ReadonlySet<string>;
   /** A newer witness set than the recorded one, told by a witness. */
@@ -59,7 +59,7 @@
     startedAt: now,
     lapsed: new Set<string>(),
     alive: new Set<string>(),
-    sealed: new Map<string, number>(),
+    sealed: new Map<string, SealAnswer>(),
     askedAt: -Infinity,
     readAt: -Infinity,
     gone: new Set<string>(),
@@ -93,11 +93,11 @@
     if (newer && newer.number > (takeover.newer?.number ?? 0)) {
       return {...takeover, newer, askedAt: -Infinity};
     }
-    if (!answer.sealed) {
+    if (answer.sealed === 0) {
       const alive = new Set(takeover.alive).add(process);
       return {...takeover, alive, lapsed: without(takeover.lapsed, process)};
     }
-    const sealed = new Map(takeover.sealed).set(process, answer.noted);
+    const sealed = new Map(takeover.sealed).set(process, answer);
     return {...takeover, sealed};
   });
 }
@@ -240,8 +240,9 @@
   set: WitnessSet,
   witness: Witness,
 ): boolean {
-  const noted = takeover.sealed.get(witness.process);
-  return noted !== undefined && noted <= set.number;
+  const answer = takeover.sealed.get(witness.process);
+  if (!answer) return false;
+  return answer.sealed >= set.number && answer.noted <= set.number;
 }
 
 function change(
--- a/src/ownership/witness.ts
+++ b/src/ownership/witness.ts
@@ -6,8 +6,11 @@
   readonly generation: number;
   /** End of the promise by the witness's clock, in milliseconds. */
   readonly until: number;
-  /** A sealed lease is never renewed again. */
-  readonly sealed: boolean;
+  /**
+   * The lease is never renewed again for the witness sets up to this number; 0
+   * if it is not sealed. A later set may name the witness again.
+   */
+  readonly sealedUpTo: number;
   /** The newest witness set that the holder has told this witness of. */
   readonly noted?: WitnessSet;
   /** When the successors were last told of the lapse. */
@@ -23,25 +26,28 @@
   readonly answer: Answer;
 }
 
+/** A number above that of every witness set. */
+const EVERY_SET = 2 ** 31;
+
 /**
- * Renews a promise, unless the lease is sealed or a later one is known.
+ * Renews a promise, unless the lease is sealed for the set or a later lease is
+ * known.
  *
+ * @param number Lowest number of the holder's sets that need the promise.
  * @param until End of the renewed promise, in milliseconds.
  */
 export function renewPromise(
   promises: Promises,
   lease: LeaseId,
+  number: number,
   until: number,
 ): WitnessStep<'renewed' | 'refused'> {
-  const known = promises.get(lease.instance);
-  if (refuses(known, lease)) return {promises, answer: 'refused'};
-  const noted =
-    known?.generation === lease.generation ? known.noted : undefined;
+  const known = promisedTo(promises, lease);
+  if (known.sealedUpTo >= number) return {promises, answer: 'refused'};
   const renewed = {
-    generation: lease.generation,
-    until: Math.max(until, sameGeneration(known, lease)?.until ?? 0),
-    sealed: false,
-    noted,
+    ...known,
+    until: Math.max(until, known.until),
+    notifiedAt: undefined,
   };
   return {promises: set(promises, lease, renewed), answer: 'renewed'};
 }
@@ -58,48 +64,37 @@
   number: number,
   now: number,
 ): WitnessStep<SealAnswer> {
-  const known = promises.get(lease.instance);
-  const same = sameGeneration(known, lease);
-  const noted = same?.noted?.number ?? 0;
+  const known = promisedTo(promises, lease);
+  const noted = known.noted?.number ?? 0;
   const answer = {kind: 'sealAnswer', lease, noted} as const;
-  if (known && known.generation > lease.generation) {
-    return {promises, answer: {...answer, sealed: true}};
+  const sealed = known.sealedUpTo;
+  if (sealed >= number) return {promises, answer: {...answer, sealed}};
+  if (noted > number) {
+    return {promises, answer: {...answer, sealed, newer: known.noted}};
   }
-  if (same?.noted && same.noted.number > number) {
-    return {promises, answer: {...answer, sealed: false, newer: same.noted}};
-  }
-  if (same && !same.sealed && same.until > now) {
-    return {promises, answer: {...answer, sealed: false}};
-  }
-  const sealed = {
-    ...same,
-    generation: lease.generation,
-    until: same?.until ?? now,
-    sealed: true,
-  };
+  if (known.until > now) return {promises, answer: {...answer, sealed}};
   return {
-    promises: set(promises, lease, sealed),
-    answer: {...answer, sealed: true},
+    promises: set(promises, lease, {...known, sealedUpTo: number}),
+    answer: {...answer, sealed: number},
   };
 }
 
-/** Notes that a newer witness set is in force, unless the lease is sealed. */
+/**
+ * Notes that a newer witness set is in force, unless the lease is sealed for the
+ * set that it replaces.
+ *
+ * @param from Number of the set that the next one replaces.
+ */
 export function noteSet(
   promises: Promises,
   lease: LeaseId,
   next: WitnessSet,
+  from: number,
 ): WitnessStep<'noted' | 'refused'> {
-  const known = promises.get(lease.instance);
-  if (refuses(known, lease)) return {promises, answer: 'refused'};
-  const same = sameGeneration(known, lease);
-  const newest =
-    same?.noted && same.noted.number > next.number ? same.noted : next;
-  const noted = {
-    generation: lease.generation,
-    until: same?.until ?? 0,
-    sealed: false,
-    noted: newest,
-  };
+  const known = promisedTo(promises, lease);
+  if (known.sealedUpTo >= from) return {promises, answer: 'refused'};
+  const isNewest = next.number > (known.noted?.number ?? 0);
+  const noted = {...known, noted: isNewest ? next : known.noted};
   return {promises: set(promises, lease, noted), answer: 'noted'};
 }
 
@@ -132,17 +127,13 @@
   return now - (promised.notifiedAt ?? -Infinity) >= repeatMs;
 }
 
-function refuses(known: Promised | undefined, lease: LeaseId): boolean {
-  if (!known) return false;
-  if (known.generation > lease.generation) return true;
-  return known.generation === lease.generation && known.sealed;
-}
-
-function sameGeneration(
-  known: Promised | undefined,
-  lease: LeaseId,
-): Promised | undefined {
-  return known?.generation === lease.generation ? known : undefined;
+/** Returns what was promised to a lease; one that a later lease ended is sealed. */
+function promisedTo(promises: Promises, lease: LeaseId): Promised {
+  const {generation} = lease;
+  const known = promises.get(lease.instance);
+  if (known?.generation === generation) return known;
+  const isOver = known !== undefined && known.generation > generation;
+  return {generation, until: 0, sealedUpTo: isOver ? EVERY_SET : 0};
 }
 
 function set(promises: Promises, lease: LeaseId, promised: Promised): Promises {
--- a/test/ownership/mutants.test.ts
+++ b/test/ownership/mutants.test.ts
@@ -29,7 +29,7 @@
     return decide(state, input, now);
   }
   const {lease} = input.envelope.message;
-  const message = {kind: 'sealAnswer', lease, sealed: true, noted: 0} as const;
+  const message = {kind: 'sealAnswer', lease, sealed: 1000, noted: 0} as const;
   const first = decide(state, input, now);
   const second = decide(
     first.state,
