Name the request in the refusal of a hop that another process was meant to get

Cause: a daemon that restarted at the same address during an outage of the platform is still known by its earlier process. It refused forwarded requests with an identifier of its own; the forwarder took that for the answer to another request and told the caller 'unknown', though nothing had run. Before: the new test fails: the refusal names daemon-0-process-1. After: a refusal whose signature is genuine names the forwarded request, so the forwarder tries another daemon or tells 'not run'.

--- a/src/gateway/hop.ts
+++ b/src/gateway/hop.ts
@@ -96,7 +96,12 @@
 /** Whether a forwarded request is accepted, or why it is refused. */
 export type HopResult =
   | {readonly kind: 'accepted'; readonly hop: Hop}
-  | {readonly kind: 'refused'; readonly message: string};
+  | {
+      readonly kind: 'refused';
+      readonly message: string;
+      /** The hop, when its signature is one of this fleet. */
+      readonly hop?: Hop;
+    };
 
 /** The headers of a forwarded request that describe its hop. */
 export interface HopHeaders {
@@ -129,10 +134,12 @@
   const hop = parseHop(text);
   if (!hop) return {kind: 'refused', message: 'the hop is malformed'};
   if (hop.to !== process) {
-    return {kind: 'refused', message: 'the request is for another process'};
+    const message = 'the request is for another process';
+    return {kind: 'refused', message, hop};
   }
   if (hop.count !== 1) {
-    return {kind: 'refused', message: 'the request was forwarded before'};
+    const message = 'the request was forwarded before';
+    return {kind: 'refused', message, hop};
   }
   return {kind: 'accepted', hop};
 }
--- a/src/gateway/open.ts
+++ b/src/gateway/open.ts
@@ -83,8 +83,9 @@
     context.log(GATEWAY_EVENTS.hopRefused, {request, message});
     return {hop, failure: unknown('not-owner', message)};
   }
-  context.log(GATEWAY_EVENTS.hopRefused, {message: result.message});
-  return {failure: notRun('not-owner', result.message)};
+  const {hop, message} = result;
+  context.log(GATEWAY_EVENTS.hopRefused, {request: hop?.request, message});
+  return {hop, failure: notRun('not-owner', message)};
 }
 
 /** Where a request belongs. */
--- a/test/gateway/sockets.test.ts
+++ b/test/gateway/sockets.test.ts
@@ -79,6 +79,24 @@
   await upstream.stop();
 });
 
+test('a refusal of a forwarded request names it, for the forwarder to know', async t => {
+  const upstream = await startServer((_request, response) => {
+    response.end('ok');
+  });
+  const fleet = await startFleet({
+    configuration: configuration([service()]),
+    upstreams: [upstream.address],
+  });
+  const [owner] = fleet.daemons;
+  const bytes = forwarded(owner, {to: 'older', request: 'r-17'}, 'secret');
+  const {text} = await sendRaw(owner.member.peers, bytes);
+  t.regex(text, /vanillaspool-outcome: not-run/);
+  t.regex(text, /vanillaspool-request: r-17/);
+  t.regex(text, /vanillaspool-reason: not-owner/);
+  await fleet.stop();
+  await upstream.stop();
+});
+
 /** Sockets of one daemon: from its caller and to where it sends. */
 interface Sides {
   readonly inbound: () => net.Socket | undefined;
