--- a/measure/overload/random.ts
+++ b/measure/overload/random.ts
@@ -1,21 +1,6 @@
-/** A source of numbers from 0 up to 1. */
-export type Random = () => number;
+import type {Random} from '../../src/load/index.js';
 
-/**
- * Creates a source whose numbers depend on the seed alone (mulberry32).
- *
- * @example
- * createRandom(7)() === createRandom(7)(); // true
- */
-export function createRandom(seed: number): Random {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
+export {createRandom, type Random} from '../../src/load/index.js';
 
 /**
  * Draws from the exponential distribution.
--- a/measure/random.ts
+++ b/measure/random.ts
@@ -1,22 +1,6 @@
-/** Source of pseudo-random numbers from 0 up to 1. */
-export type Random = () => number;
+import type {Random} from '../src/load/index.js';
 
-/**
- * Creates a seeded source of random numbers (mulberry32).
- *
- * @example
- * const random = seeded(1);
- * random(); // the same on every run
- */
-export function seeded(seed: number): Random {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
+export {createRandom as seeded, type Random} from '../src/load/index.js';
 
 /**
  * Draws from the standard normal distribution.
--- /dev/null
+++ b/src/daemon/create.ts
@@ -0,0 +1,178 @@
+import {randomUUID} from 'node:crypto';
+import {createAdmission} from '../admission/index.js';
+import {
+  createGateway,
+  createSigner as createHopSigner,
+} from '../gateway/index.js';
+import {newState} from '../ownership/index.js';
+import type {Self} from '../ownership/index.js';
+import {createMirrorHandler, createSigner} from '../peer/index.js';
+import {budgeted, createPlatform, PROCESS_CLOCK} from '../platform/index.js';
+import type {Settings} from '../settings/index.js';
+import {createMetrics} from '../telemetry/index.js';
+import type {Log} from '../telemetry/index.js';
+import {createBalancer} from './balancer.js';
+import {createSiteConfiguration} from './configuration.js';
+import type {ControlOptions} from './control.js';
+import {createHandoverSwitch} from './handover.js';
+import {explainKey} from './explain.js';
+import {createInbox} from './inbox.js';
+import {createLoop} from './loop.js';
+import {DAEMON_METRICS} from './metrics.js';
+import {createRequestView} from './ownership.js';
+import type {RequestView} from './ownership.js';
+import {createPublisher} from './publish.js';
+import {watchReachability} from './reachability.js';
+import {createServers} from './servers.js';
+import type {DaemonTrace} from './trace.js';
+import {createUpstreamLink} from './upstreamlink.js';
+import {createObjects} from './versions.js';
+import type {Parts} from './parts.js';
+import {
+  configurationChanged,
+  objectChanged,
+  platformChanged,
+  startDrain,
+  status,
+  tellUpstream,
+  upstreamChanged,
+  usableUpstream,
+} from './reactions.js';
+
+/** Requests that wait before a configuration says how many may. */
+const DEFAULT_QUEUE = 256;
+
+/** Calls of the platform that a daemon makes at most, over time and at once. */
+const CALLS_PER_SECOND = 20;
+const CALLS_AT_ONCE = 100;
+
+/** Name that signatures of forwarded requests are bound to. */
+const HOP_SCOPE = 'vanillaspool';
+
+/**
+ * Creates the parts of a daemon. Nothing is sent or opened yet, but that the
+ * upstream's checks begin once it has announced itself.
+ */
+export function createParts(
+  settings: Settings,
+  log: Log,
+  trace: DaemonTrace,
+): Parts {
+  const clock = () => performance.now();
+  const self = selfOf(settings);
+  const inbox = createInbox();
+  const view: RequestView = createRequestView(() => loop.state(), clock);
+  const loop = createLoop({
+    initial: newState(self, settings.lease, clock(), Math.random()),
+    inbox,
+    clock,
+    busy: view.busy,
+  });
+  const client = createPlatform(settings.platform);
+  const metrics = createMetrics();
+  const reachability = watchReachability(
+    budgeted(client, CALLS_PER_SECOND, CALLS_AT_ONCE, PROCESS_CLOCK),
+    reachable => platformChanged(parts, reachable),
+    (kind, result) =>
+      metrics.counter(DAEMON_METRICS.platformCalls, {kind, result})(),
+  );
+  const configuration = createSiteConfiguration(settings.site, log, before =>
+    configurationChanged(parts, before),
+  );
+  const upstream = createUpstreamLink(change => upstreamChanged(parts, change));
+  const admission = createAdmission({
+    slots: 1,
+    queue: DEFAULT_QUEUE,
+    clock,
+    log,
+    metrics,
+  });
+  const signer = createSigner(settings.secrets);
+  const objects = createObjects(entry => objectChanged(parts, entry));
+  const feed = {isDirect: false};
+  const publisher = createPublisher(
+    () => objects.mirror(),
+    () => feed.isDirect && reachability.reachable(),
+  );
+  const handover = createHandoverSwitch(clock);
+  const gateway = createGateway({
+    configuration: configuration.current,
+    ownership: view,
+    self,
+    admit: admission.admit,
+    retryAllowed: admission.retryAllowed,
+    upstream: () => usableUpstream(parts),
+    signer: createHopSigner(
+      HOP_SCOPE,
+      settings.secrets.map(({key}) => key),
+    ),
+    clock,
+    wallClock: () => Date.now(),
+    random: () => Math.random(),
+    log,
+    trace: trace.trace,
+    previousHandover: handover.previous,
+    handoverChanged: () => handover.ended(),
+    countForwarded: admission.countForwarded,
+    shed: (_service, retryAfterMs) => admission.observeShed(retryAfterMs),
+  });
+  const servers = createServers({
+    gateway,
+    mirror: createMirrorHandler(publisher.publish, signer, () => Date.now()),
+    control: controlOf(() => parts),
+    log,
+  });
+  const parts: Parts = {
+    settings,
+    self,
+    log,
+    clock,
+    inbox,
+    loop,
+    view,
+    signer,
+    reachability,
+    closePlatform: client.close,
+    configuration,
+    upstream,
+    admission,
+    metrics,
+    trace,
+    gateway,
+    objects,
+    publisher,
+    balancer: createBalancer(configuration.current, clock),
+    handover,
+    servers,
+    feed,
+    beforeMetrics: {update: () => {}},
+  };
+  return parts;
+}
+
+function selfOf(settings: Settings): Self {
+  const {instance, site, region, domain, callers, peers, control} = settings;
+  const process = randomUUID();
+  return {instance, process, site, region, domain, callers, peers, control};
+}
+
+function controlOf(parts: () => Parts): ControlOptions {
+  return {
+    status: () => status(parts()),
+    explain: (name, key) => {
+      const {configuration, loop} = parts();
+      const service = configuration.service(name);
+      return service?.key && explainKey(loop.state(), service, key);
+    },
+    metrics: async () => {
+      const {metrics, beforeMetrics} = parts();
+      beforeMetrics.update();
+      return {text: await metrics.text(), contentType: metrics.contentType};
+    },
+    announce: announced => {
+      parts().upstream.announce(announced);
+      tellUpstream(parts());
+    },
+    drain: () => startDrain(parts()),
+  };
+}
--- /dev/null
+++ b/src/daemon/drain.ts
@@ -0,0 +1,39 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {closeServers} from '../gateway/index.js';
+import type {Member} from '../model/index.js';
+import {isIdle} from '../ownership/index.js';
+import type {State} from '../ownership/index.js';
+import {memberKey, putResolved} from '../platform/index.js';
+import type {Platform} from '../platform/index.js';
+import type {Objects} from './versions.js';
+import type {Parts} from './parts.js';
+import {startDrain} from './reactions.js';
+
+/** Time between two checks whether a draining daemon is idle, in milliseconds. */
+const IDLE_CHECK_MS = 20;
+
+/** Gives all slices away and finishes what is in flight. */
+export async function drain(parts: Parts): Promise<void> {
+  const {loop, gateway, servers, reachability, objects} = parts;
+  startDrain(parts);
+  while (!isIdle(loop.state())) await sleep(IDLE_CHECK_MS);
+  await closeServers(gateway, [servers.callers], new Promise(() => {}));
+  while (gateway.inFlight() > 0) await sleep(IDLE_CHECK_MS);
+  await recordEnd(reachability.platform, objects, loop.state());
+}
+
+/** Records that this process has ended, so that nobody has to prove it. */
+async function recordEnd(
+  platform: Platform,
+  objects: Objects,
+  state: State,
+): Promise<void> {
+  if (!state.record || !state.platformReachable) return;
+  const key = memberKey(state.self.instance);
+  const ended: Member = {
+    ...state.record,
+    state: 'ended',
+    processEnded: true,
+  };
+  await putResolved(platform, key, JSON.stringify(ended), objects.version(key));
+}
--- /dev/null
+++ b/src/daemon/tasks.ts
@@ -0,0 +1,95 @@
+import {leaseOf, sameAddress} from '../model/index.js';
+import type {Address} from '../model/index.js';
+import {leaseEnded} from '../ownership/index.js';
+import type {Load} from '../ownership/index.js';
+import {follow} from '../peer/index.js';
+import type {DatagramEndpoint} from '../peer/index.js';
+import {loadReport, LOAD_REPORT_MS} from './balancer.js';
+import {HANDOVER_REVIEW_MS} from './handover.js';
+import {DAEMON_EVENTS} from './events.js';
+import {runFeed} from './feed.js';
+import {startSteward} from './steward.js';
+import type {Parts} from './parts.js';
+
+/** Starts what a daemon does beside its loop; the result stops it. */
+export function startTasks(
+  parts: Parts,
+  datagrams: DatagramEndpoint,
+): () => void {
+  const {loop, configuration, reachability, objects, balancer} = parts;
+  const controller = new AbortController();
+  const stopSteward = startSteward({
+    state: loop.state,
+    configuration: configuration.current,
+    platform: reachability.platform,
+    objects,
+    moves: balancer.moves,
+    clock: parts.clock,
+    log: parts.log,
+  });
+  const loads = setInterval(
+    () => reportLoads(parts, datagrams),
+    LOAD_REPORT_MS,
+  );
+  const handover = setInterval(
+    () => reviewHandover(parts, datagrams),
+    HANDOVER_REVIEW_MS,
+  );
+  void startFeed(parts, controller.signal);
+  return () => {
+    controller.abort();
+    stopSteward();
+    clearInterval(loads);
+    clearInterval(handover);
+  };
+}
+
+function reportLoads(parts: Parts, datagrams: DatagramEndpoint): void {
+  const {loop, view, self, balancer} = parts;
+  const report = loadReport(loop.state(), view.takeLoads());
+  if (!report) return;
+  const send = (to: Address, load: Load) =>
+    sameAddress(to, self.peers)
+      ? balancer.receive(load)
+      : datagrams.send(to, load);
+  send(report.to, report.message);
+}
+
+/** Tells the others once the requests of earlier configurations have ended. */
+function reviewHandover(parts: Parts, datagrams: DatagramEndpoint): void {
+  const {handover, gateway, loop, self} = parts;
+  const {view} = loop.state();
+  const others = [...view.members.values()].filter(
+    member =>
+      member.instance !== self.instance && !leaseEnded(view, leaseOf(member)),
+  );
+  const settled = gateway.earlierInFlight() === 0;
+  const names = others.map(member => member.instance);
+  const message = handover.review(settled, names);
+  if (!message) return;
+  for (const member of others) datagrams.send(member.peers, message);
+}
+
+function startFeed(parts: Parts, signal: AbortSignal): Promise<void> {
+  const {self, settings, reachability, loop, objects, publisher} = parts;
+  return runFeed({
+    instance: self.instance,
+    domain: self.domain,
+    seeds: settings.seeds,
+    platform: reachability.platform,
+    members: () => [...loop.state().view.members.values()],
+    revision: () => objects.mirror().revision,
+    follow: (address, after, ended) =>
+      follow(address, after, parts.signer, ended, () => Date.now()),
+    receive: received => {
+      objects.receive(received);
+      publisher.notify();
+    },
+    sourceChanged: source => {
+      parts.feed.isDirect = source.kind === 'platform';
+      parts.log(DAEMON_EVENTS.feedChanged, {source: source.kind});
+    },
+    random: () => Math.random(),
+    signal,
+  });
+}
--- a/test/ownership/fleet.ts
+++ b/test/ownership/fleet.ts
@@ -1,3 +1,4 @@
+import {createRandom} from '../../src/load/index.js';
 import {
   applyOwn,
   chooseStewards,
@@ -111,23 +112,12 @@
 const DOMAINS = 3;
 const LEASE = {durationMs: 450, renewMs: 150, driftShare: 0.02, witnesses: 3};
 
-/** Creates a repeatable source of numbers from 0 (included) to 1 (excluded). */
-export function seededRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 /** Creates a fleet whose members start one after the other. */
 export function newFleet(options: FleetOptions): Fleet {
   const {size, seed, fencing = 'enforced', slices = 4} = options;
   const step = options.decide ?? decide;
   const plan = options.plan ?? planChunk;
-  const random = seededRandom(seed);
+  const random = createRandom(seed);
   const service: Service = {
     name: 'rota',
     pathPrefix: '/rota/',
