Refuse the second connection in the test of a write that waits

Ruled out: a wrong classification (the write had been sent). After: the server accepts one connection only, so the second write can't be sent in either order; the same answers are asked for.

--- a/test/platform/client.test.ts
+++ b/test/platform/client.test.ts
@@ -57,13 +57,15 @@
 
 test('a write that waits for a connection past its time is never sent', async t => {
   const received: string[] = [];
+  // Accepts the connection of the first request and none after it, so that the
+  // second one can't be sent however late its timer is.
   const silent = createServer(request => {
     received.push(String(request.url));
+    silent.close();
   });
   const address = await listen(silent, 0);
   const platform = createPlatform(address, {connections: 1, timeoutMs: 150});
   t.teardown(async () => {
-    silent.close();
     silent.closeAllConnections();
     await platform.close();
   });
