--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Gives the slots of the upstream to requests by priority, deadline and caller.
+ *
+ * @module
+ */
+
 export * from './admission.js';
 export * from './budget.js';
 export * from './decide.js';
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -1,3 +1,9 @@
+/**
+ * The commands of the operators' tool.
+ *
+ * @module
+ */
+
 export * from './arguments.js';
 export * from './configure.js';
 export * from './context.js';
--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Wires the modules into the daemon beside an upstream.
+ *
+ * @module
+ */
+
 export * from './control.js';
 export * from './daemon.js';
 export * from './events.js';
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,3 +1,9 @@
+/**
+ * The request path: from the caller to the owner and back, with an explicit outcome.
+ *
+ * @module
+ */
+
 export * from './admission.js';
 export type {GatewayOptions, Self} from './context.js';
 export * from './events.js';
--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Sends a checked load of requests and tallies the answers.
+ *
+ * @module
+ */
+
 export * from './answer.js';
 export * from './caller.js';
 export * from './hints.js';
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Types and plain functions that all modules share: members, terms, configuration, keys, routes.
+ *
+ * @module
+ */
+
 export * from './address.js';
 export * from './chart.js';
 export * from './configuration.js';
--- a/src/ownership/index.ts
+++ b/src/ownership/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Decides who owns a slice: leases, witnesses, takeovers, terms and grants, as pure functions.
+ *
+ * @module
+ */
+
 export * from './decide.js';
 export * from './events.js';
 export * from './grant.js';
--- a/src/peer/index.ts
+++ b/src/peer/index.ts
@@ -1,3 +1,9 @@
+/**
+ * The protocol between daemons: signed datagrams, and streams of the platform objects.
+ *
+ * @module
+ */
+
 export * from './codec.js';
 export * from './datagrams.js';
 export * from './follow.js';
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Plans which instances own the slices of a service and stand to succeed.
+ *
+ * @module
+ */
+
 export * from './assign.js';
 export * from './chain.js';
 export * from './chunk.js';
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Client of the platform's object API: conditional writes, watches, budget and counts of calls.
+ *
+ * @module
+ */
+
 export * from './budget.js';
 export * from './client.js';
 export * from './counted.js';
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Reads and checks daemon settings and service declarations, and decides which configuration is accepted.
+ *
+ * @module
+ */
+
 export * from './accept.js';
 export * from './configuration.js';
 export * from './daemon.js';
--- a/src/tracing/index.ts
+++ b/src/tracing/index.ts
@@ -1,2 +1,8 @@
+/**
+ * Spans for the hops of a request, exported by OTLP.
+ *
+ * @module
+ */
+
 export * from './traceparent.js';
 export * from './tracing.js';
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,3 +1,9 @@
+/**
+ * Exchanges one request and its answer with an upstream or another daemon.
+ *
+ * @module
+ */
+
 export * from './answer.js';
 export * from './exchange.js';
 export * from './info.js';
