Count requests by outcome and measure their time

The metrics of requests stood in the catalogue but were never recorded. The label of the time tells whether the request came from a caller or a peer.

--- a/src/daemon/create.ts
+++ b/src/daemon/create.ts
@@ -9,7 +9,7 @@
 import {createMirrorHandler, createSigner} from '../peer/index.js';
 import {budgeted, createPlatform, PROCESS_CLOCK} from '../platform/index.js';
 import type {Settings} from '../settings/index.js';
-import {createMetrics} from '../telemetry/index.js';
+import {createMetrics, METRICS} from '../telemetry/index.js';
 import type {Log} from '../telemetry/index.js';
 import {createBalancer} from './balancer.js';
 import {createSiteConfiguration} from './configuration.js';
@@ -46,6 +46,8 @@
 const CALLS_PER_SECOND = 20;
 const CALLS_AT_ONCE = 100;
 
+const MS_PER_SECOND = 1_000;
+
 /** Name that signatures of forwarded requests are bound to. */
 const HOP_SCOPE = 'vanillaspool';
 
@@ -113,6 +115,11 @@
     trace: trace.trace,
     previousHandover: handover.previous,
     handoverChanged: () => handover.ended(),
+    finished: (service, outcome, sender, timeMs) => {
+      metrics.counter(METRICS.requests, {service, outcome})();
+      const seconds = timeMs / MS_PER_SECOND;
+      metrics.histogram(METRICS.requestSeconds, {service, sender})(seconds);
+    },
     countForwarded: admission.countForwarded,
     shed: (_service, retryAfterMs) => admission.observeShed(retryAfterMs),
   });
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -1,4 +1,9 @@
-import type {Address, Configuration, Ownership} from '../model/index.js';
+import type {
+  Address,
+  Configuration,
+  Outcome,
+  Ownership,
+} from '../model/index.js';
 import type {Log} from '../telemetry/index.js';
 import type {PreviousHandover} from '../routing/index.js';
 import type {Pools, Upstream} from '../upstream/index.js';
@@ -47,6 +52,13 @@
   readonly previousHandover?: (service: string) => PreviousHandover | undefined;
   /** Resolves when a previous handover may have ended. */
   readonly handoverChanged?: (service: string) => Promise<void>;
+  /** Told of each request that has ended, with its time in milliseconds. */
+  readonly finished?: (
+    service: string,
+    outcome: 'answered' | Outcome,
+    sender: 'caller' | 'peer',
+    timeMs: number,
+  ) => void;
   /** Counts a first attempt that is forwarded, for the retry budget. */
   readonly countForwarded?: () => void;
   /** Reports that the upstream shed a request and asked to wait. */
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -1,3 +1,4 @@
+import type {Outcome} from '../model/index.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Failure} from '../model/index.js';
 import type {Context} from './context.js';
@@ -17,14 +18,17 @@
  */
 export async function runPass(context: Context, pass: Pass): Promise<void> {
   const {request, response} = pass;
-  const timeMs = Math.max(1, pass.deadlineAt - context.clock());
+  const startedAt = context.clock();
+  const timeMs = Math.max(1, pass.deadlineAt - startedAt);
   const timer = setTimeout(stopForDeadline, timeMs, pass);
   response.on('close', () => {
     if (!response.writableFinished) pass.stop(CANCELLED);
     if (!request.complete) request.destroy();
   });
   try {
-    finish(context, pass, await serve(context, pass));
+    const result = await serve(context, pass);
+    finish(context, pass, result);
+    report(context, pass, result, context.clock() - startedAt);
   } catch (error) {
     context.log(GATEWAY_EVENTS.fault, {request: pass.id, error: String(error)});
     response.destroy();
@@ -33,6 +37,21 @@
   }
 }
 
+function report(
+  context: Context,
+  pass: Pass,
+  result: PassResult,
+  timeMs: number,
+): void {
+  const sender = pass.hop ? 'peer' : 'caller';
+  context.finished?.(pass.service.name, outcomeOf(result), sender, timeMs);
+}
+
+function outcomeOf(result: PassResult): 'answered' | Outcome {
+  if (result.kind === 'answered') return 'answered';
+  return result.kind === 'broken' ? 'unknown' : result.failure.outcome;
+}
+
 function stopForDeadline(pass: Pass): void {
   pass.stop(notRun('deadline', 'the deadline has passed'));
 }
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -50,8 +50,8 @@
   requestSeconds: {
     type: 'histogram',
     name: 'vanillaspool_request_duration_seconds',
-    help: 'Time from the head of a request to the end of its answer, by service and route (local, forwarded).',
-    labels: ['service', 'route'],
+    help: 'Time from the head of a request to the end of its answer, by service and sender (caller, peer).',
+    labels: ['service', 'sender'],
     buckets: REQUEST_BUCKETS_SECONDS,
   },
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
