Prepare a grant once where terms are announced, and drop what nobody calls

The announcement of begun and released terms prepared the grant, threw it away and prepared it again; it is prepared once now. isOwnRecord had no caller, and parseAddress is reached through the model's index like the rest of it. Behaviour is as before; the tests of ownership, settings, load and model pass (47).

--- a/src/cli/arguments.ts
+++ b/src/cli/arguments.ts
@@ -1,5 +1,5 @@
 import type {Address} from '../model/index.js';
-import {parseAddress} from '../model/parse-address.js';
+import {parseAddress} from '../model/index.js';
 import {UsageError} from './result.js';
 
 /** Options of a command line, by name, as the parser leaves them. */
--- a/src/load/options.ts
+++ b/src/load/options.ts
@@ -1,4 +1,4 @@
-import {parseAddress} from '../model/parse-address.js';
+import {parseAddress} from '../model/index.js';
 import {parseKind} from './kind.js';
 import type {LoadOptions} from './run.js';
 
--- a/src/load/sender.ts
+++ b/src/load/sender.ts
@@ -1,6 +1,6 @@
 import {Pool, type Dispatcher} from 'undici';
 import {formatAddress, type Address} from '../model/index.js';
-import {parseAddress} from '../model/parse-address.js';
+import {parseAddress} from '../model/index.js';
 import {bodyOf, judge, type Answer, type Verdict} from './answer.js';
 import type {PlannedRequest} from './plan.js';
 
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -10,6 +10,7 @@
 export * from './key.js';
 export * from './member.js';
 export * from './outcome.js';
+export * from './parse-address.js';
 export * from './route.js';
 export * from './status.js';
 export * from './term.js';
--- a/src/ownership/decide.ts
+++ b/src/ownership/decide.ts
@@ -330,13 +330,3 @@
 export function isIdle(state: State): boolean {
   return ![...state.holdings.values()].some(holding => isActive(holding.state));
 }
-
-/**
- * Tells whether a member's registration is the one of this process.
- *
- * @example
- * if (!isOwnRecord(state, member)) return;
- */
-export function isOwnRecord(state: State, member: Member): boolean {
-  return sameLease(leaseOf(member), state.holder.lease);
-}
--- a/src/ownership/tenure.ts
+++ b/src/ownership/tenure.ts
@@ -316,17 +316,7 @@
     effects.push(...releaseEffects(state, released));
     effects.push({kind: 'released', slices: released});
   }
-  return renewGrant({...state, view}, now).effects.length > 0
-    ? withGrant({...state, view}, effects, now)
-    : {state: {...state, view}, effects};
-}
-
-function withGrant(
-  state: State,
-  effects: readonly Effect[],
-  now: number,
-): Step {
-  const step = renewGrant(state, now);
+  const step = renewGrant({...state, view}, now);
   return {state: step.state, effects: [...effects, ...step.effects]};
 }
 
--- a/src/settings/fields.ts
+++ b/src/settings/fields.ts
@@ -1,7 +1,7 @@
 import {isIP} from 'node:net';
 import {z} from 'zod';
 import type {Address} from '../model/index.js';
-import {parseAddress} from '../model/parse-address.js';
+import {parseAddress} from '../model/index.js';
 
 /** Highest TCP or UDP port. */
 const PORT_MAX = 65_535;
--- a/standin/upstream/options.ts
+++ b/standin/upstream/options.ts
@@ -1,4 +1,4 @@
-import {parseAddress} from '../../src/model/parse-address.js';
+import {parseAddress} from '../../src/model/index.js';
 import type {Address, Fencing} from '../../src/model/index.js';
 
 /** How the health endpoint tells the state: at once, late or always well. */
