--- a/measure/fleet.ts
+++ b/measure/fleet.ts
@@ -16,7 +16,7 @@
   CHUNKS_PREFIX,
   CONFIGURATION_KEY,
   MEMBERS_PREFIX,
-} from '../src/platform/index.js';
+} from '../src/store/index.js';
 import {DEFAULT_LIMITS} from '../src/settings/index.js';
 import {LOOPBACK} from '../standin/listen.js';
 import {readJournal, type Execution} from '../standin/upstream/execution.js';
--- a/src/bin/vanillaspoolctl.ts
+++ b/src/bin/vanillaspoolctl.ts
@@ -19,9 +19,9 @@
 } from '../cli/index.js';
 import {
   UnavailableError,
-  createPlatform,
-  type Platform,
-} from '../platform/index.js';
+  createStoreClient,
+  type ObjectStore,
+} from '../store/index.js';
 import {createLog} from '../telemetry/index.js';
 
 const PACKAGE_FILE = new URL('../../../package.json', import.meta.url);
@@ -38,7 +38,7 @@
 };
 
 /** Stands for the platform where the command line names none. */
-const NO_PLATFORM: Platform = {
+const NO_PLATFORM: ObjectStore = {
   get: refuse,
   list: refuse,
   put: refuse,
@@ -75,7 +75,7 @@
   const address = addressOption(options, 'platform');
   const daemon = addressOption(options, 'daemon');
   if (!address && !daemon) throw new UsageError('--platform is missing');
-  const client = address && createPlatform(address);
+  const client = address && createStoreClient(address);
   try {
     return await run({
       platform: client ?? NO_PLATFORM,
--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -1,5 +1,5 @@
 import type {Address} from '../model/index.js';
-import type {Platform} from '../platform/index.js';
+import type {ObjectStore} from '../store/index.js';
 import type {Log} from '../telemetry/index.js';
 import type {Control} from './control.js';
 import type {Pace} from './pace.js';
@@ -7,7 +7,7 @@
 
 /** Everything through which a command reaches the world. */
 export interface Context {
-  readonly platform: Platform;
+  readonly platform: ObjectStore;
   readonly control: Control;
   readonly pace: Pace;
   readonly log: Log;
--- a/src/cli/fleet.ts
+++ b/src/cli/fleet.ts
@@ -1,6 +1,6 @@
 import type {Explanation, Member, Status} from '../model/index.js';
 import {formatAddress} from '../model/index.js';
-import {memberKey, update} from '../platform/index.js';
+import {memberKey, update} from '../store/index.js';
 import type {Context} from './context.js';
 import {ControlError} from './control.js';
 import {CLI_EVENTS} from './events.js';
--- a/src/cli/history.ts
+++ b/src/cli/history.ts
@@ -2,8 +2,8 @@
 import {
   CONFIGURATION_KEY,
   historyKey,
-  type Platform,
-} from '../platform/index.js';
+  type ObjectStore,
+} from '../store/index.js';
 import {parseAccepted} from '../settings/index.js';
 import type {Context} from './context.js';
 import {EXIT, type Result} from './result.js';
@@ -50,7 +50,7 @@
  * const version = (await readCurrent(platform))?.version ?? 0;
  */
 export async function readCurrent(
-  platform: Platform,
+  platform: ObjectStore,
 ): Promise<AcceptedConfiguration | undefined> {
   const object = await platform.get(CONFIGURATION_KEY);
   return object && parseAccepted(object.value);
@@ -66,7 +66,7 @@
  * const entry = await readHistory(platform, 12);
  */
 export async function readHistory(
-  platform: Platform,
+  platform: ObjectStore,
   version: number,
 ): Promise<AcceptedConfiguration | undefined> {
   const object = await platform.get(historyKey(version));
--- a/src/cli/members.ts
+++ b/src/cli/members.ts
@@ -2,8 +2,8 @@
 import {
   MEMBERS_PREFIX,
   UnavailableError,
-  type Platform,
-} from '../platform/index.js';
+  type ObjectStore,
+} from '../store/index.js';
 import type {Context} from './context.js';
 import type {Control} from './control.js';
 import {ControlError} from './control.js';
@@ -39,7 +39,7 @@
     .sort((a, b) => (a.instance < b.instance ? -1 : 1));
 }
 
-async function listMembers(platform: Platform): Promise<readonly Member[]> {
+async function listMembers(platform: ObjectStore): Promise<readonly Member[]> {
   const {objects} = await platform.list(MEMBERS_PREFIX);
   return objects.map(object => parseMember(object.value));
 }
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,4 +1,4 @@
-import {PlatformError} from '../platform/index.js';
+import {PlatformError} from '../store/index.js';
 import {StoredError} from '../settings/index.js';
 import {ControlError} from './control.js';
 import {FLAG_OPTIONS, TEXT_OPTIONS, type Options} from './arguments.js';
--- a/src/cli/submit.ts
+++ b/src/cli/submit.ts
@@ -4,9 +4,9 @@
   CONFIGURATION_KEY,
   PlatformError,
   historyKey,
-  type Platform,
+  type ObjectStore,
   type StoredObject,
-} from '../platform/index.js';
+} from '../store/index.js';
 import {
   decideChange,
   formatAccepted,
@@ -55,7 +55,7 @@
  * if (submission.kind === 'stored') submission.accepted.version;
  */
 export async function submitChange(
-  platform: Platform,
+  platform: ObjectStore,
   proposal: Proposal,
   pace: Pace,
 ): Promise<Submission> {
@@ -70,7 +70,7 @@
 }
 
 async function attemptChange(
-  platform: Platform,
+  platform: ObjectStore,
   proposal: Proposal,
   pace: Pace,
   pending: boolean,
@@ -113,7 +113,7 @@
 }
 
 async function readRecorded(
-  platform: Platform,
+  platform: ObjectStore,
   object: StoredObject | undefined,
   {basedOn}: Proposal,
 ): Promise<Recorded> {
@@ -123,7 +123,7 @@
 }
 
 async function keepHistory(
-  platform: Platform,
+  platform: ObjectStore,
   entry: AcceptedConfiguration,
 ): Promise<void> {
   const key = historyKey(entry.version);
@@ -132,7 +132,7 @@
 
 /** Drops the entry that the history is too long for; a failure is ignored. */
 async function pruneHistory(
-  platform: Platform,
+  platform: ObjectStore,
   version: number,
 ): Promise<void> {
   const oldest = version - 1 - HISTORY_LENGTH;
--- a/src/cli/wait.ts
+++ b/src/cli/wait.ts
@@ -1,5 +1,5 @@
 import type {Member} from '../model/index.js';
-import {PlatformError} from '../platform/index.js';
+import {PlatformError} from '../store/index.js';
 import type {Context} from './context.js';
 import {ControlError} from './control.js';
 import {askMembers, readMembers} from './members.js';
--- a/src/daemon/create.ts
+++ b/src/daemon/create.ts
@@ -7,7 +7,7 @@
 import {newState} from '../ownership/index.js';
 import type {Self} from '../ownership/index.js';
 import {createMirrorHandler, createSigner} from '../peer/index.js';
-import {budgeted, createPlatform, PROCESS_CLOCK} from '../platform/index.js';
+import {budgeted, createStoreClient, PROCESS_CLOCK} from '../store/index.js';
 import type {Settings} from '../settings/index.js';
 import {createMetrics, METRICS} from '../telemetry/index.js';
 import type {Log} from '../telemetry/index.js';
@@ -70,7 +70,7 @@
     clock,
     busy: view.busy,
   });
-  const client = createPlatform(settings.platform);
+  const client = createStoreClient(settings.platform);
   const metrics = createMetrics();
   const reachability = watchReachability(
     budgeted(client, CALLS_PER_SECOND, CALLS_AT_ONCE, PROCESS_CLOCK),
--- a/src/daemon/drain.ts
+++ b/src/daemon/drain.ts
@@ -3,8 +3,8 @@
 import type {Member} from '../model/index.js';
 import {isIdle} from '../ownership/index.js';
 import type {State} from '../ownership/index.js';
-import {memberKey, putResolved} from '../platform/index.js';
-import type {Platform} from '../platform/index.js';
+import {memberKey, putResolved} from '../store/index.js';
+import type {ObjectStore} from '../store/index.js';
 import type {Objects} from './versions.js';
 import type {Parts} from './parts.js';
 import {startDrain} from './reactions.js';
@@ -24,7 +24,7 @@
 
 /** Records that this process has ended, so that nobody has to prove it. */
 async function recordEnd(
-  platform: Platform,
+  platform: ObjectStore,
   objects: Objects,
   state: State,
 ): Promise<void> {
--- a/src/daemon/effects.ts
+++ b/src/daemon/effects.ts
@@ -1,8 +1,8 @@
 import type {LeaseId, Member} from '../model/index.js';
 import {formatLease, leaseOf} from '../model/index.js';
 import type {DatagramEndpoint} from '../peer/index.js';
-import {memberKey, putResolved, UnavailableError} from '../platform/index.js';
-import type {Platform} from '../platform/index.js';
+import {memberKey, putResolved, UnavailableError} from '../store/index.js';
+import type {ObjectStore} from '../store/index.js';
 import {leaseEnded, OWNERSHIP_EVENTS} from '../ownership/index.js';
 import type {Effect, Input, Message, State} from '../ownership/index.js';
 import type {Log} from '../telemetry/index.js';
@@ -11,7 +11,7 @@
 
 /** What the effects of decisions are run with. */
 export interface EffectOptions {
-  readonly platform: Platform;
+  readonly platform: ObjectStore;
   readonly objects: Objects;
   readonly datagrams: DatagramEndpoint;
   readonly upstream: UpstreamLink;
--- a/src/daemon/feed.ts
+++ b/src/daemon/feed.ts
@@ -2,7 +2,7 @@
 import {chooseRelays} from '../membership/index.js';
 import type {ReceivedObject} from '../membership/index.js';
 import type {Address, Member} from '../model/index.js';
-import type {Platform} from '../platform/index.js';
+import type {ObjectStore} from '../store/index.js';
 
 /** Where the objects of the platform come from. */
 export type FeedSource =
@@ -14,7 +14,7 @@
   readonly instance: string;
   readonly domain: string;
   readonly seeds: readonly Address[];
-  readonly platform: Platform;
+  readonly platform: ObjectStore;
   readonly members: () => readonly Member[];
   readonly revision: () => number;
   readonly follow: (
--- a/src/daemon/objects.ts
+++ b/src/daemon/objects.ts
@@ -4,7 +4,7 @@
   CHUNKS_PREFIX,
   CONFIGURATION_KEY,
   MEMBERS_PREFIX,
-} from '../platform/index.js';
+} from '../store/index.js';
 import {parseAccepted} from '../settings/index.js';
 
 /** An object of the platform, read by its key. */
--- a/src/daemon/reachability.ts
+++ b/src/daemon/reachability.ts
@@ -1,9 +1,9 @@
-import {CONFIGURATION_KEY, counted} from '../platform/index.js';
-import type {CallKind, CallResult, Platform} from '../platform/index.js';
+import {CONFIGURATION_KEY, counted} from '../store/index.js';
+import type {CallKind, CallResult, ObjectStore} from '../store/index.js';
 
 /** The platform as seen by a daemon, and whether it answers. */
 export interface Reachability {
-  readonly platform: Platform;
+  readonly platform: ObjectStore;
   readonly reachable: () => boolean;
   readonly close: () => void;
 }
@@ -24,7 +24,7 @@
  * const {platform} = watchReachability(client, reachable => log(reachable), () => {});
  */
 export function watchReachability(
-  inner: Platform,
+  inner: ObjectStore,
   changed: (reachable: boolean) => void,
   called: (kind: CallKind, result: CallResult) => void,
 ): Reachability {
--- a/src/daemon/steward.ts
+++ b/src/daemon/steward.ts
@@ -10,8 +10,8 @@
 import type {State} from '../ownership/index.js';
 import {chunkOfSlice, planChunk} from '../placement/index.js';
 import type {Move} from '../placement/index.js';
-import {chunkKey, putResolved} from '../platform/index.js';
-import type {Platform} from '../platform/index.js';
+import {chunkKey, putResolved} from '../store/index.js';
+import type {ObjectStore} from '../store/index.js';
 import type {Log} from '../telemetry/index.js';
 import type {Objects} from './versions.js';
 
@@ -28,7 +28,7 @@
 export interface StewardOptions {
   readonly state: () => State;
   readonly configuration: () => Configuration | undefined;
-  readonly platform: Platform;
+  readonly platform: ObjectStore;
   readonly objects: Objects;
   /** Slices that are wished elsewhere. */
   readonly moves: (service: Service, state: State) => readonly Move[];
--- a/src/platform/budget.ts
+++ b/src/store/budget.ts
@@ -1,5 +1,5 @@
 import {UnavailableError} from './errors.js';
-import type {Change, Platform} from './platform.js';
+import type {Change, ObjectStore} from './store.js';
 
 /** Longest time that a call waits for its turn, in milliseconds. */
 const WAIT_LIMIT_MS = 5000;
@@ -73,11 +73,11 @@
  * const platform = budgeted(inner, 2, 20, PROCESS_CLOCK);
  */
 export function budgeted(
-  platform: Platform,
+  platform: ObjectStore,
   callsPerSecond: number,
   burst: number,
   clock: Clock,
-): Platform {
+): ObjectStore {
   const rate: Rate = {callsPerSecond, burst};
   checkRate(rate);
   let bucket: Bucket = {tokens: burst, atMs: clock.now()};
--- a/src/platform/client.ts
+++ b/src/store/client.ts
@@ -2,7 +2,7 @@
 import {formatAddress, type Address} from '../model/index.js';
 import {AnswerLostError, UnavailableError} from './errors.js';
 import {exchange, type Call, type Reply} from './exchange.js';
-import type {Listing, Platform, StoredObject, WriteResult} from './platform.js';
+import type {Listing, ObjectStore, StoredObject, WriteResult} from './store.js';
 import {watchChanges} from './watch.js';
 
 /** Bounds of a client of the platform. */
@@ -16,7 +16,7 @@
 }
 
 /** A platform reached over the network. */
-export interface PlatformClient extends Platform {
+export interface StoreClient extends ObjectStore {
   /** Closes every connection; calls in progress fail. */
   readonly close: () => Promise<void>;
 }
@@ -43,13 +43,13 @@
  * @throws {RangeError} when an option is not a positive number.
  *
  * @example
- * const platform = createPlatform({host: '127.0.0.1', port: 7000});
+ * const platform = createStoreClient({host: '127.0.0.1', port: 7000});
  * const object = await platform.get('configuration/current');
  */
-export function createPlatform(
+export function createStoreClient(
   address: Address,
   options: ClientOptions = {},
-): PlatformClient {
+): StoreClient {
   const limits = {...DEFAULT_OPTIONS, ...options};
   checkLimits(limits);
   const origin = `http://${formatAddress(address)}`;
--- a/src/platform/counted.ts
+++ b/src/store/counted.ts
@@ -1,5 +1,5 @@
 import {AnswerLostError} from './errors.js';
-import type {Platform, WriteResult} from './platform.js';
+import type {ObjectStore, WriteResult} from './store.js';
 
 /** Kinds of calls to the platform. */
 export type CallKind = 'get' | 'list' | 'put' | 'delete' | 'watch';
@@ -15,9 +15,9 @@
  * const platform = counted(inner, (kind, result) => calls.inc({kind, result}));
  */
 export function counted(
-  platform: Platform,
+  platform: ObjectStore,
   onCall: (kind: CallKind, result: CallResult) => void,
-): Platform {
+): ObjectStore {
   const report = async <T>(kind: CallKind, call: Promise<T>): Promise<T> => {
     try {
       const result = await call;
--- a/src/platform/index.ts
+++ b/src/store/index.ts
@@ -10,6 +10,6 @@
 export * from './errors.js';
 export * from './gone.js';
 export * from './keys.js';
-export * from './platform.js';
+export * from './store.js';
 export * from './put.js';
 export * from './update.js';
--- a/src/platform/put.ts
+++ b/src/store/put.ts
@@ -1,5 +1,5 @@
 import {AnswerLostError, UnavailableError} from './errors.js';
-import type {Platform, StoredObject, WriteResult} from './platform.js';
+import type {ObjectStore, StoredObject, WriteResult} from './store.js';
 
 /** Result of a conditional write after a lost answer was resolved. */
 export type PutResult =
@@ -19,7 +19,7 @@
  * const result = await putResolved(platform, 'members/a', text, 12);
  */
 export async function putResolved(
-  platform: Platform,
+  platform: ObjectStore,
   key: string,
   value: string,
   expected: number,
@@ -45,7 +45,7 @@
 }
 
 async function readBack(
-  platform: Platform,
+  platform: ObjectStore,
   key: string,
   value: string,
   expected: number,
--- a/src/platform/platform.ts
+++ b/src/store/store.ts
@@ -30,7 +30,7 @@
  * when the call certainly had no effect, and with `AnswerLostError` when a
  * write may have taken effect.
  */
-export interface Platform {
+export interface ObjectStore {
   readonly get: (key: string) => Promise<StoredObject | undefined>;
   readonly list: (prefix: string) => Promise<Listing>;
   /** Writes when the object's version is `expected`; 0 means that it must not exist. */
--- a/src/platform/update.ts
+++ b/src/store/update.ts
@@ -1,5 +1,5 @@
 import {AnswerLostError, UnavailableError} from './errors.js';
-import type {Platform, StoredObject, WriteResult} from './platform.js';
+import type {ObjectStore, StoredObject, WriteResult} from './store.js';
 
 /** Writes that one update tries. */
 const ATTEMPT_LIMIT = 8;
@@ -54,7 +54,7 @@
  * );
  */
 export async function update(
-  platform: Platform,
+  platform: ObjectStore,
   key: string,
   change: ValueChange,
   isOwn: (value: string) => boolean,
@@ -73,7 +73,7 @@
 }
 
 async function tryOnce(
-  platform: Platform,
+  platform: ObjectStore,
   key: string,
   attempt: Attempt,
   change: ValueChange,
@@ -114,7 +114,7 @@
 }
 
 async function readBack(
-  platform: Platform,
+  platform: ObjectStore,
   key: string,
   lostAt: number,
 ): Promise<Step> {
--- a/src/platform/watch.ts
+++ b/src/store/watch.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {UnavailableError} from './errors.js';
 import {RevisionGoneError} from './gone.js';
-import type {Change} from './platform.js';
+import type {Change} from './store.js';
 
 /**
  * Opens a watch and yields its changes until the signal aborts it.
--- a/standin/platform/calls.ts
+++ b/standin/platform/calls.ts
@@ -1,4 +1,4 @@
-import type {CallKind} from '../../src/platform/index.js';
+import type {CallKind} from '../../src/store/index.js';
 
 /** Number of calls, and the highest number in any one second. */
 export interface CallCount {
--- a/standin/platform/holder.ts
+++ b/standin/platform/holder.ts
@@ -1,4 +1,4 @@
-import type {Change, WriteResult} from '../../src/platform/platform.js';
+import type {Change, WriteResult} from '../../src/store/store.js';
 import {EMPTY_STORE, applyWrite, type Store, type Write} from './store.js';
 
 /** Holds the current store and tells watchers of its changes. */
--- a/standin/platform/memory.ts
+++ b/standin/platform/memory.ts
@@ -3,14 +3,14 @@
   RevisionGoneError,
   UnavailableError,
   type Change,
-  type Platform,
+  type ObjectStore,
   type WriteResult,
-} from '../../src/platform/index.js';
+} from '../../src/store/index.js';
 import {createHolder, type Holder} from './holder.js';
 import {changesAfter, listObjects, type Store, type Write} from './store.js';
 
 /** A platform in memory whose faults are set by the test that uses it. */
-export interface MemoryPlatform extends Platform {
+export interface MemoryPlatform extends ObjectStore {
   readonly store: () => Store;
   /** Makes every call fail and every watch end until it is set to false. */
   readonly setDown: (down: boolean) => void;
--- a/standin/platform/server.ts
+++ b/standin/platform/server.ts
@@ -1,7 +1,7 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Change, WriteResult} from '../../src/platform/platform.js';
+import type {Change, WriteResult} from '../../src/store/store.js';
 import {createCallCounter, type CallCounter} from './calls.js';
 import {createHolder, type Holder} from './holder.js';
 import {MAX_VALUE_BYTES, changesAfter, listObjects} from './store.js';
--- a/standin/platform/store.ts
+++ b/standin/platform/store.ts
@@ -3,7 +3,7 @@
   Listing,
   StoredObject,
   WriteResult,
-} from '../../src/platform/platform.js';
+} from '../../src/store/store.js';
 
 /** Number of past changes that a watch may start from. */
 const HISTORY_LENGTH = 4096;
--- a/test/cli/control.test.ts
+++ b/test/cli/control.test.ts
@@ -6,7 +6,7 @@
   declareLost,
   type Context,
 } from '../../src/cli/index.js';
-import {memberKey} from '../../src/platform/index.js';
+import {memberKey} from '../../src/store/index.js';
 import {listen} from '../../standin/listen.js';
 import {memoryPlatform} from '../../standin/platform/index.js';
 
--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -13,7 +13,7 @@
   type Options,
 } from '../../src/cli/index.js';
 import type {Address, Member, Status} from '../../src/model/index.js';
-import {CONFIGURATION_KEY, memberKey} from '../../src/platform/index.js';
+import {CONFIGURATION_KEY, memberKey} from '../../src/store/index.js';
 import {parseAccepted} from '../../src/settings/index.js';
 import {memoryPlatform} from '../../standin/platform/index.js';
 
--- a/test/cli/submit.test.ts
+++ b/test/cli/submit.test.ts
@@ -6,8 +6,8 @@
   CONFIGURATION_KEY,
   UnavailableError,
   historyKey,
-  type Platform,
-} from '../../src/platform/index.js';
+  type ObjectStore,
+} from '../../src/store/index.js';
 import {parseAccepted} from '../../src/settings/index.js';
 import {createHolder, memoryPlatform} from '../../standin/platform/index.js';
 import {sites} from '../settings/fixture.js';
@@ -45,7 +45,7 @@
   const unused = () => {
     throw new Error('not used here');
   };
-  const platform: Platform = {
+  const platform: ObjectStore = {
     get,
     put,
     list: unused,
--- a/test/platform/budget.test.ts
+++ b/test/store/budget.test.ts
@@ -7,7 +7,7 @@
   takeTurn,
   type Bucket,
   type Clock,
-} from '../../src/platform/index.js';
+} from '../../src/store/index.js';
 import {memoryPlatform} from '../../standin/platform/index.js';
 
 /** A clock that stands still and notes how long calls slept. */
--- a/test/platform/client.test.ts
+++ b/test/store/client.test.ts
@@ -3,9 +3,9 @@
   AnswerLostError,
   RevisionGoneError,
   UnavailableError,
-  createPlatform,
+  createStoreClient,
   type ClientOptions,
-} from '../../src/platform/index.js';
+} from '../../src/store/index.js';
 import {createServer} from 'node:http';
 import {createPlatformServer} from '../../standin/platform/index.js';
 import {listen} from '../../standin/listen.js';
@@ -13,7 +13,7 @@
 async function fixture(t: ExecutionContext, options?: ClientOptions) {
   const server = createPlatformServer();
   const address = await listen(server, 0);
-  const platform = createPlatform(address, options);
+  const platform = createStoreClient(address, options);
   t.teardown(async () => {
     await platform.close();
     server.close();
@@ -64,7 +64,7 @@
     silent.close();
   });
   const address = await listen(silent, 0);
-  const platform = createPlatform(address, {connections: 1, timeoutMs: 150});
+  const platform = createStoreClient(address, {connections: 1, timeoutMs: 150});
   t.teardown(async () => {
     silent.closeAllConnections();
     await platform.close();
--- a/test/platform/faults.ts
+++ b/test/store/faults.ts
@@ -1,9 +1,9 @@
 import {
   AnswerLostError,
   UnavailableError,
-  type Platform,
+  type ObjectStore,
   type WriteResult,
-} from '../../src/platform/index.js';
+} from '../../src/store/index.js';
 import {createHolder, type Write} from '../../standin/platform/index.js';
 
 /** What happens at one call; `late` takes effect after a later call. */
@@ -11,7 +11,7 @@
 
 /** A platform that follows a script of faults, and works once it is used up. */
 export interface ScriptedPlatform {
-  readonly platform: Pick<Platform, 'get' | 'put'> & Platform;
+  readonly platform: Pick<ObjectStore, 'get' | 'put'> & ObjectStore;
   /** Applies the writes that are still under way. */
   readonly settle: () => void;
   readonly value: () => string | undefined;
--- a/test/platform/update.test.ts
+++ b/test/store/update.test.ts
@@ -4,9 +4,9 @@
   AnswerLostError,
   UnavailableError,
   update,
-  type Platform,
+  type ObjectStore,
   type StoredObject,
-} from '../../src/platform/index.js';
+} from '../../src/store/index.js';
 import {memoryPlatform} from '../../standin/platform/index.js';
 import {scriptedPlatform, type Fault} from './faults.js';
 
@@ -20,14 +20,14 @@
   return JSON.stringify([...listOf(value), name]);
 }
 
-function append(platform: Platform, attempts?: number) {
+function append(platform: ObjectStore, attempts?: number) {
   const change = (current: StoredObject | undefined) =>
     appended(current?.value, OWN);
   const isOwn = (value: string) => listOf(value).includes(OWN);
   return update(platform, 'k', change, isOwn, attempts);
 }
 
-async function outcomeOf(platform: Platform, attempts: number) {
+async function outcomeOf(platform: ObjectStore, attempts: number) {
   try {
     return (await append(platform, attempts)).kind;
   } catch (error) {
