--- /dev/null
+++ b/src/fleet/follow.ts
@@ -0,0 +1,57 @@
+import {
+  RevisionGoneError,
+  UnavailableError,
+  type Change,
+  type ObjectStore,
+  type StoredObject,
+} from '../store/index.js';
+
+/** Pause before the store is asked again, in milliseconds. */
+const RETRY_PAUSE_MS = 400;
+
+/** What is told to the follower of a prefix. */
+export interface Follower {
+  /** All objects under the prefix. */
+  readonly listed: (objects: readonly StoredObject[]) => void;
+  readonly changed: (change: Change) => void;
+  /** The store was lost, with the reason, or regained. */
+  readonly reached: (reached: boolean, reason: string) => void;
+}
+
+/**
+ * Follows the objects under a prefix until aborted: lists them, watches from
+ * the listing on, and lists again when the store has dropped its history.
+ *
+ * @example
+ * void follow(store, 'fleet/', follower, controller.signal);
+ */
+export async function follow(
+  store: ObjectStore,
+  prefix: string,
+  follower: Follower,
+  signal: AbortSignal,
+): Promise<void> {
+  let revision: number | undefined;
+  while (!signal.aborted) {
+    try {
+      if (revision === undefined) {
+        const listing = await store.list(prefix);
+        follower.listed(listing.objects);
+        revision = listing.revision;
+      }
+      follower.reached(true, '');
+      for await (const change of store.watch(prefix, revision, signal)) {
+        revision = Math.max(revision, change.version);
+        follower.changed(change);
+      }
+    } catch (error) {
+      if (error instanceof RevisionGoneError) {
+        revision = undefined;
+        continue;
+      }
+      if (!(error instanceof UnavailableError)) throw error;
+      follower.reached(false, error.message);
+      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,9 @@
+/**
+ * What a daemon knows of the other instances: registrations and range maps.
+ *
+ * @module
+ */
+
+export * from './follow.js';
+export * from './member.js';
+export * from './view.js';
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,8 +1,7 @@
-import type {Failure} from '../model/index.js';
+import {type Failure, unknown} from '../model/index.js';
 import type {AnswerHead, Call, ExchangeResult} from '../upstream/index.js';
 import {exchange} from '../upstream/index.js';
 import type {Dispatcher} from 'undici';
-import {unknown} from './failure.js';
 import type {Pass} from './pass.js';
 
 /** How one attempt to get an answer ended. */
@@ -35,12 +34,17 @@
   return {kind: 'failed', failure, alternative: false};
 }
 
+/** The part of a pass that an exchange needs. */
+export type Course = Pick<Pass, 'request' | 'response' | 'state' | 'bodyMode'>;
+
 /** What varies between the exchanges with an upstream and with a peer. */
 export interface Manner {
   /** Called immediately before the request is written; false to give it up. */
   readonly ready: () => boolean;
   /** Holds an answer back by returning what it means. */
   readonly judge: (head: AnswerHead) => FailedTry | undefined;
+  /** Tells whether the connection of an answer held back is to be closed. */
+  readonly distrusts?: () => boolean;
   /** Adds to the headers of an answer that is passed on. */
   readonly extend: (head: AnswerHead) => void;
   /** Called with each part of the body before it is passed on. */
@@ -63,7 +67,7 @@
  * const attempt = await runExchange(pass, pool, call, manner);
  */
 export function runExchange(
-  pass: Pass,
+  pass: Course,
   pool: Dispatcher,
   call: Call,
   manner: Manner,
@@ -87,6 +91,7 @@
         if (endsEarly(pass)) response.shouldKeepAlive = false;
         return head.headers;
       },
+      distrusts: manner.distrusts,
       copied: manner.copied,
       ended: result => {
         clearInterval(check);
@@ -100,7 +105,7 @@
 }
 
 /** The answer begins before the whole body of the request has arrived. */
-function endsEarly(pass: Pass): boolean {
+function endsEarly(pass: Course): boolean {
   return pass.bodyMode === 'streamed' && !pass.request.complete;
 }
 
--- a/src/gateway/local.ts
+++ b/src/gateway/local.ts
@@ -1,8 +1,8 @@
+import {notRun, unknown} from '../model/index.js';
 import type {AnswerHead, Upstream} from '../upstream/index.js';
 import type {Admitted} from './admission.js';
 import {failed, runExchange, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
-import {notRun, unknown} from './failure.js';
 import {admissionOf, bodyOf, type Pass} from './pass.js';
 import {isSafe} from './retry.js';
 
--- a/src/gateway/old.ts
+++ b/src/gateway/old.ts
@@ -1,7 +1,6 @@
-import type {Handover} from '../model/index.js';
+import {type Handover, notRun} from '../model/index.js';
 import {runExchange, type Attempt} from './attempt.js';
 import type {Context} from './context.js';
-import {notRun} from './failure.js';
 import {bodyOf, type Pass} from './pass.js';
 
 /** Most connections from one daemon to one old address. */
--- a/src/gateway/open.ts
+++ b/src/gateway/open.ts
@@ -1,10 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  sliceOfKey,
+import {sliceOfKey,
   type Configuration,
   type Failure,
-  type Service,
-} from '../model/index.js';
+  type Service, notRun, unknown} from '../model/index.js';
 import {
   findKey,
   findService,
@@ -15,7 +13,6 @@
 import {bodyMode} from './body.js';
 import type {Context} from './context.js';
 import {GATEWAY_EVENTS} from './events.js';
-import {notRun, unknown} from './failure.js';
 import {readRequestHead, type RequestHead} from './head.js';
 import {verifyHop, type Hop} from './hop.js';
 import {stopper, type Pass, type PassState} from './pass.js';
--- a/src/gateway/pass.ts
+++ b/src/gateway/pass.ts
@@ -1,8 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Configuration, Failure, Service} from '../model/index.js';
+import {type Configuration, type Failure, type Service, notRun} from '../model/index.js';
 import type {AdmissionRequest} from './admission.js';
 import {keepBody, streamBody, type BodyLimits, type BodyMode} from './body.js';
-import {notRun} from './failure.js';
 import type {RequestHead} from './head.js';
 import type {Hop} from './hop.js';
 import type {Span} from './trace.js';
--- a/src/gateway/remote.ts
+++ b/src/gateway/remote.ts
@@ -1,9 +1,9 @@
-import type {FailureReason, Member} from '../model/index.js';
+import {type FailureReason, type Member, notRun, unknown} from '../model/index.js';
 import type {AnswerHead} from '../upstream/index.js';
 import {REPLAYED_HEADER} from './answered.js';
 import {runExchange, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
-import {OUTCOME_HEADER, REASON_HEADER, notRun, unknown} from './failure.js';
+import {OUTCOME_HEADER, REASON_HEADER} from './failure.js';
 import {HOP_HEADER, SIGNATURE_HEADER} from './head.js';
 import {formatHop, signHop, type Hop} from './hop.js';
 import {EPOCH_HEADER, OWNER_HEADER, REQUEST_HEADER} from './local.js';
--- a/src/gateway/repeats.ts
+++ b/src/gateway/repeats.ts
@@ -1,8 +1,8 @@
+import {notRun, unknown} from '../model/index.js';
 import {writeAnswer} from './answered.js';
 import type {Attempt} from './attempt.js';
 import {failed} from './attempt.js';
 import type {Context} from './context.js';
-import {notRun, unknown} from './failure.js';
 import {sendLocal, type AnswerCopy} from './local.js';
 import {untilStopped, type Pass} from './pass.js';
 import {
--- a/src/gateway/run.ts
+++ b/src/gateway/run.ts
@@ -1,9 +1,9 @@
-import type {Outcome} from '../model/index.js';
+import {type Outcome, notRun} from '../model/index.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Failure} from '../model/index.js';
 import type {Context} from './context.js';
 import {GATEWAY_EVENTS} from './events.js';
-import {REASON_HEADER, notRun, sendFailure} from './failure.js';
+import {REASON_HEADER, sendFailure} from './failure.js';
 import {EPOCH_HEADER, REQUEST_HEADER} from './local.js';
 import type {Pass} from './pass.js';
 import {serve, type PassResult} from './serve.js';
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -1,9 +1,8 @@
-import type {Failure, Member, Service} from '../model/index.js';
+import {type Failure, type Member, type Service, notRun, unknown} from '../model/index.js';
 import {sideOf, type Side} from '../routing/index.js';
 import {failed, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
 import {GATEWAY_EVENTS} from './events.js';
-import {notRun, unknown} from './failure.js';
 import {sendLocal} from './local.js';
 import {isReplayable, prepareBody, untilStopped, type Pass} from './pass.js';
 import {sendOld} from './old.js';
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,9 +1,8 @@
 import http, {type IncomingMessage, type Server} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Limits} from '../model/index.js';
+import {type Limits, notRun} from '../model/index.js';
 import type {Log} from '../telemetry/index.js';
 import {GATEWAY_EVENTS} from './events.js';
-import {notRun} from './failure.js';
 import type {Gateway, Handler} from './gateway.js';
 
 /** Time for which an idle connection is kept, in milliseconds. */
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -7,6 +7,7 @@
 export * from './address.js';
 export * from './chart.js';
 export * from './configuration.js';
+export * from './failure.js';
 export * from './key.js';
 export * from './member.js';
 export * from './outcome.js';
--- /dev/null
+++ b/src/ranges/change.ts
@@ -0,0 +1,234 @@
+import {
+  LAST_KEY,
+  changeTerms,
+  sameLife,
+  splitAt,
+  type Incarnation,
+  type RangeMap,
+  type RangeTerm,
+} from './map.js';
+
+/** A range of keys that an incarnation is to get. */
+export interface Placement {
+  readonly from: number;
+  readonly to: number;
+  readonly holder: Incarnation;
+}
+
+/** A range that an upstream has released, with the token of its handover. */
+export interface Release {
+  readonly from: number;
+  readonly to: number;
+  readonly handover: string;
+}
+
+/**
+ * Gives all keys out for the first time.
+ *
+ * @param parts Ranges in order that cover the key space.
+ *
+ * @example
+ * firstMap([{from: 0, to: LAST_KEY, holder: incarnation}]);
+ */
+export function firstMap(parts: readonly Placement[]): RangeMap {
+  const terms = parts.map(
+    ({from, to, holder}): RangeTerm => ({
+      from,
+      to,
+      fence: 1,
+      holder: holder,
+      state: 'held',
+      handover: '',
+    }),
+  );
+  return {fence: 1, terms};
+}
+
+/**
+ * Gives free ranges to incarnations, each with a fencing token above all that
+ * were used. Ranges that are not free stay as they are.
+ *
+ * @example
+ * placeFree(map, [{from: 0, to: 99, holder: incarnation}]);
+ */
+export function placeFree(
+  map: RangeMap,
+  placements: readonly Placement[],
+): RangeMap {
+  const fence = map.fence + 1;
+  const cut = placements.reduce((m, p) => splitAt(m, p.from, p.to), map);
+  return changeTerms(cut, term => {
+    if (term.state !== 'free') return term;
+    const placement = placements.find(p => covers(p, term));
+    return placement ? begin(term, placement.holder, fence) : term;
+  });
+}
+
+/**
+ * Asks the holders of ranges to release them to others.
+ *
+ * @example
+ * startMoves(map, [{from: 0, to: 99, holder: incarnation}]);
+ */
+export function startMoves(
+  map: RangeMap,
+  moves: readonly Placement[],
+): RangeMap {
+  const cut = moves.reduce((m, move) => splitAt(m, move.from, move.to), map);
+  return changeTerms(cut, term => {
+    if (term.state !== 'held') return term;
+    const move = moves.find(m => covers(m, term));
+    if (!move || sameLife(move.holder, term.holder)) return term;
+    return {...term, state: 'moving', next: move.holder};
+  });
+}
+
+/**
+ * Passes on what a holder has provably released: to the next holder where one
+ * is named, and otherwise to nobody.
+ *
+ * @example
+ * release(map, incarnation, [{from: 0, to: 99, handover: '5c0e'}]);
+ */
+export function release(
+  map: RangeMap,
+  holder: Incarnation,
+  released: readonly Release[],
+): RangeMap {
+  const fence = map.fence + 1;
+  const cut = released.reduce((m, r) => splitAt(m, r.from, r.to), map);
+  return changeTerms(cut, term => {
+    if (term.state !== 'moving' && term.state !== 'revoked') return term;
+    if (!sameLife(term.holder, holder)) return term;
+    const found = released.find(r => covers(r, term));
+    if (!found) return term;
+    return end({...term, handover: found.handover}, fence);
+  });
+}
+
+/**
+ * Takes the keys of an incarnation back once it is taken to be lost. No grant
+ * that is confirmed after this change renews them.
+ *
+ * @example
+ * revoke(map, incarnation);
+ */
+export function revoke(map: RangeMap, holder: Incarnation): RangeMap {
+  const revocation = map.fence + 1;
+  const next = changeTerms(map, term => {
+    if (!sameLife(term.holder, holder)) return term;
+    const open = term.state === 'held' || term.state === 'moving';
+    return open ? {...term, state: 'revoked', revocation} : term;
+  });
+  return next === map ? map : {...next, fence: revocation};
+}
+
+/**
+ * Returns revoked keys to a holder that turned out to live, unless they were
+ * given to another meanwhile.
+ *
+ * @example
+ * restore(map, incarnation);
+ */
+export function restore(map: RangeMap, holder: Incarnation): RangeMap {
+  return changeTerms(map, term => {
+    if (term.state !== 'revoked' || !sameLife(term.holder, holder)) return term;
+    const {revocation: _, ...rest} = term;
+    return {...rest, state: rest.next ? 'moving' : 'held'};
+  });
+}
+
+/**
+ * Frees revoked keys of which the last grant has run out.
+ *
+ * @param revocation The revocation since which the time was measured; keys that
+ *     were restored and revoked again since stay as they are. Undefined where
+ *     the last grant itself is known.
+ *
+ * @example
+ * expire(map, incarnation, term.revocation);
+ */
+export function expire(
+  map: RangeMap,
+  holder: Incarnation,
+  revocation?: number,
+): RangeMap {
+  const fence = map.fence + 1;
+  return changeTerms(map, term => {
+    if (term.state !== 'revoked' || !sameLife(term.holder, holder)) return term;
+    if (revocation !== undefined && term.revocation !== revocation) return term;
+    return end({...term, handover: ''}, fence);
+  });
+}
+
+/**
+ * Applies the proof that every earlier life beside a daemon has ended: a new
+ * life of the same service takes the keys over under a new fencing token, and
+ * otherwise they become free.
+ *
+ * @param heir The new life; undefined when it belongs to another service.
+ *
+ * @example
+ * succeed(map, '10.1.0.8:7620', newIncarnation);
+ */
+export function succeed(
+  map: RangeMap,
+  node: string,
+  heir: Incarnation | undefined,
+): RangeMap {
+  const fence = map.fence + 1;
+  return changeTerms(map, term => {
+    if (term.holder.node !== node || sameLife(term.holder, heir)) return term;
+    if (term.state === 'free') return term;
+    if (term.next && term.next.node !== node) {
+      return end({...term, handover: ''}, fence);
+    }
+    if (!heir) return {...settled(term), state: 'free', handover: ''};
+    return begin({...term, handover: ''}, heir, fence);
+  });
+}
+
+/**
+ * Withdraws a planned move that the holder has not made yet.
+ *
+ * @example
+ * cancelMoves(map, term => sameLife(term.next, lost));
+ */
+export function cancelMoves(
+  map: RangeMap,
+  selects: (term: RangeTerm) => boolean,
+): RangeMap {
+  return changeTerms(map, term => {
+    if (!term.next || !selects(term)) return term;
+    const {next: _, ...rest} = term;
+    return {...rest, state: term.state === 'moving' ? 'held' : term.state};
+  });
+}
+
+function covers(
+  range: {readonly from: number; readonly to: number},
+  term: RangeTerm,
+): boolean {
+  return range.from <= term.from && term.to <= range.to;
+}
+
+function begin(
+  term: RangeTerm,
+  holder: Incarnation,
+  fence: number,
+): RangeTerm {
+  return {...settled(term), holder, fence, state: 'held'};
+}
+
+function end(term: RangeTerm, fence: number): RangeTerm {
+  if (term.next) return begin(term, term.next, fence);
+  return {...settled(term), state: 'free'};
+}
+
+function settled(term: RangeTerm): RangeTerm {
+  const {next: _, revocation: __, ...rest} = term;
+  return rest;
+}
+
+/** The whole key space. */
+export const ALL_KEYS = {from: 0, to: LAST_KEY} as const;
--- /dev/null
+++ b/src/ranges/map.ts
@@ -0,0 +1,195 @@
+/** Highest key of the ordered key space. */
+export const LAST_KEY = 65_535;
+
+/** One life of an upstream instance, from its start to its end. */
+export interface Incarnation {
+  /** Address of the daemon beside the instance, as `ip:port`. */
+  readonly node: string;
+  readonly id: string;
+  /** Start of this life, in Unix milliseconds. */
+  readonly born: number;
+}
+
+/**
+ * State of a term.
+ *
+ * - `held`: the holder may be granted the keys.
+ * - `moving`: the holder is to release the keys to the next one.
+ * - `revoked`: the holder is taken to be lost; its last grant has to run out.
+ * - `free`: nobody holds the keys.
+ */
+export type TermState = 'held' | 'moving' | 'revoked' | 'free';
+
+/** A range of keys and who may hold it under which fencing token. */
+export interface RangeTerm {
+  readonly from: number;
+  /** Last key of the range. */
+  readonly to: number;
+  readonly fence: number;
+  readonly holder: Incarnation;
+  readonly state: TermState;
+  /** Token of the previous holder's release, which spares the warm-up; or ''. */
+  readonly handover: string;
+  /** Who gets the keys of a term that is `moving`. */
+  readonly next?: Incarnation;
+  /** Tells one revocation from a later one; present with `revoked`. */
+  readonly revocation?: number;
+}
+
+/** All terms of one service in the order of their keys, without gaps. */
+export interface RangeMap {
+  /** Highest fencing token or revocation number used so far. */
+  readonly fence: number;
+  readonly terms: readonly RangeTerm[];
+}
+
+/** The map of a service of which no key was ever assigned. */
+export const EMPTY_MAP: RangeMap = {fence: 0, terms: []};
+
+/**
+ * Tells whether two incarnations are the same life.
+ *
+ * @example
+ * sameLife({node: 'a', id: 'i', born: 1}, {node: 'a', id: 'i', born: 2}); // false
+ */
+export function sameLife(
+  a: Incarnation | undefined,
+  b: Incarnation | undefined,
+): boolean {
+  return (
+    a !== undefined &&
+    b !== undefined &&
+    a.node === b.node &&
+    a.id === b.id &&
+    a.born === b.born
+  );
+}
+
+/**
+ * Finds the term of a key by binary search.
+ *
+ * @returns undefined when the key was never assigned.
+ *
+ * @example
+ * termOf(map, 4711)?.holder.node;
+ */
+export function termOf(map: RangeMap, key: number): RangeTerm | undefined {
+  let low = 0;
+  let high = map.terms.length - 1;
+  while (low <= high) {
+    const middle = (low + high) >> 1;
+    const term = map.terms[middle];
+    if (key < term.from) high = middle - 1;
+    else if (key > term.to) low = middle + 1;
+    else return term;
+  }
+  return undefined;
+}
+
+/**
+ * Returns the terms that an incarnation may be granted.
+ *
+ * @example
+ * heldBy(map, incarnation).map(term => [term.from, term.to, term.fence]);
+ */
+export function heldBy(map: RangeMap, life: Incarnation): readonly RangeTerm[] {
+  return map.terms.filter(
+    term => term.state === 'held' && sameLife(term.holder, life),
+  );
+}
+
+/**
+ * Splits the terms at the edges of a range, so that the range is made up of
+ * whole terms. A part keeps everything of its term but the edges.
+ *
+ * @example
+ * splitAt({fence: 1, terms: [whole]}, 100, 199).terms.length; // 3
+ */
+export function splitAt(map: RangeMap, from: number, to: number): RangeMap {
+  const terms: RangeTerm[] = [];
+  for (const term of map.terms) {
+    let rest = term;
+    for (const edge of [from, to + 1]) {
+      if (edge <= rest.from || edge > rest.to) continue;
+      terms.push({...rest, to: edge - 1});
+      rest = {...rest, from: edge};
+    }
+    terms.push(rest);
+  }
+  return {...map, terms};
+}
+
+/** Changes one term; returns it unchanged to leave it as it is. */
+export type TermChange = (term: RangeTerm) => RangeTerm;
+
+/**
+ * Applies a change to every term and joins neighbours that have become equal.
+ *
+ * @returns the same map when nothing changed.
+ *
+ * @example
+ * changeTerms(map, term => ({...term, state: 'free'}));
+ */
+export function changeTerms(map: RangeMap, change: TermChange): RangeMap {
+  let changed = false;
+  let {fence} = map;
+  const terms: RangeTerm[] = [];
+  for (const term of map.terms) {
+    const next = change(term);
+    changed ||= next !== term;
+    fence = Math.max(fence, next.fence);
+    const last = terms.at(-1);
+    if (last && joins(last, next)) {
+      terms[terms.length - 1] = {...last, to: next.to};
+    } else {
+      terms.push(next);
+    }
+  }
+  return changed ? {fence, terms} : map;
+}
+
+function joins(a: RangeTerm, b: RangeTerm): boolean {
+  return (
+    a.to + 1 === b.from &&
+    a.fence === b.fence &&
+    a.state === b.state &&
+    a.handover === b.handover &&
+    a.revocation === b.revocation &&
+    sameLife(a.holder, b.holder) &&
+    (a.next === b.next || sameLife(a.next, b.next))
+  );
+}
+
+/** Why stored text is not a map. */
+export interface MapProblem {
+  readonly problem: string;
+}
+
+/**
+ * Reads a map from stored JSON and checks that its terms are in order and
+ * without gaps.
+ *
+ * @example
+ * const map = parseMap(text);
+ * if ('problem' in map) log(RANGE_EVENTS.unreadable, map);
+ */
+export function parseMap(text: string): RangeMap | MapProblem {
+  let map: RangeMap;
+  try {
+    map = JSON.parse(text) as RangeMap;
+  } catch (error) {
+    return {problem: `not JSON: ${(error as Error).message}`};
+  }
+  if (!Number.isInteger(map?.fence) || !Array.isArray(map.terms)) {
+    return {problem: 'fence or terms are missing'};
+  }
+  let expected = 0;
+  for (const term of map.terms) {
+    if (term.from !== expected || !(term.to >= term.from) || !term.holder) {
+      return {problem: `terms have a gap or no holder at key ${expected}`};
+    }
+    expected = term.to + 1;
+  }
+  const isWhole = expected === 0 || expected === LAST_KEY + 1;
+  return isWhole ? map : {problem: `terms end before key ${expected}`};
+}
--- /dev/null
+++ b/src/relay/choose.ts
@@ -0,0 +1,171 @@
+/** What is known of the load of one instance. */
+export interface InstanceLoad {
+  /** Requests that run or wait there, as last reported. */
+  readonly reported: number;
+  readonly slots: number;
+  /** Mean time that a request takes there, in milliseconds. */
+  readonly meanMs: number;
+  /** Requests sent there and not ended yet. */
+  readonly inFlight: number;
+  /** Requests that were in flight when the report was made. */
+  readonly inFlightAtReport: number;
+  /** Time of the report, in milliseconds. */
+  readonly reportedAt: number;
+  /** Moving share of requests that failed there, from 0 to 1. */
+  readonly failures: number;
+  /** Connection failures in a row. */
+  readonly unreachable: number;
+  /** No request is sent there before this time, in milliseconds. */
+  readonly shunnedUntil: number;
+}
+
+/** The load of an instance of which nothing is known. */
+export const UNKNOWN_LOAD: InstanceLoad = {
+  reported: 0,
+  slots: 1,
+  meanMs: 0,
+  inFlight: 0,
+  inFlightAtReport: 0,
+  reportedAt: 0,
+  failures: 0,
+  unreachable: 0,
+  shunnedUntil: 0,
+};
+
+/** What happened to a request that was sent to an instance. */
+export type LoadEvent =
+  | {readonly kind: 'sent'}
+  | {readonly kind: 'ended'; readonly failed: boolean}
+  | {
+      readonly kind: 'reported';
+      readonly busy: number;
+      readonly slots: number;
+      readonly meanMs: number;
+    }
+  | {readonly kind: 'unreachable'};
+
+/** Share of the newest result in the moving share of failures. */
+const FAILURE_WEIGHT = 0.1;
+
+/** Time after which a report counts half, in milliseconds. */
+const REPORT_HALF_LIFE_MS = 500;
+
+/** First time for which an unreachable instance is passed over. */
+const SHUN_MS = 250;
+
+/** Longest time for which an unreachable instance is passed over. */
+const LONGEST_SHUN_MS = 2000;
+
+/** Added to the estimate of an instance at which every request fails. */
+const FAILURE_COST_MS = 1500;
+
+/** Added for an instance in another failure domain: its delay and bytes. */
+const DOMAIN_COST_MS = 20;
+
+/**
+ * Applies an event to the load of an instance.
+ *
+ * @example
+ * applyLoadEvent(UNKNOWN_LOAD, {kind: 'sent'}, now).inFlight; // 1
+ */
+export function applyLoadEvent(
+  load: InstanceLoad,
+  event: LoadEvent,
+  now: number,
+): InstanceLoad {
+  switch (event.kind) {
+    case 'sent':
+      return {...load, inFlight: load.inFlight + 1};
+    case 'ended': {
+      const share = event.failed ? 1 : 0;
+      const failures = load.failures + FAILURE_WEIGHT * (share - load.failures);
+      return {...load, failures, inFlight: Math.max(0, load.inFlight - 1)};
+    }
+    case 'reported': {
+      const {busy, slots, meanMs} = event;
+      return {
+        ...load,
+        reported: busy,
+        slots,
+        meanMs,
+        inFlightAtReport: load.inFlight,
+        reportedAt: now,
+        unreachable: 0,
+        shunnedUntil: 0,
+      };
+    }
+    case 'unreachable': {
+      const unreachable = load.unreachable + 1;
+      const shunMs = Math.min(SHUN_MS * 2 ** load.unreachable, LONGEST_SHUN_MS);
+      return {...load, unreachable, shunnedUntil: now + shunMs};
+    }
+  }
+}
+
+/**
+ * Estimates the time that a new request takes at an instance, in milliseconds:
+ * what waits there before it, its own work, and what speaks against the
+ * instance.
+ *
+ * @param isNear The instance is in the own failure domain.
+ *
+ * @example
+ * estimateMs(load, true, now) < estimateMs(load, false, now); // true
+ */
+export function estimateMs(
+  load: InstanceLoad,
+  isNear: boolean,
+  now: number,
+): number {
+  const {slots, meanMs, inFlight, inFlightAtReport} = load;
+  const age = 2 ** ((load.reportedAt - now) / REPORT_HALF_LIFE_MS);
+  const others = Math.max(0, load.reported - inFlightAtReport) * age;
+  const busy = Math.max(inFlight, others + inFlight);
+  const waiting = Math.max(0, busy + 1 - slots) / slots;
+  const full = busy / slots;
+  const workMs = Math.max(meanMs, 1);
+  const failureMs = load.failures * FAILURE_COST_MS;
+  const farMs = isNear ? 0 : DOMAIN_COST_MS;
+  return workMs * (1 + waiting + FULLNESS * full) + failureMs + farMs;
+}
+
+/** Weight of a fuller instance while neither has to queue. */
+const FULLNESS = 0.3;
+
+/** An instance that a request may be sent to. */
+export interface Choice {
+  readonly node: string;
+  readonly isNear: boolean;
+  readonly load: InstanceLoad;
+}
+
+/**
+ * Chooses the instance with the lowest estimate among those that are not
+ * passed over; if all are, the one whose pause ends first.
+ *
+ * Answers services without keys, whose instances differ in speed, fill up and
+ * fail one by one.
+ *
+ * @example
+ * chooseInstance(choices, performance.now())?.node;
+ */
+export function chooseInstance(
+  choices: readonly Choice[],
+  now: number,
+): Choice | undefined {
+  let best: Choice | undefined;
+  let bestMs = Infinity;
+  for (const choice of choices) {
+    const {load, isNear} = choice;
+    const shunnedMs = Math.max(0, load.shunnedUntil - now) * SHUN_COST;
+    const ms = estimateMs(load, isNear, now) + shunnedMs;
+    if (ms < bestMs) {
+      best = choice;
+      bestMs = ms;
+    }
+  }
+  return best;
+}
+
+/** Makes any reachable instance preferable to one that is passed over. */
+const SHUN_COST = 1000;
--- /dev/null
+++ b/src/relay/entry.ts
@@ -0,0 +1,520 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  failed,
+  runExchange,
+  stopper,
+  type Attempt,
+  type FailedTry,
+  type PassState,
+} from '../gateway/index.js';
+import {isOpen, lifeOf, membersOf, type FleetView, type Member} from '../fleet/index.js';
+import {notRun, parseAddress, unknown, type Failure} from '../model/index.js';
+import {sameLife, termOf} from '../ranges/index.js';
+import type {AnswerHead, Pools} from '../upstream/index.js';
+import {readBody, type RequestBody} from './body.js';
+import {
+  chooseInstance,
+  type InstanceLoad,
+  type LoadEvent,
+} from './choose.js';
+import {
+  findRoute,
+  type Route,
+  type RoutedConfiguration,
+  type RouteTable,
+} from './configuration.js';
+import type {CallerRequest} from './dialect.js';
+import {RELAY_EVENTS} from './events.js';
+import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
+import {runLocally, type OwnerContext} from './owner.js';
+import {DEADLINE_GRACE_MS} from './peers.js';
+import {pause, sendable, type Flow, type Work} from './work.js';
+
+/** A configuration with what is derived from it. */
+export interface ActiveConfiguration extends RoutedConfiguration {
+  readonly table: RouteTable;
+}
+
+/** How requests of callers are handled. */
+export interface EntryContext extends OwnerContext {
+  readonly node: string;
+  readonly domain: string;
+  /** Service of the instance beside which requests begin. */
+  readonly callerService: () => string;
+  readonly configuration: () => ActiveConfiguration | undefined;
+  readonly view: () => FleetView;
+  readonly viewChanged: () => Promise<unknown>;
+  readonly service: (route: Route) => string;
+  readonly loads: (node: string) => InstanceLoad;
+  readonly observeLoad: (node: string, event: LoadEvent) => void;
+  readonly peerPools: Pools;
+  /** Takes one retry to a service from the budget; false when none is left. */
+  readonly retryAllowed: (service: string) => boolean;
+  readonly countForwarded: (service: string) => void;
+  /** Tells whether a daemon answers on a new connection. */
+  readonly probe: (node: string) => Promise<boolean>;
+  readonly ended: (outcome: Ended) => void;
+}
+
+/** How a request of a caller ended. */
+export interface Ended {
+  readonly service: string;
+  readonly route: string;
+  readonly outcome: 'answered' | 'not-run' | 'unknown' | 'broken' | 'cancelled';
+  readonly reason: string;
+  readonly timeMs: number;
+}
+
+/** Longest wait for an instance where none is known, in milliseconds. */
+const OWNER_WAIT_MS = 1200;
+
+/** Interval at which a wait for an instance is looked at again. */
+const OWNER_POLL_MS = 150;
+
+/** Retry-After where no instance is known, in milliseconds. */
+const NO_OWNER_RETRY_MS = 500;
+
+/** Most daemons that are asked for one request. */
+const ASK_LIMIT = 6;
+
+/** Silence after which a daemon is probed, in milliseconds. */
+const PROBE_AFTER_MS = 700;
+
+/** Connections to one daemon. */
+const PEER_CONNECTIONS = 128;
+
+/** Time for which a caller waits that states no deadline, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 30_000;
+
+/** One request of a caller and what its attempts have shown. */
+interface Request {
+  readonly flow: Flow;
+  readonly caller: CallerRequest;
+  readonly route: Route;
+  readonly service: string;
+  readonly body: RequestBody;
+  readonly startedAt: number;
+  readonly deadlineAt: number;
+  readonly method: string;
+  readonly target: string;
+  /** Daemons that refused the request. */
+  readonly refused: Set<string>;
+  /** Instances to which the request may have been sent. */
+  readonly offered: Set<string>;
+  asked: number;
+  waitUntil: number;
+  /** Shortest time after which a daemon that refused expects to have room. */
+  retryAfterMs?: number;
+}
+
+/**
+ * Handles a request of a caller: finds its route and an instance that serves it,
+ * forwards it at most one hop, and answers in any case.
+ *
+ * @example
+ * server.on('request', (request, response) =>
+ *   handleCaller(context, request, response));
+ */
+export async function handleCaller(
+  context: EntryContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const startedAt = context.clock();
+  const caller = context.dialect.readRequest(request.rawHeaders);
+  const state: PassState = {mayHaveRun: false, consumed: false};
+  const stop = stopper(state);
+  const configuration = context.configuration();
+  const target = request.url ?? '/';
+  const refuse = (failure: Failure, route = '', service = '') => {
+    report(context, caller.id, failure, route, service, startedAt);
+    sendFailure(response, failure);
+  };
+  if (caller.problem) return refuse(notRun('bad-request', caller.problem));
+  if (!configuration) {
+    const message = 'no configuration is in force yet';
+    return refuse(notRun('no-owner', message, NO_OWNER_RETRY_MS));
+  }
+  const path = target.split('?', 1)[0];
+  const route = findRoute(configuration.table, caller.host, path);
+  if (!route) {
+    const message = `no route for this path in version ${configuration.version}`;
+    return refuse(notRun('no-service', message));
+  }
+  const timeMs = Math.min(
+    caller.deadlineMs ?? DEFAULT_DEADLINE_MS,
+    route.timeoutMs,
+  );
+  const timer = setTimeout(() => {
+    stop(notRun('deadline', 'the deadline has passed'));
+  }, timeMs + DEADLINE_GRACE_MS);
+  response.once('close', () => {
+    if (!response.writableFinished) {
+      stop(notRun('cancelled', 'the caller has gone'));
+    }
+  });
+  if (caller.expectsContinue) response.writeContinue();
+  const body = await readBody(request, caller, configuration.limits.bodyBytes);
+  const service = context.service(route);
+  if (body.kind === 'too-large' || body.kind === 'broken') {
+    clearTimeout(timer);
+    const reason = body.kind === 'broken' ? 'cancelled' : 'too-large';
+    return refuse(notRun(reason, `body: ${body.kind}`), route.name, service);
+  }
+  const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
+  const pass: Request = {
+    flow: {request, response, state, bodyMode, stop},
+    caller,
+    route,
+    service,
+    body,
+    startedAt,
+    deadlineAt: startedAt + timeMs,
+    method: request.method ?? 'GET',
+    target,
+    refused: new Set(),
+    offered: new Set(),
+    asked: 0,
+    waitUntil: startedAt + Math.min(timeMs, OWNER_WAIT_MS),
+  };
+  const result = await serve(context, pass);
+  clearTimeout(timer);
+  finish(context, pass, result);
+}
+
+function finish(
+  context: EntryContext,
+  pass: Request,
+  result: Attempt,
+): void {
+  const {flow, route, service, caller, startedAt} = pass;
+  const timeMs = Math.round(context.clock() - startedAt);
+  const names = {service, route: route.name, timeMs};
+  if (result.kind === 'answered') {
+    const {status} = result;
+    context.ended({...names, outcome: 'answered', reason: ''});
+    const request = caller.id;
+    context.log(RELAY_EVENTS.served, {request, status, ...names});
+    return;
+  }
+  if (result.kind === 'broken') {
+    const {message} = result.error;
+    context.ended({...names, outcome: 'broken', reason: ''});
+    context.log(RELAY_EVENTS.broken, {request: caller.id, message, ...names});
+    flow.response.destroy();
+    return;
+  }
+  const {failure} = result;
+  report(context, caller.id, failure, route.name, service, startedAt);
+  sendFailure(flow.response, failure);
+}
+
+function report(
+  context: EntryContext,
+  request: string,
+  failure: Failure,
+  route: string,
+  service: string,
+  startedAt: number,
+): void {
+  const timeMs = Math.round(context.clock() - startedAt);
+  const {outcome, reason, message, status, retryAfterMs} = failure;
+  const version = context.configuration()?.version;
+  const names = {service, route, timeMs};
+  if (reason === 'cancelled') {
+    context.ended({...names, outcome: 'cancelled', reason});
+    context.log(RELAY_EVENTS.cancelled, {request, ...names});
+    return;
+  }
+  context.ended({...names, outcome, reason});
+  const result = {outcome, reason, message, status, retryAfterMs, version};
+  context.log(RELAY_EVENTS.failed, {request, ...result, ...names});
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Answers a caller with a failure; a Retry-After keeps its fractions. */
+function sendFailure(response: ServerResponse, failure: Failure): void {
+  if (response.destroyed || response.headersSent) return;
+  const {outcome, reason, message, retryAfterMs, status} = failure;
+  const body = JSON.stringify({outcome, reason, message}) + '\n';
+  const headers = [
+    'Content-Type',
+    'application/json',
+    'Content-Length',
+    String(Buffer.byteLength(body)),
+  ];
+  if (outcome === 'not-run' && retryAfterMs !== undefined) {
+    headers.push('Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3));
+  }
+  response.writeHead(status, headers);
+  response.end(body);
+}
+
+async function serve(context: EntryContext, pass: Request): Promise<Attempt> {
+  const {state} = pass.flow;
+  for (;;) {
+    if (state.stopped) return conclude(pass, state.stopped);
+    const target = findTarget(context, pass);
+    if (target.kind === 'refuse') return conclude(pass, target.failure);
+    if (target.kind === 'wait') {
+      await pause(pass.flow, context.viewChanged(), OWNER_POLL_MS);
+      continue;
+    }
+    const {member} = target;
+    pass.asked += 1;
+    const attempt = await attemptAt(context, pass, member);
+    if (attempt.kind !== 'failed') return attempt;
+    const {failure} = attempt;
+    if (failure.outcome === 'unknown') state.mayHaveRun = true;
+    if (state.stopped) return conclude(pass, state.stopped);
+    if (!mayRepeat(context, pass, member, attempt)) {
+      return conclude(pass, failure);
+    }
+    const {reason, message} = failure;
+    context.log(RELAY_EVENTS.retried, {
+      request: pass.caller.id,
+      service: pass.service,
+      instance: member.id,
+      reason,
+      message,
+    });
+  }
+}
+
+/**
+ * Describes how a request ended without an answer. Where it may have run, no
+ * status says that it has not; where it has not, the caller is told when to
+ * come back.
+ */
+function conclude(pass: Request, failure: Failure): FailedTry {
+  const {reason, message, status} = failure;
+  if (pass.flow.state.mayHaveRun) {
+    const known = reason === 'deadline' ? 504 : 502;
+    return failed({...unknown(reason, message), status: known});
+  }
+  if (failure.outcome === 'unknown') return failed(failure);
+  if (reason === 'deadline') {
+    return failed({...failure, status: 503, retryAfterMs: 0});
+  }
+  const retryAfterMs = failure.retryAfterMs ?? pass.retryAfterMs;
+  const known = status === 503 ? (retryAfterMs ?? NO_OWNER_RETRY_MS) : undefined;
+  return failed({...failure, retryAfterMs: known});
+}
+
+type Target =
+  | {readonly kind: 'member'; readonly member: Member}
+  | {readonly kind: 'wait'}
+  | {readonly kind: 'refuse'; readonly failure: Failure};
+
+function findTarget(context: EntryContext, pass: Request): Target {
+  const keyed = context.isKeyed(pass.service);
+  const target = keyed ? findHolder(context, pass) : findInstance(context, pass);
+  if (target.kind !== 'wait' || context.clock() < pass.waitUntil) return target;
+  const message = 'no instance takes the request now';
+  return {
+    kind: 'refuse',
+    failure: notRun('no-owner', message, NO_OWNER_RETRY_MS),
+  };
+}
+
+function findHolder(context: EntryContext, pass: Request): Target {
+  const {key} = pass.caller;
+  if (key === undefined) {
+    return {kind: 'refuse', failure: notRun('bad-key', 'the key is missing')};
+  }
+  const view = context.view();
+  const map = view.maps.get(pass.service)?.value;
+  const term = map && termOf(map, key);
+  if (!term || term.state === 'free') return {kind: 'wait'};
+  const member = view.members.get(term.holder.node)?.value;
+  if (!member || !sameLife(lifeOf(member), term.holder)) return {kind: 'wait'};
+  if (member.state === 'left') return {kind: 'wait'};
+  const load = context.loads(member.node);
+  const now = context.clock();
+  if (load.shunnedUntil > now) {
+    const message = 'the holder of the key is unreachable';
+    const retryMs = Math.max(NO_OWNER_RETRY_MS, load.shunnedUntil - now);
+    return {kind: 'refuse', failure: notRun('no-owner', message, retryMs)};
+  }
+  if (pass.refused.has(member.node)) {
+    pass.refused.delete(member.node);
+    return {kind: 'wait'};
+  }
+  return {kind: 'member', member};
+}
+
+function findInstance(context: EntryContext, pass: Request): Target {
+  const members = membersOf(context.view(), pass.service).filter(isOpen);
+  const untried = members.filter(
+    ({node, id}) => !pass.refused.has(node) && !pass.offered.has(id),
+  );
+  const choices = untried.map(member => ({
+    node: member.node,
+    isNear: member.domain === context.domain,
+    load: context.loads(member.node),
+    member,
+  }));
+  const choice = chooseInstance(choices, context.clock());
+  if (!choice) {
+    pass.refused.clear();
+    return {kind: 'wait'};
+  }
+  const member = untried.find(({node}) => node === choice.node);
+  return member ? {kind: 'member', member} : {kind: 'wait'};
+}
+
+/** Decides whether a failed attempt is followed by another. */
+function mayRepeat(
+  context: EntryContext,
+  pass: Request,
+  member: Member,
+  attempt: FailedTry,
+): boolean {
+  const {failure, free} = attempt;
+  const {route, service} = pass;
+  if (pass.body.kind === 'streamed' && pass.flow.state.consumed) return false;
+  if (context.clock() >= pass.deadlineAt) return false;
+  if (failure.outcome === 'unknown') {
+    pass.offered.add(member.id);
+    if (route.repetition !== 'idempotent') return false;
+    if (pass.offered.size >= route.maxAttempts) return false;
+    if (context.isKeyed(service)) pass.offered.clear();
+    return context.retryAllowed(service);
+  }
+  if (failure.reason === 'bad-key' || failure.reason === 'bad-request') {
+    return false;
+  }
+  pass.refused.add(member.node);
+  const {retryAfterMs} = failure;
+  if (retryAfterMs !== undefined) {
+    pass.retryAfterMs = Math.min(pass.retryAfterMs ?? Infinity, retryAfterMs);
+  }
+  if (pass.asked >= ASK_LIMIT) return false;
+  if (free === false) {
+    pass.offered.add(member.id);
+    if (pass.offered.size >= route.maxAttempts) return false;
+    if (!context.retryAllowed(service)) return false;
+  }
+  if (failure.reason !== 'overloaded' && failure.reason !== 'deadline') {
+    return true;
+  }
+  return !context.isKeyed(service) && hasRoom(context, pass);
+}
+
+/** Tells whether an instance that was not asked yet seems to have room. */
+function hasRoom(context: EntryContext, pass: Request): boolean {
+  return membersOf(context.view(), pass.service).some(member => {
+    if (!isOpen(member) || pass.refused.has(member.node)) return false;
+    const {reported, inFlight, slots} = context.loads(member.node);
+    return Math.max(reported, inFlight) < Math.max(slots, member.slots);
+  });
+}
+
+async function attemptAt(
+  context: EntryContext,
+  pass: Request,
+  member: Member,
+): Promise<Attempt> {
+  context.observeLoad(member.node, {kind: 'sent'});
+  const work = workOf(context, pass, member);
+  const attempt =
+    member.node === context.node
+      ? await runLocally(context, pass.flow, work, () => {})
+      : await sendHop(context, pass, member, work);
+  const failedThere =
+    attempt.kind === 'broken' ||
+    (attempt.kind === 'failed' && attempt.failure.outcome === 'unknown') ||
+    (attempt.kind === 'answered' && attempt.status >= 500);
+  const gaveUp = pass.flow.state.stopped !== undefined;
+  const failed = failedThere && !gaveUp;
+  context.observeLoad(member.node, {kind: 'ended', failed});
+  context.countForwarded(pass.service);
+  return attempt;
+}
+
+function workOf(
+  context: EntryContext,
+  pass: Request,
+  member: Member,
+): Work {
+  const {route, caller, startedAt, deadlineAt, method, target, body} = pass;
+  return {
+    id: caller.id,
+    service: pass.service,
+    instance: member.id,
+    route: route.name,
+    repetition: route.repetition,
+    priority: route.priority,
+    deadlineAt,
+    objectiveAt: startedAt + route.objectiveMs,
+    key: caller.key,
+    callerService: context.callerService(),
+    method,
+    target,
+    headers: caller.headers,
+    body,
+  };
+}
+
+async function sendHop(
+  context: EntryContext,
+  pass: Request,
+  member: Member,
+  work: Work,
+): Promise<Attempt> {
+  const {flow} = pass;
+  const {node} = member;
+  const pool = context.peerPools.to(parseAddress(node), PEER_CONNECTIONS);
+  const now = context.clock();
+  const hop = formatHop({
+    ...work,
+    leftMs: Math.max(1, work.deadlineAt - now),
+    objectiveLeftMs: work.objectiveAt - now,
+  });
+  if (work.body.kind === 'streamed') flow.state.consumed = true;
+  let heard = false;
+  let unreachable = false;
+  const probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
+  const probe = async () => {
+    if (heard || (await context.probe(node)) || heard) return;
+    unreachable = true;
+    flow.state.giveUp?.();
+  };
+  const read = (head: AnswerHead) => {
+    heard = true;
+    const load = readLoad(head);
+    if (load) context.observeLoad(node, {kind: 'reported', ...load});
+    const reported = readFailure(head);
+    if (!reported) return undefined;
+    const {failure, offered} = reported;
+    return {kind: 'failed', failure, alternative: true, free: !offered} as const;
+  };
+  const attempt = await runExchange(
+    flow,
+    pool,
+    {
+      method: work.method,
+      path: work.target,
+      headers: [...work.headers, HOP_HEADER, hop],
+      body: sendable(work.body),
+    },
+    {
+      ready: () => true,
+      judge: read,
+      extend: () => {},
+      unsent: error => {
+        unreachable = true;
+        const message = `the daemon was not reached: ${error.message}`;
+        const failure = notRun('upstream-refused', message);
+        return {kind: 'failed', failure, alternative: true, free: true};
+      },
+      ended: () => clearTimeout(probing),
+    },
+  );
+  if (unreachable && !flow.state.stopped) {
+    context.observeLoad(node, {kind: 'unreachable'});
+    context.log(RELAY_EVENTS.unreachable, {request: work.id, node});
+  }
+  return attempt;
+}
--- /dev/null
+++ b/src/relay/index.ts
@@ -0,0 +1,17 @@
+/**
+ * The request path on a fleet where each instance has a daemon beside it.
+ *
+ * @module
+ */
+
+export * from './body.js';
+export * from './choose.js';
+export * from './configuration.js';
+export * from './dialect.js';
+export * from './entry.js';
+export * from './events.js';
+export * from './hop.js';
+export * from './owner.js';
+export * from './peers.js';
+export * from './split.js';
+export * from './work.js';
--- /dev/null
+++ b/src/relay/owner.ts
@@ -0,0 +1,255 @@
+import {
+  failed,
+  runExchange,
+  type Attempt,
+  type FailedTry,
+} from '../gateway/index.js';
+import type {Admission, AdmissionResult} from '../admission/index.js';
+import {notRun, unknown, type Failure} from '../model/index.js';
+import type {Log} from '../telemetry/index.js';
+import type {AnswerHead, Pools} from '../upstream/index.js';
+import type {Dialect, StatedLoad, Verdict} from './dialect.js';
+import {RELAY_EVENTS} from './events.js';
+import type {ReportedLoad} from './hop.js';
+import {pause, sendable, type Flow, type Work} from './work.js';
+
+/** The upstream instance beside a daemon. */
+export interface LocalInstance {
+  readonly id: string;
+  readonly service: string;
+  readonly address: {readonly host: string; readonly port: number};
+  readonly slots: number;
+  /** The instance takes no new requests. */
+  readonly closed: boolean;
+}
+
+/** How the daemon beside an instance passes requests on to it. */
+export interface OwnerContext {
+  readonly clock: () => number;
+  readonly dialect: Dialect;
+  readonly local: () => LocalInstance | undefined;
+  /** The service's requests carry keys. */
+  readonly isKeyed: (service: string) => boolean;
+  /** Tells whether the instance holds a key now. */
+  readonly holds: (key: number) => boolean;
+  /** Tells whether the instance is about to hold a key. */
+  readonly awaits: (key: number) => boolean;
+  /** Resolves when the keys that the instance holds may have changed. */
+  readonly holdsChanged: () => Promise<unknown>;
+  readonly admission: Admission;
+  readonly pools: Pools;
+  /** Told of each request that the instance ran, and how long it took. */
+  readonly observed: (work: Work, timeMs: number, load?: StatedLoad) => void;
+  /** Told of each key that is asked for. */
+  readonly asked: (key: number) => void;
+  readonly log: Log;
+}
+
+/** Longest wait for keys that the instance is about to hold. */
+const HOLD_WAIT_MS = 1200;
+
+/** Time after which a caller is to ask for a key that has no holder. */
+const HOLDER_RETRY_MS = 400;
+
+/** Added to the priority of a request that has missed its objective. */
+const LATE_RANK = 100;
+
+/** Connections beyond the slots, for those that are being closed. */
+const SPARE_CONNECTIONS = 8;
+
+/**
+ * Runs a request at the instance beside: waits for its key and for a slot, then
+ * passes the request on and the answer back.
+ *
+ * @param extend Adds headers to an answer that is passed on.
+ *
+ * @example
+ * const attempt = await runLocally(context, flow, work, () => {});
+ */
+export async function runLocally(
+  context: OwnerContext,
+  flow: Flow,
+  work: Work,
+  extend: (head: AnswerHead) => void,
+): Promise<Attempt> {
+  const refusal = checkInstance(context, work) ?? (await awaitKey(context, flow, work));
+  if (refusal) return refusal;
+  const admitted = await admit(context, flow, work);
+  if (admitted.kind === 'refused') {
+    const {reason, retryAfterMs} = admitted;
+    return alternative(notRun(reason, 'no slot in time', retryAfterMs));
+  }
+  if (flow.state.stopped) {
+    admitted.release('cut-short');
+    return failed(flow.state.stopped);
+  }
+  const late = checkInstance(context, work);
+  if (late) {
+    admitted.release('cut-short');
+    return late;
+  }
+  return send(context, flow, work, admitted.release, extend);
+}
+
+function checkInstance(
+  context: OwnerContext,
+  work: Work,
+): FailedTry | undefined {
+  const local = context.local();
+  if (!local || local.service !== work.service) {
+    const message = 'no instance of the service is beside this daemon';
+    return alternative(notRun('not-owner', message));
+  }
+  if (local.id !== work.instance) {
+    return alternative(notRun('not-owner', `instance ${local.id} is here`));
+  }
+  if (local.closed) {
+    return alternative(notRun('draining', 'the instance is leaving'));
+  }
+  return undefined;
+}
+
+async function awaitKey(
+  context: OwnerContext,
+  flow: Flow,
+  work: Work,
+): Promise<FailedTry | undefined> {
+  const {key} = work;
+  if (!context.isKeyed(work.service)) return undefined;
+  if (key === undefined) {
+    return failed(notRun('bad-key', 'the request carries no key'));
+  }
+  context.asked(key);
+  const until = Math.min(work.deadlineAt, context.clock() + HOLD_WAIT_MS);
+  while (!context.holds(key)) {
+    if (flow.state.stopped) return failed(flow.state.stopped);
+    if (!context.awaits(key) || context.clock() >= until) {
+      const message = 'the instance does not hold the key';
+      return alternative(notRun('not-owner', message, HOLDER_RETRY_MS));
+    }
+    await pause(flow, context.holdsChanged(), until - context.clock());
+  }
+  return undefined;
+}
+
+/**
+ * Asks for a slot in time for the objective, and if that is out of reach, for
+ * one that nobody needs for its own objective, in time for the deadline.
+ */
+async function admit(
+  context: OwnerContext,
+  flow: Flow,
+  work: Work,
+): Promise<AdmissionResult> {
+  const {service, priority, objectiveAt, deadlineAt, route} = work;
+  const request = {
+    service: `${service} ${route}`,
+    caller: '',
+    get signal() {
+      flow.state.controller ??= new AbortController();
+      return flow.state.controller.signal;
+    },
+  };
+  if (objectiveAt < deadlineAt) {
+    const inTime = await context.admission.admit({
+      ...request,
+      priority,
+      deadlineAt: objectiveAt,
+    });
+    if (inTime.kind === 'admitted' || flow.state.stopped) return inTime;
+  }
+  return context.admission.admit({
+    ...request,
+    priority: priority + LATE_RANK,
+    deadlineAt,
+  });
+}
+
+function send(
+  context: OwnerContext,
+  flow: Flow,
+  work: Work,
+  release: (completion?: 'ran' | 'cut-short') => void,
+  extend: (head: AnswerHead) => void,
+): Promise<Attempt> {
+  const {dialect, clock} = context;
+  const local = context.local() as LocalInstance;
+  const pool = context.pools.to(local.address, local.slots + SPARE_CONNECTIONS);
+  const startedAt = clock();
+  let load: StatedLoad | undefined;
+  let answered = false;
+  let garbled = false;
+  const leftMs = Math.max(1, Math.floor(work.deadlineAt - startedAt));
+  const call = {
+    method: work.method,
+    path: work.target,
+    headers: dialect.upstreamHeaders(work.headers, {
+      instance: work.instance,
+      leftMs,
+      callerService: work.callerService,
+    }),
+    body: sendable(work.body),
+  };
+  return runExchange(flow, pool, call, {
+    ready: () => context.local()?.id === work.instance,
+    judge: head => {
+      const verdict = dialect.judge(head, work.id, work.instance);
+      if (verdict.kind === 'answer') {
+        load = verdict.load;
+        answered = true;
+        return undefined;
+      }
+      garbled = verdict.kind === 'garbled';
+      context.log(RELAY_EVENTS.answerRefused, {
+        request: work.id,
+        verdict: verdict.kind,
+        status: head.status,
+      });
+      return refusalOf(verdict);
+    },
+    distrusts: () => garbled,
+    extend,
+    unsent: error => {
+      const message = `the instance was not reached: ${error.message}`;
+      return alternative(notRun('upstream-refused', message));
+    },
+    ended: () => {
+      release(answered ? 'ran' : 'cut-short');
+      if (answered) context.observed(work, clock() - startedAt, load);
+    },
+  });
+}
+
+function refusalOf(verdict: Verdict): FailedTry {
+  switch (verdict.kind) {
+    case 'not-run':
+      return offered(notRun('overloaded', 'the instance refused it', 100));
+    case 'not-holder':
+      return offered(notRun('not-owner', 'the instance does not hold it', 100));
+    case 'garbled':
+      return alternative(unknown('upstream-reset', verdict.message));
+    case 'answer':
+      return failed(unknown('upstream-reset', 'an answer is no refusal'));
+  }
+}
+
+/** The request reached the instance, so that a repeat draws on the budget. */
+function offered(failure: Failure): FailedTry {
+  return {kind: 'failed', failure, alternative: true, free: false};
+}
+
+function alternative(failure: Failure): FailedTry {
+  return {kind: 'failed', failure, alternative: true, free: true};
+}
+
+/**
+ * Returns the load of the instance beside, for those who choose among
+ * instances.
+ *
+ * @example
+ * head.headers.push(LOAD_HEADER, formatLoad(loadOf(admission, 118)));
+ */
+export function loadOf(admission: Admission, meanMs: number): ReportedLoad {
+  const {running, waiting, slots} = admission.state();
+  return {busy: running.length + waiting.length, slots, meanMs};
+}
--- /dev/null
+++ b/src/relay/work.ts
@@ -0,0 +1,75 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {PassState} from '../gateway/index.js';
+import type {Failure} from '../model/index.js';
+import type {RequestBody} from './body.js';
+import type {Repetition} from './configuration.js';
+
+/** One request that an instance is to run. */
+export interface Work {
+  readonly id: string;
+  readonly service: string;
+  /** Incarnation that is to run it. */
+  readonly instance: string;
+  readonly route: string;
+  readonly repetition: Repetition;
+  readonly priority: number;
+  /** Time by which the answer is due, in milliseconds of the clock. */
+  readonly deadlineAt: number;
+  /** Time of the latency objective, in milliseconds of the clock. */
+  readonly objectiveAt: number;
+  readonly key?: number;
+  readonly callerService: string;
+  readonly method: string;
+  /** Path with its query. */
+  readonly target: string;
+  /** Name and value of each header in turn. */
+  readonly headers: readonly string[];
+  readonly body: RequestBody;
+}
+
+/** The course of one request through a daemon. */
+export interface Flow {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly state: PassState;
+  readonly bodyMode: 'none' | 'kept' | 'streamed';
+  /** Ends the flow early; the first reason counts. */
+  readonly stop: (failure: Failure) => void;
+}
+
+/**
+ * Returns the body in the form in which it is sent.
+ *
+ * @example
+ * exchange(pool, {method, path, headers, body: sendable(work.body)}, ...);
+ */
+export function sendable(
+  body: RequestBody,
+): Buffer | AsyncIterable<Uint8Array> | null {
+  if (body.kind === 'kept') return body.bytes;
+  if (body.kind === 'streamed') return body.parts;
+  return null;
+}
+
+/**
+ * Waits for an event, at most for some time and until the flow is stopped.
+ *
+ * @example
+ * await pause(flow, view.changed(), 200);
+ */
+export async function pause(
+  flow: Flow,
+  event: Promise<unknown> | undefined,
+  timeMs: number,
+): Promise<void> {
+  const {state} = flow;
+  if (state.stopped) return;
+  let timer: NodeJS.Timeout | undefined;
+  await new Promise<void>(resolve => {
+    timer = setTimeout(resolve, Math.max(1, timeMs));
+    state.giveUp = resolve;
+    event?.then(() => resolve());
+  });
+  clearTimeout(timer);
+  state.giveUp = undefined;
+}
--- /dev/null
+++ b/src/sidecar/events.ts
@@ -0,0 +1,94 @@
+import type {EventKind} from '../telemetry/index.js';
+
+/** Log events of a daemon on a fleet of instances with daemons. */
+export const SIDECAR_EVENTS = {
+  started: {number: 6001, level: 'info', message: 'daemon started'},
+  stopping: {number: 6002, level: 'info', message: 'daemon is stopping'},
+  stopped: {number: 6003, level: 'info', message: 'daemon stopped'},
+  reloaded: {number: 6004, level: 'info', message: 'settings read again'},
+  badSettings: {
+    number: 6005,
+    level: 'error',
+    message: 'settings refused; the last good ones stay in force',
+  },
+  storeLost: {number: 6010, level: 'warn', message: 'store lost'},
+  storeRegained: {number: 6011, level: 'info', message: 'store reached'},
+  unreadable: {
+    number: 6012,
+    level: 'error',
+    message: 'object of the store is malformed and passed over',
+  },
+  writeFailed: {
+    number: 6013,
+    level: 'warn',
+    message: 'write to the store failed and is tried again',
+  },
+  configurationTaken: {
+    number: 6020,
+    level: 'info',
+    message: 'configuration in force',
+  },
+  configurationRefused: {
+    number: 6021,
+    level: 'error',
+    message: 'configuration refused; the last good one stays in force',
+  },
+  instanceBegan: {
+    number: 6030,
+    level: 'info',
+    message: 'instance heard for the first time',
+  },
+  instanceLeaving: {
+    number: 6031,
+    level: 'info',
+    message: 'instance is leaving',
+  },
+  heartbeatStale: {
+    number: 6032,
+    level: 'warn',
+    message: 'heartbeat of an earlier life or time passed over',
+  },
+  heartbeatMalformed: {
+    number: 6033,
+    level: 'warn',
+    message: 'heartbeat can not be read and is refused',
+  },
+  instanceSilent: {
+    number: 6034,
+    level: 'warn',
+    message: 'instance sends no heartbeats',
+  },
+  instanceBack: {
+    number: 6035,
+    level: 'info',
+    message: 'instance sends heartbeats again',
+  },
+  registered: {number: 6036, level: 'info', message: 'registration written'},
+  instanceResumed: {
+    number: 6037,
+    level: 'info',
+    message: 'instance taken up from its record',
+  },
+  granted: {number: 6040, level: 'info', message: 'granted keys changed'},
+  notConfirmed: {
+    number: 6041,
+    level: 'warn',
+    message: 'grant not renewed; the store did not confirm it',
+  },
+  mapChanged: {number: 6042, level: 'info', message: 'range map written'},
+  memberLost: {
+    number: 6043,
+    level: 'warn',
+    message: 'instance taken to be lost; its keys are revoked',
+  },
+  failedTask: {
+    number: 6050,
+    level: 'error',
+    message: 'unexpected error in a background task',
+  },
+  linesDropped: {
+    number: 6051,
+    level: 'warn',
+    message: 'log lines left out to bound the volume',
+  },
+} as const satisfies Readonly<Record<string, EventKind>>;
--- /dev/null
+++ b/src/sidecar/planner.ts
@@ -0,0 +1,237 @@
+import {isOpen, lifeOf, membersOf, type Member} from '../fleet/index.js';
+import {
+  EMPTY_MAP,
+  cancelMoves,
+  divide,
+  expire,
+  firstMap,
+  placeFree,
+  planBalance,
+  planFree,
+  planLeaving,
+  revoke,
+  sameLife,
+  startMoves,
+  ALL_KEYS,
+  type Candidate,
+  type Heat,
+  type Incarnation,
+  type RangeMap,
+  type RangeTerm,
+} from '../ranges/index.js';
+import {SIDECAR_EVENTS} from './events.js';
+import {holdBoundMs} from './keeper.js';
+import {changeMap, type MapAccess} from './maps.js';
+import {sumHeat} from './meter.js';
+
+/** What a daemon says of the instance beside it. */
+export interface Status {
+  readonly id: string;
+  readonly born: number;
+  /** The instance sends no heartbeats. */
+  readonly silent: boolean;
+  /** Requests a second that it can execute. */
+  readonly capacity: number;
+  readonly heat: readonly (readonly [number, number])[];
+}
+
+/** How the keys of one service are planned. */
+export interface PlannerContext extends MapAccess {
+  readonly node: string;
+  readonly clock: () => number;
+  readonly holdMs: number;
+  /** Asks the daemon of a member; undefined when it does not answer. */
+  readonly ask: (node: string) => Promise<Status | undefined>;
+}
+
+/** Plans the keys of one service. */
+export interface Planner {
+  /** Looks at the members and changes the map; to be called about every second. */
+  readonly tick: (service: string) => Promise<void>;
+}
+
+/** Unanswered questions in a row after which a member is taken to be lost. */
+const LOST_AFTER = 3;
+
+/** Daemons that take over when the first ones do not answer. */
+const STANDBYS = 3;
+
+/** Time for which the members must not change before the first assignment. */
+const SETTLE_MS = 1200;
+
+/** Interval between two plans that only balance load, in milliseconds. */
+const BALANCE_MS = 3000;
+
+/** Load above the mean from which keys are moved, and moves of one plan. */
+const BALANCE = {tolerance: 1.15, moves: 6};
+
+/** Capacity of a member that was not asked yet, in requests a second. */
+const DEFAULT_CAPACITY = 80;
+
+interface Known {
+  readonly status?: Status;
+  readonly missed: number;
+}
+
+/**
+ * Creates a planner. Of the daemons of a service the first one that answers
+ * plans; a conditional write keeps two planners from harm.
+ *
+ * @example
+ * const planner = createPlanner(context);
+ * await planner.tick('stock');
+ */
+export function createPlanner(context: PlannerContext): Planner {
+  const {node, clock, log} = context;
+  const known = new Map<string, Known>();
+  /** When this process first saw each revocation. */
+  const revokedAt = new Map<string, number>();
+  let membership = '';
+  let settledAt = clock();
+  let balancedAt = clock();
+
+  const ask = async (member: Member) => {
+    const status = await context.ask(member.node);
+    const missed = status ? 0 : (known.get(member.node)?.missed ?? 0) + 1;
+    const last = status ?? known.get(member.node)?.status;
+    known.set(member.node, {status: last, missed});
+  };
+
+  const isLost = ({node}: Member) =>
+    (known.get(node)?.missed ?? 0) >= LOST_AFTER;
+
+  /** Tells whether this daemon is the first of the service that answers. */
+  const plans = async (members: readonly Member[]) => {
+    const ranked = [...members].sort((a, b) => (a.node < b.node ? -1 : 1));
+    const rank = ranked.findIndex(member => member.node === node);
+    if (rank < 0 || rank > STANDBYS) return false;
+    for (const member of ranked.slice(0, rank)) {
+      await ask(member);
+      if (!isLost(member)) return false;
+    }
+    return true;
+  };
+
+  const candidatesOf = (members: readonly Member[]): readonly Candidate[] =>
+    members
+      .filter(member => isOpen(member) && !isLost(member))
+      .filter(member => !known.get(member.node)?.status?.silent)
+      .map(member => {
+        const status = known.get(member.node)?.status;
+        const current = status?.id === member.id ? status : undefined;
+        const capacity = current?.capacity ?? DEFAULT_CAPACITY;
+        return {life: lifeOf(member), capacity};
+      });
+
+  const expired = (map: RangeMap): readonly RangeTerm[] => {
+    const revoked = new Map<string, RangeTerm>();
+    for (const term of map.terms) {
+      if (term.state !== 'revoked') continue;
+      revoked.set(`${nameOf(term.holder)} ${term.revocation}`, term);
+    }
+    for (const name of revokedAt.keys()) {
+      if (!revoked.has(name)) revokedAt.delete(name);
+    }
+    const due: RangeTerm[] = [];
+    for (const [name, term] of revoked) {
+      const since = revokedAt.get(name) ?? clock();
+      revokedAt.set(name, since);
+      if (clock() >= since + holdBoundMs(context.holdMs)) due.push(term);
+    }
+    return due;
+  };
+
+  const isSettled = (members: readonly Member[]) => {
+    const names = members.map(m => nameOf(lifeOf(m))).sort();
+    const current = names.join();
+    if (current !== membership) {
+      membership = current;
+      settledAt = clock();
+    }
+    return clock() - settledAt >= SETTLE_MS;
+  };
+
+  const assignFirst = async (
+    service: string,
+    candidates: readonly Candidate[],
+    heat: Heat,
+  ) => {
+    const {from, to} = ALL_KEYS;
+    const first = firstMap(divide(heat, from, to, candidates));
+    await changeMap(context, service, 'first assignment', map =>
+      map.terms.length === 0 ? first : map,
+    );
+  };
+
+  const planAll = (
+    map: RangeMap,
+    members: readonly Member[],
+    candidates: readonly Candidate[],
+    heat: Heat,
+    due: readonly RangeTerm[],
+  ): RangeMap => {
+    const isCandidate = (life: Incarnation | undefined) =>
+      candidates.some(candidate => sameLife(candidate.life, life));
+    const lost = members.filter(isLost);
+    let next = map;
+    for (const member of lost) next = revoke(next, lifeOf(member));
+    for (const {holder, revocation} of due) {
+      next = expire(next, holder, revocation);
+    }
+    next = cancelMoves(
+      next,
+      term => term.state !== 'free' && !isCandidate(term.next),
+    );
+    next = placeFree(next, planFree(next, heat, candidates));
+    const leaving = (life: Incarnation) =>
+      members.some(
+        member => member.state !== 'ready' && sameLife(lifeOf(member), life),
+      );
+    return startMoves(next, planLeaving(next, heat, candidates, leaving));
+  };
+
+  const tick = async (service: string) => {
+    const members = membersOf(context.view(), service);
+    if (!members.some(member => member.node === node)) return;
+    if (!(await plans(members.filter(isOpen)))) return;
+    const others = members.filter(member => member.state !== 'left');
+    await Promise.all(others.map(ask));
+    const reached = others.filter(member => !isLost(member)).length;
+    if (reached * 2 <= others.length) return;
+    const candidates = candidatesOf(members);
+    if (candidates.length === 0) return;
+    const reports = others.flatMap(m => known.get(m.node)?.status?.heat ?? []);
+    const heat = sumHeat([reports]);
+    const map = context.view().maps.get(service)?.value ?? EMPTY_MAP;
+    if (map.terms.length === 0) {
+      if (!isSettled(members)) return;
+      await assignFirst(service, candidates, heat);
+      return;
+    }
+    const due = expired(map);
+    for (const member of others.filter(isLost)) {
+      const held = (term: RangeTerm) =>
+        term.state !== 'revoked' && sameLife(term.holder, lifeOf(member));
+      if (!map.terms.some(held)) continue;
+      log(SIDECAR_EVENTS.memberLost, {service, instance: member.id});
+    }
+    const plan = (m: RangeMap) => planAll(m, others, candidates, heat, due);
+    const planned = plan(map);
+    if (planned !== map) {
+      await changeMap(context, service, 'plan', plan);
+      return;
+    }
+    const isQuiet = map.terms.every(term => term.state === 'held');
+    if (!isQuiet || clock() - balancedAt < BALANCE_MS) return;
+    balancedAt = clock();
+    const moves = planBalance(map, heat, candidates, BALANCE);
+    if (moves.length === 0) return;
+    await changeMap(context, service, 'balance', m => startMoves(m, moves));
+  };
+
+  return {tick};
+}
+
+function nameOf({node, id, born}: Incarnation): string {
+  return `${node} ${id} ${born}`;
+}
--- /dev/null
+++ b/src/sidecar/settings.ts
@@ -0,0 +1,78 @@
+/** Settings of a daemon beside one upstream instance. */
+export interface SidecarSettings {
+  readonly name: string;
+  readonly domain: string;
+  /** Service of the instance beside. */
+  readonly service: string;
+  /** Address of the instance beside. */
+  readonly instance: string;
+  /** Address for callers, as `ip:port`. */
+  readonly callers: string;
+  /** Address for other daemons. */
+  readonly peers: string;
+  /** Address for readiness checks. */
+  readonly ready: string;
+  /** Address for the heartbeats of the instance beside. */
+  readonly control: string;
+  /** Address of the store. */
+  readonly store: string;
+  /** Interval between heartbeats, in seconds. */
+  readonly heartbeatS: number;
+  /** Time after the announcement of an end in which no new request may arrive. */
+  readonly drainS: number;
+  /** Time between SIGTERM and SIGKILL, in seconds. */
+  readonly graceS: number;
+  /** Longest hold of a key, in seconds. */
+  readonly holdLimitS: number;
+  /** Share of repeats among the requests to a service. */
+  readonly retryShare: number;
+}
+
+/** Settings, or every reason why they can't be used. */
+export type ReadSettings =
+  | {readonly settings: SidecarSettings}
+  | {readonly findings: readonly string[]};
+
+const TEXTS = [
+  'name',
+  'domain',
+  'service',
+  'instance',
+  'callers',
+  'peers',
+  'ready',
+  'control',
+  'store',
+] as const;
+
+const NUMBERS = [
+  'heartbeatS',
+  'drainS',
+  'graceS',
+  'holdLimitS',
+  'retryShare',
+] as const;
+
+/**
+ * Checks parsed settings. Findings are collected with their place.
+ *
+ * @example
+ * const read = readSidecarSettings(parse(text));
+ */
+export function readSidecarSettings(value: unknown): ReadSettings {
+  const fields = (value ?? {}) as Readonly<Record<string, unknown>>;
+  const findings: string[] = [];
+  for (const name of TEXTS) {
+    const text = fields[name];
+    if (typeof text !== 'string' || text === '') {
+      findings.push(`${name}: a text is required`);
+    }
+  }
+  for (const name of NUMBERS) {
+    if (!((fields[name] as number) > 0)) {
+      findings.push(`${name}: a positive number is required`);
+    }
+  }
+  if (findings.length > 0) return {findings};
+  return {settings: value as SidecarSettings};
+}
--- /dev/null
+++ b/src/sidecar/sidecar.ts
@@ -0,0 +1,432 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {
+  createAdmission,
+  createRetryBudget,
+  countForwarded,
+  spendRetry,
+  type Admission,
+  type RetryBudget,
+} from '../admission/index.js';
+import {
+  EMPTY_VIEW,
+  FLEET_PREFIX,
+  applyChange,
+  applyListing,
+  follow,
+  type FleetView,
+  type Follower,
+  type StoredChange,
+} from '../fleet/index.js';
+import {
+  HOP_HEADER,
+  UNKNOWN_LOAD,
+  applyLoadEvent,
+  chooseService,
+  createRouteTable,
+  handleCaller,
+  handleHop,
+  loadOf,
+  type ActiveConfiguration,
+  type Dialect,
+  type Ended,
+  type EntryContext,
+  type InstanceLoad,
+  type RoutedConfiguration,
+  type SplitState,
+} from '../relay/index.js';
+import type {ObjectStore} from '../store/index.js';
+import type {Log} from '../telemetry/index.js';
+import {createPools} from '../upstream/index.js';
+import {STATUS_PATH, askStatus} from './ask.js';
+import {SIDECAR_EVENTS} from './events.js';
+import {createKeeper, type Keeper} from './keeper.js';
+import {createMeter} from './meter.js';
+import {createPlanner, type Status} from './planner.js';
+import {PEER_IDLE_MS, createHandlerServer, listenAt} from './servers.js';
+import type {SidecarSettings} from './settings.js';
+import {createSignal} from './signal.js';
+
+/** A configuration as read from the store, or why it can't be. */
+export type ConfigurationResult =
+  | {readonly configuration: RoutedConfiguration}
+  | {readonly findings: readonly string[]};
+
+/** What a daemon beside an instance is made of. */
+export interface SidecarOptions {
+  readonly settings: SidecarSettings;
+  readonly store: ObjectStore;
+  readonly dialect: Dialect;
+  readonly configurationKey: string;
+  readonly readConfiguration: (text: string) => ConfigurationResult;
+  readonly log: Log;
+  /** Told of each request of a caller that has ended. */
+  readonly ended?: (ended: Ended) => void;
+}
+
+/** A daemon beside an instance. */
+export interface Sidecar {
+  readonly keeper: Keeper;
+  /** Callers may be sent here. */
+  readonly isReady: () => boolean;
+  readonly start: () => Promise<void>;
+  /** Finishes what is in flight; resolves when the process may end. */
+  readonly stop: () => Promise<void>;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Longest hold of a key; the settings may bound it further. */
+const HOLD_MS = 5000;
+
+/** Time limit of a question to another daemon, in milliseconds. */
+const ASK_TIMEOUT_MS = 600;
+
+/** Interval between two looks at what falls due, in milliseconds. */
+const KEEPER_INTERVAL_MS = 500;
+const PLANNER_INTERVAL_MS = 1000;
+
+/** Time limit for a connection to the instance or another daemon. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Time for which idle connections to an instance are kept, at most. */
+const INSTANCE_IDLE_MS = 8000;
+
+/** Requests that wait for one slot, at most. */
+const QUEUE_PER_SLOT = 12;
+
+/** Head time limit until a configuration states one. */
+const DEFAULT_HEADER_MS = 10_000;
+
+/** Share of the allowed repeats that one daemon spends, and its reserve. */
+const RETRY_SHARE_USED = 0.5;
+const RETRY_RESERVE = 2;
+
+/** Time for which callers go on sending after readiness is withdrawn. */
+const LINGER_MS = 2700;
+
+/** Time from SIGTERM until answers close the callers' connections. */
+const CLOSE_AFTER_MS = 1000;
+
+/** Time without a request after which a stopping daemon may end. */
+const QUIET_MS = 400;
+
+/** Time before the grace ends in which the process ends by itself. */
+const GRACE_RESERVE_MS = 500;
+
+/**
+ * Creates the daemon beside an instance.
+ *
+ * @example
+ * const sidecar = createSidecar(options);
+ * await sidecar.start();
+ */
+export function createSidecar(options: SidecarOptions): Sidecar {
+  const {settings, store, dialect, log} = options;
+  const {peers: node, domain} = settings;
+  const clock = () => performance.now();
+  const viewSignal = createSignal();
+  const controller = new AbortController();
+  const meter = createMeter(clock);
+  let view: FleetView = EMPTY_VIEW;
+  let listed = false;
+  let configuration: ActiveConfiguration | undefined;
+  let stoppingAt: number | undefined;
+  let lastRequestAt = clock();
+  let open = 0;
+  const splits = new Map<string, SplitState>();
+  const loads = new Map<string, InstanceLoad>();
+  const budgets = new Map<string, RetryBudget>();
+  const probes = new Map<string, Promise<boolean>>();
+
+  const learn = (change: StoredChange) => {
+    const step = applyChange(view, change);
+    if (step.problem) {
+      const {key} = change;
+      log(SIDECAR_EVENTS.unreadable, {key, message: step.problem});
+    }
+    if (step.view === view) return;
+    view = step.view;
+    viewSignal.raise();
+  };
+
+  const isKeyed = (service: string) =>
+    configuration?.services.get(service)?.keyed === true;
+
+  const holdMs = Math.min(HOLD_MS, settings.holdLimitS * MS_PER_SECOND);
+  const access = {store, view: () => view, learn, log, clock, node, holdMs};
+
+  let admission: Admission = createAdmissionOf(1);
+  function createAdmissionOf(slots: number): Admission {
+    return createAdmission({slots, queue: slots * QUEUE_PER_SLOT, clock});
+  }
+
+  const keeper = createKeeper({
+    ...access,
+    domain,
+    instance: settings.instance,
+    isKeyed,
+    heartbeatMs: settings.heartbeatS * MS_PER_SECOND,
+    drainMs: settings.drainS * MS_PER_SECOND,
+    began: ({slots}) => {
+      admission = createAdmissionOf(slots);
+      meter.reset();
+    },
+  });
+
+  const ask = (peer: string) => askStatus<Status>(peer, ASK_TIMEOUT_MS);
+  const planner = createPlanner({...access, ask});
+
+  const probe = (peer: string) => {
+    const running = probes.get(peer);
+    if (running) return running;
+    const asked = ask(peer).then(status => status !== undefined);
+    probes.set(peer, asked);
+    void asked.finally(() => probes.delete(peer));
+    return asked;
+  };
+
+  const budgetOf = (service: string) => {
+    const share = settings.retryShare * RETRY_SHARE_USED;
+    return (
+      budgets.get(service) ?? createRetryBudget({share, reserve: RETRY_RESERVE})
+    );
+  };
+
+  const context: EntryContext = {
+    clock,
+    dialect,
+    node,
+    domain,
+    local: keeper.local,
+    isKeyed,
+    holds: keeper.holds,
+    awaits: keeper.awaits,
+    holdsChanged: () => Promise.race([keeper.changed(), viewSignal.next()]),
+    get admission() {
+      return admission;
+    },
+    pools: createPools({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      keepAliveMs: INSTANCE_IDLE_MS,
+    }),
+    observed: (_, timeMs) => meter.ran(timeMs),
+    asked: meter.asked,
+    log,
+    callerService: () => settings.service,
+    configuration: () => configuration,
+    view: () => view,
+    viewChanged: viewSignal.next,
+    service: route => {
+      const step = chooseService(route, splits.get(route.name));
+      splits.set(route.name, step.state);
+      return step.service;
+    },
+    loads: peer => loads.get(peer) ?? UNKNOWN_LOAD,
+    observeLoad: (peer, event) => {
+      const before = loads.get(peer) ?? UNKNOWN_LOAD;
+      loads.set(peer, applyLoadEvent(before, event, clock()));
+    },
+    peerPools: createPools({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      keepAliveMs: PEER_IDLE_MS / 2,
+    }),
+    retryAllowed: service => {
+      const left = spendRetry(budgetOf(service));
+      if (left) budgets.set(service, left);
+      return left !== undefined;
+    },
+    countForwarded: service => {
+      budgets.set(service, countForwarded(budgetOf(service)));
+    },
+    probe,
+    ended: ended => options.ended?.(ended),
+  };
+  const peersContext = {
+    ...context,
+    get admission() {
+      return admission;
+    },
+    load: () => loadOf(admission, meter.meanMs()),
+    bodyBytes: () => configuration?.limits.bodyBytes ?? Infinity,
+  };
+
+  const takeConfiguration = (change: StoredChange) => {
+    if (change.key !== options.configurationKey) return;
+    if (change.value === undefined) return;
+    const result = options.readConfiguration(change.value);
+    if ('findings' in result) {
+      const findings = result.findings.join('; ');
+      log(SIDECAR_EVENTS.configurationRefused, {findings});
+      return;
+    }
+    const {version, routes} = result.configuration;
+    if (configuration && version <= configuration.version) return;
+    const table = createRouteTable(routes);
+    configuration = {...result.configuration, table};
+    callers.keepAliveTimeout = result.configuration.limits.idleTimeoutMs;
+    callers.headersTimeout = result.configuration.limits.headerTimeoutMs;
+    log(SIDECAR_EVENTS.configurationTaken, {version, routes: routes.length});
+    viewSignal.raise();
+  };
+
+  const track = (
+    handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+  ) => {
+    return (request: IncomingMessage, response: ServerResponse) => {
+      open += 1;
+      lastRequestAt = clock();
+      const stopping = stoppingAt !== undefined;
+      if (stopping && clock() > stoppingAt! + CLOSE_AFTER_MS) {
+        response.shouldKeepAlive = false;
+      }
+      response.once('close', () => {
+        open -= 1;
+        lastRequestAt = clock();
+      });
+      handle(request, response).catch(error => {
+        const message = (error as Error).stack ?? String(error);
+        log(SIDECAR_EVENTS.failedTask, {message});
+        response.destroy();
+      });
+    };
+  };
+
+  const statusOf = (): Status | undefined => {
+    const life = keeper.life();
+    const {slots} = admission.state();
+    if (!life) return undefined;
+    const capacity = (slots * MS_PER_SECOND) / Math.max(1, meter.meanMs());
+    const {id, born} = life;
+    return {id, born, silent: keeper.isSilent(), capacity, heat: meter.heat()};
+  };
+
+  const callers: Server = createHandlerServer(
+    track((request, response) => handleCaller(context, request, response)),
+    DEFAULT_HEADER_MS,
+    PEER_IDLE_MS,
+    log,
+  );
+  const handlePeer = track((request, response) =>
+    handleHop(peersContext, request, response),
+  );
+  const peers = createHandlerServer(
+    (request, response) => {
+      const isHop = request.headers[HOP_HEADER] !== undefined;
+      if (!isHop && request.url === STATUS_PATH) {
+        response.end(JSON.stringify(statusOf() ?? {id: '', born: 0, heat: []}));
+        return;
+      }
+      handlePeer(request, response);
+    },
+    DEFAULT_HEADER_MS,
+    PEER_IDLE_MS,
+    log,
+  );
+
+  const followerOf = (
+    name: string,
+    listedAll: Follower['listed'],
+    changed: Follower['changed'],
+  ): Follower => {
+    let known: boolean | undefined;
+    return {
+      listed: listedAll,
+      changed,
+      reached: (reached, reason) => {
+        if (reached === known) return;
+        const wasKnown = known !== undefined;
+        known = reached;
+        if (!reached) log(SIDECAR_EVENTS.storeLost, {watch: name, reason});
+        else if (wasKnown) log(SIDECAR_EVENTS.storeRegained, {watch: name});
+      },
+    };
+  };
+
+  const guard = (task: Promise<unknown>) => {
+    task.catch(error => {
+      const message = (error as Error).stack ?? String(error);
+      log(SIDECAR_EVENTS.failedTask, {message});
+    });
+  };
+
+  const every = (intervalMs: number, run: () => Promise<void>) => {
+    const loop = async () => {
+      while (!controller.signal.aborted) {
+        await new Promise(resolve => setTimeout(resolve, intervalMs));
+        await run().catch(error => {
+          const message = (error as Error).stack ?? String(error);
+          log(SIDECAR_EVENTS.failedTask, {message});
+        });
+      }
+    };
+    void loop();
+  };
+
+  const followFleet = () =>
+    follow(
+      store,
+      FLEET_PREFIX,
+      followerOf(
+        'fleet',
+        objects => {
+          const step = applyListing(view, objects);
+          view = step.view;
+          listed = true;
+          for (const message of step.problems) {
+            log(SIDECAR_EVENTS.unreadable, {message});
+          }
+          keeper.resume();
+          viewSignal.raise();
+        },
+        learn,
+      ),
+      controller.signal,
+    );
+
+  const followConfiguration = () =>
+    follow(
+      store,
+      options.configurationKey.replace(/[^/]*$/, ''),
+      followerOf(
+        'configuration',
+        objects => objects.forEach(takeConfiguration),
+        takeConfiguration,
+      ),
+      controller.signal,
+    );
+
+  return {
+    keeper,
+    isReady: () =>
+      configuration !== undefined && listed && stoppingAt === undefined,
+    start: async () => {
+      await listenAt(peers, settings.peers);
+      await listenAt(callers, settings.callers);
+      guard(followFleet());
+      guard(followConfiguration());
+      every(KEEPER_INTERVAL_MS, keeper.tick);
+      every(PLANNER_INTERVAL_MS, async () => {
+        const service = keeper.local()?.service;
+        if (listed && service && isKeyed(service)) await planner.tick(service);
+      });
+      const {callers: address, service} = settings;
+      log(SIDECAR_EVENTS.started, {address, service, peers: node});
+    },
+    stop: async () => {
+      const startedAt = clock();
+      stoppingAt = startedAt;
+      keeper.stop();
+      log(SIDECAR_EVENTS.stopping, {open});
+      const limitMs = settings.graceS * MS_PER_SECOND - GRACE_RESERVE_MS;
+      for (;;) {
+        await new Promise(resolve => setTimeout(resolve, QUIET_MS / 4));
+        const passedMs = clock() - startedAt;
+        const quietMs = clock() - lastRequestAt;
+        const isQuiet = open === 0 && quietMs >= QUIET_MS;
+        if (passedMs >= limitMs || (passedMs >= LINGER_MS && isQuiet)) break;
+      }
+      log(SIDECAR_EVENTS.stopped, {open});
+      controller.abort();
+    },
+  };
+}
--- a/src/store/exchange.ts
+++ b/src/store/exchange.ts
@@ -3,10 +3,11 @@
 
 /** One HTTP request to the platform. */
 export interface Call {
-  readonly method: 'GET' | 'PUT' | 'DELETE';
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Path with its query. */
   readonly path: string;
   readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** A complete answer of the platform. */
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -8,6 +8,7 @@
 export * from './client.js';
 export * from './counted.js';
 export * from './errors.js';
+export * from './exchange.js';
 export * from './gone.js';
 export * from './keys.js';
 export * from './store.js';
--- a/src/store/update.ts
+++ b/src/store/update.ts
@@ -59,11 +59,30 @@
   change: ValueChange,
   isOwn: (value: string) => boolean,
   attemptLimit = ATTEMPT_LIMIT,
+): Promise<UpdateResult> {
+  const current = await platform.get(key);
+  return updateFrom(platform, key, current, change, isOwn, attemptLimit);
+}
+
+/**
+ * Does as `update` from an object that was read before. One that is out of date
+ * only costs another attempt.
+ *
+ * @example
+ * await updateFrom(store, 'fleet/member.a', known, () => text, isOwn);
+ */
+export async function updateFrom(
+  platform: ObjectStore,
+  key: string,
+  current: StoredObject | undefined,
+  change: ValueChange,
+  isOwn: (value: string) => boolean,
+  attemptLimit = ATTEMPT_LIMIT,
 ): Promise<UpdateResult> {
   if (!Number.isInteger(attemptLimit) || attemptLimit < 1) {
     throw new RangeError(`not a number of attempts: ${attemptLimit}`);
   }
-  let attempt: Attempt = {current: await platform.get(key)};
+  let attempt: Attempt = {current};
   for (let count = 0; count < attemptLimit; count++) {
     const step = await tryOnce(platform, key, attempt, change, isOwn);
     if ('result' in step) return step.result;
--- /dev/null
+++ b/src/telemetry/bounded.ts
@@ -0,0 +1,139 @@
+import {write as writeFile, writeSync} from 'node:fs';
+import log from 'loglevel';
+import type {EventKind, Log} from './log.js';
+
+/** Bounds on the volume of a log. */
+export interface LogBounds {
+  /** Lines of level `debug` in a second; further ones are counted and left out. */
+  readonly debugPerSecond: number;
+  /** Other lines in a second. */
+  readonly linesPerSecond: number;
+  /** Bytes that wait for a reader; further lines are counted and left out. */
+  readonly waitingBytes: number;
+}
+
+/** The usual bounds. */
+export const LOG_BOUNDS: LogBounds = {
+  debugPerSecond: 4,
+  linesPerSecond: 60,
+  waitingBytes: 256 * 1024,
+};
+
+/** Writes bytes without blocking and calls back when it is done. */
+export type WriteBytes = (
+  bytes: Buffer,
+  done: (error: Error | null, written: number) => void,
+) => void;
+
+/** A log that never blocks its caller. */
+export interface BoundedLog {
+  readonly log: Log;
+  /** Writes what waits, before the process ends. */
+  readonly flush: () => void;
+}
+
+/** Interval between two writes, in milliseconds. */
+const WRITE_INTERVAL_MS = 200;
+
+const STANDARD_OUTPUT = 1;
+
+/**
+ * Creates a log that writes JSON lines in batches. Its volume is bounded: a
+ * second holds a number of lines of each kind, and what a slow reader has not
+ * taken waits in bounded memory. A line says how many were left out.
+ *
+ * @param dropped The event of that line.
+ *
+ * @example
+ * const {log, flush} = createBoundedLog('rota-1', DROPPED, LOG_BOUNDS);
+ */
+export function createBoundedLog(
+  instance: string,
+  dropped: EventKind,
+  bounds: LogBounds,
+  writeBytes: WriteBytes = writeOutput,
+): BoundedLog {
+  let waiting: string[] = [];
+  let waitingBytes = 0;
+  let writing = false;
+  let timer: NodeJS.Timeout | undefined;
+  let second = 0;
+  let debugLines = 0;
+  let lines = 0;
+  let left = 0;
+
+  const logger = log.getLogger(`vanillaspool ${instance}`);
+  logger.methodFactory = () => (line: string) => {
+    waiting.push(line);
+    waitingBytes += line.length;
+    timer ??= setTimeout(drain, WRITE_INTERVAL_MS).unref();
+  };
+  logger.setLevel('debug', false);
+
+  const format = (kind: EventKind, fields: object | undefined) => {
+    const time = new Date().toISOString();
+    const {number, level, message} = kind;
+    const line = {time, level, event: number, message, instance, ...fields};
+    return JSON.stringify(line) + '\n';
+  };
+
+  const isOver = (kind: EventKind) => {
+    const now = Math.floor(performance.now() / 1000);
+    if (now !== second) {
+      second = now;
+      debugLines = 0;
+      lines = 0;
+      if (left > 0) logger.warn(format(dropped, {lines: left}));
+      left = 0;
+    }
+    if (waitingBytes > bounds.waitingBytes) return true;
+    if (kind.level === 'debug') {
+      debugLines += 1;
+      return debugLines > bounds.debugPerSecond;
+    }
+    lines += 1;
+    return lines > bounds.linesPerSecond;
+  };
+
+  const drain = () => {
+    timer = undefined;
+    if (writing || waiting.length === 0) return;
+    const bytes = Buffer.from(waiting.join(''));
+    waiting = [];
+    waitingBytes = 0;
+    send(bytes);
+  };
+
+  const send = (bytes: Buffer) => {
+    writing = true;
+    writeBytes(bytes, (error, written) => {
+      writing = false;
+      // Nobody can be told that the log itself can't be written.
+      if (error) return;
+      if (written < bytes.length) return send(bytes.subarray(written));
+      if (waiting.length > 0) timer ??= setTimeout(drain, 0).unref();
+    });
+  };
+
+  return {
+    log: (kind, fields) => {
+      if (isOver(kind)) {
+        left += 1;
+        return;
+      }
+      logger[kind.level](format(kind, fields));
+    },
+    flush: () => {
+      if (writing || waiting.length === 0) return;
+      writeSync(STANDARD_OUTPUT, waiting.join(''));
+      waiting = [];
+    },
+  };
+}
+
+function writeOutput(
+  bytes: Buffer,
+  done: (error: Error | null, written: number) => void,
+): void {
+  writeFile(STANDARD_OUTPUT, bytes, done);
+}
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './bounded.js';
 export * from './log.js';
 export * from './metrics.js';
 export * from './registry.js';
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -34,6 +34,8 @@
    * the headers to pass on, or undefined to hold the answer back.
    */
   readonly accept: (head: AnswerHead) => string[] | undefined;
+  /** Tells whether the connection of an answer held back is to be closed. */
+  readonly distrusts?: () => boolean;
   /** Called with each part of the body before it is passed on. */
   readonly copied?: (part: Buffer) => void;
   /** Called once, when the exchange has ended. */
@@ -95,6 +97,9 @@
     if (!headers) {
       stage = 'over';
       hooks.ended({kind: 'held', head: received});
+      if (hooks.distrusts?.()) {
+        abortRequest?.(new Error('the answer belongs to no request'));
+      }
       return;
     }
     const {status} = received;
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -15,7 +15,7 @@
   decideReplay,
 } from '../../src/gateway/replay.js';
 import {decideRetry, isIdempotent} from '../../src/gateway/retry.js';
-import {notRun, unknown} from '../../src/gateway/failure.js';
+import {notRun, unknown} from '../../src/model/index.js';
 
 const SEED = {seed: 20261203, numRuns: 300};
 
