--- a/src/fleet/view.ts
+++ b/src/fleet/view.ts
@@ -1,8 +1,4 @@
-import {
-  EMPTY_MAP,
-  parseMap,
-  type RangeMap,
-} from '../ranges/index.js';
+import {EMPTY_MAP, parseMap, type RangeMap} from '../ranges/index.js';
 import {parseMember, type Member} from './member.js';
 
 /** Prefix of all objects of the fleet in the store. */
--- a/src/gateway/open.ts
+++ b/src/gateway/open.ts
@@ -1,8 +1,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {sliceOfKey,
+import {
+  sliceOfKey,
   type Configuration,
   type Failure,
-  type Service, notRun, unknown} from '../model/index.js';
+  type Service,
+  notRun,
+  unknown,
+} from '../model/index.js';
 import {
   findKey,
   findService,
--- a/src/gateway/pass.ts
+++ b/src/gateway/pass.ts
@@ -1,5 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {type Configuration, type Failure, type Service, notRun} from '../model/index.js';
+import {
+  type Configuration,
+  type Failure,
+  type Service,
+  notRun,
+} from '../model/index.js';
 import type {AdmissionRequest} from './admission.js';
 import {keepBody, streamBody, type BodyLimits, type BodyMode} from './body.js';
 import type {RequestHead} from './head.js';
--- a/src/gateway/remote.ts
+++ b/src/gateway/remote.ts
@@ -1,4 +1,9 @@
-import {type FailureReason, type Member, notRun, unknown} from '../model/index.js';
+import {
+  type FailureReason,
+  type Member,
+  notRun,
+  unknown,
+} from '../model/index.js';
 import type {AnswerHead} from '../upstream/index.js';
 import {REPLAYED_HEADER} from './answered.js';
 import {runExchange, type Attempt, type FailedTry} from './attempt.js';
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -1,4 +1,10 @@
-import {type Failure, type Member, type Service, notRun, unknown} from '../model/index.js';
+import {
+  type Failure,
+  type Member,
+  type Service,
+  notRun,
+  unknown,
+} from '../model/index.js';
 import {sideOf, type Side} from '../routing/index.js';
 import {failed, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
--- a/src/ranges/change.ts
+++ b/src/ranges/change.ts
@@ -31,16 +31,14 @@
  * firstMap([{from: 0, to: LAST_KEY, holder: incarnation}]);
  */
 export function firstMap(parts: readonly Placement[]): RangeMap {
-  const terms = parts.map(
-    ({from, to, holder}): RangeTerm => ({
-      from,
-      to,
-      fence: 1,
-      holder: holder,
-      state: 'held',
-      handover: '',
-    }),
-  );
+  const terms = parts.map(({from, to, holder}): RangeTerm => ({
+    from,
+    to,
+    fence: 1,
+    holder: holder,
+    state: 'held',
+    handover: '',
+  }));
   return {fence: 1, terms};
 }
 
@@ -212,11 +210,7 @@
   return range.from <= term.from && term.to <= range.to;
 }
 
-function begin(
-  term: RangeTerm,
-  holder: Incarnation,
-  fence: number,
-): RangeTerm {
+function begin(term: RangeTerm, holder: Incarnation, fence: number): RangeTerm {
   return {...settled(term), holder, fence, state: 'held'};
 }
 
--- a/src/ranges/plan.ts
+++ b/src/ranges/plan.ts
@@ -45,7 +45,7 @@
  */
 export function heatOf(heat: Heat, from: number, to: number): number {
   let sum = 0;
-  for (let key = from; key <= to; ) {
+  for (let key = from; key <= to;) {
     const part = Math.floor(key / PART_KEYS);
     const end = Math.min(to, (part + 1) * PART_KEYS - 1);
     const share = (end - key + 1) / PART_KEYS;
@@ -91,7 +91,7 @@
 /** Returns the last key at which a range from `from` reaches a heat. */
 function cutAt(heat: Heat, from: number, to: number, goal: number): number {
   let sum = 0;
-  for (let key = from; key <= to; ) {
+  for (let key = from; key <= to;) {
     const end = Math.min(to, key - (key % PART_KEYS) + PART_KEYS - 1);
     const here = heatOf(heat, key, end);
     if (sum + here >= goal) {
@@ -260,7 +260,12 @@
     if (taken.has(term)) continue;
     const whole = heatOf(heat, term.from, term.to);
     const to = whole <= goal ? term.to : cutAt(heat, term.from, term.to, goal);
-    const piece = {term, from: term.from, to, heat: heatOf(heat, term.from, to)};
+    const piece = {
+      term,
+      from: term.from,
+      to,
+      heat: heatOf(heat, term.from, to),
+    };
     if (piece.heat > goal * OVERSHOOT) continue;
     if (!best || piece.heat > best.heat) best = piece;
   }
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -7,16 +7,18 @@
   type FailedTry,
   type PassState,
 } from '../gateway/index.js';
-import {isOpen, lifeOf, membersOf, type FleetView, type Member} from '../fleet/index.js';
+import {
+  isOpen,
+  lifeOf,
+  membersOf,
+  type FleetView,
+  type Member,
+} from '../fleet/index.js';
 import {notRun, parseAddress, unknown, type Failure} from '../model/index.js';
 import {sameLife, termOf} from '../ranges/index.js';
 import type {AnswerHead, Pools} from '../upstream/index.js';
 import {readBody, type RequestBody} from './body.js';
-import {
-  chooseInstance,
-  type InstanceLoad,
-  type LoadEvent,
-} from './choose.js';
+import {chooseInstance, type InstanceLoad, type LoadEvent} from './choose.js';
 import {
   findRoute,
   type Route,
@@ -182,11 +184,7 @@
   finish(context, pass, result);
 }
 
-function finish(
-  context: EntryContext,
-  pass: Request,
-  result: Attempt,
-): void {
+function finish(context: EntryContext, pass: Request, result: Attempt): void {
   const {flow, route, service, caller, startedAt} = pass;
   const timeMs = Math.round(context.clock() - startedAt);
   const names = {service, route: route.name, timeMs};
@@ -298,7 +296,8 @@
     return failed({...failure, status: 503, retryAfterMs: 0});
   }
   const retryAfterMs = failure.retryAfterMs ?? pass.retryAfterMs;
-  const known = status === 503 ? (retryAfterMs ?? NO_OWNER_RETRY_MS) : undefined;
+  const known =
+    status === 503 ? (retryAfterMs ?? NO_OWNER_RETRY_MS) : undefined;
   return failed({...failure, retryAfterMs: known});
 }
 
@@ -309,7 +308,9 @@
 
 function findTarget(context: EntryContext, pass: Request): Target {
   const keyed = context.isKeyed(pass.service);
-  const target = keyed ? findHolder(context, pass) : findInstance(context, pass);
+  const target = keyed
+    ? findHolder(context, pass)
+    : findInstance(context, pass);
   if (target.kind !== 'wait' || context.clock() < pass.waitUntil) return target;
   const message = 'no instance takes the request now';
   return {
@@ -433,11 +434,7 @@
   return attempt;
 }
 
-function workOf(
-  context: EntryContext,
-  pass: Request,
-  member: Member,
-): Work {
+function workOf(context: EntryContext, pass: Request, member: Member): Work {
   const {route, caller, startedAt, deadlineAt, method, target, body} = pass;
   return {
     id: caller.id,
@@ -488,7 +485,12 @@
     const reported = readFailure(head);
     if (!reported) return undefined;
     const {failure, offered} = reported;
-    return {kind: 'failed', failure, alternative: true, free: !offered} as const;
+    return {
+      kind: 'failed',
+      failure,
+      alternative: true,
+      free: !offered,
+    } as const;
   };
   const attempt = await runExchange(
     flow,
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -72,7 +72,8 @@
   work: Work,
   extend: (head: AnswerHead) => void,
 ): Promise<Attempt> {
-  const refusal = checkInstance(context, work) ?? (await awaitKey(context, flow, work));
+  const refusal =
+    checkInstance(context, work) ?? (await awaitKey(context, flow, work));
   if (refusal) return refusal;
   const admitted = await admit(context, flow, work);
   if (admitted.kind === 'refused') {
@@ -144,7 +145,7 @@
   const {service, priority, objectiveAt, deadlineAt, route} = work;
   const request = {
     service: `${service} ${route}`,
-    caller: '',
+    caller: work.id,
     get signal() {
       flow.state.controller ??= new AbortController();
       return flow.state.controller.signal;
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -95,7 +95,8 @@
   } else {
     const {failure, free} = attempt;
     const {outcome, reason, message} = failure;
-    const known = state.stopped && outcome === 'not-run' ? state.stopped : failure;
+    const known =
+      state.stopped && outcome === 'not-run' ? state.stopped : failure;
     context.log(RELAY_EVENTS.ran, {
       request: id,
       outcome,
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -382,7 +382,17 @@
     const closesAt = state === 'ready' ? Infinity : -Infinity;
     const address = parseAddress(context.instance);
     const heardAt = clock();
-    instance = {id, born, service, domain, slots, state, address, closesAt, heardAt};
+    instance = {
+      id,
+      born,
+      service,
+      domain,
+      slots,
+      state,
+      address,
+      closesAt,
+      heardAt,
+    };
     resumedUntil = heardAt + context.heartbeatMs * RESUMED_HEARTBEATS;
     log(SIDECAR_EVENTS.instanceResumed, {id, born, service, state});
   };
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -30,8 +30,7 @@
 
 /** Settings, or every reason why they can't be used. */
 export type ReadSettings =
-  | {readonly settings: SidecarSettings}
-  | {readonly findings: readonly string[]};
+  {readonly settings: SidecarSettings} | {readonly findings: readonly string[]};
 
 const TEXTS = [
   'name',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -270,7 +270,10 @@
   };
 
   const track = (
-    handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+    handle: (
+      request: IncomingMessage,
+      response: ServerResponse,
+    ) => Promise<void>,
   ) => {
     return (request: IncomingMessage, response: ServerResponse) => {
       open += 1;
--- /dev/null
+++ b/standin/fleet/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Stand-ins for the platform's metadata store and its upstream instances.
+ *
+ * @module
+ */
+
+export * from './instance.js';
+export * from './store.js';
--- /dev/null
+++ b/standin/fleet/store.ts
@@ -0,0 +1,207 @@
+import http, {type IncomingMessage, type Server} from 'node:http';
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+
+/** An object of the store. */
+interface StoredItem {
+  readonly kind: string;
+  readonly metadata: {readonly name: string; readonly revision: number};
+  readonly spec: unknown;
+}
+
+/** One change, in the order of revisions. */
+interface Event {
+  readonly kind: string;
+  readonly object: StoredItem;
+  readonly deleted: boolean;
+}
+
+/** How the store misbehaves. */
+export interface StoreFaults {
+  /** Answers every call with 503. */
+  down: boolean;
+  /** Does writes and then drops the connection. */
+  losesAnswers: boolean;
+  /** Forgets what happened before now; watches get 410. */
+  compactedAt: number;
+  /** Time before each answer, in milliseconds. */
+  delayMs: number;
+}
+
+/** A stand-in for the platform's metadata store, in memory. */
+export interface MetadataStoreStandin {
+  readonly address: string;
+  readonly faults: StoreFaults;
+  /** Calls answered so far. */
+  readonly calls: () => number;
+  /** Writes an object past all conditions, as the operator does. */
+  readonly write: (kind: string, name: string, spec: unknown) => void;
+  readonly read: (kind: string, name: string) => unknown;
+  readonly close: () => void;
+}
+
+/**
+ * Starts a stand-in of the metadata store on the loopback address.
+ *
+ * @example
+ * const store = await startMetadataStore();
+ * store.write('config', 'main', configuration);
+ */
+export async function startMetadataStore(
+  port = 0,
+): Promise<MetadataStoreStandin> {
+  const items = new Map<string, StoredItem>();
+  const events: Event[] = [];
+  const faults: StoreFaults = {
+    down: false,
+    losesAnswers: false,
+    compactedAt: 0,
+    delayMs: 0,
+  };
+  let waiters: (() => void)[] = [];
+  let revision = 1;
+  let calls = 0;
+
+  const commit = (kind: string, name: string, spec: unknown) => {
+    const key = `${kind}/${name}`;
+    const known = items.get(key);
+    if (known && JSON.stringify(known.spec) === JSON.stringify(spec)) {
+      return known;
+    }
+    revision += 1;
+    const item = {kind, metadata: {name, revision}, spec};
+    items.set(key, item);
+    publish({kind, object: item, deleted: false});
+    return item;
+  };
+
+  const remove = (item: StoredItem) => {
+    items.delete(`${item.kind}/${item.metadata.name}`);
+    revision += 1;
+    const metadata = {...item.metadata, revision};
+    publish({kind: item.kind, object: {...item, metadata}, deleted: true});
+  };
+
+  const publish = (event: Event) => {
+    events.push(event);
+    const woken = waiters;
+    waiters = [];
+    woken.forEach(wake => wake());
+  };
+
+  const watch = async (kind: string, from: number, waitMs: number) => {
+    const until = Date.now() + waitMs;
+    for (;;) {
+      if (from < faults.compactedAt) return {status: 410, body: {}};
+      const found = events.filter(
+        event => event.kind === kind && event.object.metadata.revision > from,
+      );
+      const left = until - Date.now();
+      if (found.length > 0 || left <= 0) {
+        return {status: 200, body: {events: found, at: revision}};
+      }
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, left);
+        waiters.push(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      });
+    }
+  };
+
+  const answer = async (request: IncomingMessage) => {
+    const url = new URL(request.url ?? '/', 'http://store');
+    const [, , , kind, name] = url.pathname.split('/').map(decodeURIComponent);
+    const {method} = request;
+    const body = await readJson(request);
+    const key = `${kind}/${name}`;
+    const known = items.get(key);
+    if (method === 'GET' && name === undefined) {
+      const from = url.searchParams.get('watch');
+      if (from !== null) {
+        const waitMs = Number(url.searchParams.get('wait_ms'));
+        return watch(kind, Number(from), waitMs);
+      }
+      const listed = [...items.values()].filter(item => item.kind === kind);
+      return {status: 200, body: {items: listed, more: false, at: revision}};
+    }
+    if (method === 'GET') return {status: known ? 200 : 404, body: known ?? {}};
+    const wanted = body?.metadata?.revision ?? url.searchParams.get('revision');
+    if (method === 'POST') {
+      const created = `${kind}/${body?.metadata?.name}`;
+      const existing = items.get(created);
+      if (existing) return {status: 409, body: existing};
+      return {
+        status: 201,
+        body: commit(kind, body?.metadata?.name ?? '', body?.spec),
+      };
+    }
+    if (!known) return {status: 404, body: {}};
+    if (wanted !== null && Number(wanted) !== known.metadata.revision) {
+      return {status: 409, body: known};
+    }
+    if (method === 'DELETE') {
+      remove(known);
+      return {status: 200, body: known};
+    }
+    return {status: 200, body: commit(kind, name, body?.spec)};
+  };
+
+  const server = http.createServer((request, response) => {
+    calls += 1;
+    if (faults.down) {
+      response.writeHead(503).end('{}');
+      return;
+    }
+    void answer(request).then(async ({status, body}) => {
+      if (faults.delayMs > 0) {
+        await new Promise(resolve => setTimeout(resolve, faults.delayMs));
+      }
+      if (faults.losesAnswers && request.method !== 'GET') {
+        request.socket.destroy();
+        return;
+      }
+      response.writeHead(status, {'content-type': 'application/json'});
+      response.end(JSON.stringify(body));
+    });
+  });
+  await listen(server, port);
+  const bound = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${bound.port}`,
+    faults,
+    calls: () => calls,
+    write: (kind, name, spec) => void commit(kind, name, spec),
+    read: (kind, name) => items.get(`${kind}/${name}`)?.spec,
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+/**
+ * Listens on a port of the loopback address; 0 stands for any.
+ *
+ * @example
+ * await listen(server, 0);
+ */
+export async function listen(server: Server, port: number): Promise<void> {
+  server.listen(port, '127.0.0.1');
+  await once(server, 'listening');
+}
+
+interface Written {
+  readonly metadata?: {readonly name?: string; readonly revision?: number};
+  readonly spec?: unknown;
+}
+
+async function readJson(
+  request: IncomingMessage,
+): Promise<Written | undefined> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  if (parts.length === 0) return undefined;
+  return JSON.parse(Buffer.concat(parts).toString()) as Written;
+}
