Take no request that can not be finished within the grace time

Cause: a stopping daemon took requests until the grace ended, and calls of the instance beside never stop coming.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -23,6 +23,7 @@
   applyLoadEvent,
   chooseService,
   createRouteTable,
+  failureHeaders,
   handleCaller,
   handleHop,
   loadOf,
@@ -34,6 +35,7 @@
   type RoutedConfiguration,
   type SplitState,
 } from '../relay/index.js';
+import {notRun} from '../model/index.js';
 import type {ObjectStore} from '../store/index.js';
 import type {Log} from '../telemetry/index.js';
 import {createPools} from '../upstream/index.js';
@@ -113,6 +115,22 @@
 /** Time before the grace ends in which the process ends by itself. */
 const GRACE_RESERVE_MS = 500;
 
+/** Time kept within the grace to finish what was taken before. */
+const FINISH_MS = 1600;
+
+/** Retry-After of a daemon that is about to end, in milliseconds. */
+const STOPPING_RETRY_MS = 200;
+
+/** Refuses a request that arrives when the daemon is about to end. */
+function refuseStopping(response: ServerResponse): void {
+  const failure = notRun('draining', 'the daemon ends', STOPPING_RETRY_MS);
+  const headers = failureHeaders(failure, false);
+  headers.push('Retry-After', String(STOPPING_RETRY_MS / MS_PER_SECOND));
+  headers.push('Content-Length', '0', 'Connection', 'close');
+  response.writeHead(failure.status, headers);
+  response.end();
+}
+
 /**
  * Creates the daemon beside an instance.
  *
@@ -131,6 +149,8 @@
   let listed = false;
   let configuration: ActiveConfiguration | undefined;
   let stoppingAt: number | undefined;
+  /** New requests are refused; what was taken before is finished. */
+  let closing = false;
   let lastRequestAt = clock();
   let open = 0;
   const splits = new Map<string, SplitState>();
@@ -286,6 +306,10 @@
         open -= 1;
         lastRequestAt = clock();
       });
+      if (closing) {
+        refuseStopping(response);
+        return;
+      }
       handle(request, response).catch(error => {
         const message = (error as Error).stack ?? String(error);
         log(SIDECAR_EVENTS.failedTask, {message});
@@ -426,7 +450,9 @@
         const passedMs = clock() - startedAt;
         const quietMs = clock() - lastRequestAt;
         const isQuiet = open === 0 && quietMs >= QUIET_MS;
-        if (passedMs >= limitMs || (passedMs >= LINGER_MS && isQuiet)) break;
+        if (passedMs >= LINGER_MS && isQuiet) break;
+        closing ||= passedMs >= limitMs - FINISH_MS;
+        if (passedMs >= limitMs || (closing && open === 0)) break;
       }
       log(SIDECAR_EVENTS.stopped, {open});
       controller.abort();
