--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -45,8 +45,8 @@
   readonly holdMs: number;
   /** Time after an announced end in which no new request may arrive. */
   readonly drainMs: number;
-  /** Told when another life of the instance begins. */
-  readonly began: (heartbeat: Heartbeat) => void;
+  /** Told of the slots of an instance that is heard or taken up. */
+  readonly began: (slots: number) => void;
 }
 
 /** Looks after the instance beside a daemon. */
@@ -194,7 +194,7 @@
     log(SIDECAR_EVENTS.instanceBegan, {id, born, service, address});
     grants = NO_GRANTS;
     silent = false;
-    context.began(beat);
+    context.began(slots);
   };
 
   /** Gives the keys of earlier lives beside this daemon to the one that is here. */
@@ -393,6 +393,7 @@
       closesAt,
       heardAt,
     };
+    context.began(slots);
     resumedUntil = heardAt + context.heartbeatMs * RESUMED_HEARTBEATS;
     log(SIDECAR_EVENTS.instanceResumed, {id, born, service, state});
   };
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -187,7 +187,7 @@
     isKeyed,
     heartbeatMs: settings.heartbeatS * MS_PER_SECOND,
     drainMs: settings.drainS * MS_PER_SECOND,
-    began: ({slots}) => {
+    began: slots => {
       admission = createAdmissionOf(slots);
       meter.reset();
     },
--- a/src/upstream/pools.ts
+++ b/src/upstream/pools.ts
@@ -1,5 +1,6 @@
 import {Pool, type Dispatcher} from 'undici';
 import {formatAddress, type Address} from '../model/index.js';
+import {createConnector} from './connect.js';
 
 /** Settings of the connections to one address. */
 export interface Connections {
@@ -59,7 +60,7 @@
   return new Pool(`http://${name}`, {
     connections: options.limit,
     pipelining: 1,
-    connect: {timeout: options.connectTimeoutMs},
+    connect: createConnector(options.connectTimeoutMs),
     keepAliveTimeout: options.keepAliveMs,
     keepAliveMaxTimeout: options.keepAliveMs,
     headersTimeout: 0,
