--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -61,6 +61,7 @@
   let freed: (readonly [number, number, string])[] = [];
   let sequence = 0;
   let running = 0;
+  let announced: 'ready' | 'draining' = 'ready';
   let timer: NodeJS.Timeout | undefined;
 
   const current = () => (Date.now() < heldUntil ? held : []);
@@ -118,7 +119,8 @@
   const bound = server.address() as AddressInfo;
   standin.address = `127.0.0.1:${bound.port}`;
 
-  const beat = async (state: 'ready' | 'draining' = 'ready') => {
+  const beat = async (state = announced) => {
+    announced = state;
     sequence += 1;
     const sentAt = Date.now();
     const reported = freed;
--- /dev/null
+++ b/test/sidecar/fixture.ts
@@ -0,0 +1,268 @@
+import http from 'node:http';
+import net, {type AddressInfo} from 'node:net';
+import {once} from 'node:events';
+import {
+  startInstance,
+  startMetadataStore,
+  type InstanceStandin,
+  type MetadataStoreStandin,
+} from '../../standin/fleet/index.js';
+import {createControl} from '../../platform/control.js';
+import {
+  CONFIGURATION_KEY,
+  readConfiguration,
+} from '../../platform/configuration.js';
+import {PLATFORM_DIALECT} from '../../platform/dialect.js';
+import {createMetadataStore} from '../../platform/store.js';
+import {createSidecar, type Sidecar} from '../../src/sidecar/index.js';
+import type {EventFields, EventKind} from '../../src/telemetry/index.js';
+
+/** Interval between heartbeats in these tests, in milliseconds. */
+export const HEARTBEAT_MS = 200;
+
+/** A daemon with the instance beside it. */
+export interface Pair {
+  readonly sidecar: Sidecar;
+  readonly instance: InstanceStandin;
+  readonly callers: string;
+  /** Address of the daemon for other daemons. */
+  readonly node: string;
+  readonly events: readonly (readonly [EventKind, EventFields])[];
+  readonly close: () => Promise<void>;
+}
+
+/** Callers of a test fleet. */
+export interface TestFleet {
+  readonly store: MetadataStoreStandin;
+  readonly pairs: readonly Pair[];
+  readonly close: () => Promise<void>;
+}
+
+/** An answer as a caller gets it. */
+export interface Answer {
+  readonly status: number;
+  readonly body: string;
+  readonly retryAfter?: string;
+}
+
+const ROUTE_COLUMNS = [
+  'name',
+  'host',
+  'path_prefix',
+  'kind',
+  'timeout_s',
+  'target_latency_s',
+  'priority',
+  'service',
+  'max_attempts',
+];
+
+/**
+ * Returns a configuration with a keyed service `stock` and a plain one `desk`.
+ *
+ * @example
+ * store.write('config', 'main', configuration(1));
+ */
+export function configuration(version: number): unknown {
+  return {
+    version,
+    routes: {
+      columns: ROUTE_COLUMNS,
+      rows: [
+        ['view', 'a.example', '/view/', 'idempotent', 1.2, 0.4, 2, 'stock', 2],
+        [
+          'book',
+          'a.example',
+          '/book/',
+          'non_idempotent',
+          1.5,
+          0.5,
+          1,
+          'desk',
+          2,
+        ],
+      ],
+    },
+    services: {
+      columns: ['name', 'max_connections', 'sharded'],
+      rows: [
+        ['stock', 130, true],
+        ['desk', 130, null],
+      ],
+    },
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 1_000_000,
+      header_timeout_s: 3,
+      idle_timeout_s: 15,
+    },
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+/** Starts a daemon and the instance beside it. */
+async function startPair(
+  store: MetadataStoreStandin,
+  service: string,
+  index: number,
+): Promise<Pair> {
+  const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
+  const [callers, peers, ready, control] = ports.map(p => `127.0.0.1:${p}`);
+  const instancePort = await freePort();
+  const events: [EventKind, EventFields][] = [];
+  const log = (kind: EventKind, fields: EventFields = {}) => {
+    events.push([kind, fields]);
+  };
+  const sidecar = createSidecar({
+    settings: {
+      name: `daemon-${index}`,
+      domain: `zone-${index % 2}`,
+      service,
+      instance: `127.0.0.1:${instancePort}`,
+      callers,
+      peers,
+      ready,
+      control,
+      store: store.address,
+      heartbeatS: HEARTBEAT_MS / 1000,
+      drainS: 1,
+      graceS: 4,
+      holdLimitS: 2,
+      retryShare: 0.2,
+    },
+    store: createMetadataStore(store.address),
+    dialect: PLATFORM_DIALECT,
+    configurationKey: CONFIGURATION_KEY,
+    readConfiguration,
+    log,
+  });
+  const server = http.createServer(createControl(sidecar, log));
+  server.listen(Number(control.split(':')[1]), '127.0.0.1');
+  await once(server, 'listening');
+  await sidecar.start();
+  const instance = await startInstance({
+    id: `i-${service}-${index}`,
+    born: 1000 + index,
+    service,
+    zone: `zone-${index % 2}`,
+    slots: 4,
+    workMs: 20,
+    keyed: service === 'stock',
+    heartbeatMs: HEARTBEAT_MS,
+    control,
+    port: instancePort,
+  });
+  return {
+    sidecar,
+    instance,
+    callers,
+    node: peers,
+    events,
+    close: async () => {
+      instance.crash();
+      await sidecar.stop();
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+/**
+ * Starts a fleet and waits until its keys are held.
+ *
+ * @param services Service of the instance beside each daemon.
+ *
+ * @example
+ * const fleet = await startFleet(['stock', 'stock', 'desk']);
+ */
+export async function startFleet(
+  services: readonly string[],
+): Promise<TestFleet> {
+  const store = await startMetadataStore();
+  store.write('config', 'main', configuration(1));
+  const pairs = await Promise.all(
+    services.map((service, index) => startPair(store, service, index)),
+  );
+  const keyed = pairs.filter((_, index) => services[index] === 'stock');
+  const registered = (index: number) => {
+    const {node} = pairs[index];
+    return store.read('fleet', `member.${node}`) !== undefined;
+  };
+  await until(() => services.every((_, index) => registered(index)));
+  await until(() => pairs.every(pair => pair.sidecar.isReady()));
+  await until(() => keyed.every(pair => pair.instance.holds().length > 0));
+  return {
+    store,
+    pairs,
+    close: async () => {
+      await Promise.all(pairs.map(pair => pair.close()));
+      store.close();
+    },
+  };
+}
+
+/**
+ * Waits until something holds.
+ *
+ * @throws {Error} when it does not within 15 seconds.
+ *
+ * @example
+ * await until(() => instance.holds().length > 0);
+ */
+export async function until(holds: () => boolean): Promise<void> {
+  const end = Date.now() + 15_000;
+  while (!holds()) {
+    if (Date.now() > end) throw new Error('it does not come to hold');
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
+
+let lastId = 0;
+
+/**
+ * Sends one request as a caller.
+ *
+ * @example
+ * const {status} = await ask(pair.callers, 'GET', '/view/x', 4711);
+ */
+export function ask(
+  callers: string,
+  method: string,
+  path: string,
+  key?: number,
+): Promise<Answer> {
+  const [host, port] = callers.split(':');
+  const headers: Record<string, string> = {
+    Host: 'a.example',
+    'X-Vanillaspool-Request-Id': `r${++lastId}`,
+    'X-Vanillaspool-Request-Deadline': '2000',
+  };
+  if (key !== undefined) headers['X-Vanillaspool-Shard-Key'] = String(key);
+  return new Promise((resolve, reject) => {
+    const request = http.request(
+      {host, port, method, path, headers, agent: false},
+      response => {
+        const parts: Buffer[] = [];
+        response.on('data', (part: Buffer) => parts.push(part));
+        response.on('error', reject);
+        response.on('end', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            body: Buffer.concat(parts).toString(),
+            retryAfter: response.headers['retry-after'],
+          }),
+        );
+      },
+    );
+    request.on('error', reject);
+    request.end();
+  });
+}
--- /dev/null
+++ b/test/sidecar/fleet.test.ts
@@ -0,0 +1,121 @@
+import test from 'ava';
+import {ask, configuration, startFleet, until} from './fixture.js';
+
+test('each key is served by its one holder, from every daemon', async t => {
+  const fleet = await startFleet(['stock', 'stock', 'desk']);
+  t.teardown(fleet.close);
+  const [a, b] = fleet.pairs;
+  for (const key of [0, 20_000, 40_000, 65_535]) {
+    const answers = await Promise.all(
+      fleet.pairs.map(pair => ask(pair.callers, 'GET', '/view/x', key)),
+    );
+    t.deepEqual(
+      answers.map(answer => answer.status),
+      [200, 200, 200],
+    );
+    const [atA, atB] = [a, b].map(pair =>
+      pair.instance.runs.some(run => run.key === key),
+    );
+    t.not(atA, atB);
+  }
+});
+
+test('keys stay where they are while nothing changes', async t => {
+  const fleet = await startFleet(['stock', 'stock']);
+  t.teardown(fleet.close);
+  const [a] = fleet.pairs;
+  const before = a.instance.holds();
+  const map = JSON.stringify(fleet.store.read('fleet', 'ranges.stock'));
+  await new Promise(resolve => setTimeout(resolve, 900));
+  t.deepEqual(a.instance.holds(), before);
+  t.is(JSON.stringify(fleet.store.read('fleet', 'ranges.stock')), map);
+});
+
+test('an instance that leaves gives its keys to the others', async t => {
+  const fleet = await startFleet(['stock', 'stock']);
+  t.teardown(fleet.close);
+  const [a, b] = fleet.pairs;
+  t.is(await a.instance.beat('draining'), 200);
+  await until(() => {
+    const held = b.instance.holds();
+    return held.reduce((sum, [from, to]) => sum + to - from + 1, 0) === 65_536;
+  });
+  const {status} = await ask(a.callers, 'GET', '/view/x', 10);
+  t.is(status, 200);
+  t.is(b.instance.runs.at(-1)?.key, 10);
+});
+
+test('an answer to another request is never passed on', async t => {
+  const fleet = await startFleet(['desk']);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  pair.instance.spoil = response => {
+    response.setHeader('X-Vanillaspool-Request-Id', 'another');
+    response.setHeader('X-Vanillaspool-Response-Signature', 'signed');
+    response.end('secret');
+    return true;
+  };
+  const answer = await ask(pair.callers, 'POST', '/book/x');
+  t.is(answer.status, 502);
+  t.false(answer.body.includes('secret'));
+  t.is(pair.instance.runs.length, 1);
+});
+
+test('a run with a failing status is not told as not run', async t => {
+  const fleet = await startFleet(['desk']);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  pair.instance.spoil = (response, id) => {
+    response.setHeader('X-Vanillaspool-Request-Id', id);
+    response.setHeader('X-Vanillaspool-Response-Signature', 'signed');
+    response.writeHead(503).end();
+    return true;
+  };
+  t.is((await ask(pair.callers, 'POST', '/book/x')).status, 502);
+});
+
+test('keys outlast an outage of the store that is shorter than a hold', async t => {
+  const fleet = await startFleet(['stock', 'desk']);
+  t.teardown(fleet.close);
+  const [a, b] = fleet.pairs;
+  fleet.store.faults.down = true;
+  await new Promise(resolve => setTimeout(resolve, 700));
+  t.is((await ask(b.callers, 'GET', '/view/x', 7)).status, 200);
+  fleet.store.faults.down = false;
+  await new Promise(resolve => setTimeout(resolve, 1500));
+  t.is((await ask(b.callers, 'GET', '/view/x', 7)).status, 200);
+  t.is(a.instance.runs.length, 2);
+});
+
+test('a newer configuration is in force, an older one never', async t => {
+  const fleet = await startFleet(['desk']);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  const moved = configuration(5) as {routes: {rows: unknown[][]}};
+  moved.routes.rows[1][2] = '/moved/';
+  fleet.store.write('config', 'main', moved);
+  const taken = (version: number) =>
+    pair.events.some(([, fields]) => fields.version === version);
+  await until(() => taken(5));
+  t.is((await ask(pair.callers, 'POST', '/moved/x')).status, 200);
+  t.is((await ask(pair.callers, 'POST', '/book/x')).status, 404);
+  fleet.store.write('config', 'main', configuration(4));
+  await new Promise(resolve => setTimeout(resolve, 500));
+  t.is((await ask(pair.callers, 'POST', '/moved/x')).status, 200);
+});
+
+test('a stopping daemon ends nothing that it has taken', async t => {
+  const fleet = await startFleet(['desk', 'desk']);
+  const [a, b] = fleet.pairs;
+  const stopped = a.sidecar.stop();
+  t.false(a.sidecar.isReady());
+  const results: number[] = [];
+  const sending = (async () => {
+    for (let i = 0; i < 60; i++) {
+      results.push((await ask(b.callers, 'POST', '/book/x')).status);
+    }
+  })();
+  await Promise.all([stopped, sending]);
+  t.true(results.every(status => status === 200));
+  await fleet.close();
+});
--- a/test/upstream/broken.test.ts
+++ b/test/upstream/broken.test.ts
@@ -69,8 +69,9 @@
 
 test('an answer in chunks without its last one is broken', async t => {
   const chunked = `${HEAD}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n`;
-  const {server, port} = await startBreaking(`${chunked}4\r\npart\r\n`, socket =>
-    socket.end(),
+  const {server, port} = await startBreaking(
+    `${chunked}4\r\npart\r\n`,
+    socket => socket.end(),
   );
   t.is((await pass(port)).kind, 'broken');
   server.close();
