--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -30,11 +30,14 @@
 import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
 import {runLocally, type OwnerContext} from './owner.js';
 import {DEADLINE_GRACE_MS} from './peers.js';
+import {rank} from './urgency.js';
 import {pause, sendable, type Flow, type Work} from './work.js';
 
 /** A configuration with what is derived from it. */
 export interface ActiveConfiguration extends RoutedConfiguration {
   readonly table: RouteTable;
+  /** Names of the routes of short work. */
+  readonly short: ReadonlySet<string>;
 }
 
 /** How requests of callers are handled. */
@@ -68,10 +71,10 @@
 }
 
 /** Longest wait for an instance where none is known, in milliseconds. */
-const OWNER_WAIT_MS = 1200;
+const OWNER_WAIT_MS = 400;
 
 /** Interval at which a wait for an instance is looked at again. */
-const OWNER_POLL_MS = 150;
+const OWNER_POLL_MS = 100;
 
 /** Retry-After where no instance is known, in milliseconds. */
 const NO_OWNER_RETRY_MS = 500;
@@ -94,6 +97,7 @@
   readonly caller: CallerRequest;
   readonly route: Route;
   readonly service: string;
+  readonly isShort: boolean;
   readonly body: RequestBody;
   readonly startedAt: number;
   readonly deadlineAt: number;
@@ -169,6 +173,7 @@
     caller,
     route,
     service,
+    isShort: configuration.short.has(route.name),
     body,
     startedAt,
     deadlineAt: startedAt + timeMs,
@@ -442,9 +447,8 @@
     instance: member.id,
     route: route.name,
     repetition: route.repetition,
-    priority: route.priority,
+    ...rank(route, pass.isShort, startedAt, deadlineAt),
     deadlineAt,
-    objectiveAt: startedAt + route.objectiveMs,
     key: caller.key,
     callerService: context.callerService(),
     method,
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -14,4 +14,5 @@
 export * from './owner.js';
 export * from './peers.js';
 export * from './split.js';
+export * from './urgency.js';
 export * from './work.js';
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -46,7 +46,7 @@
 }
 
 /** Longest wait for keys that the instance is about to hold. */
-const HOLD_WAIT_MS = 1200;
+const HOLD_WAIT_MS = 700;
 
 /** Time after which a caller is to ask for a key that has no holder. */
 const HOLDER_RETRY_MS = 400;
--- a/src/sidecar/maps.ts
+++ b/src/sidecar/maps.ts
@@ -17,8 +17,15 @@
   /** Takes a change that was seen outside the watch. */
   readonly learn: (change: StoredChange) => void;
   readonly log: Log;
+  /** Lets other daemons read the map where the store does not answer this one. */
+  readonly readThroughPeer: (
+    service: string,
+  ) => Promise<StoredObject | undefined>;
 }
 
+/** Time without an answer after which another daemon is asked as well. */
+const HEDGE_MS = 250;
+
 /**
  * Reads a map from the store, past all copies.
  *
@@ -31,19 +38,66 @@
   access: MapAccess,
   service: string,
 ): Promise<RangeMap | undefined> {
-  const key = rangesKey(service);
-  try {
-    const object = await access.store.get(key);
-    if (!object) return EMPTY_MAP;
-    access.learn(object);
-    const map = parseMap(object.value);
-    return 'problem' in map ? undefined : map;
-  } catch (error) {
+  const object = await readMap(access, service);
+  if (!object) return undefined;
+  access.learn(object);
+  const map = parseMap(object.value);
+  return 'problem' in map ? undefined : map;
+}
+
+/** Reads from the store, and through another daemon where that takes long. */
+async function readMap(
+  access: MapAccess,
+  service: string,
+): Promise<StoredObject | undefined> {
+  let message = '';
+  let timer: NodeJS.Timeout | undefined;
+  const own = readOwnMap(access, service).catch(error => {
     if (!(error instanceof UnavailableError)) throw error;
-    const {message} = error;
-    access.log(SIDECAR_EVENTS.notConfirmed, {service, message});
+    message = error.message;
     return undefined;
-  }
+  });
+  const slow = new Promise<'slow'>(resolve => {
+    timer = setTimeout(() => resolve('slow'), HEDGE_MS);
+  });
+  const first = await Promise.race([own, slow]);
+  clearTimeout(timer);
+  if (first !== 'slow' && first) return first;
+  const peer = access.readThroughPeer(service);
+  const found = await firstDefined([own, peer]);
+  if (!found) access.log(SIDECAR_EVENTS.notConfirmed, {service, message});
+  return found;
+}
+
+/**
+ * Reads a map from the store itself.
+ *
+ * @throws {UnavailableError} when the store does not answer.
+ *
+ * @example
+ * const object = await readOwnMap(access, 'stock');
+ */
+export async function readOwnMap(
+  access: Pick<MapAccess, 'store'>,
+  service: string,
+): Promise<StoredObject> {
+  const key = rangesKey(service);
+  const object = await access.store.get(key);
+  return object ?? {key, value: JSON.stringify(EMPTY_MAP), version: 0};
+}
+
+function firstDefined<T>(
+  promises: readonly Promise<T | undefined>[],
+): Promise<T | undefined> {
+  return new Promise((resolve, reject) => {
+    let left = promises.length;
+    for (const promise of promises) {
+      promise.then(value => {
+        left -= 1;
+        if (value !== undefined || left === 0) resolve(value);
+      }, reject);
+    }
+  });
 }
 
 /**
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -60,7 +60,7 @@
 const SETTLE_MS = 1200;
 
 /** Interval between two plans that only balance load, in milliseconds. */
-const BALANCE_MS = 3000;
+const BALANCE_MS = 1200;
 
 /** Load above the mean from which keys are moved, and moves of one plan. */
 const BALANCE = {tolerance: 1.15, moves: 6};
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -24,6 +24,7 @@
   chooseService,
   createRouteTable,
   failureHeaders,
+  findShortRoutes,
   handleCaller,
   handleHop,
   loadOf,
@@ -36,12 +37,13 @@
   type SplitState,
 } from '../relay/index.js';
 import {notRun} from '../model/index.js';
-import type {ObjectStore} from '../store/index.js';
+import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log} from '../telemetry/index.js';
 import {createPools} from '../upstream/index.js';
-import {STATUS_PATH, askStatus} from './ask.js';
+import {MAP_PATH, STATUS_PATH, askDaemon} from './ask.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {createKeeper, type Keeper} from './keeper.js';
+import {readOwnMap} from './maps.js';
 import {createMeter} from './meter.js';
 import {createPlanner, type Status} from './planner.js';
 import {PEER_IDLE_MS, createHandlerServer, listenAt} from './servers.js';
@@ -83,6 +85,9 @@
 /** Time limit of a question to another daemon, in milliseconds. */
 const ASK_TIMEOUT_MS = 600;
 
+/** Time limit of a read of the store through another daemon. */
+const RELAY_TIMEOUT_MS = 300;
+
 /** Interval between two looks at what falls due, in milliseconds. */
 const KEEPER_INTERVAL_MS = 500;
 const PLANNER_INTERVAL_MS = 1000;
@@ -173,7 +178,32 @@
     configuration?.services.get(service)?.keyed === true;
 
   const holdMs = Math.min(HOLD_MS, settings.holdLimitS * MS_PER_SECOND);
-  const access = {store, view: () => view, learn, log, clock, node, holdMs};
+  /** Asks two other daemons in turn, beginning with a random one. */
+  const readThroughPeer = async (service: string) => {
+    const others = [...view.members.keys()].filter(other => other !== node);
+    const start = Math.floor(Math.random() * others.length);
+    for (const offset of [0, 1].slice(0, others.length)) {
+      const peer = others[(start + offset) % others.length];
+      const path = MAP_PATH + encodeURIComponent(service);
+      const object = await askDaemon<StoredObject>(
+        peer,
+        path,
+        RELAY_TIMEOUT_MS,
+      );
+      if (object) return object;
+    }
+    return undefined;
+  };
+  const access = {
+    store,
+    view: () => view,
+    learn,
+    log,
+    clock,
+    node,
+    holdMs,
+    readThroughPeer,
+  };
 
   let admission: Admission = createAdmissionOf(1);
   function createAdmissionOf(slots: number): Admission {
@@ -193,7 +223,8 @@
     },
   });
 
-  const ask = (peer: string) => askStatus<Status>(peer, ASK_TIMEOUT_MS);
+  const ask = (peer: string) =>
+    askDaemon<Status>(peer, STATUS_PATH, ASK_TIMEOUT_MS);
   const planner = createPlanner({...access, ask});
 
   const probe = (peer: string) => {
@@ -282,7 +313,8 @@
     const {version, routes} = result.configuration;
     if (configuration && version <= configuration.version) return;
     const table = createRouteTable(routes);
-    configuration = {...result.configuration, table};
+    const short = findShortRoutes(routes);
+    configuration = {...result.configuration, table, short};
     callers.keepAliveTimeout = result.configuration.limits.idleTimeoutMs;
     callers.headersTimeout = result.configuration.limits.headerTimeoutMs;
     log(SIDECAR_EVENTS.configurationTaken, {version, routes: routes.length});
@@ -327,6 +359,16 @@
     return {id, born, silent: keeper.isSilent(), capacity, heat: meter.heat()};
   };
 
+  const answerMap = (name: string, response: ServerResponse) => {
+    readOwnMap(access, decodeURIComponent(name)).then(
+      object => response.end(JSON.stringify(object)),
+      (error: Error) => {
+        log(SIDECAR_EVENTS.notConfirmed, {message: error.message});
+        response.writeHead(503).end();
+      },
+    );
+  };
+
   const callers: Server = createHandlerServer(
     track((request, response) => handleCaller(context, request, response)),
     DEFAULT_HEADER_MS,
@@ -343,6 +385,10 @@
         response.end(JSON.stringify(statusOf() ?? {id: '', born: 0, heat: []}));
         return;
       }
+      if (!isHop && request.url?.startsWith(MAP_PATH)) {
+        answerMap(request.url.slice(MAP_PATH.length), response);
+        return;
+      }
       handlePeer(request, response);
     },
     DEFAULT_HEADER_MS,
