--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -16,7 +16,7 @@
 } from '../fleet/index.js';
 import {notRun, parseAddress, unknown, type Failure} from '../model/index.js';
 import {sameLife, termOf} from '../ranges/index.js';
-import type {AnswerHead, Pools} from '../upstream/index.js';
+import {breakOff, type AnswerHead, type Pools} from '../upstream/index.js';
 import {readBody, type RequestBody} from './body.js';
 import {chooseInstance, type InstanceLoad, type LoadEvent} from './choose.js';
 import {
@@ -204,7 +204,7 @@
     const {message} = result.error;
     context.ended({...names, outcome: 'broken', reason: ''});
     context.log(RELAY_EVENTS.broken, {request: caller.id, message, ...names});
-    flow.response.destroy();
+    breakOff(flow.response);
     return;
   }
   const {failure} = result;
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -142,9 +142,10 @@
   flow: Flow,
   work: Work,
 ): Promise<AdmissionResult> {
-  const {service, priority, objectiveAt, deadlineAt, route} = work;
+  const {service, priority, objectiveAt, deadlineAt} = work;
   const request = {
-    service: `${service} ${route}`,
+    // Requests of one rank share one estimate, so that a new route has one.
+    service: `${service} ${priority}`,
     caller: work.id,
     get signal() {
       flow.state.controller ??= new AbortController();
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {stopper, type PassState} from '../gateway/index.js';
 import {notRun, type Failure} from '../model/index.js';
+import {breakOff} from '../upstream/index.js';
 import {readBody} from './body.js';
 import type {Dialect} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
@@ -91,7 +92,7 @@
       request: id,
       message: attempt.error.message,
     });
-    response.destroy();
+    breakOff(response);
   } else {
     const {failure, free} = attempt;
     const {outcome, reason, message} = failure;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -39,7 +39,7 @@
 import {notRun} from '../model/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log} from '../telemetry/index.js';
-import {createPools} from '../upstream/index.js';
+import {breakOff, createPools} from '../upstream/index.js';
 import {MAP_PATH, STATUS_PATH, askDaemon} from './ask.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {createKeeper, type Keeper} from './keeper.js';
@@ -345,7 +345,7 @@
       handle(request, response).catch(error => {
         const message = (error as Error).stack ?? String(error);
         log(SIDECAR_EVENTS.failedTask, {message});
-        response.destroy();
+        breakOff(response);
       });
     };
   };
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -103,10 +103,11 @@
       return;
     }
     const {status} = received;
+    left = received.contentLength;
+    if (!received.chunked && Number.isNaN(left)) endWithConnection(response);
     response.writeHead(status, headers);
     stage = 'passing';
     head = received;
-    left = received.contentLength;
     if (hasNoBody(call.method, status) || left === 0) finish(status);
   };
 
@@ -175,6 +176,27 @@
   };
 }
 
+/**
+ * Passes an answer without a length on in the same form, so that it looks no
+ * more complete than it was received.
+ */
+function endWithConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
+
+/**
+ * Breaks an answer off so that it can't be taken for a complete one: the
+ * connection is reset, since its plain end completes an answer without a length.
+ *
+ * @example
+ * if (result.kind === 'broken') breakOff(response);
+ */
+export function breakOff(response: ServerResponse): void {
+  if (response.socket) response.socket.resetAndDestroy();
+  else response.destroy();
+}
+
 function hasNoBody(method: string, status: number): boolean {
   return method === 'HEAD' || status === 204 || status === 304;
 }
--- a/test/upstream/broken.test.ts
+++ b/test/upstream/broken.test.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import test from 'ava';
 import {
+  breakOff,
   createPools,
   exchange,
   type ExchangeResult,
@@ -19,8 +20,16 @@
   return {server, port: (server.address() as AddressInfo).port};
 }
 
+/** How an exchange ended and what its caller saw. */
+interface Passed {
+  readonly kind: ExchangeResult['kind'];
+  /** The caller saw the end of its connection, not a reset. */
+  readonly ended: boolean;
+  readonly text: string;
+}
+
 /** Passes one answer on to a caller and returns how it ended. */
-async function pass(port: number): Promise<ExchangeResult> {
+async function pass(port: number): Promise<Passed> {
   const pools = createPools({connectTimeoutMs: 500, keepAliveMs: 1000});
   const pool = pools.to({host: '127.0.0.1', port}, 1);
   let settle: (result: ExchangeResult) => void;
@@ -31,22 +40,24 @@
       ready: () => true,
       accept: head => head.headers,
       ended: result => {
-        if (result.kind !== 'answered') response.destroy();
+        if (result.kind !== 'answered') breakOff(response);
         settle(result);
       },
     });
   });
   front.listen(0, '127.0.0.1');
   await once(front, 'listening');
-  const request = http.get(
-    {port: (front.address() as AddressInfo).port, host: '127.0.0.1'},
-    response => response.on('error', () => {}).resume(),
-  );
-  request.on('error', () => {});
-  const result = await ended;
-  front.closeAllConnections();
+  const {port: frontPort} = front.address() as AddressInfo;
+  const caller = net.connect(frontPort, '127.0.0.1');
+  let text = '';
+  let isReset = false;
+  caller.on('data', part => (text += part.toString()));
+  caller.on('error', () => (isReset = true));
+  caller.write('GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+  const closed = new Promise(resolve => caller.once('close', resolve));
+  const [result] = await Promise.all([ended, closed]);
   front.close();
-  return result;
+  return {kind: result.kind, ended: !isReset, text};
 }
 
 const HEAD = 'HTTP/1.1 200 OK\r\n';
@@ -55,7 +66,9 @@
   const {server, port} = await startBreaking(`${HEAD}\r\npart`, socket => {
     setTimeout(() => socket.resetAndDestroy(), 50);
   });
-  t.is((await pass(port)).kind, 'broken');
+  const {kind, ended} = await pass(port);
+  t.is(kind, 'broken');
+  t.false(ended);
   server.close();
 });
 
@@ -63,7 +76,11 @@
   const {server, port} = await startBreaking(`${HEAD}\r\nwhole`, socket => {
     socket.end();
   });
-  t.is((await pass(port)).kind, 'answered');
+  const {kind, ended, text} = await pass(port);
+  t.is(kind, 'answered');
+  t.true(ended);
+  t.regex(text, /\r\n\r\nwhole$/);
+  t.notRegex(text, /chunked/i);
   server.close();
 });
 
@@ -73,6 +90,8 @@
     `${chunked}4\r\npart\r\n`,
     socket => socket.end(),
   );
-  t.is((await pass(port)).kind, 'broken');
+  const {kind, ended} = await pass(port);
+  t.is(kind, 'broken');
+  t.false(ended);
   server.close();
 });
