--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,6 +4,7 @@
   {
     ignores: [
       'build/**',
+      'target/**',
       'node_modules/**',
       'src/peer/gen/**',
       'tools/**',
--- a/src/ranges/change.ts
+++ b/src/ranges/change.ts
@@ -131,8 +131,8 @@
 export function restore(map: RangeMap, holder: Incarnation): RangeMap {
   return changeTerms(map, term => {
     if (term.state !== 'revoked' || !sameLife(term.holder, holder)) return term;
-    const {revocation: _, ...rest} = term;
-    return {...rest, state: rest.next ? 'moving' : 'held'};
+    const state = term.next ? 'moving' : 'held';
+    return {...term, state, revocation: undefined};
   });
 }
 
@@ -198,8 +198,8 @@
 ): RangeMap {
   return changeTerms(map, term => {
     if (!term.next || !selects(term)) return term;
-    const {next: _, ...rest} = term;
-    return {...rest, state: term.state === 'moving' ? 'held' : term.state};
+    const state = term.state === 'moving' ? 'held' : term.state;
+    return {...term, state, next: undefined};
   });
 }
 
@@ -220,8 +220,7 @@
 }
 
 function settled(term: RangeTerm): RangeTerm {
-  const {next: _, revocation: __, ...rest} = term;
-  return rest;
+  return {...term, next: undefined, revocation: undefined};
 }
 
 /** The whole key space. */
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -68,7 +68,7 @@
   await new Promise<void>(resolve => {
     timer = setTimeout(resolve, Math.max(1, timeMs));
     state.giveUp = resolve;
-    event?.then(() => resolve());
+    void event?.then(() => resolve());
   });
   clearTimeout(timer);
   state.giveUp = undefined;
--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -62,7 +62,6 @@
   let sequence = 0;
   let running = 0;
   let announced: 'ready' | 'draining' = 'ready';
-  let timer: NodeJS.Timeout | undefined;
 
   const current = () => (Date.now() < heldUntil ? held : []);
   const holdsKey = (key: number) =>
@@ -149,7 +148,7 @@
     heldUntil = sentAt + (holdS ?? 0) * 1000;
     return answer.status;
   };
-  timer = setInterval(() => {
+  const timer = setInterval(() => {
     // A daemon that is away is tried again with the next heartbeat.
     beat().catch(() => {});
   }, options.heartbeatMs);
