--- a/src/sidecar/index.ts
+++ b/src/sidecar/index.ts
@@ -8,6 +8,7 @@
 export * from './events.js';
 export * from './heartbeat.js';
 export * from './keeper.js';
+export * from './metrics.js';
 export * from './planner.js';
 export * from './servers.js';
 export * from './settings.js';
--- /dev/null
+++ b/src/sidecar/metrics.ts
@@ -0,0 +1,78 @@
+import type {Ended} from '../relay/index.js';
+import type {CallKind, CallResult} from '../store/index.js';
+import {
+  METRICS,
+  type CounterDefinition,
+  type GaugeDefinition,
+  type Metrics,
+} from '../telemetry/index.js';
+
+/** Metrics of a daemon beside an instance. */
+export const SIDECAR_METRICS = {
+  refusals: {
+    type: 'counter',
+    name: 'vanillaspool_refusals_total',
+    help: 'Requests of callers that failed, by service and reason.',
+    labels: ['service', 'reason'],
+  },
+  storeCalls: {
+    type: 'counter',
+    name: 'vanillaspool_store_calls_total',
+    help: 'Calls to the store, by kind and result.',
+    labels: ['kind', 'result'],
+  },
+  configurationVersion: {
+    type: 'gauge',
+    name: 'vanillaspool_configuration_version',
+    help: 'Version of the configuration in force.',
+    labels: [],
+  },
+  instanceBusy: {
+    type: 'gauge',
+    name: 'vanillaspool_instance_busy',
+    help: 'Requests that run or wait at the instance beside.',
+    labels: [],
+  },
+} as const satisfies Readonly<
+  Record<string, CounterDefinition | GaugeDefinition>
+>;
+
+/** What is counted while a daemon runs. */
+export interface Recorder {
+  readonly ended: (ended: Ended) => void;
+  readonly storeCall: (kind: CallKind, result: CallResult) => void;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Outcomes of a request in the metrics. */
+const OUTCOMES = {
+  answered: 'answered',
+  'not-run': 'not-run',
+  unknown: 'unknown',
+  broken: 'unknown',
+  cancelled: 'cancelled',
+} as const;
+
+/**
+ * Creates what counts the requests and store calls of a daemon.
+ *
+ * @example
+ * const recorder = createRecorder(createMetrics());
+ */
+export function createRecorder(metrics: Metrics): Recorder {
+  return {
+    ended: ({service, outcome, reason, timeMs}) => {
+      const labels = {service, outcome: OUTCOMES[outcome]};
+      metrics.counter(METRICS.requests, labels)();
+      const sender = {service, sender: 'caller'};
+      const seconds = timeMs / MS_PER_SECOND;
+      metrics.histogram(METRICS.requestSeconds, sender)(seconds);
+      if (!reason) return;
+      metrics.counter(SIDECAR_METRICS.refusals, {service, reason})();
+    },
+    storeCall: (kind, result) => {
+      metrics.counter(SIDECAR_METRICS.storeCalls, {kind, result})();
+    },
+  };
+}
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -14,6 +14,8 @@
   readonly ready: string;
   /** Address for the heartbeats of the instance beside. */
   readonly control: string;
+  /** Address at which metrics are served. */
+  readonly metrics: string;
   /** Address of the store. */
   readonly store: string;
   /** Interval between heartbeats, in seconds. */
@@ -41,6 +43,7 @@
   'peers',
   'ready',
   'control',
+  'metrics',
   'store',
 ] as const;
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -38,13 +38,14 @@
 } from '../relay/index.js';
 import {notRun} from '../model/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
-import type {Log} from '../telemetry/index.js';
+import type {Log, Metrics} from '../telemetry/index.js';
 import {breakOff, createPools} from '../upstream/index.js';
 import {MAP_PATH, STATUS_PATH, askDaemon} from './ask.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {createKeeper, type Keeper} from './keeper.js';
 import {readOwnMap} from './maps.js';
 import {createMeter} from './meter.js';
+import {SIDECAR_METRICS} from './metrics.js';
 import {createPlanner, type Status} from './planner.js';
 import {PEER_IDLE_MS, createHandlerServer, listenAt} from './servers.js';
 import type {SidecarSettings} from './settings.js';
@@ -72,6 +73,8 @@
   readonly keeper: Keeper;
   /** Callers may be sent here. */
   readonly isReady: () => boolean;
+  /** Sets the gauges to what holds now. */
+  readonly measure: (metrics: Metrics) => void;
   readonly start: () => Promise<void>;
   /** Finishes what is in flight; resolves when the process may end. */
   readonly stop: () => Promise<void>;
@@ -472,6 +475,13 @@
     keeper,
     isReady: () =>
       configuration !== undefined && listed && stoppingAt === undefined,
+    measure: metrics => {
+      const {version = 0} = configuration ?? {};
+      metrics.gauge(SIDECAR_METRICS.configurationVersion, {})(version);
+      const {running, waiting} = admission.state();
+      const busy = running.length + waiting.length;
+      metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
+    },
     start: async () => {
       await listenAt(peers, settings.peers);
       await listenAt(callers, settings.callers);
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -131,6 +131,7 @@
       peers,
       ready,
       control,
+      metrics: '127.0.0.1:1',
       store: store.address,
       heartbeatS: HEARTBEAT_MS / 1000,
       drainS: 1,
