--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -12,10 +12,14 @@
 import {declareLost, drain, explain, status} from './fleet.js';
 import {history, readCurrent} from './history.js';
 import {EXIT, UsageError, type Result} from './result.js';
+import {trace} from './trace.js';
 
 /** Time limit for a version to be in force, in seconds. */
 const TIMEOUT_DEFAULT_S = 30;
 
+/** Standard input as a file. */
+const STANDARD_INPUT = '/dev/stdin';
+
 /** Entries of the history that are shown. */
 const HISTORY_LIMIT_DEFAULT = 20;
 
@@ -49,6 +53,7 @@
   addConfigurationCommands(program, environment);
   addHistoryCommands(program, environment);
   addFleetCommands(program, environment);
+  addTraceCommand(program, environment);
   addVersionCommand(program, environment);
   return program;
 }
@@ -144,6 +149,16 @@
     });
 }
 
+function addTraceCommand(program: Sade, {readText}: Environment): void {
+  program
+    .command('trace <request> [file]')
+    .describe('Print what the log says of a request; - reads standard input.')
+    .example('trace 9c41d07be2a35f68 fleet.log')
+    .action((request: string, file: string | undefined) =>
+      trace(readText(file && file !== '-' ? file : STANDARD_INPUT), request),
+    );
+}
+
 function addVersionCommand(program: Sade, environment: Environment): void {
   program
     .command('version')
