--- a/src/admission/estimate.ts
+++ b/src/admission/estimate.ts
@@ -45,6 +45,21 @@
   return estimate.meanMs + CAUTION_DEVIATIONS * estimate.deviationMs;
 }
 
+/**
+ * Returns by how much the times of a service differ from their mean, in
+ * milliseconds; 0 when no request of it has finished of late.
+ *
+ * @example
+ * spreadMs(observeTime([], 'a', 10, now), 'a', now); // 5
+ */
+export function spreadMs(
+  estimates: readonly Estimate[],
+  service: string,
+  now: number,
+): number {
+  return findValid(estimates, service, now)?.deviationMs ?? 0;
+}
+
 /**
  * Returns the estimates after a request took `tookMs`. The first ones weigh
  * more, and an estimate that has become too old begins anew.
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -4,7 +4,11 @@
   type Attempt,
   type FailedTry,
 } from '../gateway/index.js';
-import type {Admission, AdmissionResult} from '../admission/index.js';
+import {
+  spreadMs,
+  type Admission,
+  type AdmissionResult,
+} from '../admission/index.js';
 import {notRun, unknown, type Failure} from '../model/index.js';
 import type {Log} from '../telemetry/index.js';
 import type {AnswerHead, Pools} from '../upstream/index.js';
@@ -54,6 +58,12 @@
 /** Added to the priority of a request that has missed its objective. */
 const LATE_RANK = 100;
 
+/** Mean deviations by which a request may miss its objective. */
+const OBJECTIVE_DEVIATIONS = 2;
+
+/** Mean deviations by which a request that starts may miss its deadline. */
+const DEADLINE_DEVIATIONS = 3;
+
 /** Connections beyond the slots, for those that are being closed. */
 const SPARE_CONNECTIONS = 8;
 
@@ -136,16 +146,23 @@
 /**
  * Asks for a slot in time for the objective, and if that is out of reach, for
  * one that nobody needs for its own objective, in time for the deadline.
+ *
+ * Admission allows for nearly the longest time that a request may take. That
+ * would leave no time to wait where the objective is a few times the mean, so
+ * the limits are set later by what a request must not be held to.
  */
 async function admit(
   context: OwnerContext,
   flow: Flow,
   work: Work,
 ): Promise<AdmissionResult> {
-  const {service, priority, objectiveAt, deadlineAt} = work;
+  const {priority, objectiveAt, deadlineAt} = work;
+  // Requests of one rank share one estimate, so that a new route has one.
+  const service = `${work.service} ${priority}`;
+  const {estimates} = context.admission.state();
+  const spread = spreadMs(estimates, service, context.clock());
   const request = {
-    // Requests of one rank share one estimate, so that a new route has one.
-    service: `${service} ${priority}`,
+    service,
     caller: work.id,
     get signal() {
       flow.state.controller ??= new AbortController();
@@ -156,14 +173,14 @@
     const inTime = await context.admission.admit({
       ...request,
       priority,
-      deadlineAt: objectiveAt,
+      deadlineAt: objectiveAt + spread * OBJECTIVE_DEVIATIONS,
     });
     if (inTime.kind === 'admitted' || flow.state.stopped) return inTime;
   }
   return context.admission.admit({
     ...request,
     priority: priority + LATE_RANK,
-    deadlineAt,
+    deadlineAt: deadlineAt + spread * DEADLINE_DEVIATIONS,
   });
 }
 
