--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -73,6 +73,8 @@
   readonly keeper: Keeper;
   /** Callers may be sent here. */
   readonly isReady: () => boolean;
+  /** Takes new settings; addresses stay as they are until a restart. */
+  readonly reload: (settings: SidecarSettings) => void;
   /** Sets the gauges to what holds now. */
   readonly measure: (metrics: Metrics) => void;
   readonly start: () => Promise<void>;
@@ -147,7 +149,8 @@
  * await sidecar.start();
  */
 export function createSidecar(options: SidecarOptions): Sidecar {
-  const {settings, store, dialect, log} = options;
+  const {store, dialect, log} = options;
+  let {settings} = options;
   const {peers: node, domain} = settings;
   const clock = () => performance.now();
   const viewSignal = createSignal();
@@ -218,8 +221,12 @@
     domain,
     instance: settings.instance,
     isKeyed,
-    heartbeatMs: settings.heartbeatS * MS_PER_SECOND,
-    drainMs: settings.drainS * MS_PER_SECOND,
+    get heartbeatMs() {
+      return settings.heartbeatS * MS_PER_SECOND;
+    },
+    get drainMs() {
+      return settings.drainS * MS_PER_SECOND;
+    },
     began: slots => {
       admission = createAdmissionOf(slots);
       meter.reset();
@@ -475,6 +482,9 @@
     keeper,
     isReady: () =>
       configuration !== undefined && listed && stoppingAt === undefined,
+    reload: changed => {
+      settings = changed;
+    },
     measure: metrics => {
       const {version = 0} = configuration ?? {};
       metrics.gauge(SIDECAR_METRICS.configurationVersion, {})(version);
