--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -42,7 +42,9 @@
       readonly slots: number;
       readonly meanMs: number;
     }
-  | {readonly kind: 'unreachable'};
+  | {readonly kind: 'unreachable'}
+  /** A question on a new connection was answered. */
+  | {readonly kind: 'reachable'};
 
 /** Share of the newest result in the moving share of failures. */
 const FAILURE_WEIGHT = 0.1;
@@ -50,11 +52,11 @@
 /** Time after which a report counts half, in milliseconds. */
 const REPORT_HALF_LIFE_MS = 500;
 
-/** First time for which an unreachable instance is passed over. */
-const SHUN_MS = 250;
-
-/** Longest time for which an unreachable instance is passed over. */
-const LONGEST_SHUN_MS = 2000;
+/**
+ * Time for which an unreachable instance is passed over; it ends sooner when
+ * the daemon beside it answers a question.
+ */
+const SHUN_MS = 3000;
 
 /** Added to the estimate of an instance at which every request fails. */
 const FAILURE_COST_MS = 1500;
@@ -96,9 +98,10 @@
     }
     case 'unreachable': {
       const unreachable = load.unreachable + 1;
-      const shunMs = Math.min(SHUN_MS * 2 ** load.unreachable, LONGEST_SHUN_MS);
-      return {...load, unreachable, shunnedUntil: now + shunMs};
+      return {...load, unreachable, shunnedUntil: now + SHUN_MS};
     }
+    case 'reachable':
+      return {...load, unreachable: 0, shunnedUntil: 0};
   }
 }
 
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -82,8 +82,8 @@
 /** Most daemons that are asked for one request. */
 const ASK_LIMIT = 6;
 
-/** Silence after which a daemon is probed, in milliseconds. */
-const PROBE_AFTER_MS = 700;
+/** Silence of a daemon after which it is asked whether it lives. */
+const PROBE_AFTER_MS = 400;
 
 /** Connections to one daemon. */
 const PEER_CONNECTIONS = 128;
@@ -430,7 +430,7 @@
       : await sendHop(context, pass, member, work);
   const failedThere =
     attempt.kind === 'broken' ||
-    (attempt.kind === 'failed' && attempt.failure.outcome === 'unknown') ||
+    (attempt.kind === 'failed' && isFault(attempt.failure)) ||
     (attempt.kind === 'answered' && attempt.status >= 500);
   const gaveUp = pass.flow.state.stopped !== undefined;
   const failed = failedThere && !gaveUp;
@@ -476,9 +476,16 @@
   if (work.body.kind === 'streamed') flow.state.consumed = true;
   let heard = false;
   let unreachable = false;
-  const probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
+  let probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
   const probe = async () => {
-    if (heard || (await context.probe(node)) || heard) return;
+    if (heard) return;
+    const silentMs = context.clock() - context.loads(node).reportedAt;
+    const lives = silentMs < PROBE_AFTER_MS || (await context.probe(node));
+    if (heard) return;
+    if (lives) {
+      probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
+      return;
+    }
     unreachable = true;
     flow.state.giveUp?.();
   };
@@ -515,7 +522,10 @@
         const failure = notRun('upstream-refused', message);
         return {kind: 'failed', failure, alternative: true, free: true};
       },
-      ended: () => clearTimeout(probing),
+      ended: () => {
+        heard = true;
+        clearTimeout(probing);
+      },
     },
   );
   if (unreachable && !flow.state.stopped) {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -33,6 +33,7 @@
   type Ended,
   type EntryContext,
   type InstanceLoad,
+  type LoadEvent,
   type RoutedConfiguration,
   type SplitState,
 } from '../relay/index.js';
@@ -88,11 +89,14 @@
 const HOLD_MS = 5000;
 
 /** Time limit of a question to another daemon, in milliseconds. */
-const ASK_TIMEOUT_MS = 600;
+const ASK_TIMEOUT_MS = 400;
 
 /** Time limit of a read of the store through another daemon. */
 const RELAY_TIMEOUT_MS = 300;
 
+/** Interval between two questions to a daemon that did not answer. */
+const RETURN_INTERVAL_MS = 400;
+
 /** Interval between two looks at what falls due, in milliseconds. */
 const KEEPER_INTERVAL_MS = 500;
 const PLANNER_INTERVAL_MS = 1000;
@@ -246,6 +250,24 @@
     return asked;
   };
 
+  const observeLoad = (peer: string, event: LoadEvent) => {
+    const before = loads.get(peer) ?? UNKNOWN_LOAD;
+    loads.set(peer, applyLoadEvent(before, event, clock()));
+    const isFirst = event.kind === 'unreachable' && before.unreachable === 0;
+    if (isFirst) guard(awaitReturn(peer));
+  };
+
+  /** Asks an unreachable daemon until it answers, so that no request has to. */
+  const awaitReturn = async (peer: string) => {
+    while (!controller.signal.aborted && view.members.has(peer)) {
+      await new Promise(resolve => setTimeout(resolve, RETURN_INTERVAL_MS));
+      const load = loads.get(peer);
+      if (!load || load.unreachable === 0) return;
+      const answers = await probe(peer);
+      observeLoad(peer, {kind: answers ? 'reachable' : 'unreachable'});
+    }
+  };
+
   const budgetOf = (service: string) => {
     const share = settings.retryShare * RETRY_SHARE_USED;
     return (
@@ -283,10 +305,7 @@
       return step.service;
     },
     loads: peer => loads.get(peer) ?? UNKNOWN_LOAD,
-    observeLoad: (peer, event) => {
-      const before = loads.get(peer) ?? UNKNOWN_LOAD;
-      loads.set(peer, applyLoadEvent(before, event, clock()));
-    },
+    observeLoad,
     peerPools: createPools({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       keepAliveMs: PEER_IDLE_MS / 2,
--- /dev/null
+++ b/test/relay/choose.test.ts
@@ -0,0 +1,115 @@
+import test from 'ava';
+import {
+  UNKNOWN_LOAD,
+  applyLoadEvent,
+  chooseInstance,
+  chooseService,
+  estimateMs,
+  findShortRoutes,
+  formatHop,
+  parseHop,
+  type Choice,
+  type InstanceLoad,
+  type LoadEvent,
+  type Route,
+  type SplitState,
+} from '../../src/relay/index.js';
+
+const after = (...events: readonly LoadEvent[]): InstanceLoad =>
+  events.reduce((load, event) => applyLoadEvent(load, event, 0), UNKNOWN_LOAD);
+
+const report = (busy: number, meanMs = 100): LoadEvent => ({
+  kind: 'reported',
+  busy,
+  slots: 4,
+  meanMs,
+});
+
+const choice = (node: string, load: InstanceLoad): Choice => ({
+  node,
+  isNear: true,
+  load,
+});
+
+test('a full instance is passed over for one with room', t => {
+  const choices = [
+    choice('a', after(report(9))),
+    choice('b', after(report(1))),
+  ];
+  t.is(chooseInstance(choices, 0)?.node, 'b');
+});
+
+test('a faster instance is preferred, and one that fails is not', t => {
+  const fast = after(report(1, 60));
+  const failing = after(
+    ...Array.from({length: 10}, (): LoadEvent => ({
+      kind: 'ended',
+      failed: true,
+    })),
+    report(0, 40),
+  );
+  t.true(estimateMs(fast, true, 0) < estimateMs(after(report(1)), true, 0));
+  const choices = [choice('fails', failing), choice('fast', fast)];
+  t.is(chooseInstance(choices, 0)?.node, 'fast');
+});
+
+test('an unreachable instance is passed over until it answers', t => {
+  const lost = after(report(0), {kind: 'unreachable'});
+  const busy = choice('busy', after(report(12)));
+  t.is(chooseInstance([choice('lost', lost), busy], 1)?.node, 'busy');
+  const back = applyLoadEvent(lost, {kind: 'reachable'}, 2);
+  t.is(chooseInstance([choice('back', back), busy], 2)?.node, 'back');
+  t.is(chooseInstance([choice('lost', lost)], 1)?.node, 'lost');
+});
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'h',
+  prefix: '/',
+  repetition: 'idempotent',
+  timeoutMs: 1000,
+  objectiveMs: 400,
+  maxAttempts: 2,
+  priority: 1,
+  parts: [
+    {service: 'a', weight: 90},
+    {service: 'b', weight: 10},
+  ],
+};
+
+test('a split keeps close to its weights in any run of requests', t => {
+  let state: SplitState | undefined;
+  let b = 0;
+  for (let i = 1; i <= 200; i++) {
+    const step = chooseService(ROUTE, state);
+    state = step.state;
+    if (step.service === 'b') b += 1;
+    t.true(Math.abs(b - i * 0.1) <= 1);
+  }
+});
+
+test('short routes are those with half the objective or less', t => {
+  const parts = [{service: 'a', weight: 1}];
+  const long = {...ROUTE, name: 'long', parts, objectiveMs: 500};
+  const short = {...ROUTE, name: 'short', parts, objectiveMs: 120};
+  const routes = [long, short, {...ROUTE, parts}];
+  t.deepEqual([...findShortRoutes(routes)], ['short']);
+});
+
+test('a hop is read as it was written, and nothing else is', t => {
+  const hop = {
+    id: 'q',
+    service: 's',
+    instance: 'i',
+    route: 'r',
+    repetition: 'once',
+    priority: 3,
+    leftMs: 500,
+    objectiveLeftMs: -20,
+    key: 7,
+    callerService: 'c',
+  } as const;
+  t.deepEqual(parseHop(formatHop(hop)), hop);
+  t.is(parseHop('{}'), undefined);
+  t.is(parseHop('no JSON'), undefined);
+});
