--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -439,6 +439,11 @@
   return attempt;
 }
 
+/** The instance or the way to it is at fault, not its load. */
+function isFault({outcome, reason}: Failure): boolean {
+  return outcome === 'unknown' || reason === 'upstream-refused';
+}
+
 function workOf(context: EntryContext, pass: Request, member: Member): Work {
   const {route, caller, startedAt, deadlineAt, method, target, body} = pass;
   return {
