--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -278,7 +278,7 @@
     context.log(RELAY_EVENTS.retried, {
       request: pass.caller.id,
       service: pass.service,
-      instance: member.id,
+      upstream: member.id,
       reason,
       message,
     });
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -86,7 +86,12 @@
   const {id, instance} = hop;
   if (attempt.kind === 'answered') {
     const {status} = attempt;
-    context.log(RELAY_EVENTS.ran, {request: id, status, timeMs, instance});
+    context.log(RELAY_EVENTS.ran, {
+      request: id,
+      status,
+      timeMs,
+      upstream: instance,
+    });
   } else if (attempt.kind === 'broken') {
     context.log(RELAY_EVENTS.broken, {
       request: id,
@@ -104,7 +109,7 @@
       reason,
       message,
       timeMs,
-      instance,
+      upstream: instance,
     });
     answer(context, response, known, free === false);
   }
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -232,7 +232,7 @@
       const keys = rows.reduce((sum, {from, to}) => sum + to - from + 1, 0);
       log(SIDECAR_EVENTS.granted, {
         service,
-        instance: report.life.id,
+        upstream: report.life.id,
         ranges: rows.length,
         keys,
         fence: Math.max(0, ...rows.map(row => row.fence)),
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -213,7 +213,7 @@
       const held = (term: RangeTerm) =>
         term.state !== 'revoked' && sameLife(term.holder, lifeOf(member));
       if (!map.terms.some(held)) continue;
-      log(SIDECAR_EVENTS.memberLost, {service, instance: member.id});
+      log(SIDECAR_EVENTS.memberLost, {service, upstream: member.id});
     }
     const plan = (m: RangeMap) => planAll(m, others, candidates, heat, due);
     const planned = plan(map);
