--- a/src/relay/urgency.ts
+++ b/src/relay/urgency.ts
@@ -38,10 +38,10 @@
 }
 
 /** Mean deviations by which a request may miss its objective. */
-const OBJECTIVE_DEVIATIONS = 2;
+const OBJECTIVE_DEVIATIONS = 1;
 
 /** Mean deviations by which a request that starts may miss its deadline. */
-const DEADLINE_DEVIATIONS = 3;
+const DEADLINE_DEVIATIONS = 2;
 
 /** Times by which admission is to expect an answer. */
 export interface Limits {
@@ -61,7 +61,7 @@
  * @param spreadMs Mean deviation of the time that a request takes.
  *
  * @example
- * limitsOf({objectiveAt: 400, deadlineAt: 1200}, 70).objectiveAt; // 540
+ * limitsOf({objectiveAt: 400, deadlineAt: 1200}, 70).objectiveAt; // 470
  */
 export function limitsOf(
   {objectiveAt, deadlineAt}: Limits,
