--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -5,6 +5,7 @@
   type FailedTry,
 } from '../gateway/index.js';
 import {
+  cautiousMs,
   spreadMs,
   type Admission,
   type AdmissionResult,
@@ -15,7 +16,7 @@
 import type {Dialect, StatedLoad, Verdict} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
-import {limitsOf} from './urgency.js';
+import {admissionDeadline} from './urgency.js';
 import {pause, sendable, type Flow, type Work} from './work.js';
 
 /** The upstream instance beside a daemon. */
@@ -147,12 +148,15 @@
   flow: Flow,
   work: Work,
 ): Promise<AdmissionResult> {
-  const {priority} = work;
+  const {priority, objectiveAt} = work;
   // Requests of one rank share one estimate, so that a new route has one.
   const service = `${work.service} ${priority}`;
   const {estimates} = context.admission.state();
-  const spread = spreadMs(estimates, service, context.clock());
-  const {objectiveAt, deadlineAt} = limitsOf(work, spread);
+  const now = context.clock();
+  const deadlineAt = admissionDeadline(work.deadlineAt, now, {
+    deviationMs: spreadMs(estimates, service, now),
+    cautiousMs: cautiousMs(estimates, service, now),
+  });
   const request = {
     service,
     caller: work.id,
--- a/src/relay/urgency.ts
+++ b/src/relay/urgency.ts
@@ -37,38 +37,33 @@
   };
 }
 
-/** Mean deviations by which a request may miss its objective. */
-const OBJECTIVE_DEVIATIONS = 1;
+/** Mean deviations by which a request with little time may miss its deadline. */
+const SHORT_DEVIATIONS = 3;
 
-/** Mean deviations by which a request that starts may miss its deadline. */
-const DEADLINE_DEVIATIONS = 2;
-
-/** Times by which admission is to expect an answer. */
-export interface Limits {
-  readonly objectiveAt: number;
-  readonly deadlineAt: number;
+/** What is known of the time that requests of a rank take, in milliseconds. */
+export interface Spread {
+  /** Mean deviation from the mean. */
+  readonly deviationMs: number;
+  /** A time that nearly all of them stay under. */
+  readonly cautiousMs: number;
 }
 
 /**
- * Sets the limits of a request's wait. Admission allows for nearly the longest
- * time that a request may take, which would leave no time to wait where the
- * objective is a few times the mean; so the limits are set later by a part of
- * that.
- *
- * Answers a service whose instances are as busy as they can be, with short
- * waits that most requests survive within their objective.
+ * Sets the time by which admission is to expect an answer. Admission allows for
+ * nearly the longest time that a request may take. One whose whole time is less
+ * than that would never wait, however short the queue, so it is allowed to miss
+ * its deadline now and then.
  *
- * @param spreadMs Mean deviation of the time that a request takes.
+ * Answers routes with time limits near the time that their requests take.
  *
  * @example
- * limitsOf({objectiveAt: 400, deadlineAt: 1200}, 70).objectiveAt; // 470
+ * admissionDeadline(300, 0, {deviationMs: 50, cautiousMs: 320}); // 450
  */
-export function limitsOf(
-  {objectiveAt, deadlineAt}: Limits,
-  spreadMs: number,
-): Limits {
-  return {
-    objectiveAt: objectiveAt + spreadMs * OBJECTIVE_DEVIATIONS,
-    deadlineAt: deadlineAt + spreadMs * DEADLINE_DEVIATIONS,
-  };
+export function admissionDeadline(
+  deadlineAt: number,
+  now: number,
+  {deviationMs, cautiousMs}: Spread,
+): number {
+  if (deadlineAt - now > cautiousMs) return deadlineAt;
+  return deadlineAt + deviationMs * SHORT_DEVIATIONS;
 }
