--- a/src/sidecar/meter.ts
+++ b/src/sidecar/meter.ts
@@ -1,7 +1,7 @@
 import {HEAT_PARTS, LAST_KEY, type Heat} from '../ranges/index.js';
 
 /** Time after which an observation counts half, in milliseconds. */
-const HALF_LIFE_MS = 2500;
+const HALF_LIFE_MS = 4000;
 
 /** Mean time of a request before any was observed, in milliseconds. */
 const INITIAL_MEAN_MS = 150;
