--- a/src/ranges/holder.ts
+++ b/src/ranges/holder.ts
@@ -1,11 +1,5 @@
 import type {Release} from './change.js';
-import {
-  heldBy,
-  sameLife,
-  type Incarnation,
-  type RangeMap,
-  type RangeTerm,
-} from './map.js';
+import {sameLife, type Incarnation, type RangeMap} from './map.js';
 
 /** What an upstream says in a heartbeat of the keys that it holds. */
 export interface HoldReport {
@@ -103,35 +97,6 @@
   });
 }
 
-/** How the keys of a heartbeat's sender compare with the map. */
-export type Difference = 'none' | 'missing' | 'surplus';
-
-/**
- * Compares what an upstream holds with what the map gives it.
- *
- * @returns `surplus` when it holds a range that it is to release, `missing`
- *     when it lacks a range, and otherwise `none`.
- *
- * @example
- * if (compareHolds(map, report) !== 'none') confirmAtOnce();
- */
-export function compareHolds(map: RangeMap, report: HoldReport): Difference {
-  const due = heldBy(map, report.life);
-  const within = (range: HeldRange, ranges: readonly HeldRange[]) => {
-    let from = range.from;
-    for (const other of [...ranges].sort((a, b) => a.from - b.from)) {
-      if (other.from <= from && other.to >= from) from = other.to + 1;
-    }
-    return from > range.to;
-  };
-  if (!report.holds.every(range => within(range, due))) return 'surplus';
-  const held = (term: RangeTerm) => {
-    const same = report.holds.filter(range => range.fence === term.fence);
-    return within(term, same);
-  };
-  return due.every(held) ? 'none' : 'missing';
-}
-
 /**
  * Records an answer that granted ranges.
  *
--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -123,7 +123,7 @@
   const {slots, meanMs, inFlight, inFlightAtReport} = load;
   const age = 2 ** ((load.reportedAt - now) / REPORT_HALF_LIFE_MS);
   const others = Math.max(0, load.reported - inFlightAtReport) * age;
-  const busy = Math.max(inFlight, others + inFlight);
+  const busy = others + inFlight;
   const waiting = Math.max(0, busy + 1 - slots) / slots;
   const full = busy / slots;
   const workMs = Math.max(meanMs, 1);
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -146,7 +146,15 @@
   return (status >= 400 && status < 500) || status === 503;
 }
 
-function readJson<T>(
+/**
+ * Reads an answer of the store as JSON.
+ *
+ * @param Failure What an answer that is none means for the call.
+ *
+ * @example
+ * const {version} = readJson<{version: number}>(body, AnswerLostError);
+ */
+export function readJson<T>(
   body: string,
   Failure: typeof UnavailableError | typeof AnswerLostError,
 ): T {
--- a/test/relay/load.test.ts
+++ b/test/relay/load.test.ts
@@ -30,25 +30,38 @@
   readonly run: () => void;
 }
 
-/** Plays an overload of one instance in virtual time and counts what is served. */
-async function play(ranks: typeof rank): Promise<Map<string, number>> {
+/** Admission to 12 slots in virtual time. */
+function createVirtual() {
   let now = 0;
   let timers: Timer[] = [];
-  const served = new Map<string, number>();
+  const after = (delayMs: number, run: () => void) => {
+    const timer = {at: now + delayMs, run};
+    timers.push(timer);
+    return () => (timers = timers.filter(other => other !== timer));
+  };
   const admission = createAdmission({
     slots: 12,
     queue: 144,
     clock: () => now,
-    schedule: (delayMs, run) => {
-      const timer = {at: now + delayMs, run};
-      timers.push(timer);
-      return () => (timers = timers.filter(other => other !== timer));
-    },
+    schedule: after,
   });
+  const advance = (timeMs: number) => {
+    now += timeMs;
+    const due = timers.filter(timer => timer.at <= now);
+    timers = timers.filter(timer => timer.at > now);
+    due.forEach(timer => timer.run());
+  };
+  return {admission, after, advance, now: () => now};
+}
+
+/** Plays an overload of one instance in virtual time and counts what is served. */
+async function play(ranks: typeof rank): Promise<Map<string, number>> {
+  const {admission, after, advance, now} = createVirtual();
+  const served = new Map<string, number>();
   const arrive = async (route: Route, workMs: number, id: number) => {
-    const deadlineAt = now + route.timeoutMs;
+    const deadlineAt = now() + route.timeoutMs;
     const isShort = route === LOOK_UP;
-    const urgency = ranks(route, isShort, now, deadlineAt);
+    const urgency = ranks(route, isShort, now(), deadlineAt);
     const ask = (priority: number, until: number) =>
       admission.admit({
         service: route.name,
@@ -64,16 +77,13 @@
     const {release} = result;
     const run = () => {
       release('ran');
-      if (now > deadlineAt) return;
+      if (now() > deadlineAt) return;
       served.set(route.name, (served.get(route.name) ?? 0) + 1);
     };
-    timers.push({at: now + workMs, run});
+    after(workMs, run);
   };
-  for (let id = 0; now < 20_000; id++) {
-    now += 5;
-    const due = timers.filter(timer => timer.at <= now);
-    timers = timers.filter(timer => timer.at > now);
-    due.forEach(timer => timer.run());
+  for (let id = 0; now() < 20_000; id++) {
+    advance(5);
     if (id % 4 === 0) void arrive(ROUTE, 220, id);
     if (id % 2 === 0) void arrive(LOOK_UP, 40, 100_000 + id);
     for (let turn = 0; turn < 6; turn++) await Promise.resolve();
@@ -114,28 +124,17 @@
   setDeadline: typeof admissionDeadline,
 ): Promise<Shares> {
   const random = createRandom(5);
-  let now = 0;
-  let timers: Timer[] = [];
+  const {admission, after, advance, now} = createVirtual();
   const asked = {long: 0, short: 0};
   const served = {long: 0, short: 0};
-  const admission = createAdmission({
-    slots: 12,
-    queue: 144,
-    clock: () => now,
-    schedule: (delayMs, run) => {
-      const timer = {at: now + delayMs, run};
-      timers.push(timer);
-      return () => (timers = timers.filter(other => other !== timer));
-    },
-  });
   const arrive = async (id: number, kind: 'long' | 'short') => {
     asked[kind] += 1;
     const timeMs = kind === 'long' ? LONG_LIMIT_MS : SHORT_LIMIT_MS;
-    const deadlineAt = now + timeMs;
+    const deadlineAt = now() + timeMs;
     const {estimates} = admission.state();
-    const limit = setDeadline(deadlineAt, now, {
-      deviationMs: spreadMs(estimates, 'view', now),
-      cautiousMs: cautiousMs(estimates, 'view', now),
+    const limit = setDeadline(deadlineAt, now(), {
+      deviationMs: spreadMs(estimates, 'view', now()),
+      cautiousMs: cautiousMs(estimates, 'view', now()),
     });
     const result = await admission.admit({
       service: 'view',
@@ -147,15 +146,12 @@
     const {release} = result;
     const run = () => {
       release('ran');
-      if (now <= deadlineAt) served[kind] += 1;
+      if (now() <= deadlineAt) served[kind] += 1;
     };
-    timers.push({at: now + 70 + random() * 200, run});
+    after(70 + random() * 200, run);
   };
-  for (let id = 0; now < 30_000; id++) {
-    now += 1;
-    const due = timers.filter(timer => timer.at <= now);
-    timers = timers.filter(timer => timer.at > now);
-    due.forEach(timer => timer.run());
+  for (let id = 0; now() < 30_000; id++) {
+    advance(1);
     if (random() < 0.08) void arrive(id, 'long');
     if (random() < 0.004) void arrive(100_000 + id, 'short');
     for (let turn = 0; turn < 6; turn++) await Promise.resolve();
