Close the servers and connections of a daemon that has stopped

Cause: the whole test run printed 253 passed, 0 failed and ended with status 1, twice: the worker of test/sidecar never ended, because a stopped daemon left its servers open. With them closed the file ends with status 0; before, it was ended after 50 s.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -541,6 +541,12 @@
       }
       log(SIDECAR_EVENTS.stopped, {open});
       controller.abort();
+      for (const server of [callers, peers]) {
+        server.close();
+        server.closeAllConnections();
+      }
+      guard(context.pools.close());
+      guard(context.peerPools.close());
     },
   };
 }
