Report unexpected errors of the daemon in one place

Three copies of the same log call in the daemon's wiring became one function; nothing else changes. Checked: types, format, lint of the file, test/sidecar (8 passed, status 0).

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -173,6 +173,11 @@
   const budgets = new Map<string, RetryBudget>();
   const probes = new Map<string, Promise<boolean>>();
 
+  const reportError = (error: unknown) => {
+    const message = (error as Error).stack ?? String(error);
+    log(SIDECAR_EVENTS.failedTask, {message});
+  };
+
   const learn = (change: StoredChange) => {
     const step = applyChange(view, change);
     if (step.problem) {
@@ -372,8 +377,7 @@
         return;
       }
       handle(request, response).catch(error => {
-        const message = (error as Error).stack ?? String(error);
-        log(SIDECAR_EVENTS.failedTask, {message});
+        reportError(error);
         breakOff(response);
       });
     };
@@ -445,20 +449,14 @@
   };
 
   const guard = (task: Promise<unknown>) => {
-    task.catch(error => {
-      const message = (error as Error).stack ?? String(error);
-      log(SIDECAR_EVENTS.failedTask, {message});
-    });
+    task.catch(reportError);
   };
 
   const every = (intervalMs: number, run: () => Promise<void>) => {
     const loop = async () => {
       while (!controller.signal.aborted) {
         await new Promise(resolve => setTimeout(resolve, intervalMs));
-        await run().catch(error => {
-          const message = (error as Error).stack ?? String(error);
-          log(SIDECAR_EVENTS.failedTask, {message});
-        });
+        await run().catch(reportError);
       }
     };
     void loop();
