Give the slots of an instance a queue of their own

Cause: admission expects nearly the longest time of a request, mean and three deviations, which is about the objective of most routes. So no request waited for its objective; all fell into one late class whose queue filled every slot, and new requests found none free. A dedicated, pure queue lets requests wait for their objective by mean and one deviation, puts late ones behind and bounds them, and refuses on arrival what would not be reached.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -7,7 +7,7 @@
 export * from './admission.js';
 export * from './budget.js';
 export * from './decide.js';
-export {cautiousMs, spreadMs} from './estimate.js';
+export {meanMs, observeTime, spreadMs, type Estimate} from './estimate.js';
 export * from './events.js';
 export * from './metrics.js';
 export * from './state.js';
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -13,6 +13,8 @@
 export * from './hop.js';
 export * from './owner.js';
 export * from './peers.js';
+export * from './queue.js';
+export * from './slots.js';
 export * from './split.js';
 export * from './urgency.js';
 export * from './work.js';
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -4,19 +4,13 @@
   type Attempt,
   type FailedTry,
 } from '../gateway/index.js';
-import {
-  cautiousMs,
-  spreadMs,
-  type Admission,
-  type AdmissionResult,
-} from '../admission/index.js';
 import {notRun, unknown, type Failure} from '../model/index.js';
 import type {Log} from '../telemetry/index.js';
 import type {AnswerHead, Pools} from '../upstream/index.js';
 import type {Dialect, StatedLoad, Verdict} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
-import {admissionDeadline} from './urgency.js';
+import type {Grant, Slots} from './slots.js';
 import {pause, sendable, type Flow, type Work} from './work.js';
 
 /** The upstream instance beside a daemon. */
@@ -42,7 +36,8 @@
   readonly awaits: (key: number) => boolean;
   /** Resolves when the keys that the instance holds may have changed. */
   readonly holdsChanged: () => Promise<unknown>;
-  readonly admission: Admission;
+  /** Slots of the instance beside. */
+  readonly slots: () => Slots;
   readonly pools: Pools;
   /** Told of each request that the instance ran, and how long it took. */
   readonly observed: (work: Work, timeMs: number, load?: StatedLoad) => void;
@@ -57,9 +52,6 @@
 /** Time after which a caller is to ask for a key that has no holder. */
 const HOLDER_RETRY_MS = 400;
 
-/** Added to the priority of a request that has missed its objective. */
-const LATE_RANK = 100;
-
 /** Connections beyond the slots, for those that are being closed. */
 const SPARE_CONNECTIONS = 8;
 
@@ -81,21 +73,19 @@
   const refusal =
     checkInstance(context, work) ?? (await awaitKey(context, flow, work));
   if (refusal) return refusal;
-  const admitted = await admit(context, flow, work);
-  if (admitted.kind === 'refused') {
-    const {reason, retryAfterMs} = admitted;
+  const grant = await takeSlot(context, flow, work);
+  if (grant.kind === 'denied') {
+    const {reason, retryAfterMs} = grant;
     return alternative(notRun(reason, 'no slot in time', retryAfterMs));
   }
-  if (flow.state.stopped) {
-    admitted.release('cut-short');
-    return failed(flow.state.stopped);
-  }
-  const late = checkInstance(context, work);
+  const late = flow.state.stopped
+    ? failed(flow.state.stopped)
+    : checkInstance(context, work);
   if (late) {
-    admitted.release('cut-short');
+    grant.release(false);
     return late;
   }
-  return send(context, flow, work, admitted.release, extend);
+  return send(context, flow, work, grant.release, extend);
 }
 
 function checkInstance(
@@ -139,44 +129,18 @@
   return undefined;
 }
 
-/**
- * Asks for a slot in time for the objective, and if that is out of reach, for
- * one that nobody needs for its own objective, in time for the deadline.
- */
-async function admit(
+function takeSlot(
   context: OwnerContext,
   flow: Flow,
   work: Work,
-): Promise<AdmissionResult> {
-  const {priority, objectiveAt} = work;
+): Promise<Grant> | Grant {
+  const {service, priority, objectiveAt, deadlineAt} = work;
   // Requests of one rank share one estimate, so that a new route has one.
-  const service = `${work.service} ${priority}`;
-  const {estimates} = context.admission.state();
-  const now = context.clock();
-  const deadlineAt = admissionDeadline(work.deadlineAt, now, {
-    deviationMs: spreadMs(estimates, service, now),
-    cautiousMs: cautiousMs(estimates, service, now),
-  });
-  const request = {
-    service,
-    caller: work.id,
-    get signal() {
-      flow.state.controller ??= new AbortController();
-      return flow.state.controller.signal;
-    },
-  };
-  if (work.objectiveAt < work.deadlineAt) {
-    const inTime = await context.admission.admit({
-      ...request,
-      priority,
-      deadlineAt: objectiveAt,
-    });
-    if (inTime.kind === 'admitted' || flow.state.stopped) return inTime;
-  }
-  return context.admission.admit({
-    ...request,
-    priority: priority + LATE_RANK,
-    deadlineAt,
+  const kind = `${service} ${priority}`;
+  const request = {kind, rank: priority, objectiveAt, deadlineAt};
+  return context.slots().take(request, () => {
+    flow.state.controller ??= new AbortController();
+    return flow.state.controller.signal;
   });
 }
 
@@ -184,7 +148,7 @@
   context: OwnerContext,
   flow: Flow,
   work: Work,
-  release: (completion?: 'ran' | 'cut-short') => void,
+  release: (ran: boolean) => void,
   extend: (head: AnswerHead) => void,
 ): Promise<Attempt> {
   const {dialect, clock} = context;
@@ -229,7 +193,7 @@
       return alternative(notRun('upstream-refused', message));
     },
     ended: () => {
-      release(answered ? 'ran' : 'cut-short');
+      release(answered);
       if (answered) context.observed(work, clock() - startedAt, load);
     },
   });
@@ -262,9 +226,9 @@
  * instances.
  *
  * @example
- * head.headers.push(LOAD_HEADER, formatLoad(loadOf(admission, 118)));
+ * head.headers.push(LOAD_HEADER, formatLoad(loadOf(slots, 118)));
  */
-export function loadOf(admission: Admission, meanMs: number): ReportedLoad {
-  const {running, waiting, slots} = admission.state();
+export function loadOf({state}: Slots, meanMs: number): ReportedLoad {
+  const {running, waiting, slots} = state();
   return {busy: running.length + waiting.length, slots, meanMs};
 }
--- /dev/null
+++ b/src/relay/queue.ts
@@ -0,0 +1,300 @@
+import {
+  meanMs,
+  observeTime,
+  spreadMs,
+  type Estimate,
+} from '../admission/index.js';
+import type {FailureReason} from '../model/index.js';
+
+/** A request that asks for a slot of an instance. Times are in milliseconds. */
+export interface SlotRequest {
+  readonly id: number;
+  /** Requests of one kind share an estimate of the time they take. */
+  readonly kind: string;
+  /** Lower ones go first. */
+  readonly rank: number;
+  readonly arrivedAt: number;
+  /** Time by which it is to be answered to count in full. */
+  readonly objectiveAt: number;
+  readonly deadlineAt: number;
+}
+
+/** A request that holds a slot. */
+export interface Running {
+  readonly request: SlotRequest;
+  readonly startedAt: number;
+  readonly expectedMs: number;
+}
+
+/** A request that waits for a slot. */
+export interface Waiting {
+  readonly request: SlotRequest;
+  readonly expectedMs: number;
+  /** Latest start from which it is likely answered by its objective. */
+  readonly objectiveStartAt: number;
+  /** Time at which it is given up. */
+  readonly giveUpAt: number;
+}
+
+/** The slots of one instance and the requests that wait for them. */
+export interface QueueState {
+  readonly slots: number;
+  readonly running: readonly Running[];
+  readonly waiting: readonly Waiting[];
+  readonly estimates: readonly Estimate[];
+}
+
+/** What changes the queue. */
+export type QueueEvent =
+  | {readonly kind: 'arrive'; readonly request: SlotRequest}
+  /** @param ran The instance ran it whole, so that its time tells something. */
+  | {readonly kind: 'finish'; readonly id: number; readonly ran: boolean}
+  | {readonly kind: 'cancel'; readonly id: number}
+  | {readonly kind: 'tick'};
+
+/** What becomes of a request. */
+export type QueueVerdict =
+  | {readonly kind: 'start'; readonly id: number}
+  | {
+      readonly kind: 'refuse';
+      readonly id: number;
+      readonly reason: FailureReason;
+      readonly retryAfterMs: number;
+    };
+
+/** The state after an event and the requests that it decided on. */
+export interface QueueStep {
+  readonly state: QueueState;
+  readonly verdicts: readonly QueueVerdict[];
+}
+
+/** Time of a kind of which nothing is known; about that of a short request. */
+const UNKNOWN_MS = 50;
+
+/** Mean deviations above the mean that a request is expected to stay under. */
+const CAUTION_DEVIATIONS = 1;
+
+/**
+ * Largest share of a request's whole time that is kept for its work, so that
+ * one with little time still waits for a short queue.
+ */
+const WORK_SHARE = 0.75;
+
+/** Late requests that wait for one slot, at most; one turn of all slots. */
+const LATE_PER_SLOT = 1;
+
+/** Share of its time for which a late request waits; then it is told to return. */
+const LATE_WAIT_SHARE = 0.35;
+
+/** Shortest Retry-After of an instance without room, in milliseconds. */
+const RETRY_MIN_MS = 150;
+
+/**
+ * Creates the queue of an instance of which nothing is known.
+ *
+ * @example
+ * const {state} = applyQueueEvent(createQueue(12), {kind: 'tick'}, now);
+ */
+export function createQueue(slots: number): QueueState {
+  return {slots, running: [], waiting: [], estimates: []};
+}
+
+/**
+ * Applies an event to the queue. A request that can still meet its objective
+ * goes before all that can't; within these two classes the rank decides, then
+ * the time that is left. A request is refused on arrival when it would not be
+ * reached in time, and late ones wait only in small number, as each of them
+ * takes a slot from one that would count in full.
+ *
+ * Answers an instance that is asked for more than it can run: what it runs is
+ * mostly answered by its objective, instead of all of it late.
+ *
+ * @param now Time in milliseconds, of the clock of all times in the state.
+ *
+ * @example
+ * const {state, verdicts} = applyQueueEvent(
+ *   before, {kind: 'arrive', request}, performance.now());
+ */
+export function applyQueueEvent(
+  state: QueueState,
+  event: QueueEvent,
+  now: number,
+): QueueStep {
+  switch (event.kind) {
+    case 'arrive':
+      return arrive(state, event.request, now);
+    case 'finish':
+      return settle(finish(state, event.id, event.ran, now), now);
+    case 'cancel': {
+      const waiting = state.waiting.filter(
+        ({request}) => request.id !== event.id,
+      );
+      return {state: {...state, waiting}, verdicts: []};
+    }
+    case 'tick':
+      return settle(state, now);
+  }
+}
+
+/**
+ * Returns the time at which a `tick` is due, or infinity.
+ *
+ * @example
+ * nextQueueTickAt(createQueue(12)); // Infinity
+ */
+export function nextQueueTickAt(state: QueueState): number {
+  let at = Infinity;
+  for (const {giveUpAt} of state.waiting) at = Math.min(at, giveUpAt);
+  return at;
+}
+
+function arrive(
+  state: QueueState,
+  request: SlotRequest,
+  now: number,
+): QueueStep {
+  if (now >= request.deadlineAt) {
+    return {state, verdicts: [refuse(request, 'deadline', 0)]};
+  }
+  const settled = settle(state, now);
+  const entry = waitingOf(settled.state, request, now);
+  const {running, slots, waiting} = settled.state;
+  if (running.length < slots) {
+    const next = start(settled.state, entry, now);
+    return {
+      state: next,
+      verdicts: [...settled.verdicts, {kind: 'start', id: request.id}],
+    };
+  }
+  const verdicts = [...settled.verdicts];
+  const startsAt = now + waitMs(settled.state, entry, now);
+  const inTime = isInTime(entry, now) && startsAt <= entry.objectiveStartAt;
+  const late = waiting.filter(other => !isInTime(other, now));
+  const hasRoom = late.length < slots * LATE_PER_SLOT;
+  if (!inTime && (!hasRoom || startsAt > entry.giveUpAt)) {
+    verdicts.push(refuse(request, 'overloaded', retryMs(settled.state, now)));
+    return {state: settled.state, verdicts};
+  }
+  return {
+    state: {...settled.state, waiting: [...waiting, entry]},
+    verdicts,
+  };
+}
+
+function waitingOf(
+  state: QueueState,
+  request: SlotRequest,
+  now: number,
+): Waiting {
+  const {arrivedAt, objectiveAt, deadlineAt} = request;
+  const expectedMs = expectedMsOf(state, request.kind, now);
+  const deviationMs = spreadMs(state.estimates, request.kind, now);
+  const carefulMs = expectedMs + CAUTION_DEVIATIONS * deviationMs;
+  const objectiveMs = WORK_SHARE * Math.max(0, objectiveAt - arrivedAt);
+  const wholeMs = deadlineAt - arrivedAt;
+  const lastStartAt = deadlineAt - Math.min(carefulMs, WORK_SHARE * wholeMs);
+  const objectiveStartAt = objectiveAt - Math.min(carefulMs, objectiveMs);
+  const lateUntil =
+    Math.max(arrivedAt, objectiveStartAt) + LATE_WAIT_SHARE * wholeMs;
+  const giveUpAt = Math.min(lastStartAt, lateUntil);
+  return {request, expectedMs, objectiveStartAt, giveUpAt};
+}
+
+function expectedMsOf(state: QueueState, kind: string, now: number): number {
+  const known = meanMs(state.estimates, kind, now);
+  return known > 0 ? known : UNKNOWN_MS;
+}
+
+function isInTime({objectiveStartAt}: Waiting, now: number): boolean {
+  return now <= objectiveStartAt;
+}
+
+/** Sorts what is to start first to the front. */
+function compare(a: Waiting, b: Waiting, now: number): number {
+  const classes = Number(isInTime(b, now)) - Number(isInTime(a, now));
+  if (classes !== 0) return classes;
+  const ranks = a.request.rank - b.request.rank;
+  if (ranks !== 0) return ranks;
+  return a.giveUpAt - b.giveUpAt;
+}
+
+/** Expected time until a slot is free for a request that waits. */
+function waitMs(state: QueueState, entry: Waiting, now: number): number {
+  let aheadMs = 0;
+  for (const other of state.waiting) {
+    if (compare(other, entry, now) <= 0) aheadMs += other.expectedMs;
+  }
+  return nextFinishMs(state) + aheadMs / Math.max(1, state.slots);
+}
+
+/** Mean time to the first of several independent finishes. */
+function nextFinishMs({running, slots}: QueueState): number {
+  if (running.length < slots) return 0;
+  let perMs = 0;
+  for (const {expectedMs} of running) perMs += 1 / Math.max(1, expectedMs);
+  return perMs === 0 ? UNKNOWN_MS : 1 / perMs;
+}
+
+/** Time until what waits has started: then a repeat may find room. */
+function retryMs(state: QueueState, now: number): number {
+  let aheadMs = 0;
+  for (const other of state.waiting) aheadMs += other.expectedMs;
+  const drainedMs = nextFinishMs(state) + aheadMs / Math.max(1, state.slots);
+  return Math.max(RETRY_MIN_MS, drainedMs);
+}
+
+function start(state: QueueState, entry: Waiting, now: number): QueueState {
+  const {request, expectedMs} = entry;
+  const running = [...state.running, {request, expectedMs, startedAt: now}];
+  return {...state, running};
+}
+
+function finish(
+  state: QueueState,
+  id: number,
+  ran: boolean,
+  now: number,
+): QueueState {
+  const entry = state.running.find(({request}) => request.id === id);
+  if (!entry) return state;
+  const running = state.running.filter(other => other !== entry);
+  const {request, startedAt} = entry;
+  const tookMs = now - startedAt;
+  const estimates = ran
+    ? observeTime(state.estimates, request.kind, tookMs, now)
+    : state.estimates;
+  return {...state, running, estimates};
+}
+
+/** Gives up what has waited too long and gives free slots away. */
+function settle(state: QueueState, now: number): QueueStep {
+  const {waiting} = state;
+  if (waiting.length === 0) return {state, verdicts: []};
+  const verdicts: QueueVerdict[] = [];
+  const kept = waiting.filter(({giveUpAt}) => now < giveUpAt);
+  let next: QueueState = {...state, waiting: kept};
+  if (kept.length < waiting.length) {
+    const afterMs = retryMs(next, now);
+    for (const {request, giveUpAt} of waiting) {
+      if (now < giveUpAt) continue;
+      verdicts.push(refuse(request, 'overloaded', afterMs));
+    }
+  }
+  while (next.waiting.length > 0 && next.running.length < next.slots) {
+    const first = next.waiting.reduce((best, other) =>
+      compare(other, best, now) < 0 ? other : best,
+    );
+    const rest = next.waiting.filter(other => other !== first);
+    next = start({...next, waiting: rest}, first, now);
+    verdicts.push({kind: 'start', id: first.request.id});
+  }
+  return {state: next, verdicts};
+}
+
+function refuse(
+  request: SlotRequest,
+  reason: FailureReason,
+  retryAfterMs: number,
+): QueueVerdict {
+  return {kind: 'refuse', id: request.id, reason, retryAfterMs};
+}
--- /dev/null
+++ b/src/relay/slots.ts
@@ -0,0 +1,135 @@
+import type {FailureReason} from '../model/index.js';
+import {
+  applyQueueEvent,
+  createQueue,
+  nextQueueTickAt,
+  type QueueEvent,
+  type QueueState,
+  type QueueVerdict,
+  type SlotRequest,
+} from './queue.js';
+
+/** A request holds a slot until `release` is called; later calls do nothing. */
+export interface Granted {
+  readonly kind: 'granted';
+  /** @param ran The instance ran the request whole. */
+  readonly release: (ran: boolean) => void;
+}
+
+/** A request is not to be sent to the instance. */
+export interface Denied {
+  readonly kind: 'denied';
+  readonly reason: FailureReason;
+  /** Time after which a repeat makes sense, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/** The answer to one request for a slot. */
+export type Grant = Granted | Denied;
+
+/** Runs a function after a delay; calling the result prevents it. */
+export type Schedule = (delayMs: number, run: () => void) => () => void;
+
+/** Settings of `createSlots`. */
+export interface SlotsOptions {
+  readonly slots: number;
+  /** Milliseconds that never go back. */
+  readonly clock: () => number;
+  readonly schedule?: Schedule;
+}
+
+/** The slots of the instance beside. */
+export interface Slots {
+  /**
+   * Asks for a slot; the answer is a promise only where the request has to
+   * wait, and the promise never rejects. When the signal aborts, the request is
+   * denied as cancelled.
+   */
+  readonly take: (
+    request: Omit<SlotRequest, 'id' | 'arrivedAt'>,
+    signal: () => AbortSignal,
+  ) => Promise<Grant> | Grant;
+  /** The state as of the last event. */
+  readonly state: () => QueueState;
+}
+
+function scheduleTimeout(delayMs: number, run: () => void): () => void {
+  const timer = setTimeout(run, delayMs);
+  timer.unref();
+  return () => clearTimeout(timer);
+}
+
+/**
+ * Creates the slots of an instance.
+ *
+ * @example
+ * const slots = createSlots({slots: 12, clock: () => performance.now()});
+ * const grant = await slots.take(request, () => controller.signal);
+ * if (grant.kind === 'granted') grant.release(true);
+ */
+export function createSlots(options: SlotsOptions): Slots {
+  const {clock, schedule = scheduleTimeout} = options;
+  const pending = new Map<number, (grant: Grant) => void>();
+  let state = createQueue(options.slots);
+  let nextId = 1;
+  let timerAt = Infinity;
+  let cancelTimer: (() => void) | undefined;
+
+  const apply = (event: QueueEvent) => {
+    const step = applyQueueEvent(state, event, clock());
+    state = step.state;
+    step.verdicts.forEach(settle);
+    arm();
+  };
+
+  const arm = () => {
+    const at = nextQueueTickAt(state);
+    if (at >= timerAt) return;
+    cancelTimer?.();
+    timerAt = at;
+    cancelTimer = schedule(Math.max(1, Math.ceil(at - clock())), () => {
+      timerAt = Infinity;
+      apply({kind: 'tick'});
+    });
+  };
+
+  const settle = (verdict: QueueVerdict) => {
+    const {id} = verdict;
+    const resolve = pending.get(id);
+    pending.delete(id);
+    if (verdict.kind === 'refuse') {
+      const {reason, retryAfterMs} = verdict;
+      resolve?.({kind: 'denied', reason, retryAfterMs});
+      return;
+    }
+    // A second call names a request that holds no slot any more.
+    const release = (ran: boolean) => apply({kind: 'finish', id, ran});
+    resolve?.({kind: 'granted', release});
+  };
+
+  const waitFor = (id: number, signal: AbortSignal) =>
+    new Promise<Grant>(resolve => {
+      const cancel = () => {
+        if (!pending.delete(id)) return;
+        apply({kind: 'cancel', id});
+        resolve({kind: 'denied', reason: 'cancelled', retryAfterMs: 0});
+      };
+      pending.set(id, grant => {
+        signal.removeEventListener('abort', cancel);
+        resolve(grant);
+      });
+      signal.addEventListener('abort', cancel, {once: true});
+      if (signal.aborted) cancel();
+    });
+
+  return {
+    take: (request, signal) => {
+      const id = nextId++;
+      let grant: Grant | undefined;
+      pending.set(id, known => (grant = known));
+      apply({kind: 'arrive', request: {...request, id, arrivedAt: clock()}});
+      return grant ?? waitFor(id, signal());
+    },
+    state: () => state,
+  };
+}
--- a/src/relay/urgency.ts
+++ b/src/relay/urgency.ts
@@ -36,34 +36,3 @@
     objectiveAt: startedAt + route.objectiveMs,
   };
 }
-
-/** Mean deviations by which a request with little time may miss its deadline. */
-const SHORT_DEVIATIONS = 3;
-
-/** What is known of the time that requests of a rank take, in milliseconds. */
-export interface Spread {
-  /** Mean deviation from the mean. */
-  readonly deviationMs: number;
-  /** A time that nearly all of them stay under. */
-  readonly cautiousMs: number;
-}
-
-/**
- * Sets the time by which admission is to expect an answer. Admission allows for
- * nearly the longest time that a request may take. One whose whole time is less
- * than that would never wait, however short the queue, so it is allowed to miss
- * its deadline now and then.
- *
- * Answers routes with time limits near the time that their requests take.
- *
- * @example
- * admissionDeadline(300, 0, {deviationMs: 50, cautiousMs: 320}); // 450
- */
-export function admissionDeadline(
-  deadlineAt: number,
-  now: number,
-  {deviationMs, cautiousMs}: Spread,
-): number {
-  if (deadlineAt - now > cautiousMs) return deadlineAt;
-  return deadlineAt + deviationMs * SHORT_DEVIATIONS;
-}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,10 +1,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
-  createAdmission,
   createRetryBudget,
   countForwarded,
   spendRetry,
-  type Admission,
   type RetryBudget,
 } from '../admission/index.js';
 import {
@@ -23,6 +21,7 @@
   applyLoadEvent,
   chooseService,
   createRouteTable,
+  createSlots,
   failureHeaders,
   findShortRoutes,
   handleCaller,
@@ -107,9 +106,6 @@
 /** Time for which idle connections to an instance are kept, at most. */
 const INSTANCE_IDLE_MS = 8000;
 
-/** Requests that wait for one slot, at most. */
-const QUEUE_PER_SLOT = 12;
-
 /** Head time limit until a configuration states one. */
 const DEFAULT_HEADER_MS = 10_000;
 
@@ -220,10 +216,7 @@
     readThroughPeer,
   };
 
-  let admission: Admission = createAdmissionOf(1);
-  function createAdmissionOf(slots: number): Admission {
-    return createAdmission({slots, queue: slots * QUEUE_PER_SLOT, clock});
-  }
+  let slots = createSlots({slots: 1, clock});
 
   const keeper = createKeeper({
     ...access,
@@ -236,8 +229,8 @@
     get drainMs() {
       return settings.drainS * MS_PER_SECOND;
     },
-    began: slots => {
-      admission = createAdmissionOf(slots);
+    began: count => {
+      slots = createSlots({slots: count, clock});
       meter.reset();
     },
   });
@@ -290,9 +283,7 @@
     holds: keeper.holds,
     awaits: keeper.awaits,
     holdsChanged: () => Promise.race([keeper.changed(), viewSignal.next()]),
-    get admission() {
-      return admission;
-    },
+    slots: () => slots,
     pools: createPools({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       keepAliveMs: INSTANCE_IDLE_MS,
@@ -328,10 +319,7 @@
   };
   const peersContext = {
     ...context,
-    get admission() {
-      return admission;
-    },
-    load: () => loadOf(admission, meter.meanMs()),
+    load: () => loadOf(slots, meter.meanMs()),
     bodyBytes: () => configuration?.limits.bodyBytes ?? Infinity,
   };
 
@@ -385,9 +373,9 @@
 
   const statusOf = (): Status | undefined => {
     const life = keeper.life();
-    const {slots} = admission.state();
     if (!life) return undefined;
-    const capacity = (slots * MS_PER_SECOND) / Math.max(1, meter.meanMs());
+    const count = slots.state().slots;
+    const capacity = (count * MS_PER_SECOND) / Math.max(1, meter.meanMs());
     const {id, born} = life;
     return {id, born, silent: keeper.isSilent(), capacity, heat: meter.heat()};
   };
@@ -505,7 +493,7 @@
     measure: metrics => {
       const {version = 0} = configuration ?? {};
       metrics.gauge(SIDECAR_METRICS.configurationVersion, {})(version);
-      const {running, waiting} = admission.state();
+      const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
     },
