Tell short work by its measured time, and callers that come back

Short is now what takes at most half of what slots are mostly busy with.

Second cause: a caller that comes back looked like a new one, and took a slot in time from one that still was. A caller's attempts are due at the same moment (559 of 559 returns within 3 ms, at the same daemon), which tells them.

--- a/src/relay/configuration.ts
+++ b/src/relay/configuration.ts
@@ -97,30 +97,3 @@
   const name = host.toLowerCase().replace(/:\d+$/, '');
   return table.get(name)?.find(route => path.startsWith(route.prefix));
 }
-
-/** Objective relative to the longest of a service up to which work is short. */
-const SHORT_SHARE = 0.5;
-
-/**
- * Finds the routes whose requests are short work at their service, by the
- * latency objectives of the routes to it.
- *
- * @returns the names of these routes.
- *
- * @example
- * findShortRoutes(configuration.routes).has('status-look-up');
- */
-export function findShortRoutes(routes: readonly Route[]): ReadonlySet<string> {
-  const longest = new Map<string, number>();
-  for (const {parts, objectiveMs} of routes) {
-    for (const {service} of parts) {
-      const known = longest.get(service) ?? 0;
-      longest.set(service, Math.max(known, objectiveMs));
-    }
-  }
-  const isShort = ({parts, objectiveMs}: Route) =>
-    parts.every(
-      ({service}) => objectiveMs <= (longest.get(service) ?? 0) * SHORT_SHARE,
-    );
-  return new Set(routes.filter(isShort).map(route => route.name));
-}
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -30,14 +30,12 @@
 import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
 import {runLocally, type OwnerContext} from './owner.js';
 import {DEADLINE_GRACE_MS} from './peers.js';
-import {rank} from './urgency.js';
+import type {AttemptMark, Returns} from './returns.js';
 import {pause, sendable, type Flow, type Work} from './work.js';
 
 /** A configuration with what is derived from it. */
 export interface ActiveConfiguration extends RoutedConfiguration {
   readonly table: RouteTable;
-  /** Names of the routes of short work. */
-  readonly short: ReadonlySet<string>;
 }
 
 /** How requests of callers are handled. */
@@ -53,6 +51,7 @@
   readonly loads: (node: string) => InstanceLoad;
   readonly observeLoad: (node: string, event: LoadEvent) => void;
   readonly peerPools: Pools;
+  readonly returns: Returns;
   /** Takes one retry to a service from the budget; false when none is left. */
   readonly retryAllowed: (service: string) => boolean;
   readonly countForwarded: (service: string) => void;
@@ -91,16 +90,21 @@
 /** Time for which a caller waits that states no deadline, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
+/** Lowest status that tells of an error of the upstream. */
+const FIRST_ERROR_STATUS = 500;
+
 /** One request of a caller and what its attempts have shown. */
 interface Request {
   readonly flow: Flow;
   readonly caller: CallerRequest;
   readonly route: Route;
   readonly service: string;
-  readonly isShort: boolean;
   readonly body: RequestBody;
   readonly startedAt: number;
   readonly deadlineAt: number;
+  /** Time of the caller's first attempt. */
+  readonly firstAt: number;
+  readonly mark: AttemptMark;
   readonly method: string;
   readonly target: string;
   /** Daemons that refused the request. */
@@ -168,16 +172,20 @@
     return refuse(notRun(reason, `body: ${body.kind}`), route.name, service);
   }
   const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
+  const method = request.method ?? 'GET';
+  const dueAt = startedAt + (caller.deadlineMs ?? DEFAULT_DEADLINE_MS);
+  const mark = {method, target, key: caller.key, dueAt};
   const pass: Request = {
     flow: {request, response, state, bodyMode, stop},
     caller,
     route,
     service,
-    isShort: configuration.short.has(route.name),
     body,
     startedAt,
     deadlineAt: startedAt + timeMs,
-    method: request.method ?? 'GET',
+    firstAt: context.returns.firstAt(mark, startedAt) ?? startedAt,
+    mark,
+    method,
     target,
     refused: new Set(),
     offered: new Set(),
@@ -193,6 +201,9 @@
   const {flow, route, service, caller, startedAt} = pass;
   const timeMs = Math.round(context.clock() - startedAt);
   const names = {service, route: route.name, timeMs};
+  const isSuccess =
+    result.kind === 'answered' && result.status < FIRST_ERROR_STATUS;
+  if (!isSuccess) context.returns.remember(pass.mark, pass.firstAt);
   if (result.kind === 'answered') {
     const {status} = result;
     context.ended({...names, outcome: 'answered', reason: ''});
@@ -431,7 +442,7 @@
   const failedThere =
     attempt.kind === 'broken' ||
     (attempt.kind === 'failed' && isFault(attempt.failure)) ||
-    (attempt.kind === 'answered' && attempt.status >= 500);
+    (attempt.kind === 'answered' && attempt.status >= FIRST_ERROR_STATUS);
   const gaveUp = pass.flow.state.stopped !== undefined;
   const failed = failedThere && !gaveUp;
   context.observeLoad(member.node, {kind: 'ended', failed});
@@ -445,14 +456,15 @@
 }
 
 function workOf(context: EntryContext, pass: Request, member: Member): Work {
-  const {route, caller, startedAt, deadlineAt, method, target, body} = pass;
+  const {route, caller, firstAt, deadlineAt, method, target, body} = pass;
   return {
     id: caller.id,
     service: pass.service,
     instance: member.id,
     route: route.name,
     repetition: route.repetition,
-    ...rank(route, pass.isShort, startedAt, deadlineAt),
+    priority: route.priority,
+    objectiveAt: firstAt + route.objectiveMs,
     deadlineAt,
     key: caller.key,
     callerService: context.callerService(),
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -14,7 +14,7 @@
 export * from './owner.js';
 export * from './peers.js';
 export * from './queue.js';
+export * from './returns.js';
 export * from './slots.js';
 export * from './split.js';
-export * from './urgency.js';
 export * from './work.js';
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -134,10 +134,8 @@
   flow: Flow,
   work: Work,
 ): Promise<Grant> | Grant {
-  const {service, priority, objectiveAt, deadlineAt} = work;
-  // Requests of one rank share one estimate, so that a new route has one.
-  const kind = `${service} ${priority}`;
-  const request = {kind, rank: priority, objectiveAt, deadlineAt};
+  const {route, priority, objectiveAt, deadlineAt} = work;
+  const request = {kind: route, priority, objectiveAt, deadlineAt};
   return context.slots().take(request, () => {
     flow.state.controller ??= new AbortController();
     return flow.state.controller.signal;
--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -12,7 +12,7 @@
   /** Requests of one kind share an estimate of the time they take. */
   readonly kind: string;
   /** Lower ones go first. */
-  readonly rank: number;
+  readonly priority: number;
   readonly arrivedAt: number;
   /** Time by which it is to be answered to count in full. */
   readonly objectiveAt: number;
@@ -30,6 +30,8 @@
 export interface Waiting {
   readonly request: SlotRequest;
   readonly expectedMs: number;
+  /** It takes much less than most of what the instance does. */
+  readonly isShort: boolean;
   /** Latest start from which it is likely answered by its objective. */
   readonly objectiveStartAt: number;
   /** Time at which it is given up. */
@@ -42,6 +44,16 @@
   readonly running: readonly Running[];
   readonly waiting: readonly Waiting[];
   readonly estimates: readonly Estimate[];
+  readonly busy: BusyTime;
+}
+
+/**
+ * Moving sums over the requests that have run; their quotient is the length of
+ * the request that a slot is busy with at a random moment.
+ */
+export interface BusyTime {
+  readonly sumMs: number;
+  readonly sumOfSquares: number;
 }
 
 /** What changes the queue. */
@@ -80,6 +92,15 @@
  */
 const WORK_SHARE = 0.75;
 
+/** Share of its expected time below which an objective can't be met. */
+const REACH_SHARE = 0.5;
+
+/** Length relative to what slots are mostly busy with up to which work is short. */
+const SHORT_SHARE = 0.5;
+
+/** Share that a request keeps in the moving sums when the next one has run. */
+const BUSY_DECAY = 0.98;
+
 /** Late requests that wait for one slot, at most; one turn of all slots. */
 const LATE_PER_SLOT = 1;
 
@@ -96,16 +117,21 @@
  * const {state} = applyQueueEvent(createQueue(12), {kind: 'tick'}, now);
  */
 export function createQueue(slots: number): QueueState {
-  return {slots, running: [], waiting: [], estimates: []};
+  const busy = {sumMs: 0, sumOfSquares: 0};
+  return {slots, running: [], waiting: [], estimates: [], busy};
 }
 
 /**
  * Applies an event to the queue. A request that can still meet its objective
- * goes before all that can't; within these two classes the rank decides, then
- * the time that is left. A request is refused on arrival when it would not be
+ * goes before all that can't; within these two classes the priority decides,
+ * then short work goes first, then what has least time left. A request is refused on arrival when it would not be
  * reached in time, and late ones wait only in small number, as each of them
  * takes a slot from one that would count in full.
  *
+ * Short work delays longer work by little, and it is mostly called by a request
+ * that already runs elsewhere and is wasted without it; for this reason it
+ * counts in full up to its deadline.
+ *
  * Answers an instance that is asked for more than it can run: what it runs is
  * mostly answered by its objective, instead of all of it late.
  *
@@ -186,18 +212,24 @@
   request: SlotRequest,
   now: number,
 ): Waiting {
-  const {arrivedAt, objectiveAt, deadlineAt} = request;
+  const {arrivedAt, deadlineAt} = request;
   const expectedMs = expectedMsOf(state, request.kind, now);
+  const {sumMs, sumOfSquares} = state.busy;
+  const isShort = expectedMs * sumMs < SHORT_SHARE * sumOfSquares;
+  const objectiveAt = isShort ? deadlineAt : request.objectiveAt;
   const deviationMs = spreadMs(state.estimates, request.kind, now);
   const carefulMs = expectedMs + CAUTION_DEVIATIONS * deviationMs;
-  const objectiveMs = WORK_SHARE * Math.max(0, objectiveAt - arrivedAt);
+  const objectiveMs = objectiveAt - arrivedAt;
+  const isOutOfReach = objectiveMs < REACH_SHARE * expectedMs;
   const wholeMs = deadlineAt - arrivedAt;
   const lastStartAt = deadlineAt - Math.min(carefulMs, WORK_SHARE * wholeMs);
-  const objectiveStartAt = objectiveAt - Math.min(carefulMs, objectiveMs);
+  const objectiveStartAt = isOutOfReach
+    ? -Infinity
+    : objectiveAt - Math.min(carefulMs, WORK_SHARE * objectiveMs);
   const lateUntil =
     Math.max(arrivedAt, objectiveStartAt) + LATE_WAIT_SHARE * wholeMs;
   const giveUpAt = Math.min(lastStartAt, lateUntil);
-  return {request, expectedMs, objectiveStartAt, giveUpAt};
+  return {request, expectedMs, isShort, objectiveStartAt, giveUpAt};
 }
 
 function expectedMsOf(state: QueueState, kind: string, now: number): number {
@@ -213,8 +245,10 @@
 function compare(a: Waiting, b: Waiting, now: number): number {
   const classes = Number(isInTime(b, now)) - Number(isInTime(a, now));
   if (classes !== 0) return classes;
-  const ranks = a.request.rank - b.request.rank;
-  if (ranks !== 0) return ranks;
+  const priorities = a.request.priority - b.request.priority;
+  if (priorities !== 0) return priorities;
+  const lengths = Number(b.isShort) - Number(a.isShort);
+  if (lengths !== 0) return lengths;
   return a.giveUpAt - b.giveUpAt;
 }
 
@@ -260,10 +294,14 @@
   const running = state.running.filter(other => other !== entry);
   const {request, startedAt} = entry;
   const tookMs = now - startedAt;
-  const estimates = ran
-    ? observeTime(state.estimates, request.kind, tookMs, now)
-    : state.estimates;
-  return {...state, running, estimates};
+  if (!ran) return {...state, running};
+  const estimates = observeTime(state.estimates, request.kind, tookMs, now);
+  const {sumMs, sumOfSquares} = state.busy;
+  const busy = {
+    sumMs: sumMs * BUSY_DECAY + tookMs,
+    sumOfSquares: sumOfSquares * BUSY_DECAY + tookMs * tookMs,
+  };
+  return {...state, running, estimates, busy};
 }
 
 /** Gives up what has waited too long and gives free slots away. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -20,10 +20,10 @@
   UNKNOWN_LOAD,
   applyLoadEvent,
   chooseService,
+  createReturns,
   createRouteTable,
   createSlots,
   failureHeaders,
-  findShortRoutes,
   handleCaller,
   handleHop,
   loadOf,
@@ -306,6 +306,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       keepAliveMs: PEER_IDLE_MS / 2,
     }),
+    returns: createReturns(),
     retryAllowed: service => {
       const left = spendRetry(budgetOf(service));
       if (left) budgets.set(service, left);
@@ -335,8 +336,7 @@
     const {version, routes} = result.configuration;
     if (configuration && version <= configuration.version) return;
     const table = createRouteTable(routes);
-    const short = findShortRoutes(routes);
-    configuration = {...result.configuration, table, short};
+    configuration = {...result.configuration, table};
     callers.keepAliveTimeout = result.configuration.limits.idleTimeoutMs;
     callers.headersTimeout = result.configuration.limits.headerTimeoutMs;
     log(SIDECAR_EVENTS.configurationTaken, {version, routes: routes.length});
--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -5,7 +5,6 @@
   chooseInstance,
   chooseService,
   estimateMs,
-  findShortRoutes,
   formatHop,
   parseHop,
   type Choice,
@@ -88,14 +87,6 @@
   }
 });
 
-test('short routes are those with half the objective or less', t => {
-  const parts = [{service: 'a', weight: 1}];
-  const long = {...ROUTE, name: 'long', parts, objectiveMs: 500};
-  const short = {...ROUTE, name: 'short', parts, objectiveMs: 120};
-  const routes = [long, short, {...ROUTE, parts}];
-  t.deepEqual([...findShortRoutes(routes)], ['short']);
-});
-
 test('a hop is read as it was written, and nothing else is', t => {
   const hop = {
     id: 'q',
--- a/test/relay/load.test.ts
+++ b/test/relay/load.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava';
 import {createRandom} from '../../src/load/random.js';
 import {
+  createReturns,
   createSlots,
-  rank,
+  type Returns,
   type Route,
-  type SlotRequest,
 } from '../../src/relay/index.js';
 
 const BOOK: Route = {
@@ -63,6 +63,8 @@
 /** Requests of one route that come at random. */
 interface Stream {
   readonly route: Route;
+  /** Requests of one kind share an estimate; the route's name if missing. */
+  readonly kind?: string;
   readonly perSecond: number;
   readonly workMs: (random: () => number) => number;
   /** Attempts after a refusal. */
@@ -71,7 +73,28 @@
   readonly patienceMs: number;
 }
 
-type Urgencies = typeof rank;
+/** Times that the slots are told of one attempt. */
+interface Times {
+  readonly objectiveAt: number;
+  readonly deadlineAt: number;
+}
+
+type Setting = (route: Route, firstAt: number, deadlineAt: number) => Times;
+
+/** Every request counts in full up to its objective. */
+const byObjective: Setting = ({objectiveMs}, firstAt, deadlineAt) => ({
+  objectiveAt: firstAt + objectiveMs,
+  deadlineAt,
+});
+
+/** Every request counts in full up to its deadline, whatever it is. */
+const byDeadline: Setting = (_, __, deadlineAt) => ({
+  objectiveAt: deadlineAt,
+  deadlineAt,
+});
+
+/** Takes every attempt for a first one. */
+const FORGETFUL: Returns = {remember: () => {}, firstAt: () => undefined};
 
 const MS_PER_SECOND = 1000;
 
@@ -82,54 +105,55 @@
 async function play(
   count: number,
   streams: readonly Stream[],
-  urgencyOf: Urgencies = rank,
-  lengthMs = 20_000,
+  times: Setting = byObjective,
+  returns: Returns = createReturns(),
 ): Promise<ReadonlyMap<string, Tally>> {
   const random = createRandom(5);
   const {slots, after, advance, now} = createVirtual(count);
   const tallies = new Map<string, Tally>();
-  const count1 = (route: Route, field: keyof Tally) => {
-    const known = tallies.get(route.name) ?? {asked: 0, inTime: 0, served: 0};
-    tallies.set(route.name, {...known, [field]: known[field] + 1});
+  const add = ({name}: Route, field: keyof Tally) => {
+    const known = tallies.get(name) ?? {asked: 0, inTime: 0, served: 0};
+    tallies.set(name, {...known, [field]: known[field] + 1});
   };
-  const arrive = async (stream: Stream, firstAt: number, left: number) => {
+  const arrive = async (stream: Stream, sentAt: number, left: number) => {
     const {route, patienceMs} = stream;
-    const {name, timeoutMs, objectiveMs} = route;
-    const untilAt = firstAt + patienceMs;
-    const deadlineAt = Math.min(untilAt, now() + timeoutMs);
-    const urgency = urgencyOf(route, route === LOOK_UP, now(), deadlineAt);
-    const request: Omit<SlotRequest, 'id' | 'arrivedAt'> = {
-      kind: name,
-      rank: urgency.priority,
-      objectiveAt: urgency.objectiveAt,
-      deadlineAt,
-    };
+    const {name, priority, timeoutMs, objectiveMs} = route;
+    const {kind = name} = stream;
+    const dueAt = sentAt + patienceMs;
+    const mark = {method: 'GET', target: `/${sentAt}`, dueAt};
+    const firstAt = returns.firstAt(mark, now()) ?? now();
+    const deadlineAt = Math.min(dueAt, now() + timeoutMs);
+    const request = {kind, priority, ...times(route, firstAt, deadlineAt)};
     const grant = await slots.take(request, () => new AbortController().signal);
     if (grant.kind === 'denied') {
-      const leftMs = untilAt - now();
+      returns.remember(mark, firstAt);
+      const leftMs = dueAt - now();
       const waitMs = Math.min(grant.retryAfterMs, leftMs * RETRY_AFTER_SHARE);
       if (left === 0 || waitMs <= 0) return;
-      after(waitMs, () => void arrive(stream, firstAt, left - 1));
+      after(waitMs, () => void arrive(stream, sentAt, left - 1));
       return;
     }
     after(stream.workMs(random), () => {
       grant.release(true);
       if (now() > deadlineAt) return;
-      count1(route, 'served');
-      if (now() <= firstAt + objectiveMs) count1(route, 'inTime');
+      add(route, 'served');
+      if (now() <= sentAt + objectiveMs) add(route, 'inTime');
     });
   };
-  while (now() < lengthMs) {
+  while (now() < LENGTH_MS) {
     await advance(1);
     for (const stream of streams) {
       if (random() >= stream.perSecond / MS_PER_SECOND) continue;
-      count1(stream.route, 'asked');
+      add(stream.route, 'asked');
       void arrive(stream, now(), stream.retries);
     }
   }
   return tallies;
 }
 
+/** Length of a play in virtual time, in milliseconds. */
+const LENGTH_MS = 20_000;
+
 function shareOf(
   tallies: ReadonlyMap<string, Tally>,
   route: Route,
@@ -143,18 +167,6 @@
 const around = (meanMs: number) => (random: () => number) =>
   meanMs * (0.4 + 0.6 * (random() + random()));
 
-/** Every request counts in full up to its deadline, whatever it is. */
-const byArrival: Urgencies = (route, _, __, deadlineAt) => ({
-  priority: route.priority,
-  objectiveAt: deadlineAt,
-});
-
-/** Short work has no precedence. */
-const byObjective: Urgencies = (route, _, startedAt) => ({
-  priority: route.priority,
-  objectiveAt: startedAt + route.objectiveMs,
-});
-
 const VIEWS: Stream = {
   route: VIEW,
   perSecond: 50,
@@ -163,18 +175,19 @@
   patienceMs: 2500,
 };
 
-test('an overload leaves most of what is run in time for its objective', async t => {
+test('an overload leaves what is run in time for its objective', async t => {
   // 50 a second of 160 ms each ask for 8 slots of 6.
   const tallies = await play(6, [VIEWS]);
-  const before = await play(6, [VIEWS], byArrival);
   const inTime = shareOf(tallies, VIEW, 'inTime');
+  const served = shareOf(tallies, VIEW, 'served');
   // The floor that the users state for the worst-served kind of request.
   t.true(inTime >= 0.25);
-  t.true(inTime > 2 * shareOf(before, VIEW, 'inTime'));
-  t.true(inTime >= shareOf(tallies, VIEW, 'served') * 0.8);
-  t.true(
-    shareOf(tallies, VIEW, 'served') >= shareOf(before, VIEW, 'served') * 0.9,
-  );
+  t.true(inTime >= served * 0.8);
+  const byTime = await play(6, [VIEWS], byDeadline);
+  t.true(inTime > 2 * shareOf(byTime, VIEW, 'inTime'));
+  t.true(served >= 0.9 * shareOf(byTime, VIEW, 'served'));
+  const forgetful = await play(6, [VIEWS], byObjective, FORGETFUL);
+  t.true(inTime > 1.2 * shareOf(forgetful, VIEW, 'inTime'));
 });
 
 test('an instance with room to spare serves nearly all in time', async t => {
@@ -190,7 +203,7 @@
     const grant = await slots.take(
       {
         kind: 'view',
-        rank: 1,
+        priority: 1,
         objectiveAt: arrivedAt + 400,
         deadlineAt: arrivedAt + 1200,
       },
@@ -217,7 +230,9 @@
     {...VIEWS, route: LOOK_UP, perSecond: 100, workMs: around(40), retries: 0},
   ];
   const ranked = await play(12, streams);
-  const before = await play(12, streams, byObjective);
+  // One estimate for both, so that nothing tells that one of them is short.
+  const equal = streams.map(stream => ({...stream, kind: 'any'}));
+  const before = await play(12, equal);
   const lookUps = shareOf(ranked, LOOK_UP, 'served');
   t.true(lookUps >= 0.99);
   t.true(lookUps > shareOf(before, LOOK_UP, 'served'));
