Keep retries for requests whose callers have no time to return

Cause: while instances refuse half of what they get, retries of callers with seconds left, who come back by themselves, used up the budget for look-ups that fail their parent. The budget also grew with attempts instead of requests; it counts each request once now, and seven tenths of the share are spent.

--- a/src/admission/budget.ts
+++ b/src/admission/budget.ts
@@ -57,10 +57,15 @@
 /**
  * Returns the budget after one retry, or undefined when none is left.
  *
+ * @param kept Retries that this one leaves to others.
+ *
  * @example
  * spendRetry({limits: {share: 0.1, reserve: 10}, tokens: 0.5}); // undefined
  */
-export function spendRetry(budget: RetryBudget): RetryBudget | undefined {
-  if (budget.tokens < 1) return undefined;
+export function spendRetry(
+  budget: RetryBudget,
+  kept = 0,
+): RetryBudget | undefined {
+  if (budget.tokens < 1 + kept) return undefined;
   return {limits: budget.limits, tokens: budget.tokens - 1};
 }
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -52,9 +52,14 @@
   readonly observeLoad: (node: string, event: LoadEvent) => void;
   readonly peerPools: Pools;
   readonly returns: Returns;
-  /** Takes one retry to a service from the budget; false when none is left. */
-  readonly retryAllowed: (service: string) => boolean;
-  readonly countForwarded: (service: string) => void;
+  /**
+   * Takes one retry to a service from the budget; false when none is left.
+   *
+   * @param canReturn The caller has time to send the request again itself.
+   */
+  readonly retryAllowed: (service: string, canReturn: boolean) => boolean;
+  /** Counts a request to a service, whose retries draw on its budget. */
+  readonly countRequest: (service: string) => void;
   /** Tells whether a daemon answers on a new connection. */
   readonly probe: (node: string) => Promise<boolean>;
   readonly ended: (outcome: Ended) => void;
@@ -81,6 +86,12 @@
 /** Most daemons that are asked for one request. */
 const ASK_LIMIT = 6;
 
+/**
+ * Time that a caller needs to send a request again itself, in milliseconds; it
+ * obeys a Retry-After for a third of it.
+ */
+const RETURN_MS = 1000;
+
 /** Silence of a daemon after which it is asked whether it lives. */
 const PROBE_AFTER_MS = 400;
 
@@ -192,6 +203,7 @@
     asked: 0,
     waitUntil: startedAt + Math.min(timeMs, OWNER_WAIT_MS),
   };
+  context.countRequest(service);
   const result = await serve(context, pass);
   clearTimeout(timer);
   finish(context, pass, result);
@@ -392,12 +404,13 @@
   const {route, service} = pass;
   if (pass.body.kind === 'streamed' && pass.flow.state.consumed) return false;
   if (context.clock() >= pass.deadlineAt) return false;
+  const canReturn = pass.mark.dueAt - context.clock() >= RETURN_MS;
   if (failure.outcome === 'unknown') {
     pass.offered.add(member.id);
     if (route.repetition !== 'idempotent') return false;
     if (pass.offered.size >= route.maxAttempts) return false;
     if (context.isKeyed(service)) pass.offered.clear();
-    return context.retryAllowed(service);
+    return context.retryAllowed(service, canReturn);
   }
   if (failure.reason === 'bad-key' || failure.reason === 'bad-request') {
     return false;
@@ -411,7 +424,7 @@
   if (free === false) {
     pass.offered.add(member.id);
     if (pass.offered.size >= route.maxAttempts) return false;
-    if (!context.retryAllowed(service)) return false;
+    if (!context.retryAllowed(service, canReturn)) return false;
   }
   if (failure.reason !== 'overloaded' && failure.reason !== 'deadline') {
     return true;
@@ -446,7 +459,6 @@
   const gaveUp = pass.flow.state.stopped !== undefined;
   const failed = failedThere && !gaveUp;
   context.observeLoad(member.node, {kind: 'ended', failed});
-  context.countForwarded(pass.service);
   return attempt;
 }
 
--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -198,7 +198,7 @@
   const late = waiting.filter(other => !isInTime(other, now));
   const hasRoom = late.length < slots * LATE_PER_SLOT;
   if (!inTime && (!hasRoom || startsAt > entry.giveUpAt)) {
-    verdicts.push(refuse(request, 'overloaded', retryMs(settled.state, now)));
+    verdicts.push(refuse(request, 'overloaded', retryMs(settled.state)));
     return {state: settled.state, verdicts};
   }
   return {
@@ -270,7 +270,7 @@
 }
 
 /** Time until what waits has started: then a repeat may find room. */
-function retryMs(state: QueueState, now: number): number {
+function retryMs(state: QueueState): number {
   let aheadMs = 0;
   for (const other of state.waiting) aheadMs += other.expectedMs;
   const drainedMs = nextFinishMs(state) + aheadMs / Math.max(1, state.slots);
@@ -312,7 +312,7 @@
   const kept = waiting.filter(({giveUpAt}) => now < giveUpAt);
   let next: QueueState = {...state, waiting: kept};
   if (kept.length < waiting.length) {
-    const afterMs = retryMs(next, now);
+    const afterMs = retryMs(next);
     for (const {request, giveUpAt} of waiting) {
       if (now < giveUpAt) continue;
       verdicts.push(refuse(request, 'overloaded', afterMs));
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -109,9 +109,14 @@
 /** Head time limit until a configuration states one. */
 const DEFAULT_HEADER_MS = 10_000;
 
-/** Share of the allowed repeats that one daemon spends, and its reserve. */
-const RETRY_SHARE_USED = 0.5;
-const RETRY_RESERVE = 2;
+/** Share of the allowed retries that is spent; calls of retries count as well. */
+const RETRY_SHARE_USED = 0.7;
+
+/** Retries that one daemon has in reserve for each service. */
+const RETRY_RESERVE = 3;
+
+/** Retries kept for requests whose callers have no time to return. */
+const RETRY_KEPT = 1;
 
 /** Time for which callers go on sending after readiness is withdrawn. */
 const LINGER_MS = 2700;
@@ -307,12 +312,13 @@
       keepAliveMs: PEER_IDLE_MS / 2,
     }),
     returns: createReturns(),
-    retryAllowed: service => {
-      const left = spendRetry(budgetOf(service));
+    retryAllowed: (service, canReturn) => {
+      const kept = canReturn ? RETRY_KEPT : 0;
+      const left = spendRetry(budgetOf(service), kept);
       if (left) budgets.set(service, left);
       return left !== undefined;
     },
-    countForwarded: service => {
+    countRequest: service => {
       budgets.set(service, countForwarded(budgetOf(service)));
     },
     probe,
--- a/test/admission/admission.test.ts
+++ b/test/admission/admission.test.ts
@@ -118,6 +118,14 @@
   t.deepEqual(logged, [ADMISSION_EVENTS.refusing]);
 });
 
+test('a retry may leave some of the budget to others', t => {
+  const budget = createRetryBudget({share: 0.1, reserve: 3});
+  const left = spendRetry(spendRetry(budget, 1)!, 1);
+  t.is(left?.tokens, 1);
+  t.is(spendRetry(left!, 1), undefined);
+  t.is(spendRetry(left!)?.tokens, 0);
+});
+
 testProp(
   'retries stay under their share of the forwarded requests and the reserve',
   [
