--- a/src/telemetry/bounded.ts
+++ b/src/telemetry/bounded.ts
@@ -108,8 +108,11 @@
     writing = true;
     writeBytes(bytes, (error, written) => {
       writing = false;
-      // Nobody can be told that the log itself can't be written.
-      if (error) return;
+      if (error) {
+        // Nobody can be told but the reader, should it come back.
+        left += 1;
+        return;
+      }
       if (written < bytes.length) return send(bytes.subarray(written));
       if (waiting.length > 0) timer ??= setTimeout(drain, 0).unref();
     });
@@ -124,8 +127,11 @@
       logger[kind.level](format(kind, fields));
     },
     flush: () => {
-      if (writing || waiting.length === 0) return;
-      writeSync(STANDARD_OUTPUT, waiting.join(''));
+      // What is being written can't be waited for: its reader may be stalled.
+      if (writing) return;
+      if (left > 0) waiting.push(format(dropped, {lines: left}));
+      left = 0;
+      if (waiting.length > 0) writeSync(STANDARD_OUTPUT, waiting.join(''));
       waiting = [];
     },
   };
