Show who owns which keys on the platform: vanillaspoolctl ranges

Asks any daemon for the map as the store has it now and each holder's daemon for how long its grant lasts. Test: the command line shows who owns the keys of a service (test/sidecar).

--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -15,6 +15,7 @@
 export * from './pace.js';
 export * from './program.js';
 export * from './progress.js';
+export * from './ranges.js';
 export * from './result.js';
 export * from './run.js';
 export * from './submit.js';
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -12,6 +12,7 @@
 import {declareLost, drain, explain, status} from './fleet.js';
 import {history, readCurrent} from './history.js';
 import {EXIT, UsageError, type Result} from './result.js';
+import {ranges} from './ranges.js';
 import {trace} from './trace.js';
 
 /** Time limit for a version to be in force, in seconds. */
@@ -53,6 +54,7 @@
   addConfigurationCommands(program, environment);
   addHistoryCommands(program, environment);
   addFleetCommands(program, environment);
+  addRangesCommand(program, environment);
   addTraceCommand(program, environment);
   addVersionCommand(program, environment);
   return program;
@@ -149,6 +151,16 @@
     });
 }
 
+function addRangesCommand(program: Sade, {withContext}: Environment): void {
+  program
+    .command('ranges <service>')
+    .describe('Show who owns the keys of a service on the platform.')
+    .example('ranges stock --daemon 10.1.0.8:7620')
+    .action((service: string, options: Options) =>
+      withContext(options, context => ranges(context, service)),
+    );
+}
+
 function addTraceCommand(program: Sade, {readText}: Environment): void {
   program
     .command('trace <request> [file]')
--- a/src/sidecar/index.ts
+++ b/src/sidecar/index.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from './ask.js';
 export * from './events.js';
 export * from './heartbeat.js';
 export * from './keeper.js';
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -63,6 +63,11 @@
   readonly life: () => Incarnation | undefined;
   /** The instance has sent no heartbeat for a while. */
   readonly isSilent: () => boolean;
+  /**
+   * Returns the time until the last grant runs out, in milliseconds; undefined
+   * when this process granted none.
+   */
+  readonly holdLeftMs: () => number | undefined;
   readonly holds: (key: number) => boolean;
   readonly awaits: (key: number) => boolean;
   readonly changed: () => Promise<void>;
@@ -411,6 +416,10 @@
     leave,
     life,
     isSilent: () => silent,
+    holdLeftMs: () => {
+      if (grants.grantedAt < 0) return undefined;
+      return grants.since + context.holdMs - clock();
+    },
     local: () => {
       if (!instance) return undefined;
       const {id, service, address, slots, closesAt} = instance;
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -33,6 +33,11 @@
   /** Requests a second that it can execute. */
   readonly capacity: number;
   readonly heat: readonly (readonly [number, number])[];
+  /**
+   * Time until the grant of its keys runs out unless it is renewed, in
+   * milliseconds; missing when this process granted none.
+   */
+  readonly holdLeftMs?: number;
 }
 
 /** How the keys of one service are planned. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -383,7 +383,14 @@
     const count = slots.state().slots;
     const capacity = (count * MS_PER_SECOND) / Math.max(1, meter.meanMs());
     const {id, born} = life;
-    return {id, born, silent: keeper.isSilent(), capacity, heat: meter.heat()};
+    return {
+      id,
+      born,
+      silent: keeper.isSilent(),
+      capacity,
+      heat: meter.heat(),
+      holdLeftMs: keeper.holdLeftMs(),
+    };
   };
 
   const answerMap = (name: string, response: ServerResponse) => {
--- a/test/sidecar/fleet.test.ts
+++ b/test/sidecar/fleet.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava';
+import {EXIT, ranges} from '../../src/cli/index.js';
+import {parseAddress} from '../../src/model/index.js';
 import {ask, configuration, startFleet, until} from './fixture.js';
 
 test('each key is served by its one holder, from every daemon', async t => {
@@ -119,3 +121,24 @@
   t.true(results.every(status => status === 200));
   await fleet.close();
 });
+
+test('the command line shows who owns the keys of a service', async t => {
+  const fleet = await startFleet(['stock', 'stock', 'desk']);
+  t.teardown(fleet.close);
+  const {node} = fleet.pairs[2];
+  const asked = {daemon: parseAddress(node)};
+  const {code, lines, report} = await ranges(asked, 'stock');
+  t.is(code, EXIT.ok);
+  t.regex(lines[0], /^KEYS +STATE +TOKEN +HOLDER/);
+  const shown = (report as {ranges: {from: number; to: number}[]}).ranges;
+  t.is(
+    shown.reduce((sum, {from, to}) => sum + to - from + 1, 0),
+    65_536,
+  );
+  t.true(lines.slice(1).every(line => /held +\d+ +i-stock-\d/.test(line)));
+  t.true(lines.slice(1).every(line => /-?\d+ ms$/.test(line)));
+  const unknown = await ranges(asked, 'desk');
+  t.is(unknown.code, EXIT.refused);
+  const silent = await ranges({daemon: parseAddress('127.0.0.1:1')}, 'stock');
+  t.is(silent.code, EXIT.unreachable);
+});
