Keep long uploads in their failure domain while an instance there has room

The cost of another domain grows with the body now. Test: a long upload leaves its failure domain only for an instance in need.

--- a/src/relay/body.ts
+++ b/src/relay/body.ts
@@ -58,6 +58,18 @@
   return {kind: 'kept', bytes};
 }
 
+/**
+ * Returns the length of a body in bytes as far as it is known: of one that is
+ * streamed, what is kept at least.
+ *
+ * @example
+ * lengthOf({kind: 'none'}); // 0
+ */
+export function lengthOf(body: RequestBody): number {
+  if (body.kind === 'kept') return body.bytes.length;
+  return body.kind === 'streamed' ? KEPT_BYTES : 0;
+}
+
 async function* joined(
   first: readonly Buffer[],
   rest: AsyncIterable<Buffer>,
--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -61,9 +61,18 @@
 /** Added to the estimate of an instance at which every request fails. */
 const FAILURE_COST_MS = 1500;
 
-/** Added for an instance in another failure domain: its delay and bytes. */
+/** Added for an instance in another failure domain: its delay and answer. */
 const DOMAIN_COST_MS = 20;
 
+/**
+ * Added for each kilobyte of a request that would go to another failure domain,
+ * as that traffic is charged by volume: a long upload leaves its domain only
+ * where it would wait for about as long as it takes.
+ */
+const DOMAIN_COST_MS_PER_KB = 2;
+
+const BYTES_PER_KB = 1024;
+
 /**
  * Applies an event to the load of an instance.
  *
@@ -111,6 +120,7 @@
  * instance.
  *
  * @param isNear The instance is in the own failure domain.
+ * @param bodyBytes Length of the request's body.
  *
  * @example
  * estimateMs(load, true, now) < estimateMs(load, false, now); // true
@@ -119,6 +129,7 @@
   load: InstanceLoad,
   isNear: boolean,
   now: number,
+  bodyBytes = 0,
 ): number {
   const {slots, meanMs, inFlight, inFlightAtReport} = load;
   const age = 2 ** ((load.reportedAt - now) / REPORT_HALF_LIFE_MS);
@@ -128,7 +139,8 @@
   const full = busy / slots;
   const workMs = Math.max(meanMs, 1);
   const failureMs = load.failures * FAILURE_COST_MS;
-  const farMs = isNear ? 0 : DOMAIN_COST_MS;
+  const kilobytes = bodyBytes / BYTES_PER_KB;
+  const farMs = isNear ? 0 : DOMAIN_COST_MS + kilobytes * DOMAIN_COST_MS_PER_KB;
   return workMs * (1 + waiting + FULLNESS * full) + failureMs + farMs;
 }
 
@@ -155,13 +167,14 @@
 export function chooseInstance(
   choices: readonly Choice[],
   now: number,
+  bodyBytes = 0,
 ): Choice | undefined {
   let best: Choice | undefined;
   let bestMs = Infinity;
   for (const choice of choices) {
     const {load, isNear} = choice;
     const shunnedMs = Math.max(0, load.shunnedUntil - now) * SHUN_COST;
-    const ms = estimateMs(load, isNear, now) + shunnedMs;
+    const ms = estimateMs(load, isNear, now, bodyBytes) + shunnedMs;
     if (ms < bestMs) {
       best = choice;
       bestMs = ms;
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -17,7 +17,7 @@
 import {notRun, parseAddress, unknown, type Failure} from '../model/index.js';
 import {sameLife, termOf} from '../ranges/index.js';
 import {breakOff, type AnswerHead, type Pools} from '../upstream/index.js';
-import {readBody, type RequestBody} from './body.js';
+import {lengthOf, readBody, type RequestBody} from './body.js';
 import {chooseInstance, type InstanceLoad, type LoadEvent} from './choose.js';
 import {
   findRoute,
@@ -384,7 +384,7 @@
     load: context.loads(member.node),
     member,
   }));
-  const choice = chooseInstance(choices, context.clock());
+  const choice = chooseInstance(choices, context.clock(), lengthOf(pass.body));
   if (!choice) {
     pass.refused.clear();
     return {kind: 'wait'};
--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -61,6 +61,16 @@
   t.is(chooseInstance([choice('lost', lost)], 1)?.node, 'lost');
 });
 
+test('a long upload leaves its failure domain only for an instance in need', t => {
+  const upload = 60 * 1024;
+  const far = {...choice('far', after(report(0, 100))), isNear: false};
+  const near = choice('near', after(report(3, 180)));
+  t.is(chooseInstance([near, far], 0)?.node, 'far');
+  t.is(chooseInstance([near, far], 0, upload)?.node, 'near');
+  const full = choice('near', after(report(9, 180)));
+  t.is(chooseInstance([full, far], 0, upload)?.node, 'far');
+});
+
 const ROUTE: Route = {
   name: 'r',
   host: 'h',
