Tell a daemon how busy the instance beside it is

The own load is taken from the slots now, and the mean time of a new instance follows its first requests faster.

--- a/src/sidecar/meter.ts
+++ b/src/sidecar/meter.ts
@@ -6,9 +6,12 @@
 /** Mean time of a request before any was observed, in milliseconds. */
 const INITIAL_MEAN_MS = 150;
 
-/** Share of the newest time in the moving mean. */
+/** Least share of the newest time in the moving mean. */
 const MEAN_WEIGHT = 0.05;
 
+/** Times that the initial mean counts for while few have been observed. */
+const INITIAL_SAMPLES = 2;
+
 const MS_PER_SECOND = 1000;
 
 /** What a daemon measures of the instance beside it. */
@@ -36,6 +39,7 @@
   const counts = new Float64Array(HEAT_PARTS);
   let countedAt = clock();
   let meanMs = INITIAL_MEAN_MS;
+  let samples = INITIAL_SAMPLES;
   const decay = () => {
     const now = clock();
     const factor = 2 ** ((countedAt - now) / HALF_LIFE_MS);
@@ -49,7 +53,9 @@
       counts[partOf(key)] += weight;
     },
     ran: timeMs => {
-      meanMs += MEAN_WEIGHT * (timeMs - meanMs);
+      samples += 1;
+      const weight = Math.max(MEAN_WEIGHT, 1 / samples);
+      meanMs += weight * (timeMs - meanMs);
     },
     meanMs: () => meanMs,
     heat: () => {
@@ -63,6 +69,7 @@
     },
     reset: () => {
       meanMs = INITIAL_MEAN_MS;
+      samples = INITIAL_SAMPLES;
       counts.fill(0);
     },
   };
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -305,7 +305,12 @@
       splits.set(route.name, step.state);
       return step.service;
     },
-    loads: peer => loads.get(peer) ?? UNKNOWN_LOAD,
+    loads: peer => {
+      const known = loads.get(peer) ?? UNKNOWN_LOAD;
+      if (peer !== node) return known;
+      const own = loadOf(slots, meter.meanMs());
+      return applyLoadEvent(known, {kind: 'reported', ...own}, clock());
+    },
     observeLoad,
     peerPools: createPools({
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
--- a/test/sidecar/fleet.test.ts
+++ b/test/sidecar/fleet.test.ts
@@ -142,3 +142,18 @@
   const silent = await ranges({daemon: parseAddress('127.0.0.1:1')}, 'stock');
   t.is(silent.code, EXIT.unreachable);
 });
+
+test('a daemon knows how busy the instance beside it is', async t => {
+  const fleet = await startFleet(['desk', 'desk']);
+  t.teardown(fleet.close);
+  const [a, b] = fleet.pairs;
+  // By then the daemons know of each other and how long requests take.
+  for (let turn = 0; turn < 40; turn++) await ask(b.callers, 'POST', '/book/x');
+  for (let turn = 0; turn < 10; turn++) await ask(a.callers, 'POST', '/book/x');
+  const before = b.instance.runs.length;
+  const answers = await Promise.all(
+    Array.from({length: 20}, () => ask(a.callers, 'POST', '/book/x')),
+  );
+  t.true(answers.every(({status}) => status === 200));
+  t.true(b.instance.runs.length - before >= 8);
+});
