--- a/src/ranges/plan.ts
+++ b/src/ranges/plan.ts
@@ -26,6 +26,11 @@
 export interface PlanSettings {
   /** Moves start when a load exceeds the mean by this factor. */
   readonly tolerance: number;
+  /**
+   * Utilization up to which requests hardly wait, from 0 to 1. Below it keys
+   * move only to a candidate that has hardly any load.
+   */
+  readonly ease: number;
   /** Most ranges moved by one plan. */
   readonly moves: number;
 }
@@ -33,6 +38,9 @@
 /** Load that each part has at least, so that idle keys are spread as well. */
 const IDLE_HEAT = 0.02;
 
+/** Share of the mean utilization below which a candidate has hardly any load. */
+const SPARE_SHARE = 0.5;
+
 /** Smallest share of a mean load that is worth a move. */
 const WORTH_MOVING = 0.1;
 
@@ -205,7 +213,8 @@
  * become busy.
  *
  * @example
- * startMoves(map, planBalance(map, heat, candidates, {tolerance: 1.2, moves: 4}));
+ * const settings = {tolerance: 1.2, ease: 0.55, moves: 4};
+ * startMoves(map, planBalance(map, heat, candidates, settings));
  */
 export function planBalance(
   map: RangeMap,
@@ -225,6 +234,8 @@
     const hot = sorted[0];
     const cold = sorted[sorted.length - 1];
     if (utilization(hot) < mean * settings.tolerance) break;
+    const isEasy = utilization(hot) < settings.ease;
+    if (isEasy && utilization(cold) >= mean * SPARE_SHARE) break;
     const excess = hot.heat - mean * hot.candidate.capacity;
     const room = mean * cold.candidate.capacity - cold.heat;
     const goal = Math.min(excess, room);
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -67,8 +67,11 @@
 /** Interval between two plans that only balance load, in milliseconds. */
 const BALANCE_MS = 3000;
 
-/** Load above the mean from which keys are moved, and moves of one plan. */
-const BALANCE = {tolerance: 1.2, moves: 6};
+/**
+ * Load above the mean from which keys are moved; utilization up to which a
+ * handful of slots hardly makes requests wait; and moves of one plan.
+ */
+const BALANCE = {tolerance: 1.2, ease: 0.55, moves: 6};
 
 /** Capacity of a member that was not asked yet, in requests a second. */
 const DEFAULT_CAPACITY = 80;
