--- a/standin/fleet/store.ts
+++ b/standin/fleet/store.ts
@@ -20,6 +20,8 @@
 export interface StoreFaults {
   /** Answers every call with 503. */
   down: boolean;
+  /** Takes calls and never answers them. */
+  silent: boolean;
   /** Does writes and then drops the connection. */
   losesAnswers: boolean;
   /** Forgets what happened before now; watches get 410. */
@@ -54,6 +56,7 @@
   const events: Event[] = [];
   const faults: StoreFaults = {
     down: false,
+    silent: false,
     losesAnswers: false,
     compactedAt: 0,
     delayMs: 0,
@@ -150,6 +153,7 @@
 
   const server = http.createServer((request, response) => {
     calls += 1;
+    if (faults.silent) return;
     if (faults.down) {
       response.writeHead(503).end('{}');
       return;
--- a/test/sidecar/fleet.test.ts
+++ b/test/sidecar/fleet.test.ts
@@ -106,6 +106,28 @@
   t.is((await ask(pair.callers, 'POST', '/moved/x')).status, 200);
 });
 
+test('a watch that the store has forgotten does not hide a configuration', async t => {
+  const fleet = await startFleet(['stock', 'stock']);
+  t.teardown(fleet.close);
+  const taken = (version: number) =>
+    fleet.pairs.every(({events}) =>
+      events.some(([, fields]) => fields.version === version),
+    );
+  fleet.store.write('config', 'main', configuration(5));
+  await until(() => taken(5));
+  // The next watches arrive now, and are never answered.
+  fleet.store.faults.silent = true;
+  await new Promise(resolve => setTimeout(resolve, 300));
+  fleet.store.faults.silent = false;
+  // In touch again after the three seconds that the platform states.
+  await new Promise(resolve => setTimeout(resolve, 3000));
+  fleet.store.write('config', 'main', configuration(6));
+  const writtenAt = Date.now();
+  await until(() => taken(6));
+  // The bound of the platform for a configuration.
+  t.true(Date.now() - writtenAt < 2000);
+});
+
 test('a stopping daemon ends nothing that it has taken', async t => {
   const fleet = await startFleet(['desk', 'desk']);
   const [a, b] = fleet.pairs;
