--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -31,7 +31,13 @@
 import {runLocally, type OwnerContext} from './owner.js';
 import {DEADLINE_GRACE_MS} from './peers.js';
 import type {AttemptMark, Returns} from './returns.js';
-import {pause, sendable, type Flow, type Work} from './work.js';
+import {
+  holderWaitUntil,
+  pause,
+  sendable,
+  type Flow,
+  type Work,
+} from './work.js';
 
 /** A configuration with what is derived from it. */
 export interface ActiveConfiguration extends RoutedConfiguration {
@@ -201,7 +207,7 @@
     refused: new Set(),
     offered: new Set(),
     asked: 0,
-    waitUntil: startedAt + Math.min(timeMs, OWNER_WAIT_MS),
+    waitUntil: holderWaitUntil(startedAt, startedAt + timeMs, OWNER_WAIT_MS),
   };
   context.countRequest(service);
   const result = await serve(context, pass);
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -11,7 +11,13 @@
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
 import type {Grant, Slots} from './slots.js';
-import {pause, sendable, type Flow, type Work} from './work.js';
+import {
+  holderWaitUntil,
+  pause,
+  sendable,
+  type Flow,
+  type Work,
+} from './work.js';
 
 /** The upstream instance beside a daemon. */
 export interface LocalInstance {
@@ -117,7 +123,8 @@
     return failed(notRun('bad-key', 'the request carries no key'));
   }
   context.asked(key);
-  const until = Math.min(work.deadlineAt, context.clock() + HOLD_WAIT_MS);
+  const now = context.clock();
+  const until = holderWaitUntil(now, work.deadlineAt, HOLD_WAIT_MS);
   while (!context.holds(key)) {
     if (flow.state.stopped) return failed(flow.state.stopped);
     if (!context.awaits(key) || context.clock() >= until) {
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -51,6 +51,26 @@
   return null;
 }
 
+/** Share of its time for which a request waits for the holder of its key. */
+const HOLDER_WAIT_SHARE = 0.5;
+
+/**
+ * Returns the time until which a request waits for a holder of its key: some
+ * time, but no longer than leaves it as much again to be run and answered.
+ *
+ * Answers moves of keys, which last about as long as some requests have left.
+ *
+ * @example
+ * holderWaitUntil(1000, 1400, 700); // 1200
+ */
+export function holderWaitUntil(
+  now: number,
+  deadlineAt: number,
+  longestMs: number,
+): number {
+  return now + Math.min(longestMs, (deadlineAt - now) * HOLDER_WAIT_SHARE);
+}
+
 /**
  * Waits for an event, at most for some time and until the flow is stopped.
  *
