--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -109,8 +109,12 @@
 /** Head time limit until a configuration states one. */
 const DEFAULT_HEADER_MS = 10_000;
 
-/** Share of the allowed retries that is spent; calls of retries count as well. */
-const RETRY_SHARE_USED = 0.7;
+/**
+ * Share of the allowed retries that is spent. The look-ups of a request that is
+ * sent again count as retries at their own service, which does not see it; they
+ * are taken to be as many again.
+ */
+const RETRY_SHARE_USED = 0.5;
 
 /** Retries that one daemon has in reserve for each service. */
 const RETRY_RESERVE = 3;
