--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -113,6 +113,7 @@
   store: MetadataStoreStandin,
   service: string,
   index: number,
+  workMs: number,
 ): Promise<Pair> {
   const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
   const [callers, peers, ready, control] = ports.map(p => `127.0.0.1:${p}`);
@@ -155,7 +156,7 @@
     service,
     zone: `zone-${index % 2}`,
     slots: 4,
-    workMs: 20,
+    workMs,
     keyed: service === 'stock',
     heartbeatMs: HEARTBEAT_MS,
     control,
@@ -180,17 +181,19 @@
  * Starts a fleet and waits until its keys are held.
  *
  * @param services Service of the instance beside each daemon.
+ * @param workMs Time that an instance takes for a request.
  *
  * @example
  * const fleet = await startFleet(['stock', 'stock', 'desk']);
  */
 export async function startFleet(
   services: readonly string[],
+  workMs = 20,
 ): Promise<TestFleet> {
   const store = await startMetadataStore();
   store.write('config', 'main', configuration(1));
   const pairs = await Promise.all(
-    services.map((service, index) => startPair(store, service, index)),
+    services.map((service, index) => startPair(store, service, index, workMs)),
   );
   const keyed = pairs.filter((_, index) => services[index] === 'stock');
   const registered = (index: number) => {
--- a/test/sidecar/fleet.test.ts
+++ b/test/sidecar/fleet.test.ts
@@ -179,3 +179,27 @@
   t.true(answers.every(({status}) => status === 200));
   t.true(b.instance.runs.length - before >= 8);
 });
+
+test('a stopping daemon takes no request that it could not finish', async t => {
+  const fleet = await startFleet(['desk'], 1100);
+  const [pair] = fleet.pairs;
+  const stopped = pair.sidecar.stop();
+  let isStopped = false;
+  void stopped.then(() => (isStopped = true));
+  const statuses: Promise<number>[] = [];
+  while (!isStopped) {
+    const sentAt = Date.now();
+    const answer = ask(pair.callers, 'POST', '/book/x').then(
+      ({status}) => status,
+      // At the very end a connection is refused, or closed before it is read.
+      () => (Date.now() - sentAt < 100 ? 0 : -1),
+    );
+    statuses.push(answer);
+    await new Promise(resolve => setTimeout(resolve, 100));
+  }
+  const ended = await Promise.all(statuses);
+  t.false(ended.includes(-1));
+  t.true(ended.includes(503));
+  t.true(ended.includes(200));
+  await fleet.close();
+});
