--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -7,7 +7,7 @@
 } from '../store/index.js';
 
 /** Pause before the store is asked again, in milliseconds. */
-const RETRY_PAUSE_MS = 400;
+const RETRY_PAUSE_MS = 300;
 
 /** What is told to the follower of a prefix. */
 export interface Follower {
