--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -10,6 +10,7 @@
 import {decide, nextTickAt} from './decide.js';
 import {ADMISSION_EVENTS} from './events.js';
 import {createMeter} from './meter.js';
+import {scheduleTimeout, type Schedule} from './schedule.js';
 import {
   createState,
   type AdmissionEvent,
@@ -51,9 +52,6 @@
 /** The answer to one request for a slot. */
 export type AdmissionResult = Admitted | Refused;
 
-/** Runs a function after a delay; calling the result prevents it. */
-export type Schedule = (delayMs: number, run: () => void) => () => void;
-
 /** Settings of `createAdmission`. */
 export interface AdmissionOptions extends Partial<Parameters> {
   readonly slots: number;
@@ -239,9 +237,3 @@
   } = options;
   return {queueLimit: options.queue, keyShare, rampMs, coldShare};
 }
-
-function scheduleTimeout(delayMs: number, run: () => void): () => void {
-  const timer = setTimeout(run, delayMs);
-  timer.unref();
-  return () => clearTimeout(timer);
-}
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -10,5 +10,6 @@
 export {meanMs, observeTime, spreadMs, type Estimate} from './estimate.js';
 export * from './events.js';
 export * from './metrics.js';
+export * from './schedule.js';
 export * from './state.js';
 export * from './verdict.js';
--- a/src/relay/slots.ts
+++ b/src/relay/slots.ts
@@ -1,3 +1,4 @@
+import {scheduleTimeout, type Schedule} from '../admission/index.js';
 import type {FailureReason} from '../model/index.js';
 import {
   applyQueueEvent,
@@ -27,9 +28,6 @@
 /** The answer to one request for a slot. */
 export type Grant = Granted | Denied;
 
-/** Runs a function after a delay; calling the result prevents it. */
-export type Schedule = (delayMs: number, run: () => void) => () => void;
-
 /** Settings of `createSlots`. */
 export interface SlotsOptions {
   readonly slots: number;
@@ -53,12 +51,6 @@
   readonly state: () => QueueState;
 }
 
-function scheduleTimeout(delayMs: number, run: () => void): () => void {
-  const timer = setTimeout(run, delayMs);
-  timer.unref();
-  return () => clearTimeout(timer);
-}
-
 /**
  * Creates the slots of an instance.
  *
