Write registrations and maps through one conditional write

The two stood side by side with the same sorting of errors. A registration that somebody else changed meanwhile was logged as written; it is not any more, and the purpose of a failed write is logged for both.

--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -27,11 +27,11 @@
 } from '../ranges/index.js';
 import {parseAddress, type Address} from '../model/index.js';
 import type {LocalInstance} from '../relay/index.js';
-import {AnswerLostError, UnavailableError, updateFrom} from '../store/index.js';
 import {SIDECAR_EVENTS} from './events.js';
 import type {Heartbeat, HeartbeatAnswer} from './heartbeat.js';
 import {changeMap, confirmMap, type MapAccess} from './maps.js';
 import {createSignal} from './signal.js';
+import {writeFromView} from './write.js';
 
 /** How a daemon looks after the instance beside it. */
 export interface KeeperContext extends MapAccess {
@@ -163,32 +163,18 @@
     const member = desired();
     const known = recorded();
     if (!member || (known && sameRecord(known.value, member))) return;
-    const key = memberKey(node);
     const value = JSON.stringify(member);
-    const current = known && {
-      key,
-      value: JSON.stringify(known.value),
-      version: known.version,
-    };
-    try {
-      const isOwn = (text: string) => text === value;
-      const result = await updateFrom(
-        context.store,
-        key,
-        current,
-        () => value,
-        isOwn,
-      );
-      if (result.object) context.learn(result.object);
-      const {id, state} = member;
-      log(SIDECAR_EVENTS.registered, {id, state, stopping});
-    } catch (error) {
-      const isKnown =
-        error instanceof UnavailableError || error instanceof AnswerLostError;
-      if (!isKnown) throw error;
-      const {message} = error;
-      log(SIDECAR_EVENTS.writeFailed, {key, message});
-    }
+    const result = await writeFromView(
+      context,
+      memberKey(node),
+      known,
+      'registration',
+      () => value,
+      text => text === value,
+    );
+    if (result?.kind !== 'stored') return;
+    const {id, state} = member;
+    log(SIDECAR_EVENTS.registered, {id, state, stopping});
   };
 
   const record = (): Promise<void> =>
--- a/src/sidecar/maps.ts
+++ b/src/sidecar/maps.ts
@@ -1,14 +1,13 @@
 import {rangesKey, type FleetView, type StoredChange} from '../fleet/index.js';
 import {EMPTY_MAP, parseMap, type RangeMap} from '../ranges/index.js';
 import {
-  AnswerLostError,
   UnavailableError,
-  updateFrom,
   type ObjectStore,
   type StoredObject,
 } from '../store/index.js';
 import type {Log} from '../telemetry/index.js';
 import {SIDECAR_EVENTS} from './events.js';
+import {writeFromView} from './write.js';
 
 /** How range maps are read and written. */
 export interface MapAccess {
@@ -115,40 +114,26 @@
   purpose: string,
   change: (map: RangeMap) => RangeMap,
 ): Promise<RangeMap | undefined> {
-  const key = rangesKey(service);
-  const known = access.view().maps.get(service);
-  const current: StoredObject | undefined = known?.version
-    ? {key, value: JSON.stringify(known.value), version: known.version}
-    : undefined;
   const next = (object: StoredObject | undefined) => {
     const map = object ? parseMap(object.value) : EMPTY_MAP;
     if ('problem' in map) return undefined;
     const changed = change(map);
     return changed === map ? undefined : JSON.stringify(changed);
   };
-  try {
-    const result = await updateFrom(
-      access.store,
-      key,
-      current,
-      next,
-      () => false,
-    );
-    if (result.object) access.learn(result.object);
-    if (result.kind === 'stored') {
-      const {version} = result.object;
-      access.log(SIDECAR_EVENTS.mapChanged, {service, purpose, version});
-    }
-    if (result.kind === 'conflict') return undefined;
-    if (!result.object) return EMPTY_MAP;
-    const map = parseMap(result.object.value);
-    return 'problem' in map ? undefined : map;
-  } catch (error) {
-    const isKnown =
-      error instanceof UnavailableError || error instanceof AnswerLostError;
-    if (!isKnown) throw error;
-    const {message} = error;
-    access.log(SIDECAR_EVENTS.writeFailed, {key, purpose, message});
-    return undefined;
+  const result = await writeFromView(
+    access,
+    rangesKey(service),
+    access.view().maps.get(service),
+    purpose,
+    next,
+    () => false,
+  );
+  if (!result || result.kind === 'conflict') return undefined;
+  if (result.kind === 'stored') {
+    const {version} = result.object;
+    access.log(SIDECAR_EVENTS.mapChanged, {service, purpose, version});
   }
+  if (!result.object) return EMPTY_MAP;
+  const map = parseMap(result.object.value);
+  return 'problem' in map ? undefined : map;
 }
