Test that the log explains three kinds of failed request

Each test plays a fleet on the stand-ins and finds the lines that docs/OPERATIONS.md names: 5002 and 5010 of a refusal under load, 5002 and 5003 of an instance that broke off, and the version of 5002 with 6020 around a change.

--- /dev/null
+++ b/test/sidecar/explain.test.ts
@@ -0,0 +1,95 @@
+import test from 'ava';
+import {RELAY_EVENTS} from '../../src/relay/index.js';
+import {SIDECAR_EVENTS} from '../../src/sidecar/index.js';
+import type {EventFields, EventKind} from '../../src/telemetry/index.js';
+import {
+  ask,
+  configuration,
+  startFleet,
+  until,
+  type TestFleet,
+} from './fixture.js';
+
+/** One line of a log. */
+interface Line {
+  readonly kind: EventKind;
+  readonly fields: EventFields;
+}
+
+/** Finds the lines of all daemons that name a request. */
+function linesOf(fleet: TestFleet, request: string): readonly Line[] {
+  return fleet.pairs.flatMap(({events}) =>
+    events
+      .filter(([, fields]) => fields.request === request)
+      .map(([kind, fields]) => ({kind, fields})),
+  );
+}
+
+const findLine = (lines: readonly Line[], kind: EventKind) =>
+  lines.find(line => line.kind === kind)?.fields;
+
+test('the log tells why a request was refused under load', async t => {
+  const fleet = await startFleet(['desk', 'desk'], 200);
+  t.teardown(fleet.close);
+  const [a] = fleet.pairs;
+  const answers = await Promise.all(
+    Array.from({length: 120}, () => ask(a.callers, 'POST', '/book/x')),
+  );
+  const refused = answers.filter(({status}) => status === 503);
+  t.true(refused.length > 0);
+  for (const {id, retryAfter} of refused) {
+    const lines = linesOf(fleet, id);
+    const failed = findLine(lines, RELAY_EVENTS.failed);
+    t.is(failed?.outcome, 'not-run');
+    t.is(failed?.reason, 'overloaded');
+    const toldMs = Number(retryAfter) * 1000;
+    t.true(Math.abs(Number(failed?.retryAfterMs) - toldMs) <= 1);
+    // The daemon beside the instance says the same, unless it is this one.
+    const there = findLine(lines, RELAY_EVENTS.ran);
+    t.true(!there || there.reason === 'overloaded');
+  }
+});
+
+test('the log tells what became of a request whose instance broke off', async t => {
+  const fleet = await startFleet(['stock', 'desk']);
+  t.teardown(fleet.close);
+  const [stock, desk] = fleet.pairs;
+  for (const {instance} of fleet.pairs) {
+    let spoiled = false;
+    instance.spoil = response => {
+      if (spoiled) return false;
+      spoiled = true;
+      response.socket?.resetAndDestroy();
+      return true;
+    };
+  }
+  const once = await ask(stock.callers, 'POST', '/book/x');
+  t.is(once.status, 502);
+  const failed = findLine(linesOf(fleet, once.id), RELAY_EVENTS.failed);
+  t.is(failed?.outcome, 'unknown');
+  t.is(failed?.reason, 'upstream-reset');
+  const again = await ask(desk.callers, 'GET', '/view/x', 7);
+  t.is(again.status, 200);
+  const retried = findLine(linesOf(fleet, again.id), RELAY_EVENTS.retried);
+  t.is(retried?.reason, 'upstream-reset');
+});
+
+test('the log tells which version routed a request', async t => {
+  const fleet = await startFleet(['desk']);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  const moved = configuration(5) as {routes: {rows: unknown[][]}};
+  moved.routes.rows[1][2] = '/moved/';
+  fleet.store.write('config', 'main', moved);
+  const taken = () =>
+    pair.events.find(
+      ([kind, {version}]) =>
+        kind === SIDECAR_EVENTS.configurationTaken && version === 5,
+    );
+  await until(() => taken() !== undefined);
+  const {id, status} = await ask(pair.callers, 'POST', '/book/x');
+  t.is(status, 404);
+  const failed = findLine(linesOf(fleet, id), RELAY_EVENTS.failed);
+  t.is(failed?.reason, 'no-service');
+  t.is(failed?.version, 5);
+});
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -40,6 +40,8 @@
 
 /** An answer as a caller gets it. */
 export interface Answer {
+  /** Id of the request. */
+  readonly id: string;
   readonly status: number;
   readonly body: string;
   readonly retryAfter?: string;
@@ -244,9 +246,10 @@
   key?: number,
 ): Promise<Answer> {
   const [host, port] = callers.split(':');
+  const id = `r${++lastId}`;
   const headers: Record<string, string> = {
     Host: 'a.example',
-    'X-Vanillaspool-Request-Id': `r${++lastId}`,
+    'X-Vanillaspool-Request-Id': id,
     'X-Vanillaspool-Request-Deadline': '2000',
   };
   if (key !== undefined) headers['X-Vanillaspool-Shard-Key'] = String(key);
@@ -259,6 +262,7 @@
         response.on('error', reject);
         response.on('end', () =>
           resolve({
+            id,
             status: response.statusCode ?? 0,
             body: Buffer.concat(parts).toString(),
             retryAfter: response.headers['retry-after'],
