--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -83,7 +83,10 @@
 /** Time of a kind of which nothing is known; about that of a short request. */
 const UNKNOWN_MS = 50;
 
-/** Mean deviations above the mean that a request is expected to stay under. */
+/**
+ * Mean deviations above the mean that a request is expected to stay under; about
+ * four of five do.
+ */
 const CAUTION_DEVIATIONS = 1;
 
 /**
@@ -92,29 +95,44 @@
  */
 const WORK_SHARE = 0.75;
 
-/** Share of its expected time below which an objective can't be met. */
+/**
+ * Share of its expected time below which an objective is out of reach: hardly
+ * any request takes less.
+ */
 const REACH_SHARE = 0.5;
 
-/** Length relative to what slots are mostly busy with up to which work is short. */
+/**
+ * Length relative to what slots are mostly busy with below which work is short,
+ * so that it delays other work by less than half a turn.
+ */
 const SHORT_SHARE = 0.5;
 
-/** Share that a request keeps in the moving sums when the next one has run. */
+/**
+ * Share that a request keeps in the moving sums when the next one has run: the
+ * last fifty make up most of them, a second or two of a busy instance.
+ */
 const BUSY_DECAY = 0.98;
 
 /** Late requests that wait for one slot, at most; one turn of all slots. */
 const LATE_PER_SLOT = 1;
 
-/** Share of its time for which a late request waits; then it is told to return. */
+/**
+ * Share of its time for which a late request waits; then it is told to return.
+ * Callers obey a Retry-After for about as long.
+ */
 const LATE_WAIT_SHARE = 0.35;
 
-/** Shortest Retry-After of an instance without room, in milliseconds. */
+/**
+ * Shortest Retry-After of an instance without room, in milliseconds: about the
+ * time of one request, after which a slot is free.
+ */
 const RETRY_MIN_MS = 150;
 
 /**
  * Creates the queue of an instance of which nothing is known.
  *
  * @example
- * const {state} = applyQueueEvent(createQueue(12), {kind: 'tick'}, now);
+ * createQueue(12).waiting.length; // 0
  */
 export function createQueue(slots: number): QueueState {
   const busy = {sumMs: 0, sumOfSquares: 0};
@@ -124,9 +142,10 @@
 /**
  * Applies an event to the queue. A request that can still meet its objective
  * goes before all that can't; within these two classes the priority decides,
- * then short work goes first, then what has least time left. A request is refused on arrival when it would not be
- * reached in time, and late ones wait only in small number, as each of them
- * takes a slot from one that would count in full.
+ * then short work goes first, then what has least time left. A request is
+ * refused on arrival when it would not be reached in time, and late ones wait
+ * only in small number, as each of them takes a slot from one that would count
+ * in full.
  *
  * Short work delays longer work by little, and it is mostly called by a request
  * that already runs elsewhere and is wasted without it; for this reason it
