Wait for an event or the end of a request in one place

src/relay/work.ts had its own copy of untilStoppedOrTime of the gateway, which left a rejected event unhandled. The gateway's takes anything with the state of a pass now and serves both. No change of behaviour otherwise.

--- a/src/gateway/pass.ts
+++ b/src/gateway/pass.ts
@@ -120,7 +120,7 @@
  * await untilStopped(pass, ownership.changed('rota-display', 7));
  */
 export function untilStopped(
-  pass: Pass,
+  pass: Pick<Pass, 'state'>,
   event: Promise<unknown>,
 ): Promise<void> {
   const {state} = pass;
@@ -135,6 +135,25 @@
   });
 }
 
+/**
+ * Waits for an event, at most for some time and until the pass is stopped.
+ *
+ * @example
+ * await untilStoppedOrTime(pass, view.changed(), 200);
+ */
+export async function untilStoppedOrTime(
+  pass: Pick<Pass, 'state'>,
+  event: Promise<unknown> | undefined,
+  timeMs: number,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const time = new Promise(resolve => {
+    timer = setTimeout(resolve, Math.max(1, timeMs));
+  });
+  await untilStopped(pass, event ? Promise.race([event, time]) : time);
+  clearTimeout(timer);
+}
+
 /**
  * Reads the body of a pass into memory.
  The pass is stopped if the body does not arrive whole.
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -10,7 +10,12 @@
 import type {Context} from './context.js';
 import {GATEWAY_EVENTS} from './events.js';
 import {sendLocal} from './local.js';
-import {isReplayable, prepareBody, untilStopped, type Pass} from './pass.js';
+import {
+  isReplayable,
+  prepareBody,
+  untilStoppedOrTime,
+  type Pass,
+} from './pass.js';
 import {sendOld} from './old.js';
 import {sendRemote} from './remote.js';
 import {isRepeatable, sendOnce} from './repeats.js';
@@ -207,20 +212,6 @@
   return 'waited';
 }
 
-/** Waits for an event, at most for some time and until the pass is stopped. */
-async function untilStoppedOrTime(
-  pass: Pass,
-  event: Promise<unknown> | undefined,
-  timeMs: number,
-): Promise<void> {
-  let timer: NodeJS.Timeout | undefined;
-  const time = new Promise(resolve => {
-    timer = setTimeout(resolve, Math.max(1, timeMs));
-  });
-  await untilStopped(pass, event ? Promise.race([event, time]) : time);
-  clearTimeout(timer);
-}
-
 async function attemptUnkeyed(
   context: Context,
   pass: Pass,
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -3,6 +3,7 @@
   failed,
   runExchange,
   stopper,
+  untilStoppedOrTime,
   type Attempt,
   type FailedTry,
   type PassState,
@@ -31,13 +32,7 @@
 import {runLocally, type OwnerContext} from './owner.js';
 import {DEADLINE_GRACE_MS} from './peers.js';
 import type {AttemptMark, Returns} from './returns.js';
-import {
-  holderWaitUntil,
-  pause,
-  sendable,
-  type Flow,
-  type Work,
-} from './work.js';
+import {holderWaitUntil, sendable, type Flow, type Work} from './work.js';
 
 /** A configuration with what is derived from it. */
 export interface ActiveConfiguration extends RoutedConfiguration {
@@ -290,7 +285,8 @@
     const target = findTarget(context, pass);
     if (target.kind === 'refuse') return conclude(pass, target.failure);
     if (target.kind === 'wait') {
-      await pause(pass.flow, context.viewChanged(), OWNER_POLL_MS);
+      const {flow} = pass;
+      await untilStoppedOrTime(flow, context.viewChanged(), OWNER_POLL_MS);
       continue;
     }
     const {member} = target;
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -1,6 +1,7 @@
 import {
   failed,
   runExchange,
+  untilStoppedOrTime,
   type Attempt,
   type FailedTry,
 } from '../gateway/index.js';
@@ -11,13 +12,7 @@
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
 import type {Grant, Slots} from './slots.js';
-import {
-  holderWaitUntil,
-  pause,
-  sendable,
-  type Flow,
-  type Work,
-} from './work.js';
+import {holderWaitUntil, sendable, type Flow, type Work} from './work.js';
 
 /** The upstream instance beside a daemon. */
 export interface LocalInstance {
@@ -131,7 +126,8 @@
       const message = 'the instance does not hold the key';
       return alternative(notRun('not-owner', message, HOLDER_RETRY_MS));
     }
-    await pause(flow, context.holdsChanged(), until - context.clock());
+    const leftMs = until - context.clock();
+    await untilStoppedOrTime(flow, context.holdsChanged(), leftMs);
   }
   return undefined;
 }
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -70,26 +70,3 @@
 ): number {
   return now + Math.min(longestMs, (deadlineAt - now) * HOLDER_WAIT_SHARE);
 }
-
-/**
- * Waits for an event, at most for some time and until the flow is stopped.
- *
- * @example
- * await pause(flow, view.changed(), 200);
- */
-export async function pause(
-  flow: Flow,
-  event: Promise<unknown> | undefined,
-  timeMs: number,
-): Promise<void> {
-  const {state} = flow;
-  if (state.stopped) return;
-  let timer: NodeJS.Timeout | undefined;
-  await new Promise<void>(resolve => {
-    timer = setTimeout(resolve, Math.max(1, timeMs));
-    state.giveUp = resolve;
-    void event?.then(() => resolve());
-  });
-  clearTimeout(timer);
-  state.giveUp = undefined;
-}
