Write once what the request path, the planner and the keeper had twice

- Hop and Work share one description of the task, so peers.ts copies no fields.
- One function stops a flow at its deadline or when its caller has gone.
- chooseInstance returns what it was given, so the member is not searched again; the caller's patience and the deadline are computed once.
- One sum of the work ahead in the queue, one look-up of a key's term in the keeper, one list of the terms that a map wants back, one total of the loads, one reading of a stored map.
No change of behaviour.

--- a/src/ranges/holder.ts
+++ b/src/ranges/holder.ts
@@ -1,5 +1,10 @@
 import type {Release} from './change.js';
-import {sameLife, type Incarnation, type RangeMap} from './map.js';
+import {
+  sameLife,
+  type Incarnation,
+  type RangeMap,
+  type RangeTerm,
+} from './map.js';
 
 /** What an upstream says in a heartbeat of the keys that it holds. */
 export interface HoldReport {
@@ -75,11 +80,7 @@
   grants: Grants,
   report: HoldReport,
 ): readonly Release[] {
-  const wanted = map.terms.filter(
-    term =>
-      (term.state === 'moving' || term.state === 'revoked') &&
-      sameLife(term.holder, report.life),
-  );
+  const wanted = wantedFrom(map, report.life);
   const follows = grants.grantedAt >= 0 && report.sequence > grants.grantedAt;
   return wanted.flatMap(term => {
     const freed = grants.released.filter(range => overlaps(range, term));
@@ -132,11 +133,7 @@
 export function settle(grants: Grants, map: RangeMap): Grants {
   const {life} = grants;
   if (grants.released.length === 0 || !life) return grants;
-  const open = map.terms.filter(
-    term =>
-      (term.state === 'moving' || term.state === 'revoked') &&
-      sameLife(term.holder, life),
-  );
+  const open = wantedFrom(map, life);
   const released = grants.released.filter(range =>
     open.some(term => overlaps(term, range)),
   );
@@ -165,6 +162,15 @@
 /** Longest time that a heartbeat that is answered takes to arrive. */
 const TRAVEL_MS = 1000;
 
+/** Returns the terms that the map wants back from an incarnation. */
+function wantedFrom(map: RangeMap, life: Incarnation): readonly RangeTerm[] {
+  return map.terms.filter(
+    term =>
+      (term.state === 'moving' || term.state === 'revoked') &&
+      sameLife(term.holder, life),
+  );
+}
+
 function overlaps(
   a: {readonly from: number; readonly to: number},
   b: {readonly from: number; readonly to: number},
--- a/src/ranges/plan.ts
+++ b/src/ranges/plan.ts
@@ -131,6 +131,13 @@
   }));
 }
 
+/** Returns the heat and the capacity of all candidates together. */
+function totalOf(loads: readonly Load[]) {
+  const heat = loads.reduce((sum, load) => sum + load.heat, 0);
+  const capacity = loads.reduce((sum, l) => sum + l.candidate.capacity, 0);
+  return {heat, capacity};
+}
+
 const utilization = (load: Load) => load.heat / load.candidate.capacity;
 
 /**
@@ -161,8 +168,8 @@
   loads: readonly Load[],
 ): readonly Placement[] {
   const own = heatOf(heat, term.from, term.to);
-  const total = loads.reduce((sum, load) => sum + load.heat, 0) + own;
-  const capacity = loads.reduce((sum, l) => sum + l.candidate.capacity, 0);
+  const {heat: others, capacity} = totalOf(loads);
+  const total = others + own;
   const room = loads
     .map(load => ({
       load,
@@ -224,9 +231,8 @@
 ): readonly Placement[] {
   if (candidates.length < 2) return [];
   const loads = loadsOf(map, heat, candidates);
-  const totalHeat = loads.reduce((sum, load) => sum + load.heat, 0);
-  const capacity = loads.reduce((sum, l) => sum + l.candidate.capacity, 0);
-  const mean = totalHeat / capacity;
+  const total = totalOf(loads);
+  const mean = total.heat / total.capacity;
   const moves: Placement[] = [];
   const taken = new Set<RangeTerm>();
   while (moves.length < settings.moves) {
--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -164,12 +164,12 @@
  * @example
  * chooseInstance(choices, performance.now())?.node;
  */
-export function chooseInstance(
-  choices: readonly Choice[],
+export function chooseInstance<T extends Choice>(
+  choices: readonly T[],
   now: number,
   bodyBytes = 0,
-): Choice | undefined {
-  let best: Choice | undefined;
+): T | undefined {
+  let best: T | undefined;
   let bestMs = Infinity;
   for (const choice of choices) {
     const {load, isNear} = choice;
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -30,9 +30,14 @@
 import {RELAY_EVENTS} from './events.js';
 import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
 import {runLocally, type OwnerContext} from './owner.js';
-import {DEADLINE_GRACE_MS} from './peers.js';
 import type {AttemptMark, Returns} from './returns.js';
-import {holderWaitUntil, sendable, type Flow, type Work} from './work.js';
+import {
+  holderWaitUntil,
+  sendable,
+  stopWhenOver,
+  type Flow,
+  type Work,
+} from './work.js';
 
 /** A configuration with what is derived from it. */
 export interface ActiveConfiguration extends RoutedConfiguration {
@@ -163,29 +168,21 @@
     const message = `no route for this path in version ${configuration.version}`;
     return refuse(notRun('no-service', message));
   }
-  const timeMs = Math.min(
-    caller.deadlineMs ?? DEFAULT_DEADLINE_MS,
-    route.timeoutMs,
-  );
-  const timer = setTimeout(() => {
-    stop(notRun('deadline', 'the deadline has passed'));
-  }, timeMs + DEADLINE_GRACE_MS);
-  response.once('close', () => {
-    if (!response.writableFinished) {
-      stop(notRun('cancelled', 'the caller has gone'));
-    }
-  });
+  const patienceMs = caller.deadlineMs ?? DEFAULT_DEADLINE_MS;
+  const timeMs = Math.min(patienceMs, route.timeoutMs);
+  const deadlineAt = startedAt + timeMs;
+  const settled = stopWhenOver(response, stop, timeMs);
   if (caller.expectsContinue) response.writeContinue();
   const body = await readBody(request, caller, configuration.limits.bodyBytes);
   const service = context.service(route);
   if (body.kind === 'too-large' || body.kind === 'broken') {
-    clearTimeout(timer);
+    settled();
     const reason = body.kind === 'broken' ? 'cancelled' : 'too-large';
     return refuse(notRun(reason, `body: ${body.kind}`), route.name, service);
   }
   const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
   const method = request.method ?? 'GET';
-  const dueAt = startedAt + (caller.deadlineMs ?? DEFAULT_DEADLINE_MS);
+  const dueAt = startedAt + patienceMs;
   const mark = {method, target, key: caller.key, dueAt};
   const pass: Request = {
     flow: {request, response, state, bodyMode, stop},
@@ -194,7 +191,7 @@
     service,
     body,
     startedAt,
-    deadlineAt: startedAt + timeMs,
+    deadlineAt,
     firstAt: context.returns.firstAt(mark, startedAt) ?? startedAt,
     mark,
     method,
@@ -202,11 +199,11 @@
     refused: new Set(),
     offered: new Set(),
     asked: 0,
-    waitUntil: holderWaitUntil(startedAt, startedAt + timeMs, OWNER_WAIT_MS),
+    waitUntil: holderWaitUntil(startedAt, deadlineAt, OWNER_WAIT_MS),
   };
   context.countRequest(service);
   const result = await serve(context, pass);
-  clearTimeout(timer);
+  settled();
   finish(context, pass, result);
 }
 
@@ -391,8 +388,7 @@
     pass.refused.clear();
     return {kind: 'wait'};
   }
-  const member = untried.find(({node}) => node === choice.node);
-  return member ? {kind: 'member', member} : {kind: 'wait'};
+  return {kind: 'member', member: choice.member};
 }
 
 /** Decides whether a failed attempt is followed by another. */
--- a/src/relay/hop.ts
+++ b/src/relay/hop.ts
@@ -13,8 +13,8 @@
 const RETRY_HEADER = 'vanillaspool-retry-ms';
 const OFFERED_HEADER = 'vanillaspool-offered';
 
-/** What the daemon beside an instance has to know of a forwarded request. */
-export interface Hop {
+/** What is to be run where, apart from the request itself and its times. */
+export interface Task {
   readonly id: string;
   readonly service: string;
   /** Incarnation that is to run the request. */
@@ -22,12 +22,16 @@
   readonly route: string;
   readonly repetition: Repetition;
   readonly priority: number;
+  readonly key?: number;
+  readonly callerService: string;
+}
+
+/** What the daemon beside an instance has to know of a forwarded request. */
+export interface Hop extends Task {
   /** Time left until the deadline, in milliseconds. */
   readonly leftMs: number;
   /** Time left until the latency objective, in milliseconds. */
   readonly objectiveLeftMs: number;
-  readonly key?: number;
-  readonly callerService: string;
 }
 
 /**
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -11,11 +11,10 @@
   failureHeaders,
   formatLoad,
   parseHop,
-  type Hop,
   type ReportedLoad,
 } from './hop.js';
 import {runLocally, type OwnerContext} from './owner.js';
-import type {Flow, Work} from './work.js';
+import {stopWhenOver, type Flow, type Work} from './work.js';
 
 /** How forwarded requests are handled. */
 export interface PeersContext extends OwnerContext {
@@ -25,9 +24,6 @@
   readonly bodyBytes: () => number;
 }
 
-/** Time after the deadline at which an answer is given up, in milliseconds. */
-export const DEADLINE_GRACE_MS = 60;
-
 /**
  * Handles a request that another daemon forwarded: runs it at the instance
  * beside, or answers with the reason why not.
@@ -51,28 +47,20 @@
   const state: PassState = {mayHaveRun: false, consumed: false};
   const stop = stopper(state);
   const caller = context.dialect.readRequest(request.rawHeaders);
-  const deadlineAt = startedAt + hop.leftMs;
-  const timer = setTimeout(
-    () => stop(notRun('deadline', 'the deadline has passed')),
-    hop.leftMs + DEADLINE_GRACE_MS,
-  );
-  response.once('close', () => {
-    if (!response.writableFinished) {
-      stop(notRun('cancelled', 'the caller has gone'));
-    }
-  });
+  const settled = stopWhenOver(response, stop, hop.leftMs);
   const body = await readBody(request, caller, context.bodyBytes());
   const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
   const flow: Flow = {request, response, state, bodyMode, stop};
   if (body.kind === 'broken' || body.kind === 'too-large') {
-    clearTimeout(timer);
+    settled();
     answer(context, response, notRun('bad-request', body.kind), false);
     return;
   }
+  const {leftMs, objectiveLeftMs, ...task} = hop;
   const work: Work = {
-    ...workOf(hop),
-    deadlineAt,
-    objectiveAt: startedAt + hop.objectiveLeftMs,
+    ...task,
+    deadlineAt: startedAt + leftMs,
+    objectiveAt: startedAt + objectiveLeftMs,
     method: request.method ?? 'GET',
     target: request.url ?? '/',
     headers: caller.headers,
@@ -81,7 +69,7 @@
   const attempt = await runLocally(context, flow, work, head => {
     head.headers.push(LOAD_HEADER, formatLoad(context.load()));
   });
-  clearTimeout(timer);
+  settled();
   const timeMs = Math.round(context.clock() - startedAt);
   const {id, instance} = hop;
   if (attempt.kind === 'answered') {
@@ -115,21 +103,6 @@
   }
 }
 
-function workOf(hop: Hop) {
-  const {id, service, instance, route, repetition, priority} = hop;
-  const {key, callerService} = hop;
-  return {
-    id,
-    service,
-    instance,
-    route,
-    repetition,
-    priority,
-    key,
-    callerService,
-  };
-}
-
 function answer(
   context: PeersContext,
   response: ServerResponse,
--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -273,11 +273,14 @@
 
 /** Expected time until a slot is free for a request that waits. */
 function waitMs(state: QueueState, entry: Waiting, now: number): number {
-  let aheadMs = 0;
-  for (const other of state.waiting) {
-    if (compare(other, entry, now) <= 0) aheadMs += other.expectedMs;
-  }
-  return nextFinishMs(state) + aheadMs / Math.max(1, state.slots);
+  const ahead = state.waiting.filter(other => compare(other, entry, now) <= 0);
+  return startedMs(state, ahead);
+}
+
+/** Expected time until some that wait have started and a slot is free again. */
+function startedMs(state: QueueState, waiting: readonly Waiting[]): number {
+  const workMs = waiting.reduce((sum, {expectedMs}) => sum + expectedMs, 0);
+  return nextFinishMs(state) + workMs / Math.max(1, state.slots);
 }
 
 /** Mean time to the first of several independent finishes. */
@@ -290,10 +293,7 @@
 
 /** Time until what waits has started: then a repeat may find room. */
 function retryMs(state: QueueState): number {
-  let aheadMs = 0;
-  for (const other of state.waiting) aheadMs += other.expectedMs;
-  const drainedMs = nextFinishMs(state) + aheadMs / Math.max(1, state.slots);
-  return Math.max(RETRY_MIN_MS, drainedMs);
+  return Math.max(RETRY_MIN_MS, startedMs(state, state.waiting));
 }
 
 function start(state: QueueState, entry: Waiting, now: number): QueueState {
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -1,24 +1,15 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {PassState} from '../gateway/index.js';
-import type {Failure} from '../model/index.js';
+import {notRun, type Failure} from '../model/index.js';
 import type {RequestBody} from './body.js';
-import type {Repetition} from './configuration.js';
+import type {Task} from './hop.js';
 
 /** One request that an instance is to run. */
-export interface Work {
-  readonly id: string;
-  readonly service: string;
-  /** Incarnation that is to run it. */
-  readonly instance: string;
-  readonly route: string;
-  readonly repetition: Repetition;
-  readonly priority: number;
+export interface Work extends Task {
   /** Time by which the answer is due, in milliseconds of the clock. */
   readonly deadlineAt: number;
   /** Time of the latency objective, in milliseconds of the clock. */
   readonly objectiveAt: number;
-  readonly key?: number;
-  readonly callerService: string;
   readonly method: string;
   /** Path with its query. */
   readonly target: string;
@@ -37,6 +28,34 @@
   readonly stop: (failure: Failure) => void;
 }
 
+/** Time after the deadline at which an answer is given up, in milliseconds. */
+const DEADLINE_GRACE_MS = 60;
+
+/**
+ * Stops a flow a little after its deadline, and when its caller has gone.
+ *
+ * @param timeMs Time until the deadline, in milliseconds.
+ * @returns what ends the wait for the deadline.
+ *
+ * @example
+ * const settled = stopWhenOver(response, stop, 1200);
+ */
+export function stopWhenOver(
+  response: ServerResponse,
+  stop: Flow['stop'],
+  timeMs: number,
+): () => void {
+  const timer = setTimeout(() => {
+    stop(notRun('deadline', 'the deadline has passed'));
+  }, timeMs + DEADLINE_GRACE_MS);
+  response.once('close', () => {
+    if (!response.writableFinished) {
+      stop(notRun('cancelled', 'the caller has gone'));
+    }
+  });
+  return () => clearTimeout(timer);
+}
+
 /**
  * Returns the body in the form in which it is sent.
  *
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -389,11 +389,14 @@
     log(SIDECAR_EVENTS.instanceResumed, {id, born, service, state});
   };
 
-  const holdsByMap = (key: number) => {
-    const own = life();
+  const termAt = (key: number) => {
     const map = instance && context.view().maps.get(instance.service)?.value;
-    const term = map && termOf(map, key);
-    return term?.state === 'held' && sameLife(term.holder, own);
+    return map && termOf(map, key);
+  };
+
+  const holdsByMap = (key: number) => {
+    const term = termAt(key);
+    return term?.state === 'held' && sameLife(term.holder, life());
   };
 
   return {
@@ -418,12 +421,8 @@
       return holdsByMap(key);
     },
     awaits: key => {
-      const own = life();
-      const map = instance && context.view().maps.get(instance.service)?.value;
-      const term = map && termOf(map, key);
-      if (!own || !term) return false;
-      if (sameLife(term.next, own)) return true;
-      return term.state === 'held' && sameLife(term.holder, own);
+      const next = termAt(key)?.next;
+      return sameLife(next, life()) || holdsByMap(key);
     },
     changed: signal.next,
     tick,
--- a/src/sidecar/maps.ts
+++ b/src/sidecar/maps.ts
@@ -40,7 +40,12 @@
   const object = await readMap(access, service);
   if (!object) return undefined;
   access.learn(object);
-  const map = parseMap(object.value);
+  return readableMap(object);
+}
+
+/** Returns the map of an object, or undefined when it is malformed. */
+function readableMap({value}: StoredObject): RangeMap | undefined {
+  const map = parseMap(value);
   return 'problem' in map ? undefined : map;
 }
 
@@ -115,8 +120,8 @@
   change: (map: RangeMap) => RangeMap,
 ): Promise<RangeMap | undefined> {
   const next = (object: StoredObject | undefined) => {
-    const map = object ? parseMap(object.value) : EMPTY_MAP;
-    if ('problem' in map) return undefined;
+    const map = object ? readableMap(object) : EMPTY_MAP;
+    if (!map) return undefined;
     const changed = change(map);
     return changed === map ? undefined : JSON.stringify(changed);
   };
@@ -133,7 +138,5 @@
     const {version} = result.object;
     access.log(SIDECAR_EVENTS.mapChanged, {service, purpose, version});
   }
-  if (!result.object) return EMPTY_MAP;
-  const map = parseMap(result.object.value);
-  return 'problem' in map ? undefined : map;
+  return result.object ? readableMap(result.object) : EMPTY_MAP;
 }
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -208,8 +208,9 @@
     if (reached * 2 <= others.length) return;
     const candidates = candidatesOf(members);
     if (candidates.length === 0) return;
-    const reports = others.flatMap(m => known.get(m.node)?.status?.heat ?? []);
-    const heat = sumHeat([reports]);
+    const heat = sumHeat(
+      others.map(m => known.get(m.node)?.status?.heat ?? []),
+    );
     const map = context.view().maps.get(service)?.value ?? EMPTY_MAP;
     if (map.terms.length === 0) {
       if (!isSettled(members)) return;
