--- a/src/fleet/follow.ts
+++ b/src/fleet/follow.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   RevisionGoneError,
   UnavailableError,
@@ -51,7 +52,7 @@
       }
       if (!(error instanceof UnavailableError)) throw error;
       follower.reached(false, error.message);
-      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+      await sleep(RETRY_PAUSE_MS);
     }
   }
 }
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   lifeOf,
   memberKey,
@@ -309,7 +310,7 @@
     grants = hear(grants, report);
     if (isNew || announced) {
       const written = record().then(() => inherit());
-      await Promise.race([written, wait(RECORD_WAIT_MS)]);
+      await Promise.race([written, sleep(RECORD_WAIT_MS)]);
       written.catch(error => logFailure(error));
     }
     if (!context.isKeyed(beat.service)) return {holdMs};
@@ -362,7 +363,7 @@
     log(SIDECAR_EVENTS.instanceLeaving, {id, state: 'left'});
     const written = record().then(() => revokeOwn('left'));
     written.catch(error => logFailure(error));
-    await Promise.race([written, wait(RECORD_WAIT_MS)]);
+    await Promise.race([written, sleep(RECORD_WAIT_MS)]);
     return true;
   };
 
@@ -433,10 +434,6 @@
   };
 }
 
-function wait(timeMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, timeMs));
-}
-
 function sameRecord(a: Member, b: Member): boolean {
   return (
     a.id === b.id &&
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createRetryBudget,
   countForwarded,
@@ -267,7 +268,7 @@
   /** Asks an unreachable daemon until it answers, so that no request has to. */
   const awaitReturn = async (peer: string) => {
     while (!controller.signal.aborted && view.members.has(peer)) {
-      await new Promise(resolve => setTimeout(resolve, RETURN_INTERVAL_MS));
+      await sleep(RETURN_INTERVAL_MS);
       const load = loads.get(peer);
       if (!load || load.unreachable === 0) return;
       const answers = await probe(peer);
@@ -465,7 +466,7 @@
   const every = (intervalMs: number, run: () => Promise<void>) => {
     const loop = async () => {
       while (!controller.signal.aborted) {
-        await new Promise(resolve => setTimeout(resolve, intervalMs));
+        await sleep(intervalMs);
         await run().catch(reportError);
       }
     };
@@ -539,7 +540,7 @@
       log(SIDECAR_EVENTS.stopping, {open});
       const limitMs = settings.graceS * MS_PER_SECOND - GRACE_RESERVE_MS;
       for (;;) {
-        await new Promise(resolve => setTimeout(resolve, QUIET_MS / 4));
+        await sleep(QUIET_MS / 4);
         const passedMs = clock() - startedAt;
         const quietMs = clock() - lastRequestAt;
         const isQuiet = open === 0 && quietMs >= QUIET_MS;
--- a/test/sidecar/explain.test.ts
+++ b/test/sidecar/explain.test.ts
@@ -4,7 +4,7 @@
 import type {EventFields, EventKind} from '../../src/telemetry/index.js';
 import {
   ask,
-  configuration,
+  movedConfiguration,
   startFleet,
   until,
   type TestFleet,
@@ -78,9 +78,7 @@
   const fleet = await startFleet(['desk']);
   t.teardown(fleet.close);
   const [pair] = fleet.pairs;
-  const moved = configuration(5) as {routes: {rows: unknown[][]}};
-  moved.routes.rows[1][2] = '/moved/';
-  fleet.store.write('config', 'main', moved);
+  fleet.store.write('config', 'main', movedConfiguration(5));
   const taken = () =>
     pair.events.find(
       ([kind, {version}]) =>
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -102,6 +102,18 @@
   };
 }
 
+/**
+ * Returns a configuration in which the requests of `desk` have another path.
+ *
+ * @example
+ * store.write('config', 'main', movedConfiguration(5));
+ */
+export function movedConfiguration(version: number): unknown {
+  const moved = configuration(version) as {routes: {rows: unknown[][]}};
+  moved.routes.rows[1][2] = '/moved/';
+  return moved;
+}
+
 /**
  * Ports of this worker, below those that the system gives to connections and to
  * servers without a fixed port, so that none is taken before it is listened at.
--- a/test/sidecar/fleet.test.ts
+++ b/test/sidecar/fleet.test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 import {EXIT, ranges} from '../../src/cli/index.js';
 import {parseAddress} from '../../src/model/index.js';
-import {ask, configuration, startFleet, until} from './fixture.js';
+import {
+  ask,
+  configuration,
+  movedConfiguration,
+  startFleet,
+  until,
+} from './fixture.js';
 
 test('each key is served by its one holder, from every daemon', async t => {
   const fleet = await startFleet(['stock', 'stock', 'desk']);
@@ -96,9 +102,7 @@
   const fleet = await startFleet(['desk']);
   t.teardown(fleet.close);
   const [pair] = fleet.pairs;
-  const moved = configuration(5) as {routes: {rows: unknown[][]}};
-  moved.routes.rows[1][2] = '/moved/';
-  fleet.store.write('config', 'main', moved);
+  fleet.store.write('config', 'main', movedConfiguration(5));
   const taken = (version: number) =>
     pair.events.some(([, fields]) => fields.version === version);
   await until(() => taken(5));
