Log what tells a busy link from a busy slot and a lost daemon

New: 6052 and vanillaspool_loop_delay_seconds. Forwarding moved from entry.ts to forward.ts as it is. No decision changes.

--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -1,7 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   failed,
-  runExchange,
   stopper,
   untilStoppedOrTime,
   type Attempt,
@@ -15,11 +14,12 @@
   type FleetView,
   type Member,
 } from '../fleet/index.js';
-import {notRun, parseAddress, unknown, type Failure} from '../model/index.js';
+import {notRun, unknown, type Failure} from '../model/index.js';
 import {sameLife, termOf} from '../ranges/index.js';
-import {breakOff, type AnswerHead, type Pools} from '../upstream/index.js';
+import type {EventFields} from '../telemetry/index.js';
+import {breakOff} from '../upstream/index.js';
 import {lengthOf, readBody, type RequestBody} from './body.js';
-import {chooseInstance, type InstanceLoad, type LoadEvent} from './choose.js';
+import {chooseInstance} from './choose.js';
 import {
   findRoute,
   type Route,
@@ -28,13 +28,13 @@
 } from './configuration.js';
 import type {CallerRequest} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
-import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
+import {forward, type ForwardContext} from './forward.js';
 import {runLocally, type OwnerContext} from './owner.js';
 import type {AttemptMark, Returns} from './returns.js';
 import {
   holderWaitUntil,
-  sendable,
   stopWhenOver,
+  type Course,
   type Flow,
   type Work,
 } from './work.js';
@@ -45,7 +45,7 @@
 }
 
 /** How requests of callers are handled. */
-export interface EntryContext extends OwnerContext {
+export interface EntryContext extends OwnerContext, ForwardContext {
   readonly node: string;
   readonly domain: string;
   /** Service of the instance beside which requests begin. */
@@ -54,9 +54,6 @@
   readonly view: () => FleetView;
   readonly viewChanged: () => Promise<unknown>;
   readonly service: (route: Route) => string;
-  readonly loads: (node: string) => InstanceLoad;
-  readonly observeLoad: (node: string, event: LoadEvent) => void;
-  readonly peerPools: Pools;
   readonly returns: Returns;
   /**
    * Takes one retry to a service from the budget; false when none is left.
@@ -66,8 +63,6 @@
   readonly retryAllowed: (service: string, canReturn: boolean) => boolean;
   /** Counts a request to a service, whose retries draw on its budget. */
   readonly countRequest: (service: string) => void;
-  /** Tells whether a daemon answers on a new connection. */
-  readonly probe: (node: string) => Promise<boolean>;
   readonly ended: (outcome: Ended) => void;
 }
 
@@ -98,12 +93,6 @@
  */
 const RETURN_MS = 1000;
 
-/** Silence of a daemon after which it is asked whether it lives. */
-const PROBE_AFTER_MS = 400;
-
-/** Connections to one daemon. */
-const PEER_CONNECTIONS = 128;
-
 /** Time for which a caller waits that states no deadline, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
@@ -183,9 +172,10 @@
   const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
   const method = request.method ?? 'GET';
   const dueAt = startedAt + patienceMs;
+  const course: Course = {bodyMs: Math.round(context.clock() - startedAt)};
   const mark = {method, target, key: caller.key, dueAt};
   const pass: Request = {
-    flow: {request, response, state, bodyMode, stop},
+    flow: {request, response, state, bodyMode, stop, course},
     caller,
     route,
     service,
@@ -211,6 +201,7 @@
   const {flow, route, service, caller, startedAt} = pass;
   const timeMs = Math.round(context.clock() - startedAt);
   const names = {service, route: route.name, timeMs};
+  const spent = {bodyBytes: lengthOf(pass.body), asked: pass.asked};
   const isSuccess =
     result.kind === 'answered' && result.status < FIRST_ERROR_STATUS;
   if (!isSuccess) context.returns.remember(pass.mark, pass.firstAt);
@@ -218,7 +209,13 @@
     const {status} = result;
     context.ended({...names, outcome: 'answered', reason: ''});
     const request = caller.id;
-    context.log(RELAY_EVENTS.served, {request, status, ...names});
+    context.log(RELAY_EVENTS.served, {
+      request,
+      status,
+      ...names,
+      ...flow.course,
+      ...spent,
+    });
     return;
   }
   if (result.kind === 'broken') {
@@ -229,7 +226,10 @@
     return;
   }
   const {failure} = result;
-  report(context, caller.id, failure, route.name, service, startedAt);
+  report(context, caller.id, failure, route.name, service, startedAt, {
+    ...flow.course,
+    ...spent,
+  });
   sendFailure(flow.response, failure);
 }
 
@@ -240,6 +240,7 @@
   route: string,
   service: string,
   startedAt: number,
+  spent: EventFields = {},
 ): void {
   const timeMs = Math.round(context.clock() - startedAt);
   const {outcome, reason, message, status, retryAfterMs} = failure;
@@ -247,12 +248,17 @@
   const names = {service, route, timeMs};
   if (reason === 'cancelled') {
     context.ended({...names, outcome: 'cancelled', reason});
-    context.log(RELAY_EVENTS.cancelled, {request, ...names});
+    context.log(RELAY_EVENTS.cancelled, {request, ...names, ...spent});
     return;
   }
   context.ended({...names, outcome, reason});
   const result = {outcome, reason, message, status, retryAfterMs, version};
-  context.log(RELAY_EVENTS.failed, {request, ...result, ...names});
+  context.log(RELAY_EVENTS.failed, {
+    request,
+    ...result,
+    ...names,
+    ...spent,
+  });
 }
 
 const MS_PER_SECOND = 1000;
@@ -449,7 +455,7 @@
   const attempt =
     member.node === context.node
       ? await runLocally(context, pass.flow, work, () => {})
-      : await sendHop(context, pass, member, work);
+      : await forward(context, pass.flow, member.node, work);
   const failedThere =
     attempt.kind === 'broken' ||
     (attempt.kind === 'failed' && isFault(attempt.failure)) ||
@@ -484,80 +490,3 @@
     body,
   };
 }
-
-async function sendHop(
-  context: EntryContext,
-  pass: Request,
-  member: Member,
-  work: Work,
-): Promise<Attempt> {
-  const {flow} = pass;
-  const {node} = member;
-  const pool = context.peerPools.to(parseAddress(node), PEER_CONNECTIONS);
-  const now = context.clock();
-  const hop = formatHop({
-    ...work,
-    leftMs: Math.max(1, work.deadlineAt - now),
-    objectiveLeftMs: work.objectiveAt - now,
-  });
-  if (work.body.kind === 'streamed') flow.state.consumed = true;
-  let heard = false;
-  let unreachable = false;
-  let probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
-  const probe = async () => {
-    if (heard) return;
-    const silentMs = context.clock() - context.loads(node).reportedAt;
-    const lives = silentMs < PROBE_AFTER_MS || (await context.probe(node));
-    if (heard) return;
-    if (lives) {
-      probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
-      return;
-    }
-    unreachable = true;
-    flow.state.giveUp?.();
-  };
-  const read = (head: AnswerHead) => {
-    heard = true;
-    const load = readLoad(head);
-    if (load) context.observeLoad(node, {kind: 'reported', ...load});
-    const reported = readFailure(head);
-    if (!reported) return undefined;
-    const {failure, offered} = reported;
-    return {
-      kind: 'failed',
-      failure,
-      alternative: true,
-      free: !offered,
-    } as const;
-  };
-  const attempt = await runExchange(
-    flow,
-    pool,
-    {
-      method: work.method,
-      path: work.target,
-      headers: [...work.headers, HOP_HEADER, hop],
-      body: sendable(work.body),
-    },
-    {
-      ready: () => true,
-      judge: read,
-      extend: () => {},
-      unsent: error => {
-        unreachable = true;
-        const message = `the daemon was not reached: ${error.message}`;
-        const failure = notRun('upstream-refused', message);
-        return {kind: 'failed', failure, alternative: true, free: true};
-      },
-      ended: () => {
-        heard = true;
-        clearTimeout(probing);
-      },
-    },
-  );
-  if (unreachable && !flow.state.stopped) {
-    context.observeLoad(node, {kind: 'unreachable'});
-    context.log(RELAY_EVENTS.unreachable, {request: work.id, node});
-  }
-  return attempt;
-}
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -10,6 +10,7 @@
 export * from './dialect.js';
 export * from './entry.js';
 export * from './events.js';
+export * from './forward.js';
 export * from './hop.js';
 export * from './owner.js';
 export * from './peers.js';
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -71,10 +71,12 @@
   work: Work,
   extend: (head: AnswerHead) => void,
 ): Promise<Attempt> {
+  const arrivedAt = context.clock();
   const refusal =
     checkInstance(context, work) ?? (await awaitKey(context, flow, work));
   if (refusal) return refusal;
   const grant = await takeSlot(context, flow, work);
+  flow.course.waitMs = Math.round(context.clock() - arrivedAt);
   if (grant.kind === 'denied') {
     const {reason, retryAfterMs} = grant;
     return alternative(notRun(reason, 'no slot in time', retryAfterMs));
@@ -195,6 +197,7 @@
     },
     ended: () => {
       release(answered);
+      flow.course.runMs = Math.round(clock() - startedAt);
       if (answered) context.observed(work, clock() - startedAt, load);
     },
   });
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -2,7 +2,7 @@
 import {stopper, type PassState} from '../gateway/index.js';
 import {notRun, type Failure} from '../model/index.js';
 import {breakOff} from '../upstream/index.js';
-import {readBody} from './body.js';
+import {lengthOf, readBody} from './body.js';
 import type {Dialect} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import {
@@ -14,7 +14,7 @@
   type ReportedLoad,
 } from './hop.js';
 import {runLocally, type OwnerContext} from './owner.js';
-import {stopWhenOver, type Flow, type Work} from './work.js';
+import {stopWhenOver, type Course, type Flow, type Work} from './work.js';
 
 /** How forwarded requests are handled. */
 export interface PeersContext extends OwnerContext {
@@ -50,7 +50,8 @@
   const settled = stopWhenOver(response, stop, hop.leftMs);
   const body = await readBody(request, caller, context.bodyBytes());
   const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
-  const flow: Flow = {request, response, state, bodyMode, stop};
+  const course: Course = {bodyMs: Math.round(context.clock() - startedAt)};
+  const flow: Flow = {request, response, state, bodyMode, stop, course};
   if (body.kind === 'broken' || body.kind === 'too-large') {
     settled();
     answer(context, response, notRun('bad-request', body.kind), false);
@@ -72,12 +73,13 @@
   settled();
   const timeMs = Math.round(context.clock() - startedAt);
   const {id, instance} = hop;
+  const spent = {timeMs, ...course, bodyBytes: lengthOf(body)};
   if (attempt.kind === 'answered') {
     const {status} = attempt;
     context.log(RELAY_EVENTS.ran, {
       request: id,
       status,
-      timeMs,
+      ...spent,
       upstream: instance,
     });
   } else if (attempt.kind === 'broken') {
@@ -96,7 +98,7 @@
       outcome,
       reason,
       message,
-      timeMs,
+      ...spent,
       upstream: instance,
     });
     answer(context, response, known, free === false);
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -26,6 +26,17 @@
   readonly bodyMode: 'none' | 'kept' | 'streamed';
   /** Ends the flow early; the first reason counts. */
   readonly stop: (failure: Failure) => void;
+  readonly course: Course;
+}
+
+/** Where the time of a request went, in milliseconds, as far as it has come. */
+export interface Course {
+  /** Time in which its body arrived. */
+  readonly bodyMs: number;
+  /** Time for which it waited for its key and a slot. */
+  waitMs?: number;
+  /** Time that the instance took. */
+  runMs?: number;
 }
 
 /** Time after the deadline at which an answer is given up, in milliseconds. */
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -91,4 +91,9 @@
     level: 'warn',
     message: 'log lines left out to bound the volume',
   },
+  loopDelayed: {
+    number: 6052,
+    level: 'warn',
+    message: 'event loop was busy for long',
+  },
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -33,6 +33,12 @@
     help: 'Requests that run or wait at the instance beside.',
     labels: [],
   },
+  loopDelay: {
+    type: 'gauge',
+    name: 'vanillaspool_loop_delay_seconds',
+    help: 'Time by which the last periodic timer was late.',
+    labels: [],
+  },
 } as const satisfies Readonly<
   Record<string, CounterDefinition | GaugeDefinition>
 >;
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,5 +1,7 @@
 import http, {type RequestListener, type Server} from 'node:http';
 import {once} from 'node:events';
+import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {parseAddress} from '../model/index.js';
 import {RELAY_EVENTS} from '../relay/index.js';
 import type {Log} from '../telemetry/index.js';
@@ -43,13 +45,26 @@
     handler,
   );
   server.on('checkContinue', handler);
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+  const acceptedAt = new WeakMap<Duplex, number>();
+  server.on('connection', (socket: Duplex) => {
+    acceptedAt.set(socket, performance.now());
+  });
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     if (error.code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
     }
     const {code, message} = error;
-    log(RELAY_EVENTS.malformed, {code, message});
+    const {remoteAddress, remotePort, localPort, bytesRead} = socket;
+    log(RELAY_EVENTS.malformed, {
+      code,
+      message,
+      caller: `${remoteAddress}:${remotePort}`,
+      port: localPort,
+      bytesRead,
+      ageMs: Math.round(performance.now() - (acceptedAt.get(socket) ?? NaN)),
+      headerTimeoutMs: server.headersTimeout,
+    });
     const status =
       code === 'ERR_HTTP_REQUEST_TIMEOUT'
         ? '408 Request Timeout'
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -101,6 +101,9 @@
 const KEEPER_INTERVAL_MS = 500;
 const PLANNER_INTERVAL_MS = 1000;
 
+/** Lateness of a timer from which it is logged, in milliseconds. */
+const LOOP_DELAY_LOGGED_MS = 250;
+
 /** Time limit for a connection to the instance or another daemon. */
 const CONNECT_TIMEOUT_MS = 300;
 
@@ -173,6 +176,7 @@
   /** New requests are refused; what was taken before is finished. */
   let closing = false;
   let lastRequestAt = clock();
+  let loopDelayMs = 0;
   let open = 0;
   const splits = new Map<string, SplitState>();
   const loads = new Map<string, InstanceLoad>();
@@ -310,6 +314,7 @@
       splits.set(route.name, step.state);
       return step.service;
     },
+    loopDelayMs: () => loopDelayMs,
     loads: peer => {
       const known = loads.get(peer) ?? UNKNOWN_LOAD;
       if (peer !== node) return known;
@@ -463,16 +468,26 @@
     task.catch(reportError);
   };
 
-  const every = (intervalMs: number, run: () => Promise<void>) => {
+  const every = (wait: () => Promise<void>, run: () => Promise<void>) => {
     const loop = async () => {
       while (!controller.signal.aborted) {
-        await sleep(intervalMs);
+        await wait();
         await run().catch(reportError);
       }
     };
     void loop();
   };
 
+  /** Waits for an interval and measures by how much its timer was late. */
+  const waitForTick = async () => {
+    const dueAt = clock() + KEEPER_INTERVAL_MS;
+    await sleep(KEEPER_INTERVAL_MS);
+    loopDelayMs = clock() - dueAt;
+    if (loopDelayMs < LOOP_DELAY_LOGGED_MS) return;
+    const delayMs = Math.round(loopDelayMs);
+    log(SIDECAR_EVENTS.loopDelayed, {delayMs, open});
+  };
+
   const followFleet = () =>
     follow(
       store,
@@ -519,17 +534,23 @@
       const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
+      const delayS = loopDelayMs / MS_PER_SECOND;
+      metrics.gauge(SIDECAR_METRICS.loopDelay, {})(delayS);
     },
     start: async () => {
       await listenAt(peers, settings.peers);
       await listenAt(callers, settings.callers);
       guard(followFleet());
       guard(followConfiguration());
-      every(KEEPER_INTERVAL_MS, keeper.tick);
-      every(PLANNER_INTERVAL_MS, async () => {
-        const service = keeper.local()?.service;
-        if (listed && service && isKeyed(service)) await planner.tick(service);
-      });
+      every(waitForTick, keeper.tick);
+      every(
+        () => sleep(PLANNER_INTERVAL_MS),
+        async () => {
+          const service = keeper.local()?.service;
+          if (listed && service && isKeyed(service))
+            await planner.tick(service);
+        },
+      );
       const {callers: address, service} = settings;
       log(SIDECAR_EVENTS.started, {address, service, peers: node});
     },
--- a/test/sidecar/explain.test.ts
+++ b/test/sidecar/explain.test.ts
@@ -91,3 +91,18 @@
   t.is(failed?.reason, 'no-service');
   t.is(failed?.version, 5);
 });
+
+test('the log tells where the time of a forwarded upload went', async t => {
+  const fleet = await startFleet(['stock', 'desk']);
+  t.teardown(fleet.close);
+  const [{callers}] = fleet.pairs;
+  const body = Buffer.alloc(60_000);
+  const {id, status} = await ask(callers, 'POST', '/book/x', undefined, body);
+  t.is(status, 200);
+  const lines = linesOf(fleet, id);
+  for (const kind of [RELAY_EVENTS.served, RELAY_EVENTS.ran]) {
+    t.is(findLine(lines, kind)?.bodyBytes, body.length);
+    t.true((findLine(lines, kind)?.bodyMs as number) >= 0);
+  }
+  t.true((findLine(lines, RELAY_EVENTS.ran)?.runMs as number) >= 15);
+});
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -271,6 +271,7 @@
   method: string,
   path: string,
   key?: number,
+  body?: Buffer,
 ): Promise<Answer> {
   const [host, port] = callers.split(':');
   const id = `r${++lastId}`;
@@ -298,6 +299,6 @@
       },
     );
     request.on('error', reject);
-    request.end();
+    request.end(body);
   });
 }
