Offer a long body before it is sent

Callers saw 502 for uploads, and requests for anything beside an upload instance were late or failed, on fleets whose machines have links of 7 Mbit/s.

Cause: a daemon read the whole body of a forwarded request before it decided on it, from all senders at once. Uploads ask for most of such a link, so each burst filled it for longer than the deadline of a look-up, refused bodies were sent in vain, and the daemons behind the link seemed silent to others and others to them.

Change: bodies of 8 kB and more are offered with a small request. The daemon beside the instance refuses it at once if the queue of the slots would, or gives it one of two turns on its link, in the order of objectives and priorities that slots have; what would come too late is refused with the time after which there is room.

Why it works: at most two bodies are in the link's queue, so a short message waits for two bodies at most; a refusal costs no body; what the link can't carry is refused by its backlog in time, so that another instance is asked or the caller told when to return.

--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -29,6 +29,7 @@
 import type {CallerRequest} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import {forward, type ForwardContext} from './forward.js';
+import {isOffered, offer} from './offer.js';
 import {runLocally, type OwnerContext} from './owner.js';
 import type {AttemptMark, Returns} from './returns.js';
 import {
@@ -455,7 +456,7 @@
   const attempt =
     member.node === context.node
       ? await runLocally(context, pass.flow, work, () => {})
-      : await forward(context, pass.flow, member.node, work);
+      : await sendTo(context, pass.flow, member.node, work);
   const failedThere =
     attempt.kind === 'broken' ||
     (attempt.kind === 'failed' && isFault(attempt.failure)) ||
@@ -466,6 +467,19 @@
   return attempt;
 }
 
+async function sendTo(
+  context: EntryContext,
+  flow: Flow,
+  node: string,
+  work: Work,
+): Promise<Attempt> {
+  if (isOffered(work)) {
+    const refusal = await offer(context, flow, node, work);
+    if (refusal) return refusal;
+  }
+  return forward(context, flow, node, work);
+}
+
 /** The instance or the way to it is at fault, not its load. */
 function isFault({outcome, reason}: Failure): boolean {
   return outcome === 'unknown' || reason === 'upstream-refused';
--- a/src/relay/events.ts
+++ b/src/relay/events.ts
@@ -52,4 +52,9 @@
     level: 'debug',
     message: 'forwarded request ended',
   },
+  offerRefused: {
+    number: 5011,
+    level: 'info',
+    message: 'request with a long body refused before its body was sent',
+  },
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -5,7 +5,7 @@
 import {lengthOf} from './body.js';
 import type {InstanceLoad, LoadEvent} from './choose.js';
 import {RELAY_EVENTS} from './events.js';
-import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
+import {HOP_HEADER, formatHop, hopOf, readFailure, readLoad} from './hop.js';
 import {sendable, type Flow, type Work} from './work.js';
 
 /** How requests are forwarded to other daemons. */
@@ -25,7 +25,7 @@
 const PROBE_AFTER_MS = 400;
 
 /** Connections to one daemon. */
-const PEER_CONNECTIONS = 128;
+export const PEER_CONNECTIONS = 128;
 
 /**
  * Forwards a request to the daemon beside an instance and passes its answer on.
@@ -45,11 +45,7 @@
 ): Promise<Attempt> {
   const pool = context.peerPools.to(parseAddress(node), PEER_CONNECTIONS);
   const now = context.clock();
-  const hop = formatHop({
-    ...work,
-    leftMs: Math.max(1, work.deadlineAt - now),
-    objectiveLeftMs: work.objectiveAt - now,
-  });
+  const hop = formatHop(hopOf(work, now));
   if (work.body.kind === 'streamed') flow.state.consumed = true;
   let heard = false;
   let silence: 'unconnected' | 'unanswered' | undefined;
--- a/src/relay/hop.ts
+++ b/src/relay/hop.ts
@@ -8,6 +8,9 @@
 /** Header of a forwarded answer that states the load of the instance. */
 export const LOAD_HEADER = 'vanillaspool-load';
 
+/** Header of a question whether a request's body of this length may be sent. */
+export const OFFER_HEADER = 'vanillaspool-offer';
+
 const OUTCOME_HEADER = 'vanillaspool-outcome';
 const REASON_HEADER = 'vanillaspool-reason';
 const RETRY_HEADER = 'vanillaspool-retry-ms';
@@ -34,6 +37,26 @@
   readonly objectiveLeftMs: number;
 }
 
+/** A task with its times as points of a clock, in milliseconds. */
+export interface TimedTask extends Task {
+  readonly deadlineAt: number;
+  readonly objectiveAt: number;
+}
+
+/**
+ * Returns the hop of a task that is forwarded now.
+ *
+ * @example
+ * formatHop(hopOf(work, performance.now()));
+ */
+export function hopOf(task: TimedTask, now: number): Hop {
+  return {
+    ...task,
+    leftMs: Math.max(1, task.deadlineAt - now),
+    objectiveLeftMs: task.objectiveAt - now,
+  };
+}
+
 /**
  * Writes a hop as a header value.
  *
--- /dev/null
+++ b/src/relay/offer.ts
@@ -0,0 +1,94 @@
+import {failed, type FailedTry} from '../gateway/index.js';
+import {notRun, parseAddress} from '../model/index.js';
+import {
+  exchange,
+  type AnswerHead,
+  type ExchangeResult,
+} from '../upstream/index.js';
+import {lengthOf} from './body.js';
+import {PEER_CONNECTIONS, type ForwardContext} from './forward.js';
+import {
+  HOP_HEADER,
+  OFFER_HEADER,
+  formatHop,
+  hopOf,
+  readFailure,
+  readLoad,
+} from './hop.js';
+import type {Flow, Work} from './work.js';
+
+/**
+ * Length from which a body is offered before it is sent, in bytes: what a link of
+ * 10 Mbit/s carries in the time of one more question and answer.
+ */
+const OFFERED_BYTES = 8 * 1024;
+
+/**
+ * Time for which the answer to an offer is awaited, in milliseconds. The daemon
+ * beside the instance answers at once, or when the bodies before have arrived.
+ */
+const OFFER_TIMEOUT_MS = 1000;
+
+/**
+ * Tells whether a request is offered before it is sent.
+ *
+ * @example
+ * if (isOffered(work)) await offer(context, flow, node, work);
+ */
+export function isOffered({body}: Work): boolean {
+  return lengthOf(body) >= OFFERED_BYTES;
+}
+
+/**
+ * Asks the daemon beside an instance whether it takes a request with a long body,
+ * and when it wants the body. Nothing of the request is sent before.
+ *
+ * @param node Address of the daemon, as `ip:port`.
+ * @returns why the body is not to be sent; undefined when it is awaited.
+ *
+ * @example
+ * const refusal = await offer(context, flow, '10.1.0.8:7620', work);
+ */
+export async function offer(
+  context: ForwardContext,
+  flow: Flow,
+  node: string,
+  work: Work,
+): Promise<FailedTry | undefined> {
+  const {clock, peerPools, observeLoad} = context;
+  const pool = peerPools.to(parseAddress(node), PEER_CONNECTIONS);
+  const hop = formatHop(hopOf(work, clock()));
+  const length = String(lengthOf(work.body));
+  const headers = [HOP_HEADER, hop, OFFER_HEADER, length];
+  const call = {method: 'GET', path: '/', headers, body: null};
+  let answer: AnswerHead | undefined;
+  const result = await new Promise<ExchangeResult>(resolve => {
+    const abort = exchange(pool, call, flow.response, {
+      ready: () => true,
+      accept: head => {
+        answer = head;
+        return undefined;
+      },
+      ended: resolve,
+    });
+    flow.state.giveUp = () => abort(new Error('the request was given up'));
+    const timer = setTimeout(flow.state.giveUp, OFFER_TIMEOUT_MS);
+    timer.unref();
+  });
+  flow.state.giveUp = undefined;
+  if (flow.state.stopped) return failed(flow.state.stopped);
+  const load = answer && readLoad(answer);
+  if (!answer || !load) {
+    // Without a connection the forwarding itself finds out what is wrong.
+    if (result.kind === 'failed' && !result.sent) return undefined;
+    const message = 'the daemon did not answer an offer';
+    return alternative(notRun('overloaded', message));
+  }
+  observeLoad(node, {kind: 'reported', ...load});
+  const reported = readFailure(answer);
+  return reported && alternative(reported.failure);
+}
+
+function alternative(failure: FailedTry['failure']): FailedTry {
+  return {kind: 'failed', failure, alternative: true, free: true};
+}
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -11,8 +11,16 @@
 import type {Dialect, StatedLoad, Verdict} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
-import type {Grant, Slots} from './slots.js';
-import {holderWaitUntil, sendable, type Flow, type Work} from './work.js';
+import type {QueueState} from './queue.js';
+import type {Claim, Grant, Slots} from './slots.js';
+import type {Transfers} from './transfers.js';
+import {
+  holderWaitUntil,
+  sendable,
+  signalOf,
+  type Flow,
+  type Work,
+} from './work.js';
 
 /** The upstream instance beside a daemon. */
 export interface LocalInstance {
@@ -91,7 +99,8 @@
   return send(context, flow, work, grant.release, extend);
 }
 
-function checkInstance(
+/** Tells why the instance beside can't run a request, if it can't. */
+export function checkInstance(
   context: OwnerContext,
   work: Work,
 ): FailedTry | undefined {
@@ -139,12 +148,18 @@
   flow: Flow,
   work: Work,
 ): Promise<Grant> | Grant {
+  return context.slots().take(claimOf(work), () => signalOf(flow));
+}
+
+/**
+ * Returns what a request asks of the slots of its instance.
+ *
+ * @example
+ * slots.refusal(claimOf(work), 0);
+ */
+export function claimOf(work: Work): Claim {
   const {route, priority, objectiveAt, deadlineAt} = work;
-  const request = {kind: route, priority, objectiveAt, deadlineAt};
-  return context.slots().take(request, () => {
-    flow.state.controller ??= new AbortController();
-    return flow.state.controller.signal;
-  });
+  return {kind: route, priority, objectiveAt, deadlineAt};
 }
 
 function send(
@@ -227,12 +242,21 @@
 
 /**
  * Returns the load of the instance beside, for those who choose among
- * instances.
+ * instances. Requests whose bodies are to arrive count like those that wait.
  *
  * @example
- * head.headers.push(LOAD_HEADER, formatLoad(loadOf(slots, 118)));
+ * head.headers.push(LOAD_HEADER, formatLoad(loadOf(slots, transfers, 118)));
  */
-export function loadOf({state}: Slots, meanMs: number): ReportedLoad {
-  const {running, waiting, slots} = state();
-  return {busy: running.length + waiting.length, slots, meanMs};
+export function loadOf(
+  slots: Pick<Slots, 'state'>,
+  transfers: Pick<Transfers, 'state'>,
+  meanMs: number,
+): ReportedLoad {
+  const here = slots.state();
+  const busy = countOf(here) + countOf(transfers.state());
+  return {busy, slots: here.slots, meanMs};
+}
+
+function countOf({running, waiting}: QueueState): number {
+  return running.length + waiting.length;
 }
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -2,24 +2,41 @@
 import {stopper, type PassState} from '../gateway/index.js';
 import {notRun, type Failure} from '../model/index.js';
 import {breakOff} from '../upstream/index.js';
-import {lengthOf, readBody} from './body.js';
+import {lengthOf, readBody, type RequestBody} from './body.js';
 import type {Dialect} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import {
   HOP_HEADER,
   LOAD_HEADER,
+  OFFER_HEADER,
   failureHeaders,
   formatLoad,
   parseHop,
+  type Hop,
   type ReportedLoad,
 } from './hop.js';
-import {runLocally, type OwnerContext} from './owner.js';
-import {stopWhenOver, type Course, type Flow, type Work} from './work.js';
+import {
+  checkInstance,
+  runLocally,
+  claimOf,
+  type OwnerContext,
+} from './owner.js';
+import type {Denied} from './slots.js';
+import type {Transfers} from './transfers.js';
+import {
+  signalOf,
+  stopWhenOver,
+  type Course,
+  type Flow,
+  type Work,
+} from './work.js';
 
 /** How forwarded requests are handled. */
 export interface PeersContext extends OwnerContext {
   readonly dialect: Dialect;
   readonly load: () => ReportedLoad;
+  /** Long bodies that travel to the instance beside. */
+  readonly transfers: Transfers;
   /** Longest body that is accepted, in bytes. */
   readonly bodyBytes: () => number;
 }
@@ -46,9 +63,17 @@
   }
   const state: PassState = {mayHaveRun: false, consumed: false};
   const stop = stopper(state);
+  if (request.headers[OFFER_HEADER] !== undefined) {
+    const course = {bodyMs: 0};
+    const bodyMode = 'none';
+    const flow: Flow = {request, response, state, bodyMode, stop, course};
+    await handleOffer(context, flow, hop, startedAt);
+    return;
+  }
   const caller = context.dialect.readRequest(request.rawHeaders);
   const settled = stopWhenOver(response, stop, hop.leftMs);
   const body = await readBody(request, caller, context.bodyBytes());
+  context.transfers.settle(hop.id, body.kind !== 'broken');
   const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
   const course: Course = {bodyMs: Math.round(context.clock() - startedAt)};
   const flow: Flow = {request, response, state, bodyMode, stop, course};
@@ -57,16 +82,7 @@
     answer(context, response, notRun('bad-request', body.kind), false);
     return;
   }
-  const {leftMs, objectiveLeftMs, ...task} = hop;
-  const work: Work = {
-    ...task,
-    deadlineAt: startedAt + leftMs,
-    objectiveAt: startedAt + objectiveLeftMs,
-    method: request.method ?? 'GET',
-    target: request.url ?? '/',
-    headers: caller.headers,
-    body,
-  };
+  const work = workOf(request, hop, startedAt, caller.headers, body);
   const attempt = await runLocally(context, flow, work, head => {
     head.headers.push(LOAD_HEADER, formatLoad(context.load()));
   });
@@ -105,6 +121,81 @@
   }
 }
 
+function workOf(
+  {method = 'GET', url = '/'}: IncomingMessage,
+  {leftMs, objectiveLeftMs, ...task}: Hop,
+  startedAt: number,
+  headers: readonly string[],
+  body: RequestBody,
+): Work {
+  const deadlineAt = startedAt + leftMs;
+  const objectiveAt = startedAt + objectiveLeftMs;
+  return {...task, deadlineAt, objectiveAt, method, target: url, headers, body};
+}
+
+/**
+ * Answers whether a request with a long body is taken: at once if not, and when
+ * it is the body's turn otherwise.
+ */
+async function handleOffer(
+  context: PeersContext,
+  flow: Flow,
+  hop: Hop,
+  startedAt: number,
+): Promise<void> {
+  const {request, response, stop} = flow;
+  const settled = stopWhenOver(response, stop, hop.leftMs);
+  const work = workOf(request, hop, startedAt, [], {kind: 'none'});
+  const refusal =
+    refuseOffer(context, work) ??
+    (await awaitTurn(context, flow, work)) ??
+    refuseOffer(context, work);
+  settled();
+  if (!refusal) {
+    const headers = [LOAD_HEADER, formatLoad(context.load())];
+    response.writeHead(ACCEPTED_STATUS, headers).end();
+    return;
+  }
+  context.transfers.settle(hop.id, false);
+  const {outcome, reason, message} = refusal;
+  const {id, instance} = hop;
+  const timeMs = Math.round(context.clock() - startedAt);
+  const names = {request: id, outcome, reason, message, timeMs};
+  context.log(RELAY_EVENTS.offerRefused, {...names, upstream: instance});
+  answer(context, response, refusal, false);
+}
+
+/** Status of the answer to an offer that is accepted. */
+const ACCEPTED_STATUS = 204;
+
+function refuseOffer(context: PeersContext, work: Work): Failure | undefined {
+  const refused = checkInstance(context, work);
+  if (refused) return refused.failure;
+  const ahead = context.transfers.state().running.length;
+  const denied = context.slots().refusal(claimOf(work), ahead);
+  return denied && failureOf(denied, 'no slot in time for a body');
+}
+
+async function awaitTurn(
+  context: PeersContext,
+  flow: Flow,
+  work: Work,
+): Promise<Failure | undefined> {
+  const claim = claimOf(work);
+  // What is left after the body has arrived is to be enough for the work.
+  const {meanMs} = context.load();
+  const objectiveAt = claim.objectiveAt - meanMs;
+  const deadlineAt = claim.deadlineAt - meanMs;
+  const offered = {...claim, objectiveAt, deadlineAt, name: work.id};
+  const signal = () => signalOf(flow);
+  const denied = await context.transfers.take(offered, signal);
+  return denied && failureOf(denied, 'the link has no room in time');
+}
+
+function failureOf({reason, retryAfterMs}: Denied, message: string): Failure {
+  return notRun(reason, message, retryAfterMs);
+}
+
 function answer(
   context: PeersContext,
   response: ServerResponse,
--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -181,6 +181,42 @@
   }
 }
 
+/** Why a request is not taken, and when a repeat makes sense. */
+export type Refusal = Pick<
+  Extract<QueueVerdict, {readonly kind: 'refuse'}>,
+  'reason' | 'retryAfterMs'
+>;
+
+/**
+ * Tells whether a request would be refused if it arrived now. The queue stays as
+ * it is.
+ *
+ * @param ahead Requests of its kind that are to arrive before it.
+ *
+ * @example
+ * refusalOf(createQueue(12), request, 0, performance.now()); // undefined
+ */
+export function refusalOf(
+  state: QueueState,
+  request: SlotRequest,
+  ahead: number,
+  now: number,
+): Refusal | undefined {
+  let next = state;
+  for (let i = 0; i <= ahead; i++) {
+    const id = request.id + i;
+    const arrival = {kind: 'arrive', request: {...request, id}} as const;
+    const step = applyQueueEvent(next, arrival, now);
+    const verdict = step.verdicts.find(known => known.id === id);
+    if (verdict?.kind === 'refuse') {
+      const {reason, retryAfterMs} = verdict;
+      return {reason, retryAfterMs};
+    }
+    next = step.state;
+  }
+  return undefined;
+}
+
 /**
  * Returns the time at which a `tick` is due, or infinity.
  *
--- a/src/relay/slots.ts
+++ b/src/relay/slots.ts
@@ -4,6 +4,7 @@
   applyQueueEvent,
   createQueue,
   nextQueueTickAt,
+  refusalOf,
   type QueueEvent,
   type QueueState,
   type QueueVerdict,
@@ -28,6 +29,9 @@
 /** The answer to one request for a slot. */
 export type Grant = Granted | Denied;
 
+/** What is known of a request that asks for a slot now. */
+export type Claim = Omit<SlotRequest, 'id' | 'arrivedAt'>;
+
 /** Settings of `createSlots`. */
 export interface SlotsOptions {
   readonly slots: number;
@@ -44,9 +48,15 @@
    * denied as cancelled.
    */
   readonly take: (
-    request: Omit<SlotRequest, 'id' | 'arrivedAt'>,
+    claim: Claim,
     signal: () => AbortSignal,
   ) => Promise<Grant> | Grant;
+  /**
+   * Tells whether a request would be refused now.
+   *
+   * @param ahead Requests of its kind that are to arrive before it.
+   */
+  readonly refusal: (claim: Claim, ahead: number) => Denied | undefined;
   /** The state as of the last event. */
   readonly state: () => QueueState;
 }
@@ -115,13 +125,19 @@
     });
 
   return {
-    take: (request, signal) => {
+    take: (claim, signal) => {
       const id = nextId++;
       let grant: Grant | undefined;
       pending.set(id, known => (grant = known));
-      apply({kind: 'arrive', request: {...request, id, arrivedAt: clock()}});
+      apply({kind: 'arrive', request: {...claim, id, arrivedAt: clock()}});
       return grant ?? waitFor(id, signal());
     },
+    refusal: (claim, ahead) => {
+      const now = clock();
+      const asked = {...claim, id: nextId, arrivedAt: now};
+      const verdict = refusalOf(state, asked, ahead, now);
+      return verdict && {kind: 'denied', ...verdict};
+    },
     state: () => state,
   };
 }
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -39,6 +39,20 @@
   runMs?: number;
 }
 
+/**
+ * Returns the signal that aborts when a flow is stopped.
+ *
+ * @example
+ * await slots.take(request, () => signalOf(flow));
+ */
+export function signalOf({state}: Flow): AbortSignal {
+  if (!state.controller) {
+    state.controller = new AbortController();
+    if (state.stopped) state.controller.abort();
+  }
+  return state.controller.signal;
+}
+
 /** Time after the deadline at which an answer is given up, in milliseconds. */
 const DEADLINE_GRACE_MS = 60;
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -24,6 +24,7 @@
   createReturns,
   createRouteTable,
   createSlots,
+  createTransfers,
   failureHeaders,
   handleCaller,
   handleHop,
@@ -231,6 +232,7 @@
   };
 
   let slots = createSlots({slots: 1, clock});
+  const transfers = createTransfers({clock});
 
   const keeper = createKeeper({
     ...access,
@@ -318,7 +320,7 @@
     loads: peer => {
       const known = loads.get(peer) ?? UNKNOWN_LOAD;
       if (peer !== node) return known;
-      const own = loadOf(slots, meter.meanMs());
+      const own = loadOf(slots, transfers, meter.meanMs());
       return applyLoadEvent(known, {kind: 'reported', ...own}, clock());
     },
     observeLoad,
@@ -341,7 +343,8 @@
   };
   const peersContext = {
     ...context,
-    load: () => loadOf(slots, meter.meanMs()),
+    load: () => loadOf(slots, transfers, meter.meanMs()),
+    transfers,
     bodyBytes: () => configuration?.limits.bodyBytes ?? Infinity,
   };
 
--- a/test/relay/load.test.ts
+++ b/test/relay/load.test.ts
@@ -6,6 +6,7 @@
   type Returns,
   type Route,
 } from '../../src/relay/index.js';
+import {createVirtualTime} from './virtual.js';
 
 const BOOK: Route = {
   name: 'book',
@@ -26,29 +27,12 @@
 };
 const VIEW: Route = {...BOOK, name: 'view', objectiveMs: 400, timeoutMs: 1200};
 
-interface Timer {
-  readonly at: number;
-  readonly run: () => void;
-}
-
 /** Slots of an instance in virtual time. */
 function createVirtual(count: number) {
-  let now = 0;
-  let timers: Timer[] = [];
-  const after = (delayMs: number, run: () => void) => {
-    const timer = {at: now + delayMs, run};
-    timers.push(timer);
-    return () => (timers = timers.filter(other => other !== timer));
-  };
-  const slots = createSlots({slots: count, clock: () => now, schedule: after});
-  const advance = async (timeMs: number) => {
-    now += timeMs;
-    const due = timers.filter(timer => timer.at <= now);
-    timers = timers.filter(timer => timer.at > now);
-    due.forEach(timer => timer.run());
-    for (let turn = 0; turn < 6; turn++) await Promise.resolve();
-  };
-  return {slots, after, advance, now: () => now};
+  const time = createVirtualTime();
+  const {after, now} = time;
+  const slots = createSlots({slots: count, clock: now, schedule: after});
+  return {slots, ...time};
 }
 
 /** What the callers of one route got. */
