Run nothing that arrives after a connection was told of a time-out

Callers saw a 408, which says that a request has not run, while the request was handled; with a second head that was late, the 408 came in place of the answer to the first request, which still ran.

Cause: after its own 408 or 400 the server kept reading the connection, and handed on whatever completed a head. It wrote these answers also beside an open response, and left the connection open for as long as its caller did.

Change: a connection that had an answer of the server's own is marked; what arrives on it is logged (5009) and not handled, and it is closed after a second, so that no reset overtakes the answer. Where a response is open whose answer the 408 or 400 would be taken for, the connection is reset instead.

--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -1,4 +1,8 @@
-import http, {type RequestListener, type Server} from 'node:http';
+import http, {
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {once} from 'node:events';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -19,7 +23,25 @@
 const BACKLOG = 1024;
 
 /**
- * Creates an HTTP server whose handler answers every request.
+ * Time for which a connection stays open after an answer of the server's own, so
+ * that the answer is not lost to a reset, in milliseconds; several round trips
+ * of the slowest links.
+ */
+const LINGER_MS = 1000;
+
+/** What the server keeps about one connection. */
+interface Connection {
+  readonly acceptedAt: number;
+  /** The response that is open on it. */
+  response?: ServerResponse;
+  /** It has had an answer of the server's own, after which nothing is run. */
+  refused?: true;
+}
+
+/**
+ * Creates an HTTP server whose handler answers every request. Time-outs and
+ * what can't be parsed are answered by the server itself; nothing that arrives
+ * on such a connection afterwards is handled.
  *
  * @param headerTimeoutMs Longest time that a head may take to arrive.
  *
@@ -32,6 +54,17 @@
   idleMs: number,
   log: Log,
 ): Server {
+  const connections = new WeakMap<Duplex, Connection>();
+  const handle: RequestListener = (request, response) => {
+    const connection = connections.get(request.socket);
+    if (connection?.refused) {
+      const message = 'a request after the last answer is not run';
+      logMalformed(request.socket, 'ERR_AFTER_ANSWER', message);
+      return;
+    }
+    if (connection) connection.response = response;
+    handler(request, response);
+  };
   const server = http.createServer(
     {
       maxHeaderSize: HEADER_BYTES,
@@ -42,19 +75,16 @@
       requireHostHeader: false,
       noDelay: true,
     },
-    handler,
+    handle,
   );
-  server.on('checkContinue', handler);
-  const acceptedAt = new WeakMap<Duplex, number>();
-  server.on('connection', (socket: Duplex) => {
-    acceptedAt.set(socket, performance.now());
-  });
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    if (error.code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const {code, message} = error;
+  server.on('checkContinue', handle);
+  const ageMs = (socket: Socket) =>
+    performance.now() - (connections.get(socket)?.acceptedAt ?? NaN);
+  const logMalformed = (
+    socket: Socket,
+    code: string | undefined,
+    message: string,
+  ) => {
     const {remoteAddress, remotePort, localPort, bytesRead} = socket;
     log(RELAY_EVENTS.malformed, {
       code,
@@ -62,20 +92,46 @@
       caller: `${remoteAddress}:${remotePort}`,
       port: localPort,
       bytesRead,
-      ageMs: Math.round(performance.now() - (acceptedAt.get(socket) ?? NaN)),
+      ageMs: Math.round(ageMs(socket)),
       headerTimeoutMs: server.headersTimeout,
     });
-    const status =
-      code === 'ERR_HTTP_REQUEST_TIMEOUT'
-        ? '408 Request Timeout'
-        : '400 Bad Request';
+  };
+  server.on('connection', (socket: Duplex) => {
+    connections.set(socket, {acceptedAt: performance.now()});
+  });
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const {code, message} = error;
+    const isTimeout = code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    logMalformed(socket, code, message);
+    const connection = connections.get(socket);
+    if (connection) connection.refused = true;
+    if (isTaken(connection?.response)) {
+      socket.resetAndDestroy();
+      return;
+    }
+    const status = isTimeout ? '408 Request Timeout' : '400 Bad Request';
     socket.end(
       `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
     );
+    const linger = setTimeout(() => socket.destroy(), LINGER_MS);
+    socket.once('close', () => clearTimeout(linger));
   });
   return server;
 }
 
+/**
+ * Tells whether an answer of the server's own would be taken for a part of an
+ * open response, or for the answer to a request that arrived whole.
+ */
+function isTaken(response: ServerResponse | undefined): boolean {
+  if (!response || response.writableFinished) return false;
+  return response.headersSent || response.req.complete;
+}
+
 /**
  * Listens at an address.
  *
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -1,22 +1,28 @@
 import test from 'ava';
 import {once} from 'node:events';
 import net from 'node:net';
+import {promisify} from 'node:util';
 import {createHandlerServer} from '../../src/sidecar/index.js';
 import type {EventFields} from '../../src/telemetry/index.js';
 
 const HEADER_TIMEOUT_MS = 200;
 const IDLE_MS = 5000;
 
-const REQUEST = 'POST /book/x HTTP/1.1\r\nHost: a.example\r\n\r\n';
+const HEAD_BEGIN = 'POST /book/x HTTP/1.1\r\n';
+const HEAD_END = 'Host: a.example\r\nContent-Length: 0\r\n\r\n';
+const REQUEST = HEAD_BEGIN + HEAD_END;
+
+/** Time after which a head that is late is certainly noticed. */
+const NOTICED_MS = HEADER_TIMEOUT_MS + 2000;
 
 /** Starts a server that counts what it handles, and connects to it. */
-async function startServer() {
+async function startServer(workMs = 0) {
   const handled: string[] = [];
   const logged: EventFields[] = [];
   const server = createHandlerServer(
     (request, response) => {
       handled.push(request.url ?? '');
-      response.end('done');
+      setTimeout(() => response.end('done'), workMs);
     },
     HEADER_TIMEOUT_MS,
     IDLE_MS,
@@ -36,13 +42,38 @@
 test('a request that crosses the time-out of its connection is not run', async t => {
   const {server, handled, caller, received} = await startServer();
   t.teardown(() => server.close());
-  server.prependListener('clientError', () => caller.write(REQUEST));
+  caller.write(HEAD_BEGIN);
+  server.prependListener('clientError', () => caller.write(HEAD_END));
   await once(caller, 'close');
   await new Promise(resolve => setTimeout(resolve, IDLE_MS / 20));
   t.deepEqual(handled, []);
   t.false(received().includes('200 OK'));
 });
 
+test('a late second head is not answered in place of the request that runs', async t => {
+  const {server, handled, caller, received} = await startServer(2 * NOTICED_MS);
+  t.teardown(() => server.close());
+  caller.write(REQUEST + HEAD_BEGIN);
+  await new Promise(resolve => caller.once('close', resolve));
+  t.deepEqual(handled, ['/book/x']);
+  t.is(received(), '');
+});
+
+test('a connection that its caller leaves open after a time-out is closed', async t => {
+  const {server, caller} = await startServer();
+  t.teardown(() => server.close());
+  caller.destroy();
+  const {port} = server.address() as net.AddressInfo;
+  const held = net.connect({port, host: '127.0.0.1', allowHalfOpen: true});
+  t.teardown(() => held.destroy());
+  held.write(HEAD_BEGIN);
+  held.resume();
+  await once(held, 'end');
+  await new Promise(resolve => setTimeout(resolve, NOTICED_MS));
+  const open = promisify(server.getConnections.bind(server));
+  t.is(await open(), 0);
+});
+
 test('the log tells which connection timed out and what it had sent', async t => {
   const {server, logged, caller} = await startServer();
   t.teardown(() => server.close());
