Count the head limit from the first byte of a request

A connection that was opened ahead of its first request was answered 408 after the head limit, although only the idle limit is meant for it; a request that was sent just then met the 408.

Cause: the HTTP server of Node.js counts the head limit of a new connection from its opening.

Change: a time-out of a connection on which no byte has arrived is passed over, and the connection closed without an answer once it has been idle for as long as one between two requests may be. It works because the server's own check reports such a connection only once and counts anew from its first byte.

--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -43,7 +43,8 @@
  * what can't be parsed are answered by the server itself; nothing that arrives
  * on such a connection afterwards is handled.
  *
- * @param headerTimeoutMs Longest time that a head may take to arrive.
+ * @param headerTimeoutMs Longest time that a head may take to arrive, counted
+ *     from its first byte; a connection without one may stay idle.
  *
  * @example
  * const server = createHandlerServer(handler, 3000, 15_000, log);
@@ -106,6 +107,11 @@
     }
     const {code, message} = error;
     const isTimeout = code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isTimeout && socket.bytesRead === 0) {
+      const leftMs = Math.max(0, server.keepAliveTimeout - ageMs(socket));
+      closeIfSilent(socket, leftMs);
+      return;
+    }
     logMalformed(socket, code, message);
     const connection = connections.get(socket);
     if (connection) connection.refused = true;
@@ -132,6 +138,14 @@
   return response.headersSent || response.req.complete;
 }
 
+/** Closes a connection on which nothing arrives for some time. */
+function closeIfSilent(socket: Socket, leftMs: number): void {
+  const timer = setTimeout(() => {
+    if (socket.bytesRead === 0) socket.destroy();
+  }, leftMs);
+  socket.once('close', () => clearTimeout(timer));
+}
+
 /**
  * Listens at an address.
  *
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -16,7 +16,7 @@
 const NOTICED_MS = HEADER_TIMEOUT_MS + 2000;
 
 /** Starts a server that counts what it handles, and connects to it. */
-async function startServer(workMs = 0) {
+async function startServer(idleMs = IDLE_MS, workMs = 0) {
   const handled: string[] = [];
   const logged: EventFields[] = [];
   const server = createHandlerServer(
@@ -25,7 +25,7 @@
       setTimeout(() => response.end('done'), workMs);
     },
     HEADER_TIMEOUT_MS,
-    IDLE_MS,
+    idleMs,
     (_, fields = {}) => logged.push(fields),
   );
   server.listen(0, '127.0.0.1');
@@ -50,8 +50,33 @@
   t.false(received().includes('200 OK'));
 });
 
+test('a connection opened ahead of its first request is not timed out by the head limit', async t => {
+  const {server, handled, caller, received} = await startServer();
+  t.teardown(() => caller.destroy());
+  t.teardown(() => server.close());
+  await new Promise(resolve => setTimeout(resolve, NOTICED_MS));
+  t.is(received(), '');
+  caller.write(REQUEST);
+  await once(caller, 'data');
+  t.deepEqual(handled, ['/book/x']);
+  t.true(received().startsWith('HTTP/1.1 200 OK'));
+});
+
+test('a connection without a request is closed when it was idle, and not answered', async t => {
+  const idleMs = HEADER_TIMEOUT_MS + 1500;
+  const {server, caller, received} = await startServer(idleMs);
+  t.teardown(() => server.close());
+  const openedAt = performance.now();
+  await once(caller, 'close');
+  t.is(received(), '');
+  t.true(performance.now() - openedAt >= idleMs - 50);
+});
+
 test('a late second head is not answered in place of the request that runs', async t => {
-  const {server, handled, caller, received} = await startServer(2 * NOTICED_MS);
+  const {server, handled, caller, received} = await startServer(
+    IDLE_MS,
+    2 * NOTICED_MS,
+  );
   t.teardown(() => server.close());
   caller.write(REQUEST + HEAD_BEGIN);
   await new Promise(resolve => caller.once('close', resolve));
