Pass on only those forwarded answers that a handler made

A caller could get the 408 or 400 of another daemon's HTTP server as if it were the answer of the instance; a 408 there says that the request has not run, which nobody knew.

Cause: a forwarded answer counted as the upstream's own unless it carried an outcome, and what the server itself writes carries none.

Change: an answer between daemons is passed on only with the header of the load, which both ways of a handler set (an answer of the upstream, a failure); one with an outcome is read as before. Any other is held back, and the request counts as possibly run.

The first of the two new tests failed before (the caller got 408), and passes for a bare 408, 400 and 200; the second, an answer with the header, passed before and after.

--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -1,11 +1,17 @@
 import {runExchange, type Attempt} from '../gateway/index.js';
-import {notRun, parseAddress} from '../model/index.js';
+import {notRun, parseAddress, unknown} from '../model/index.js';
 import type {Log} from '../telemetry/index.js';
 import type {AnswerHead, Pools} from '../upstream/index.js';
 import {lengthOf} from './body.js';
 import type {InstanceLoad, LoadEvent} from './choose.js';
 import {RELAY_EVENTS} from './events.js';
-import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
+import {
+  HOP_HEADER,
+  LOAD_HEADER,
+  formatHop,
+  readFailure,
+  readLoad,
+} from './hop.js';
 import {sendable, type Flow, type Work} from './work.js';
 
 /** How requests are forwarded to other daemons. */
@@ -71,7 +77,15 @@
     const load = readLoad(head);
     if (load) context.observeLoad(node, {kind: 'reported', ...load});
     const reported = readFailure(head);
-    if (!reported) return undefined;
+    if (!reported && head.own.has(LOAD_HEADER)) return undefined;
+    if (!reported) {
+      const message = `status ${head.status} was not made by its handler`;
+      return {
+        kind: 'failed',
+        failure: unknown('upstream-reset', message),
+        alternative: true,
+      } as const;
+    }
     const {failure, offered} = reported;
     return {
       kind: 'failed',
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -1,9 +1,24 @@
 import test from 'ava';
 import {once} from 'node:events';
+import http from 'node:http';
 import net from 'node:net';
 import {promisify} from 'node:util';
+import {
+  stopper,
+  type Attempt,
+  type PassState,
+} from '../../src/gateway/index.js';
+import {
+  LOAD_HEADER,
+  UNKNOWN_LOAD,
+  forward,
+  type Flow,
+  type ForwardContext,
+  type Work,
+} from '../../src/relay/index.js';
 import {createHandlerServer} from '../../src/sidecar/index.js';
 import type {EventFields} from '../../src/telemetry/index.js';
+import {createPools} from '../../src/upstream/index.js';
 
 const HEADER_TIMEOUT_MS = 200;
 const IDLE_MS = 5000;
@@ -110,3 +125,86 @@
   t.true((ageMs as number) >= HEADER_TIMEOUT_MS);
   t.is(headerTimeoutMs, HEADER_TIMEOUT_MS);
 });
+
+/** Answers each connection with some bytes, as soon as anything arrives. */
+async function startRaw(answer: string) {
+  const server = net.createServer(socket => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.end(answer));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as net.AddressInfo;
+  return {node: `127.0.0.1:${port}`, close: () => server.close()};
+}
+
+/** Forwards one request to a daemon and returns what became of it. */
+async function forwardTo(node: string) {
+  const pools = createPools({connectTimeoutMs: 300, keepAliveMs: 1000});
+  const state: PassState = {mayHaveRun: false, consumed: false};
+  const context: ForwardContext = {
+    clock: () => performance.now(),
+    peerPools: pools,
+    loads: () => UNKNOWN_LOAD,
+    observeLoad: () => {},
+    probe: () => Promise.resolve(true),
+    loopDelayMs: () => 0,
+    log: () => {},
+  };
+  const work: Work = {
+    id: 'r1',
+    service: 'desk',
+    instance: 'i-1',
+    route: 'book',
+    repetition: 'once',
+    priority: 1,
+    callerService: 'desk',
+    deadlineAt: context.clock() + 2000,
+    objectiveAt: context.clock() + 500,
+    method: 'GET',
+    target: '/book/x',
+    headers: [],
+    body: {kind: 'none'},
+  };
+  let attempt: Attempt | undefined;
+  const entry = http.createServer((request, response) => {
+    const course = {bodyMs: 0};
+    const stop = stopper(state);
+    const flow = {request, response, state, bodyMode: 'none', stop, course};
+    void forward(context, flow as Flow, node, work).then(known => {
+      attempt = known;
+      if (!response.headersSent) response.writeHead(500);
+      response.end();
+    });
+  });
+  entry.listen(0, '127.0.0.1');
+  await once(entry, 'listening');
+  const {port} = entry.address() as net.AddressInfo;
+  const {status} = await fetch(`http://127.0.0.1:${port}/book/x`);
+  entry.closeAllConnections();
+  entry.close();
+  await pools.close();
+  return {attempt, status};
+}
+
+test('an answer that no handler of a daemon made is not passed on to the caller', async t => {
+  for (const status of ['408 Request Timeout', '400 Bad Request', '200 OK']) {
+    const raw = `HTTP/1.1 ${status}\r\nContent-Length: 0\r\n\r\n`;
+    const daemon = await startRaw(raw);
+    const {attempt, status: told} = await forwardTo(daemon.node);
+    daemon.close();
+    t.is(told, 500);
+    t.is(attempt?.kind, 'failed');
+    t.is(attempt?.kind === 'failed' && attempt.failure.outcome, 'unknown');
+  }
+});
+
+test('an answer that a handler of a daemon made is passed on', async t => {
+  const daemon = await startRaw(
+    `HTTP/1.1 400 Bad Request\r\n${LOAD_HEADER}: 1,0,1\r\nContent-Length: 0\r\n\r\n`,
+  );
+  t.teardown(daemon.close);
+  const {attempt, status} = await forwardTo(daemon.node);
+  t.is(status, 400);
+  t.is(attempt?.kind, 'answered');
+});
