Remember which holder has let a key go, and wait for the change of its map

Callers saw: while busy keys move, refusals after up to six attempts, and small machines that are flooded.

Cause: the map says that keys are moving, but not whether the old holder still serves them. Each request found out by itself, every 100 ms, whatever other requests had been told.

Change: an entry remembers the term (range, holder, fence, state) for which a daemon has said that the instance does not hold the keys or is leaving. Other requests for that range wait for the next change of the view, within the wait they had before, and are refused at once, as not run, where the move is likely to outlast it: a moving mean of moves seen here. Terms on the move are relied on until the map changes, 3 s at most; terms that the map calls held for 400 ms, since a daemon that has just started hears of its instance without a change of the map. What an instance refuses itself counts for one request only. While the old holder still holds, requests go to it as before.

Not-owner although the map says held came from: another life or no instance beside the daemon, an entry whose map is older, a daemon whose own map is older (free, revoked or no keys yet), and a grant that was not fetched in time. The last but one now waits for the grant, as the sender has named this instance. The last says no-owner, since the request was at the right place: it is not remembered and not asked again.

The stand-in of an instance can now work on for a time on keys that it is to let go. test/relay/holder.test.ts covers the decisions, whose functions are new.

Why it works: a holder that has let go of a term that is moving or revoked never gets it back without a change of the map, so that one answer is as good as all.

--- a/src/ranges/holder.ts
+++ b/src/ranges/holder.ts
@@ -159,6 +159,29 @@
   return grants.granted.some(range => range.from <= key && key <= range.to);
 }
 
+/**
+ * Tells whether an incarnation may be granted a key without being asked to
+ * release it first, when another daemon has named it as the holder: that daemon
+ * may know a newer map. What another one holds is not awaited.
+ *
+ * @param term The term of the key by the map known here.
+ * @param isHeard The incarnation sends heartbeats, so that keys that were revoked
+ *     from it come back.
+ *
+ * @example
+ * mayReceive({...term, state: 'moving', next: life}, life, true); // true
+ */
+export function mayReceive(
+  term: RangeTerm | undefined,
+  life: Incarnation,
+  isHeard: boolean,
+): boolean {
+  if (!term || term.state === 'free' || sameLife(term.next, life)) return true;
+  const isOwn = sameLife(term.holder, life);
+  if (term.state === 'revoked') return isOwn ? isHeard : true;
+  return term.state === 'held' && isOwn;
+}
+
 /** Longest time that a heartbeat that is answered takes to arrive. */
 const TRAVEL_MS = 1000;
 
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -14,8 +14,13 @@
   type FleetView,
   type Member,
 } from '../fleet/index.js';
-import {notRun, unknown, type Failure} from '../model/index.js';
-import {sameLife, termOf} from '../ranges/index.js';
+import {
+  notRun,
+  unknown,
+  type Failure,
+  type FailureReason,
+} from '../model/index.js';
+import {sameLife, termOf, type RangeTerm} from '../ranges/index.js';
 import type {EventFields} from '../telemetry/index.js';
 import {breakOff} from '../upstream/index.js';
 import {lengthOf, readBody, type RequestBody} from './body.js';
@@ -29,6 +34,7 @@
 import type {CallerRequest} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import {forward, type ForwardContext} from './forward.js';
+import type {Holders} from './holder.js';
 import {runLocally, type OwnerContext} from './owner.js';
 import type {AttemptMark, Returns} from './returns.js';
 import {
@@ -55,6 +61,7 @@
   readonly viewChanged: () => Promise<unknown>;
   readonly service: (route: Route) => string;
   readonly returns: Returns;
+  readonly holders: Holders;
   /**
    * Takes one retry to a service from the budget; false when none is left.
    *
@@ -78,7 +85,7 @@
 /** Longest wait for an instance where none is known, in milliseconds. */
 const OWNER_WAIT_MS = 400;
 
-/** Interval at which a wait for an instance is looked at again. */
+/** Time after which an instance that refused is asked again, in milliseconds. */
 const OWNER_POLL_MS = 100;
 
 /** Retry-After where no instance is known, in milliseconds. */
@@ -288,16 +295,19 @@
     const target = findTarget(context, pass);
     if (target.kind === 'refuse') return conclude(pass, target.failure);
     if (target.kind === 'wait') {
-      const {flow} = pass;
-      await untilStoppedOrTime(flow, context.viewChanged(), OWNER_POLL_MS);
+      const leftMs = target.until - context.clock();
+      await untilStoppedOrTime(pass.flow, context.viewChanged(), leftMs);
       continue;
     }
-    const {member} = target;
+    const {member, term} = target;
     pass.asked += 1;
     const attempt = await attemptAt(context, pass, member);
     if (attempt.kind !== 'failed') return attempt;
     const {failure} = attempt;
     if (failure.outcome === 'unknown') state.mayHaveRun = true;
+    if (term && isWithoutKeys(attempt)) {
+      context.holders.refused(pass.service, term, context.clock());
+    }
     if (state.stopped) return conclude(pass, state.stopped);
     if (!mayRepeat(context, pass, member, attempt)) {
       return conclude(pass, failure);
@@ -313,6 +323,15 @@
   }
 }
 
+/**
+ * Tells whether the daemon of a holder says that nobody gets the keys there now.
+ * What the instance itself refused concerns only one request.
+ */
+function isWithoutKeys({failure, free}: FailedTry): boolean {
+  const {reason} = failure;
+  return free !== false && (reason === 'not-owner' || reason === 'draining');
+}
+
 /**
  * Describes how a request ended without an answer. Where it may have run, no
  * status says that it has not; where it has not, the caller is told when to
@@ -335,8 +354,14 @@
 }
 
 type Target =
-  | {readonly kind: 'member'; readonly member: Member}
-  | {readonly kind: 'wait'}
+  | {
+      readonly kind: 'member';
+      readonly member: Member;
+      /** The term by which the member holds the key. */
+      readonly term?: RangeTerm;
+    }
+  /** The request waits for a change of the view, at most until a time. */
+  | {readonly kind: 'wait'; readonly until: number}
   | {readonly kind: 'refuse'; readonly failure: Failure};
 
 function findTarget(context: EntryContext, pass: Request): Target {
@@ -353,17 +378,19 @@
 }
 
 function findHolder(context: EntryContext, pass: Request): Target {
+  const {service, waitUntil} = pass;
   const {key} = pass.caller;
   if (key === undefined) {
     return {kind: 'refuse', failure: notRun('bad-key', 'the key is missing')};
   }
+  const untilChanged = {kind: 'wait', until: waitUntil} as const;
   const view = context.view();
-  const map = view.maps.get(pass.service)?.value;
+  const map = view.maps.get(service)?.value;
   const term = map && termOf(map, key);
-  if (!term || term.state === 'free') return {kind: 'wait'};
+  if (!term || term.state === 'free') return untilChanged;
   const member = view.members.get(term.holder.node)?.value;
-  if (!member || !sameLife(lifeOf(member), term.holder)) return {kind: 'wait'};
-  if (member.state === 'left') return {kind: 'wait'};
+  if (!member || !sameLife(lifeOf(member), term.holder)) return untilChanged;
+  if (member.state === 'left') return untilChanged;
   const load = context.loads(member.node);
   const now = context.clock();
   if (load.shunnedUntil > now) {
@@ -371,11 +398,19 @@
     const retryMs = Math.max(NO_OWNER_RETRY_MS, load.shunnedUntil - now);
     return {kind: 'refuse', failure: notRun('no-owner', message, retryMs)};
   }
+  const {holders} = context;
+  const verdict = holders.decide(service, map, term, key, waitUntil, now);
+  if (verdict.kind === 'wait') return verdict;
+  if (verdict.kind === 'refuse') {
+    const message = 'the key is on its way to another instance';
+    const failure = notRun('no-owner', message, verdict.retryAfterMs);
+    return {kind: 'refuse', failure};
+  }
   if (pass.refused.has(member.node)) {
     pass.refused.delete(member.node);
-    return {kind: 'wait'};
+    return {kind: 'wait', until: now + OWNER_POLL_MS};
   }
-  return {kind: 'member', member};
+  return {kind: 'member', member, term};
 }
 
 function findInstance(context: EntryContext, pass: Request): Target {
@@ -392,7 +427,7 @@
   const choice = chooseInstance(choices, context.clock(), lengthOf(pass.body));
   if (!choice) {
     pass.refused.clear();
-    return {kind: 'wait'};
+    return {kind: 'wait', until: context.clock() + OWNER_POLL_MS};
   }
   return {kind: 'member', member: choice.member};
 }
@@ -419,7 +454,8 @@
   if (failure.reason === 'bad-key' || failure.reason === 'bad-request') {
     return false;
   }
-  pass.refused.add(member.node);
+  const isKnown = context.isKeyed(service) && isWithoutKeys(attempt);
+  if (!isKnown) pass.refused.add(member.node);
   const {retryAfterMs} = failure;
   if (retryAfterMs !== undefined) {
     pass.retryAfterMs = Math.min(pass.retryAfterMs ?? Infinity, retryAfterMs);
@@ -430,12 +466,22 @@
     if (pass.offered.size >= route.maxAttempts) return false;
     if (!context.retryAllowed(service, canReturn)) return false;
   }
-  if (failure.reason !== 'overloaded' && failure.reason !== 'deadline') {
-    return true;
+  if (NEEDS_ROOM.has(failure.reason)) {
+    return !context.isKeyed(service) && hasRoom(context, pass);
   }
-  return !context.isKeyed(service) && hasRoom(context, pass);
+  return true;
 }
 
+/**
+ * Reasons after which a request goes on only to an instance that seems to have
+ * room; for a key there is no other instance.
+ */
+const NEEDS_ROOM: ReadonlySet<FailureReason> = new Set([
+  'overloaded',
+  'deadline',
+  'no-owner',
+]);
+
 /** Tells whether an instance that was not asked yet seems to have room. */
 function hasRoom(context: EntryContext, pass: Request): boolean {
   return membersOf(context.view(), pass.service).some(member => {
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -11,6 +11,7 @@
 export * from './entry.js';
 export * from './events.js';
 export * from './forward.js';
+export * from './holder.js';
 export * from './hop.js';
 export * from './owner.js';
 export * from './peers.js';
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -124,10 +124,14 @@
   const until = holderWaitUntil(now, work.deadlineAt, HOLD_WAIT_MS);
   while (!context.holds(key)) {
     if (flow.state.stopped) return failed(flow.state.stopped);
-    if (!context.awaits(key) || context.clock() >= until) {
+    if (!context.awaits(key)) {
       const message = 'the instance does not hold the key';
       return alternative(notRun('not-owner', message, HOLDER_RETRY_MS));
     }
+    if (context.clock() >= until) {
+      const message = 'the instance has not got the key in time';
+      return alternative(notRun('no-owner', message, HOLDER_RETRY_MS));
+    }
     const leftMs = until - context.clock();
     await untilStoppedOrTime(flow, context.holdsChanged(), leftMs);
   }
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -13,6 +13,7 @@
   hear,
   heldBy,
   holdsKey,
+  mayReceive,
   release,
   restore,
   revoke,
@@ -422,8 +423,9 @@
       return holdsByMap(key);
     },
     awaits: key => {
-      const next = termAt(key)?.next;
-      return sameLife(next, life()) || holdsByMap(key);
+      const own = life();
+      const isHeard = !silent && instance?.state === 'ready';
+      return own !== undefined && mayReceive(termAt(key), own, isHeard);
     },
     changed: signal.next,
     tick,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -21,6 +21,7 @@
   UNKNOWN_LOAD,
   applyLoadEvent,
   chooseService,
+  createHolders,
   createReturns,
   createRouteTable,
   createSlots,
@@ -327,6 +328,7 @@
       keepAliveMs: PEER_IDLE_MS / 2,
     }),
     returns: createReturns(),
+    holders: createHolders(),
     retryAllowed: (service, canReturn) => {
       const kept = canReturn ? RETRY_KEPT : 0;
       const left = spendRetry(budgetOf(service), kept);
--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -38,6 +38,8 @@
   readonly leave: () => Promise<number>;
   /** Replaces the next answers: the function may write anything. */
   spoil?: (response: ServerResponse, id: string) => boolean;
+  /** Time for which it works on keys that it is to let go, in milliseconds. */
+  lettingGoMs: number;
   /** Stops heartbeats and closes the port, as a crash does. */
   readonly crash: () => void;
 }
@@ -59,6 +61,8 @@
   let held: HeldRow[] = [];
   let heldUntil = 0;
   let freed: (readonly [number, number, string])[] = [];
+  /** Rows that it was to let go, and until when it works on them. */
+  let leaving: {readonly row: HeldRow; readonly until: number}[] = [];
   let sequence = 0;
   let running = 0;
   let announced: 'ready' | 'draining' = 'ready';
@@ -70,6 +74,7 @@
   const standin: {-readonly [K in keyof InstanceStandin]: InstanceStandin[K]} =
     {
       address: '',
+      lettingGoMs: 0,
       runs,
       holds: current,
       beat: state => beat(state),
@@ -122,6 +127,11 @@
     announced = state;
     sequence += 1;
     const sentAt = Date.now();
+    const done = leaving.filter(({until}) => until <= sentAt);
+    leaving = leaving.filter(({until}) => until > sentAt);
+    for (const {row} of done) {
+      freed.push([row[0], row[1], `token-${id}-${row[2]}`]);
+    }
     const reported = freed;
     const answer = await call(control, 'PUT', id, {
       service,
@@ -133,7 +143,7 @@
       cold_left_s: 0,
       seq: sequence,
       born,
-      holds: current(),
+      holds: [...current(), ...leaving.map(({row}) => row)],
       freed: reported,
     });
     const {holds, hold_s: holdS} = answer.body as Granted;
@@ -142,7 +152,9 @@
     const kept = (row: HeldRow) =>
       holds.some(([from, to]) => from <= row[0] && row[1] <= to);
     for (const row of current()) {
-      if (!kept(row)) freed.push([row[0], row[1], `token-${id}-${row[2]}`]);
+      if (kept(row)) continue;
+      const until = sentAt + standin.lettingGoMs;
+      leaving.push({row, until});
     }
     held = holds.map(([from, to, fence]) => [from, to, fence]);
     heldUntil = sentAt + (holdS ?? 0) * 1000;
--- /dev/null
+++ b/test/relay/holder.test.ts
@@ -0,0 +1,107 @@
+import test from 'ava';
+import {
+  NO_REFUSALS,
+  decideHolder,
+  refuseTerm,
+  settleRefusals,
+  type HolderState,
+} from '../../src/relay/index.js';
+import {
+  LAST_KEY,
+  firstMap,
+  mayReceive,
+  release,
+  revoke,
+  startMoves,
+  succeed,
+  termOf,
+  type RangeMap,
+  type RangeTerm,
+} from '../../src/ranges/index.js';
+
+const lifeAt = (node: string) => ({node, id: `i-${node}`, born: 1});
+const [a, b, c] = ['a', 'b', 'c'].map(lifeAt);
+
+const held = firstMap([
+  {from: 0, to: 999, holder: a},
+  {from: 1000, to: LAST_KEY, holder: b},
+]);
+const moving = startMoves(held, [{from: 0, to: 499, holder: b}]);
+const moved = release(moving, a, [{from: 0, to: 499, handover: 'token'}]);
+
+const at = (map: RangeMap, key: number) => termOf(map, key) as RangeTerm;
+
+/** What a request for a key does at a time, which may wait for 400 ms. */
+const decide = (state: HolderState, map: RangeMap, key: number, now: number) =>
+  decideHolder(state, 'stock', at(map, key), key, now + 400, now);
+
+/** The holder of a key refuses it at a time. */
+const refuse = (state: HolderState, map: RangeMap, key: number, now: number) =>
+  refuseTerm(state, 'stock', at(map, key), now);
+
+test('the old holder of keys on the move is not asked by each request', t => {
+  t.is(decide(NO_REFUSALS, moving, 10, 0).kind, 'ask');
+  const state = refuse(NO_REFUSALS, moving, 10, 0);
+  for (const key of [0, 10, 499]) {
+    t.deepEqual(decide(state, moving, key, 100), {kind: 'wait', until: 500});
+  }
+  t.is(decide(state, moving, 500, 100).kind, 'ask');
+  t.is(decide(state, moving, 1000, 100).kind, 'ask');
+});
+
+test('a new holder is asked as soon as the map names it', t => {
+  const state = refuse(NO_REFUSALS, moving, 10, 0);
+  t.is(decide(state, moved, 10, 50).kind, 'ask');
+  const settled = settleRefusals(state, 'stock', moved, 50);
+  t.deepEqual(settled.refusals, []);
+  t.is(settleRefusals(state, 'desk', moved, 50), state);
+});
+
+test('a request does not wait for a move that will outlast its wait', t => {
+  const first = refuse(NO_REFUSALS, moving, 10, 0);
+  const state = settleRefusals(first, 'stock', moved, 1500);
+  t.is(state.moveMs, 1500);
+  const again = startMoves(moved, [{from: 0, to: 499, holder: a}]);
+  const next = refuse(state, again, 10, 5000);
+  t.deepEqual(decide(next, again, 10, 5100), {
+    kind: 'refuse',
+    retryAfterMs: 1400,
+  });
+  t.is(decide(next, again, 10, 6200).kind, 'wait');
+  t.is(decide(next, again, 10, 7000).kind, 'wait');
+});
+
+test('a holder that only just started is asked again without a change', t => {
+  const state = refuse(NO_REFUSALS, held, 10, 0);
+  t.deepEqual(decide(state, held, 10, 0), {kind: 'wait', until: 400});
+  t.is(decide(state, held, 10, 400).kind, 'ask');
+});
+
+test('a missed change of the map does not bar keys for good', t => {
+  const state = refuse(NO_REFUSALS, moving, 10, 0);
+  t.is(decide(state, moving, 10, 10_000).kind, 'ask');
+});
+
+test('a refusal under one token says nothing of a later one', t => {
+  const state = refuse(NO_REFUSALS, held, 10, 0);
+  const revoked = revoke(held, a);
+  t.is(decide(state, revoked, 10, 10).kind, 'ask');
+  const heir = {...a, born: 2};
+  t.is(decide(state, succeed(held, 'a', heir), 10, 10).kind, 'ask');
+});
+
+test('a daemon that hears of its keys late does not send requests away', t => {
+  t.true(mayReceive(undefined, b, true));
+  t.true(mayReceive(at(moving, 10), b, true));
+  t.true(mayReceive(at(moved, 10), b, true));
+  t.true(mayReceive({...at(held, 10), state: 'free'}, b, true));
+  t.true(mayReceive(at(revoke(held, a), 10), b, true));
+  t.true(mayReceive(at(revoke(held, a), 10), a, true));
+});
+
+test('a daemon does not let requests wait for keys that it gives away', t => {
+  t.false(mayReceive(at(moving, 10), a, true));
+  t.false(mayReceive(at(moved, 10), a, true));
+  t.false(mayReceive(at(held, 10), c, true));
+  t.false(mayReceive(at(revoke(held, a), 10), a, false));
+});
--- /dev/null
+++ b/test/sidecar/move.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+import {startMoves, termOf, type RangeMap} from '../../src/ranges/index.js';
+import {RELAY_EVENTS} from '../../src/relay/index.js';
+import {ask, startFleet, until, type Answer, type Pair} from './fixture.js';
+
+const sleep = (timeMs: number) =>
+  new Promise(resolve => setTimeout(resolve, timeMs));
+
+const KEY = 10;
+
+/** A fleet of two holders and a third daemon, and who holds a key. */
+async function startMoving(workMs = 20) {
+  const fleet = await startFleet(['stock', 'stock', 'desk'], workMs);
+  const [a, b, entry] = fleet.pairs;
+  const map = () => fleet.store.read('fleet', 'ranges.stock') as RangeMap;
+  const holderNode = () => termOf(map(), KEY)?.holder.node;
+  const [from, to] = holderNode() === a.node ? [a, b] : [b, a];
+  /** Lets the planner's record say that the keys around `KEY` are to move. */
+  const move = () => {
+    const next = to.sidecar.keeper.life();
+    const moves = next ? [{from: 0, to: 99, holder: next}] : [];
+    fleet.store.write('fleet', 'ranges.stock', startMoves(map(), moves));
+  };
+  return {fleet, from, to, entry, move, holderNode};
+}
+
+/** Forwarded requests that a daemon ended for a reason. */
+const refusals = ({events}: Pair, reason: string) =>
+  events.filter(
+    ([kind, fields]) => kind === RELAY_EVENTS.ran && fields.reason === reason,
+  ).length;
+
+const statuses = (answers: readonly Answer[]) =>
+  answers.map(({status}) => status);
+
+test('a move of keys does not send every request to the old holder again and again', async t => {
+  const {fleet, from, to, entry, move, holderNode} = await startMoving();
+  t.teardown(fleet.close);
+  t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
+  from.instance.lettingGoMs = 1500;
+  move();
+  await until(() => !from.sidecar.keeper.holds(KEY));
+  const sent: Promise<Answer>[] = [];
+  while (holderNode() === from.node) {
+    sent.push(ask(entry.callers, 'GET', '/view/x', KEY));
+    await sleep(20);
+  }
+  const answers = await Promise.all(sent);
+  t.true(sent.length > 30);
+  t.true(refusals(from, 'not-owner') <= 5);
+  for (const {status, retryAfter} of answers) {
+    if (status !== 200)
+      t.deepEqual([status, Number(retryAfter) > 0], [503, true]);
+  }
+  t.is(statuses(answers).at(-1), 200);
+  t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
+  t.is(to.instance.runs.at(-1)?.key, KEY);
+});
