Let an instance read the grant of a key before a request for it follows

Callers saw: requests that had waited for a key on the move were refused by its new holder, drew on the retry budget, and some were told to come back.

Cause: the daemon counted keys as held as soon as it had written the answer to the heartbeat. What waited for them went over another connection at the same moment, and could overtake the answer.

Change: keys that an answer newly grants count as held 20 ms later; keys that were granted under the same token before are not affected.

Why it works: requests that wait are woken when the time is over, and the time is longer than the way of the answer; an instance that needs longer refuses as before, and its refusal is true.

--- a/src/ranges/holder.ts
+++ b/src/ranges/holder.ts
@@ -182,6 +182,28 @@
   return term.state === 'held' && isOwn;
 }
 
+/**
+ * Returns the ranges of an answer that an earlier one did not grant under the
+ * same fencing token.
+ *
+ * @example
+ * newlyGranted([], [{from: 0, to: 99, fence: 7}]).length; // 1
+ */
+export function newlyGranted(
+  before: readonly HeldRange[],
+  after: readonly HeldRange[],
+): readonly HeldRange[] {
+  return after.filter(
+    range =>
+      !before.some(
+        known =>
+          known.fence === range.fence &&
+          known.from <= range.from &&
+          range.to <= known.to,
+      ),
+  );
+}
+
 /** Longest time that a heartbeat that is answered takes to arrive. */
 const TRAVEL_MS = 1000;
 
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -14,6 +14,7 @@
   heldBy,
   holdsKey,
   mayReceive,
+  newlyGranted,
   release,
   restore,
   revoke,
@@ -22,6 +23,7 @@
   succeed,
   termOf,
   type Grants,
+  type HeldRange,
   type HoldReport,
   type Incarnation,
   type RangeMap,
@@ -113,6 +115,13 @@
 /** Time beyond the end of a hold that covers late timers. */
 const HOLD_MARGIN_MS = 100;
 
+/**
+ * Time in which an instance has read the answer that grants it keys, in
+ * milliseconds: the way on the machine and a turn of a busy process. A request
+ * that is sent together with the answer may overtake it.
+ */
+const GRANT_READ_MS = 20;
+
 /** Share of the drain time in which an instance that leaves takes requests. */
 const OPEN_SHARE = 0.4;
 
@@ -148,6 +157,9 @@
   let silent = false;
   let stopping = false;
   let resumedUntil = -Infinity;
+  /** Ranges that the instance may not have read of, and until when. */
+  let unread: readonly HeldRange[] = [];
+  let unreadUntil = -Infinity;
   let writing: Promise<void> | undefined;
 
   const life = (): Incarnation | undefined =>
@@ -231,8 +243,11 @@
         fence: Math.max(0, ...rows.map(row => row.fence)),
       });
     }
+    unread = newlyGranted(grants.granted, rows);
+    unreadUntil = clock() + GRANT_READ_MS;
     grants = settle(grant(grants, report.sequence, rows, arrivedAt), map);
     signal.raise();
+    if (unread.length > 0) setTimeout(signal.raise, GRANT_READ_MS + 1);
     return rows;
   };
 
@@ -417,6 +432,8 @@
       return {id, service, address, slots, closed: clock() >= closesAt};
     },
     holds: key => {
+      const isUnread = unread.some(({from, to}) => from <= key && key <= to);
+      if (isUnread && clock() < unreadUntil) return false;
       if (grants.grantedAt >= 0 || clock() > resumedUntil) {
         return holdsKey(grants, key, clock(), context.holdMs);
       }
--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -1,5 +1,6 @@
 import http, {type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {listen} from './store.js';
 
 /** One row of what the instance holds: first key, last key, fencing token. */
@@ -40,6 +41,8 @@
   spoil?: (response: ServerResponse, id: string) => boolean;
   /** Time for which it works on keys that it is to let go, in milliseconds. */
   lettingGoMs: number;
+  /** Time after which it has read the answer to a heartbeat, in milliseconds. */
+  readingMs: number;
   /** Stops heartbeats and closes the port, as a crash does. */
   readonly crash: () => void;
 }
@@ -75,6 +78,7 @@
     {
       address: '',
       lettingGoMs: 0,
+      readingMs: 0,
       runs,
       holds: current,
       beat: state => beat(state),
@@ -147,6 +151,7 @@
       freed: reported,
     });
     const {holds, hold_s: holdS} = answer.body as Granted;
+    if (standin.readingMs > 0) await sleep(standin.readingMs);
     if (answer.status === 200) freed = freed.slice(reported.length);
     if (answer.status !== 200 || !holds) return answer.status;
     const kept = (row: HeldRow) =>
--- a/test/sidecar/move.test.ts
+++ b/test/sidecar/move.test.ts
@@ -56,3 +56,20 @@
   t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
   t.is(to.instance.runs.at(-1)?.key, KEY);
 });
+
+test('requests for a key do not overtake the grant of the key', async t => {
+  const {fleet, from, to, entry, move, holderNode} = await startMoving();
+  t.teardown(fleet.close);
+  t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
+  to.instance.readingMs = 10;
+  move();
+  await until(() => holderNode() === to.node);
+  const answers = await Promise.all(
+    Array.from({length: 20}, () => ask(entry.callers, 'GET', '/view/x', KEY)),
+  );
+  const refused = [from, to].flatMap(({events}) =>
+    events.filter(([kind]) => kind === RELAY_EVENTS.answerRefused),
+  );
+  t.deepEqual(refused, []);
+  t.deepEqual(statuses(answers), new Array<number>(20).fill(200));
+});
