Wait at the caller's daemon until the instance's daemon has decided

Callers saw: 502 and 504, which promise nothing, for requests that had reached no instance; unsafe requests may not be repeated after them.

Cause: the daemons of the caller and of the instance gave up 60 ms after the deadline, each by its own timer. The second one's begins later, by the way of the request, so the first one broke off just before the answer "not run" arrived.

Change: the caller's daemon waits 160 ms beyond the deadline, the other one 60 ms as before. A request at the deadline is answered 100 ms later than before, if its daemon says nothing.

Evidence: test/sidecar/deadline.test.ts, another daemon that answers "not run" 80 ms after the deadline: 504 before, 503 after. It failed before.

Why it works: what the second daemon knows, or the instance answers at its time limit, now arrives before the first one gives up, as long as the way takes less than 100 ms.

--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -38,6 +38,7 @@
 import {runLocally, type OwnerContext} from './owner.js';
 import type {AttemptMark, Returns} from './returns.js';
 import {
+  ENTRY_GRACE_MS,
   holderWaitUntil,
   stopWhenOver,
   type Course,
@@ -167,7 +168,7 @@
   const patienceMs = caller.deadlineMs ?? DEFAULT_DEADLINE_MS;
   const timeMs = Math.min(patienceMs, route.timeoutMs);
   const deadlineAt = startedAt + timeMs;
-  const settled = stopWhenOver(response, stop, timeMs);
+  const settled = stopWhenOver(response, stop, timeMs, ENTRY_GRACE_MS);
   if (caller.expectsContinue) response.writeContinue();
   const body = await readBody(request, caller, configuration.limits.bodyBytes);
   const service = context.service(route);
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -39,13 +39,25 @@
   runMs?: number;
 }
 
-/** Time after the deadline at which an answer is given up, in milliseconds. */
-const DEADLINE_GRACE_MS = 60;
+/**
+ * Time after the deadline at which the daemon beside an instance gives an answer
+ * up, in milliseconds: the instance ends its work at the deadline, and its answer
+ * has a short way.
+ */
+const OWNER_GRACE_MS = 60;
+
+/**
+ * Time after the deadline at which the daemon of a caller gives an answer up, in
+ * milliseconds. It is longer by the way between daemons under load, so that what
+ * the daemon beside the instance knows of the request arrives before.
+ */
+export const ENTRY_GRACE_MS = 160;
 
 /**
  * Stops a flow a little after its deadline, and when its caller has gone.
  *
  * @param timeMs Time until the deadline, in milliseconds.
+ * @param graceMs Time after the deadline for which an answer may still come.
  * @returns what ends the wait for the deadline.
  *
  * @example
@@ -55,10 +67,11 @@
   response: ServerResponse,
   stop: Flow['stop'],
   timeMs: number,
+  graceMs = OWNER_GRACE_MS,
 ): () => void {
   const timer = setTimeout(() => {
     stop(notRun('deadline', 'the deadline has passed'));
-  }, timeMs + DEADLINE_GRACE_MS);
+  }, timeMs + graceMs);
   response.once('close', () => {
     if (!response.writableFinished) {
       stop(notRun('cancelled', 'the caller has gone'));
