--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -1,5 +1,6 @@
 import http, {type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {listen} from './store.js';
 
 /** One row of what the instance holds: first key, last key, fencing token. */
@@ -38,6 +39,10 @@
   readonly leave: () => Promise<number>;
   /** Replaces the next answers: the function may write anything. */
   spoil?: (response: ServerResponse, id: string) => boolean;
+  /** Time for which it works on keys that it is to let go, in milliseconds. */
+  lettingGoMs: number;
+  /** Time after which it has read the answer to a heartbeat, in milliseconds. */
+  readingMs: number;
   /** Stops heartbeats and closes the port, as a crash does. */
   readonly crash: () => void;
 }
@@ -59,6 +64,8 @@
   let held: HeldRow[] = [];
   let heldUntil = 0;
   let freed: (readonly [number, number, string])[] = [];
+  /** Rows that it was to let go, and until when it works on them. */
+  let leaving: {readonly row: HeldRow; readonly until: number}[] = [];
   let sequence = 0;
   let running = 0;
   let announced: 'ready' | 'draining' = 'ready';
@@ -70,6 +77,8 @@
   const standin: {-readonly [K in keyof InstanceStandin]: InstanceStandin[K]} =
     {
       address: '',
+      lettingGoMs: 0,
+      readingMs: 0,
       runs,
       holds: current,
       beat: state => beat(state),
@@ -122,6 +131,11 @@
     announced = state;
     sequence += 1;
     const sentAt = Date.now();
+    const done = leaving.filter(({until}) => until <= sentAt);
+    leaving = leaving.filter(({until}) => until > sentAt);
+    for (const {row} of done) {
+      freed.push([row[0], row[1], `token-${id}-${row[2]}`]);
+    }
     const reported = freed;
     const answer = await call(control, 'PUT', id, {
       service,
@@ -133,16 +147,19 @@
       cold_left_s: 0,
       seq: sequence,
       born,
-      holds: current(),
+      holds: [...current(), ...leaving.map(({row}) => row)],
       freed: reported,
     });
     const {holds, hold_s: holdS} = answer.body as Granted;
+    if (standin.readingMs > 0) await sleep(standin.readingMs);
     if (answer.status === 200) freed = freed.slice(reported.length);
     if (answer.status !== 200 || !holds) return answer.status;
     const kept = (row: HeldRow) =>
       holds.some(([from, to]) => from <= row[0] && row[1] <= to);
     for (const row of current()) {
-      if (!kept(row)) freed.push([row[0], row[1], `token-${id}-${row[2]}`]);
+      if (kept(row)) continue;
+      const until = sentAt + standin.lettingGoMs;
+      leaving.push({row, until});
     }
     held = holds.map(([from, to, fence]) => [from, to, fence]);
     heldUntil = sentAt + (holdS ?? 0) * 1000;
