--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -182,7 +182,7 @@
 }
 
 /** Why a request is not taken, and when a repeat makes sense. */
-export type Refusal = Pick<
+type Denial = Pick<
   Extract<QueueVerdict, {readonly kind: 'refuse'}>,
   'reason' | 'retryAfterMs'
 >;
@@ -201,7 +201,7 @@
   request: SlotRequest,
   ahead: number,
   now: number,
-): Refusal | undefined {
+): Denial | undefined {
   let next = state;
   for (let i = 0; i <= ahead; i++) {
     const id = request.id + i;
