Send no upload on of which an instance has had a part

Callers saw: 200 for an upload of more than 1 MiB without a stated length that an instance had run with an empty body.

Cause: a body that is too long to be kept can be read once. That it was read was noted where a request is forwarded, but not where it is passed to the instance beside. When that instance refused it, the rest of the body, mostly none, went to another one.

Change: such a request goes on only after an attempt that sent nothing.

The stand-in of an instance counts the bytes of bodies.

Why it works: an attempt says whether it was free, that is whether nothing was sent to the instance; a forwarded one marks the body as read as before.

--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -442,7 +442,9 @@
 ): boolean {
   const {failure, free} = attempt;
   const {route, service} = pass;
-  if (pass.body.kind === 'streamed' && pass.flow.state.consumed) return false;
+  // An instance that was sent a request has had a part of its body.
+  const consumed = pass.flow.state.consumed || free !== true;
+  if (pass.body.kind === 'streamed' && consumed) return false;
   if (context.clock() >= pass.deadlineAt) return false;
   const canReturn = pass.mark.dueAt - context.clock() >= RETURN_MS;
   if (failure.outcome === 'unknown') {
--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -26,6 +26,8 @@
   readonly id: string;
   readonly key?: number;
   readonly at: number;
+  /** Length of the body as far as it has arrived, in bytes. */
+  bodyBytes: number;
 }
 
 /** A stand-in for an upstream instance that owns keys. */
@@ -108,9 +110,10 @@
       response.writeHead(421).end();
       return;
     }
-    request.resume();
     running += 1;
-    runs.push({id: requestId, key, at: Date.now()});
+    const run: Run = {id: requestId, key, at: Date.now(), bodyBytes: 0};
+    runs.push(run);
+    request.on('data', (part: Buffer) => (run.bodyBytes += part.length));
     const finish = setTimeout(() => {
       if (standin.spoil?.(response, requestId)) return;
       response.setHeader('X-Vanillaspool-Response-Signature', SIGNATURE);
