Tell a lost daemon from a late one before a request is broken off

Cause: 400 ms without an answer and a question without an answer within 400 ms more were taken for a loss, whoever was slow: the other, the link or the observer itself, whose timers run before what has arrived meanwhile is read. Any request there was then aborted, also one that must not run twice, and the daemon was passed over. A request "given up" before it had a connection was one that this question gave up, so it was marked by that, not by its missing connection; a connection that took longer than its limit marked the daemon at once, though.

Change: src/relay/silence.ts decides, from what was heard of a daemon and of all others. Two refused connections in a row prove the end of a process. Two questions without a connection make a machine dark, but only while at least as many others are heard as keep the observer waiting, and only if the timer was in time; a late one is waited for anew. The wait grows with what is usual now for that daemon and for all. A machine that takes the connection is late at most: others are preferred, its keys are not refused. A request that may run only once is ended on proof alone; one that has not been sent, or is idempotent, is given up when its daemon is dark, and without keys when it is late. A connection that fails asks, and marks nothing. One question at a time for each daemon, now shared with the planner, and none while answers arrive from it.

Measured, test/sidecar/silence.test.ts: three requests at a daemon that is 900 ms late, before 502 502 502, after 200 200 200; a request whose observer stands still for 700 ms, before 502, after 200. A daemon that refuses, takes no connection (a full queue) or never answers is passed by in the third turn of requests before and after; keys of one that takes no connection are refused with 503 before and after. In virtual time two questions without a connection end within 1 s of the first (test/relay/silence.test.ts), so a dark machine is known about 1.4 s after a request to it.

The first two tests failed on the code before; the others guard that real losses are still found.

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -13,10 +13,12 @@
   readonly reportedAt: number;
   /** Moving share of requests that failed there, from 0 to 1. */
   readonly failures: number;
-  /** Connection failures in a row. */
+  /** Signs of a loss in a row. */
   readonly unreachable: number;
   /** No request is sent there before this time, in milliseconds. */
   readonly shunnedUntil: number;
+  /** Others are preferred before this time, in milliseconds. */
+  readonly suspectedUntil: number;
 }
 
 /** The load of an instance of which nothing is known. */
@@ -30,6 +32,7 @@
   failures: 0,
   unreachable: 0,
   shunnedUntil: 0,
+  suspectedUntil: 0,
 };
 
 /** What happened to a request that was sent to an instance. */
@@ -42,10 +45,15 @@
       readonly slots: number;
       readonly meanMs: number;
     }
+  /** The daemon is lost. */
   | {readonly kind: 'unreachable'}
+  /** The daemon answers later than others, or not at all. */
+  | {readonly kind: 'suspected'}
   /** A question on a new connection was answered. */
   | {readonly kind: 'reachable'};
 
+const REACHABLE = {unreachable: 0, shunnedUntil: 0, suspectedUntil: 0};
+
 /** Share of the newest result in the moving share of failures. */
 const FAILURE_WEIGHT = 0.1;
 
@@ -101,16 +109,19 @@
         meanMs,
         inFlightAtReport: load.inFlight,
         reportedAt: now,
-        unreachable: 0,
-        shunnedUntil: 0,
+        ...REACHABLE,
       };
     }
     case 'unreachable': {
       const unreachable = load.unreachable + 1;
       return {...load, unreachable, shunnedUntil: now + SHUN_MS};
     }
+    case 'suspected': {
+      const unreachable = load.unreachable + 1;
+      return {...load, unreachable, suspectedUntil: now + SHUN_MS};
+    }
     case 'reachable':
-      return {...load, unreachable: 0, shunnedUntil: 0};
+      return {...load, ...REACHABLE};
   }
 }
 
@@ -173,7 +184,8 @@
   let bestMs = Infinity;
   for (const choice of choices) {
     const {load, isNear} = choice;
-    const shunnedMs = Math.max(0, load.shunnedUntil - now) * SHUN_COST;
+    const until = Math.max(load.shunnedUntil, load.suspectedUntil);
+    const shunnedMs = Math.max(0, until - now) * SHUN_COST;
     const ms = estimateMs(load, isNear, now, bodyBytes) + shunnedMs;
     if (ms < bestMs) {
       best = choice;
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -6,6 +6,7 @@
 import type {InstanceLoad, LoadEvent} from './choose.js';
 import {RELAY_EVENTS} from './events.js';
 import {HOP_HEADER, formatHop, readFailure, readLoad} from './hop.js';
+import {decideSilence, type Silence, type Liveness} from './silence.js';
 import {sendable, type Flow, type Work} from './work.js';
 
 /** How requests are forwarded to other daemons. */
@@ -14,23 +15,30 @@
   readonly peerPools: Pools;
   readonly loads: (node: string) => InstanceLoad;
   readonly observeLoad: (node: string, event: LoadEvent) => void;
-  /** Tells whether a daemon answers on a new connection. */
-  readonly probe: (node: string) => Promise<boolean>;
+  /** The service's keys are each served by one instance. */
+  readonly isKeyed: (service: string) => boolean;
+  /** Begins to ask a daemon on a new connection, unless that is under way. */
+  readonly probe: (node: string) => void;
+  /** What is known of a daemon that may be silent. */
+  readonly silence: (node: string) => Silence;
   /** Time by which the last timer of this process was late, in milliseconds. */
   readonly loopDelayMs: () => number;
   readonly log: Log;
 }
 
-/** Silence of a daemon after which it is asked whether it lives. */
-const PROBE_AFTER_MS = 400;
+/**
+ * Time after which an unanswered request is first looked at, in milliseconds;
+ * nearly all are answered by then, so that they cost one timer.
+ */
+const FIRST_LOOK_MS = 200;
 
 /** Connections to one daemon. */
 const PEER_CONNECTIONS = 128;
 
 /**
  * Forwards a request to the daemon beside an instance and passes its answer on.
- * A daemon that stays silent is asked whether it lives; one that does not answer
- * is given up.
+ * A daemon that stays silent is asked whether it lives; what follows for the
+ * request, `decideSilence` says.
  *
  * @param node Address of the daemon, as `ip:port`.
  *
@@ -52,20 +60,26 @@
   });
   if (work.body.kind === 'streamed') flow.state.consumed = true;
   let heard = false;
-  let silence: 'unconnected' | 'unanswered' | undefined;
-  let probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
-  const probe = async () => {
+  let isSent = false;
+  let silence: 'unconnected' | Liveness | undefined;
+  const isRepeatable =
+    work.repetition === 'idempotent' && work.body.kind !== 'streamed';
+  const hasChoice = !context.isKeyed(work.service);
+  const look = () => {
     if (heard) return;
-    const silentMs = context.clock() - context.loads(node).reportedAt;
-    const lives = silentMs < PROBE_AFTER_MS || (await context.probe(node));
-    if (heard) return;
-    if (lives) {
-      probing = setTimeout(() => void probe(), PROBE_AFTER_MS);
+    const known = context.silence(node);
+    const pendingMs = context.clock() - now;
+    const pending = {pendingMs, isSent, isRepeatable, hasChoice};
+    const step = decideSilence(known, pending);
+    if (step.kind === 'give-up') {
+      silence = known.liveness;
+      flow.state.giveUp?.();
       return;
     }
-    silence = 'unanswered';
-    flow.state.giveUp?.();
+    if (step.kind === 'ask') context.probe(node);
+    looking = setTimeout(look, step.ms);
   };
+  let looking = setTimeout(look, FIRST_LOOK_MS);
   const read = (head: AnswerHead) => {
     heard = true;
     const load = readLoad(head);
@@ -90,18 +104,24 @@
       body: sendable(work.body),
     },
     {
-      ready: () => true,
+      ready: () => {
+        isSent = true;
+        return true;
+      },
       judge: read,
       extend: () => {},
       unsent: error => {
-        silence ??= 'unconnected';
+        if (!silence && !flow.state.stopped) {
+          silence = 'unconnected';
+          context.probe(node);
+        }
         const message = `the daemon was not reached: ${error.message}`;
         const failure = notRun('upstream-refused', message);
         return {kind: 'failed', failure, alternative: true, free: true};
       },
       ended: () => {
         heard = true;
-        clearTimeout(probing);
+        clearTimeout(looking);
       },
     },
   );
@@ -116,7 +136,6 @@
       bodyBytes: lengthOf(work.body),
       loopDelayMs: Math.round(context.loopDelayMs()),
     });
-    context.observeLoad(node, {kind: 'unreachable'});
   }
   return attempt;
 }
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -16,6 +16,7 @@
 export * from './peers.js';
 export * from './queue.js';
 export * from './returns.js';
+export * from './silence.js';
 export * from './slots.js';
 export * from './split.js';
 export * from './work.js';
--- a/src/sidecar/ask.ts
+++ b/src/sidecar/ask.ts
@@ -1,5 +1,20 @@
 import {request} from 'node:http';
 import {parseAddress} from '../model/index.js';
+import {
+  LATE_MS,
+  UNHEARD,
+  compareOthers,
+  learnUsual,
+  observeSilence,
+  questionLimits,
+  silenceOf,
+  type Hearing,
+  type Observation,
+  type QuestionLimits,
+  type Reply,
+  type Silence,
+  type Usual,
+} from '../relay/index.js';
 
 /** Path at which a daemon tells its status. */
 export const STATUS_PATH = '/vanillaspool/status';
@@ -7,42 +22,165 @@
 /** Path, before a service's name, at which a daemon reads a map for another. */
 export const MAP_PATH = '/vanillaspool/map/';
 
+/** How a question ended, with what was answered. */
+export type Answer<T> =
+  | Exclude<Reply, {readonly kind: 'answered'}>
+  /** Without a value where the answer was none to the question. */
+  | {readonly kind: 'answered'; readonly tookMs: number; readonly value?: T};
+
+/** Result of a question, and by how much the timer that ended it was late. */
+interface Result<T> {
+  readonly answer: Answer<T>;
+  readonly lateMs: number;
+}
+
 /**
  * Asks another daemon on a connection of its own, so that the answer tells
- * whether new connections work.
- *
- * @returns undefined when it does not answer in time.
+ * whether new connections work. Where the timer of the limit is late, what has
+ * arrived meanwhile was not read yet, so the limit counts anew, once.
  *
  * @example
- * const status = await askDaemon<Status>('10.1.0.8:7620', STATUS_PATH, 700);
+ * const limits = {connectMs: 300, answerMs: 1200};
+ * const {answer} = await question<Status>('10.1.0.8:7620', STATUS_PATH, limits);
  */
-export function askDaemon<T>(
+export function question<T>(
   node: string,
   path: string,
-  timeoutMs: number,
-): Promise<T | undefined> {
+  limits: QuestionLimits,
+): Promise<Result<T>> {
   const {host, port} = parseAddress(node);
+  const startedAt = performance.now();
   return new Promise(resolve => {
-    const timer = setTimeout(() => end(undefined), timeoutMs);
+    let isConnected = false;
+    let isAnew = false;
+    let timer: NodeJS.Timeout;
+    const limitAt = (dueAt: number) => {
+      timer = setTimeout(() => over(dueAt), dueAt - performance.now());
+    };
+    const over = (dueAt: number) => {
+      const now = performance.now();
+      const lateMs = now - dueAt;
+      if (isAnew || lateMs < LATE_MS) {
+        end({kind: isConnected ? 'unanswered' : 'unconnected'}, lateMs);
+        return;
+      }
+      isAnew = true;
+      limitAt(now + (isConnected ? limits.answerMs : limits.connectMs));
+    };
     const call = request({host, port, path, agent: false}, response => {
       const parts: Buffer[] = [];
       response.on('data', (part: Buffer) => parts.push(part));
-      response.on('error', () => end(undefined));
+      response.on('error', () => end({kind: 'refused'}));
       response.on('end', () => {
         const isWhole = response.complete && response.statusCode === 200;
-        end(isWhole ? parse<T>(Buffer.concat(parts)) : undefined);
+        const value = isWhole ? parse<T>(Buffer.concat(parts)) : undefined;
+        const tookMs = performance.now() - startedAt;
+        end({kind: 'answered', tookMs, value});
       });
     });
-    const end = (value: T | undefined) => {
+    const end = (answer: Answer<T>, lateMs = 0) => {
       clearTimeout(timer);
-      resolve(value);
+      resolve({answer, lateMs});
       call.destroy();
     };
-    call.on('error', () => end(undefined));
+    call.on('socket', socket => {
+      socket.once('connect', () => {
+        isConnected = true;
+        clearTimeout(timer);
+        const readMs = performance.now() + limits.connectMs;
+        limitAt(Math.max(startedAt + limits.answerMs, readMs));
+      });
+    });
+    call.on('error', (error: NodeJS.ErrnoException) => {
+      const isRefused = REFUSALS.has(error.code ?? '');
+      end({kind: isRefused ? 'refused' : 'unconnected'});
+    });
+    limitAt(startedAt + limits.connectMs);
     call.end();
   });
 }
 
+/** Errors by which the other machine says that nobody takes a connection. */
+const REFUSALS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
+
+/**
+ * Asks another daemon once.
+ *
+ * @returns undefined when it does not answer in time.
+ *
+ * @example
+ * const status = await askDaemon<Status>('10.1.0.8:7620', STATUS_PATH, 700);
+ */
+export async function askDaemon<T>(
+  node: string,
+  path: string,
+  timeoutMs: number,
+): Promise<T | undefined> {
+  const limits = {connectMs: timeoutMs, answerMs: timeoutMs};
+  const {answer} = await question<T>(node, path, limits);
+  return answer.kind === 'answered' ? answer.value : undefined;
+}
+
+/** What a daemon hears of the others. */
+export interface Listener<T> {
+  /**
+   * Asks a daemon for its status; a question that is under way is shared.
+   *
+   * @returns undefined when it does not answer.
+   */
+  readonly ask: (node: string) => Promise<T | undefined>;
+  /** Tells that a daemon has answered a request. */
+  readonly heard: (node: string) => void;
+  /** What is known now of a daemon that may be silent. */
+  readonly silence: (node: string) => Silence;
+}
+
+/**
+ * Creates what keeps in mind which daemons answer, and how soon.
+ *
+ * @param node Address of the own daemon, which tells nothing of the network.
+ *
+ * @example
+ * const listener = createListener<Status>('10.1.0.8:7620');
+ * listener.silence('10.1.0.9:7620').liveness; // 'heard'
+ */
+export function createListener<T>(node: string): Listener<T> {
+  const hearings = new Map<string, Hearing>();
+  const questions = new Map<string, Promise<T | undefined>>();
+  let all: Usual | undefined;
+
+  const hearingOf = (peer: string) => hearings.get(peer) ?? UNHEARD;
+  const observe = (peer: string, observation: Observation) => {
+    if (peer === node) return;
+    const now = performance.now();
+    hearings.set(peer, observeSilence(hearingOf(peer), observation, now));
+  };
+
+  const askNow = async (peer: string) => {
+    const limits = questionLimits(hearingOf(peer), all, performance.now());
+    observe(peer, {kind: 'asked'});
+    const {answer, lateMs} = await question<T>(peer, STATUS_PATH, limits);
+    const now = performance.now();
+    const observer = {...compareOthers(hearings, peer, now), lateMs};
+    observe(peer, {kind: 'ended', reply: answer, observer});
+    if (answer.kind !== 'answered') return undefined;
+    if (peer !== node) all = learnUsual(all, answer.tookMs, now);
+    return answer.value;
+  };
+
+  return {
+    ask: peer => {
+      const running = questions.get(peer);
+      if (running) return running;
+      const asked = askNow(peer).finally(() => questions.delete(peer));
+      questions.set(peer, asked);
+      return asked;
+    },
+    heard: peer => observe(peer, {kind: 'heard'}),
+    silence: peer => silenceOf(hearingOf(peer), performance.now()),
+  };
+}
+
 function parse<T>(bytes: Buffer): T | undefined {
   try {
     return JSON.parse(bytes.toString()) as T;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -36,12 +36,13 @@
   type LoadEvent,
   type RoutedConfiguration,
   type SplitState,
+  type Liveness,
 } from '../relay/index.js';
 import {notRun} from '../model/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
 import {breakOff, createPools} from '../upstream/index.js';
-import {MAP_PATH, STATUS_PATH, askDaemon} from './ask.js';
+import {MAP_PATH, STATUS_PATH, askDaemon, createListener} from './ask.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {createKeeper, type Keeper} from './keeper.js';
 import {readOwnMap} from './maps.js';
@@ -88,8 +89,13 @@
 /** Longest hold of a key; the settings may bound it further. */
 const HOLD_MS = 5000;
 
-/** Time limit of a question to another daemon, in milliseconds. */
-const ASK_TIMEOUT_MS = 400;
+/** What the silence of a daemon means for the choice of an instance. */
+const LIVENESS_EVENTS = {
+  heard: 'reachable',
+  late: 'suspected',
+  dark: 'unreachable',
+  refused: 'unreachable',
+} as const satisfies Readonly<Record<Liveness, LoadEvent['kind']>>;
 
 /** Time limit of a read of the store through another daemon. */
 const RELAY_TIMEOUT_MS = 300;
@@ -97,6 +103,12 @@
 /** Interval between two questions to a daemon that did not answer. */
 const RETURN_INTERVAL_MS = 400;
 
+/** Questions that tell a lost packet, or one connection refused, from a loss. */
+const QUESTIONS = 2;
+
+/** Pause between them, in which a listening daemon takes what it has. */
+const QUESTION_PAUSE_MS = 50;
+
 /** Interval between two looks at what falls due, in milliseconds. */
 const KEEPER_INTERVAL_MS = 500;
 const PLANNER_INTERVAL_MS = 1000;
@@ -181,7 +193,7 @@
   const splits = new Map<string, SplitState>();
   const loads = new Map<string, InstanceLoad>();
   const budgets = new Map<string, RetryBudget>();
-  const probes = new Map<string, Promise<boolean>>();
+  const probes = new Set<string>();
 
   const reportError = (error: unknown) => {
     const message = (error as Error).stack ?? String(error);
@@ -249,23 +261,32 @@
     },
   });
 
-  const ask = (peer: string) =>
-    askDaemon<Status>(peer, STATUS_PATH, ASK_TIMEOUT_MS);
+  const {ask, heard, silence} = createListener<Status>(node);
   const planner = createPlanner({...access, ask});
 
-  const probe = (peer: string) => {
-    const running = probes.get(peer);
-    if (running) return running;
-    const asked = ask(peer).then(status => status !== undefined);
-    probes.set(peer, asked);
-    void asked.finally(() => probes.delete(peer));
-    return asked;
+  /** Asks a daemon until it is plain whether it is lost. */
+  const pursue = async (peer: string) => {
+    for (let asked = 0; asked < QUESTIONS; asked++) {
+      if (asked > 0) await sleep(QUESTION_PAUSE_MS);
+      await ask(peer);
+      const {liveness} = silence(peer);
+      observeLoad(peer, {kind: LIVENESS_EVENTS[liveness]});
+      if (liveness !== 'late') return;
+    }
+  };
+
+  const probe = async (peer: string) => {
+    if (probes.has(peer)) return;
+    probes.add(peer);
+    await pursue(peer).finally(() => probes.delete(peer));
   };
 
   const observeLoad = (peer: string, event: LoadEvent) => {
     const before = loads.get(peer) ?? UNKNOWN_LOAD;
-    loads.set(peer, applyLoadEvent(before, event, clock()));
-    const isFirst = event.kind === 'unreachable' && before.unreachable === 0;
+    const after = applyLoadEvent(before, event, clock());
+    loads.set(peer, after);
+    if (event.kind === 'reported') heard(peer);
+    const isFirst = before.unreachable === 0 && after.unreachable > 0;
     if (isFirst) guard(awaitReturn(peer));
   };
 
@@ -273,10 +294,8 @@
   const awaitReturn = async (peer: string) => {
     while (!controller.signal.aborted && view.members.has(peer)) {
       await sleep(RETURN_INTERVAL_MS);
-      const load = loads.get(peer);
-      if (!load || load.unreachable === 0) return;
-      const answers = await probe(peer);
-      observeLoad(peer, {kind: answers ? 'reachable' : 'unreachable'});
+      if ((loads.get(peer)?.unreachable ?? 0) === 0) return;
+      await probe(peer);
     }
   };
 
@@ -336,7 +355,8 @@
     countRequest: service => {
       budgets.set(service, countForwarded(budgetOf(service)));
     },
-    probe,
+    probe: peer => guard(probe(peer)),
+    silence,
     ended: ended => options.ended?.(ended),
   };
   const peersContext = {
--- /dev/null
+++ b/test/relay/silence.test.ts
@@ -0,0 +1,222 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  UNHEARD,
+  applyLoadEvent,
+  chooseInstance,
+  UNKNOWN_LOAD,
+  compareOthers,
+  decideSilence,
+  learnUsual,
+  observeSilence,
+  questionLimits,
+  type Hearing,
+  type Pending,
+  type Reply,
+  type Silence,
+} from '../../src/relay/index.js';
+
+const WELL = {heard: 8, waiting: 1, lateMs: 0};
+
+/** Asks once at a time, and gets a reply after the time that it is waited for. */
+function askOnce(
+  hearing: Hearing,
+  kind: 'refused' | 'unconnected' | 'unanswered',
+  now: number,
+  observer = WELL,
+): {hearing: Hearing; now: number} {
+  const asked = observeSilence(hearing, {kind: 'asked'}, now);
+  const {connectMs, answerMs} = questionLimits(hearing, undefined, now);
+  const waitMs = {refused: 1, unconnected: connectMs, unanswered: answerMs};
+  const end = now + waitMs[kind];
+  const reply: Reply = {kind};
+  const ended = observeSilence(asked, {kind: 'ended', reply, observer}, end);
+  return {hearing: ended, now: end};
+}
+
+/** Asks several times in a row. */
+function askAll(
+  kinds: readonly ('refused' | 'unconnected' | 'unanswered')[],
+  observer = WELL,
+): {hearing: Hearing; now: number} {
+  return kinds.reduce(
+    (at, kind) => askOnce(at.hearing, kind, at.now, observer),
+    {hearing: UNHEARD, now: 0},
+  );
+}
+
+const PENDING: Pending = {
+  pendingMs: 900,
+  isSent: true,
+  isRepeatable: false,
+  hasChoice: true,
+};
+
+const silent = (liveness: Silence['liveness']): Silence => ({
+  liveness,
+  quietMs: 900,
+  silentMs: 500,
+});
+
+test('a machine that takes no connections is lost within a second of questions', t => {
+  const {hearing, now} = askAll(['unconnected', 'unconnected']);
+  t.is(hearing.liveness, 'dark');
+  t.true(now <= 1000);
+});
+
+test('one lost packet or one refusal does not make a daemon lost', t => {
+  t.is(askAll(['unconnected']).hearing.liveness, 'late');
+  t.is(askAll(['refused']).hearing.liveness, 'late');
+  t.is(askAll(['refused', 'refused']).hearing.liveness, 'refused');
+});
+
+test('a daemon whose machine takes connections is never taken for dark', t => {
+  const kinds = ['unanswered', 'unanswered', 'unanswered', 'unanswered'];
+  const {hearing} = askAll(kinds as 'unanswered'[]);
+  t.is(hearing.liveness, 'late');
+  const back = askAll(['unconnected', 'unconnected', 'unanswered']).hearing;
+  t.is(back.liveness, 'late');
+});
+
+test('an observer in trouble accuses nobody by silence', t => {
+  const troubles = [
+    {heard: 0, waiting: 2, lateMs: 0},
+    {heard: 8, waiting: 1, lateMs: 300},
+  ];
+  for (const trouble of troubles) {
+    const {hearing} = askAll(Array(5).fill('unconnected'), trouble);
+    t.is(hearing.liveness, 'heard');
+    const refused = askAll(['refused', 'refused'], trouble).hearing;
+    t.is(refused.liveness, 'refused');
+  }
+});
+
+test('of daemons that fall silent at once none is accused, of one among many it is', t => {
+  const asked = observeSilence(UNHEARD, {kind: 'asked'}, 100);
+  const heard = observeSilence(UNHEARD, {kind: 'heard'}, 300);
+  const before = observeSilence(UNHEARD, {kind: 'heard'}, 50);
+  const all = new Map([
+    ['a', asked],
+    ['b', asked],
+    ['c', asked],
+    ['d', before],
+  ]);
+  t.deepEqual(compareOthers(all, 'a', 400), {heard: 0, waiting: 2});
+  const one = new Map([
+    ['a', asked],
+    ['b', heard],
+    ['c', heard],
+  ]);
+  t.deepEqual(compareOthers(one, 'a', 400), {heard: 2, waiting: 0});
+});
+
+test('a known loss does not count as a trouble of the observer', t => {
+  const {hearing, now} = askAll(['unconnected', 'unconnected']);
+  const asked = observeSilence(UNHEARD, {kind: 'asked'}, now);
+  const all = new Map([
+    ['lost', hearing],
+    ['gone', hearing],
+    ['next', asked],
+  ]);
+  t.is(compareOthers(all, 'next', now + 10).waiting, 0);
+});
+
+test('an answer to any request ends a suspicion', t => {
+  const {hearing, now} = askAll(['unconnected', 'unconnected']);
+  const back = observeSilence(hearing, {kind: 'heard'}, now + 1);
+  t.is(back.liveness, 'heard');
+  // What began before the answer tells nothing after it.
+  const asked = observeSilence(UNHEARD, {kind: 'asked'}, 0);
+  const answered = observeSilence(asked, {kind: 'heard'}, 200);
+  const reply: Reply = {kind: 'unconnected'};
+  const ended = {kind: 'ended', reply, observer: WELL} as const;
+  t.is(observeSilence(answered, ended, 300).liveness, 'heard');
+});
+
+test('where answers are slow now, they are waited for longer', t => {
+  const quick = learnUsual(undefined, 20, 0);
+  t.is(questionLimits(UNHEARD, quick, 10).connectMs, 300);
+  const slow = learnUsual(learnUsual(undefined, 500, 0), 700, 10);
+  const own = {...UNHEARD, usual: slow};
+  t.true(questionLimits(own, quick, 20).connectMs > 700);
+  t.true(questionLimits(UNHEARD, slow, 20).connectMs > 700);
+  t.is(questionLimits(own, slow, 60_000).connectMs, 300);
+});
+
+test('a request that may run only once is not broken off on a suspicion', t => {
+  for (const liveness of ['heard', 'late', 'dark'] as const) {
+    t.not(decideSilence(silent(liveness), PENDING).kind, 'give-up');
+  }
+  t.is(decideSilence(silent('refused'), PENDING).kind, 'give-up');
+});
+
+test('what can run elsewhere is given up when its daemon is late', t => {
+  const unsent = {...PENDING, isSent: false};
+  const repeatable = {...PENDING, isRepeatable: true};
+  for (const pending of [unsent, repeatable]) {
+    t.is(decideSilence(silent('late'), pending).kind, 'give-up');
+    const keyed = {...pending, hasChoice: false};
+    t.not(decideSilence(silent('late'), keyed).kind, 'give-up');
+    t.is(decideSilence(silent('dark'), keyed).kind, 'give-up');
+    const young = {...pending, pendingMs: 200};
+    t.is(decideSilence(silent('late'), young).kind, 'wait');
+  }
+});
+
+test('a daemon is not asked while answers arrive from it', t => {
+  const heard = {...silent('heard'), quietMs: 100};
+  t.deepEqual(decideSilence(heard, PENDING), {kind: 'wait', ms: 300});
+  t.is(decideSilence(silent('heard'), PENDING).kind, 'ask');
+});
+
+test('a late instance is passed over where there is a choice, and comes back', t => {
+  const late = applyLoadEvent(UNKNOWN_LOAD, {kind: 'suspected'}, 0);
+  t.is(late.shunnedUntil, 0);
+  const choice = (node: string, load = UNKNOWN_LOAD) => ({
+    node,
+    isNear: node === 'late',
+    load,
+  });
+  const choices = [choice('late', late), choice('other')];
+  t.is(chooseInstance(choices, 1)?.node, 'other');
+  const back = applyLoadEvent(late, {kind: 'reachable'}, 2);
+  t.is(
+    chooseInstance([choice('late', back), choice('other')], 2)?.node,
+    'late',
+  );
+});
+
+test('nothing but two refusals or two missing connections makes a loss', t => {
+  const reply = fc.oneof(
+    fc.constant<Reply>({kind: 'refused'}),
+    fc.constant<Reply>({kind: 'unconnected'}),
+    fc.constant<Reply>({kind: 'unanswered'}),
+    fc.nat(900).map((tookMs): Reply => ({kind: 'answered', tookMs})),
+  );
+  const replies = fc.array(reply, {maxLength: 12});
+  fc.assert(
+    fc.property(replies, all => {
+      let hearing = UNHEARD;
+      let sinceAlive: string[] = [];
+      for (const [turn, reply] of all.entries()) {
+        const now = turn * 2000;
+        hearing = observeSilence(hearing, {kind: 'asked'}, now);
+        const ended = {kind: 'ended', reply, observer: WELL} as const;
+        hearing = observeSilence(hearing, ended, now + 1000);
+        const isAlive =
+          reply.kind === 'answered' || reply.kind === 'unanswered';
+        sinceAlive = isAlive ? [] : [...sinceAlive, reply.kind];
+        const {liveness} = hearing;
+        if (liveness !== 'dark' && liveness !== 'refused') continue;
+        const kind = liveness === 'dark' ? 'unconnected' : 'refused';
+        const pairs = sinceAlive.some(
+          (one, at) => one === kind && sinceAlive[at + 1] === kind,
+        );
+        if (!pairs) return false;
+      }
+      return true;
+    }),
+    {seed: 15, numRuns: 500},
+  );
+  t.pass();
+});
--- /dev/null
+++ b/test/sidecar/silence.test.ts
@@ -0,0 +1,107 @@
+import test from 'ava';
+import {ask, startFleet, type TestFleet} from './fixture.js';
+import {startPeer} from './peer.js';
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Time in which the daemons of a test hear of a registration. */
+const LEARN_MS = 200;
+
+/** Keeps the event loop of this process busy. */
+function block(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
+test('a request at a daemon that is late is answered, not broken off', async t => {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const late = {questionMs: 900, requestMs: 900};
+  const peer = await startPeer(fleet.store, 'desk', late);
+  t.teardown(peer.close);
+  await pause(LEARN_MS);
+  const [{callers}] = fleet.pairs;
+  const answers = await Promise.all(
+    [1, 2, 3].map(() => ask(callers, 'POST', '/book/x')),
+  );
+  t.deepEqual(
+    answers.map(({status}) => status),
+    [200, 200, 200],
+  );
+});
+
+test('a daemon whose own loop stood still takes no other for lost', async t => {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const manner = {questionMs: 150, requestMs: 1250};
+  const peer = await startPeer(fleet.store, 'desk', manner);
+  t.teardown(peer.close);
+  await pause(LEARN_MS);
+  const asked = ask(fleet.pairs[0].callers, 'POST', '/book/x');
+  // The question is under way by then, and answered while the loop stands.
+  await pause(470);
+  // After a check the loop sees to its timers before it reads what has arrived.
+  setImmediate(block, 700);
+  t.is((await asked).status, 200);
+});
+
+/** Gives a peer the upper half of the keys of `stock`. */
+function shareKeys(fleet: TestFleet, peer: {node: string; id: string}): void {
+  const map = fleet.store.read('fleet', 'ranges.stock') as {
+    fence: number;
+    terms: {from: number; to: number}[];
+  };
+  const last = map.terms[map.terms.length - 1];
+  const middle = (last.from + last.to) >> 1;
+  const fence = map.fence + 1;
+  const holder = {node: peer.node, id: peer.id, born: 7};
+  const term = {from: middle + 1, to: last.to, fence, holder};
+  fleet.store.write('fleet', 'ranges.stock', {
+    fence,
+    terms: [
+      ...map.terms.slice(0, -1),
+      {...last, to: middle},
+      {...term, state: 'held', handover: ''},
+    ],
+  });
+}
+
+for (const manner of [{}, {isDark: true}, {isMute: true}]) {
+  const name = Object.keys(manner)[0] ?? 'gone';
+  test(`requests soon pass a lost daemon by: ${name}`, async t => {
+    const fleet = await startFleet(['stock', 'desk']);
+    t.teardown(fleet.close);
+    const peer = await startPeer(fleet.store, 'desk', manner);
+    t.teardown(peer.close);
+    await pause(LEARN_MS);
+    if (name === 'gone') await peer.close();
+    const [{callers}] = fleet.pairs;
+    const turn = () =>
+      Promise.all(
+        Array.from({length: 8}, () => ask(callers, 'POST', '/book/x')),
+      );
+    // What was sent before the loss is known may fail.
+    await turn();
+    await turn();
+    const later = await turn();
+    t.true(later.every(({status}) => status === 200));
+  });
+}
+
+test('keys of a lost daemon are refused as not run, in time', async t => {
+  const fleet = await startFleet(['stock', 'stock']);
+  t.teardown(fleet.close);
+  const peer = await startPeer(fleet.store, 'stock', {isDark: true});
+  t.teardown(peer.close);
+  await pause(LEARN_MS);
+  shareKeys(fleet, peer);
+  await pause(LEARN_MS);
+  const [{callers}] = fleet.pairs;
+  const answers = await Promise.all(
+    [1, 2, 3].map(() => ask(callers, 'GET', '/view/x', 65_535)),
+  );
+  t.deepEqual(
+    answers.map(({status}) => status),
+    [503, 503, 503],
+  );
+});
