Revoke the keys only of members that are silent for others' reasons

Cause: three questions without an answer in 400 ms each were taken for the loss of a member. A planner whose own link or loop was busy did so too, as long as more than half answered.

Change: the planner judges by the same evidence as the request path (src/relay/silence.ts), which counts silence only while the observer is well: a member is lost two seconds after the first of its refused or missing connections, three questions a second apart as before, and one that takes connections but answers nothing after five. A member that is silent already is still asked, but the plan doesn't wait for it.

Measured, test/sidecar/silence.test.ts: a member that answers questions after 600 ms was revoked within 7 s before, and is not after.

The first test failed on the code before; the others guard that real losses are still found.

--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -331,3 +331,22 @@
   }
   return {kind: 'wait', ms: Math.max(1, ASK_AFTER_MS - quietMs)};
 }
+
+/**
+ * Silence after which a member is lost, in milliseconds: three questions a
+ * second apart, the interval of plans. A process that stands still behind a
+ * kernel that answers is let be for as long as its keys are held without it.
+ */
+const LOST_MS = {lost: 2000, late: 5000};
+
+/**
+ * Tells whether a member is silent for so long that its keys are given to
+ * others.
+ *
+ * @example
+ * isLost(silenceOf(UNHEARD, performance.now())); // false
+ */
+export function isLost({liveness, silentMs}: Silence): boolean {
+  if (liveness === 'heard') return false;
+  return silentMs >= (liveness === 'late' ? LOST_MS.late : LOST_MS.lost);
+}
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -19,6 +19,7 @@
   type RangeMap,
   type RangeTerm,
 } from '../ranges/index.js';
+import {isLost, type Silence} from '../relay/index.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {holdBoundMs} from './keeper.js';
 import {changeMap, type MapAccess} from './maps.js';
@@ -47,6 +48,8 @@
   readonly holdMs: number;
   /** Asks the daemon of a member; undefined when it does not answer. */
   readonly ask: (node: string) => Promise<Status | undefined>;
+  /** What is known of a daemon that may be silent. */
+  readonly silence: (node: string) => Silence;
 }
 
 /** Plans the keys of one service. */
@@ -55,9 +58,6 @@
   readonly tick: (service: string) => Promise<void>;
 }
 
-/** Unanswered questions in a row after which a member is taken to be lost. */
-const LOST_AFTER = 3;
-
 /** Daemons that take over when the first ones do not answer. */
 const STANDBYS = 3;
 
@@ -76,11 +76,6 @@
 /** Capacity of a member that was not asked yet, in requests a second. */
 const DEFAULT_CAPACITY = 80;
 
-interface Known {
-  readonly status?: Status;
-  readonly missed: number;
-}
-
 /**
  * Creates a planner. Of the daemons of a service the first one that answers
  * plans; a conditional write keeps two planners from harm.
@@ -91,22 +86,22 @@
  */
 export function createPlanner(context: PlannerContext): Planner {
   const {node, clock, log} = context;
-  const known = new Map<string, Known>();
+  const known = new Map<string, Status>();
   /** When this process first saw each revocation. */
   const revokedAt = new Map<string, number>();
   let membership = '';
   let settledAt = clock();
   let balancedAt = clock();
 
+  /** Asks a member; one that is silent already is not waited for. */
   const ask = async (member: Member) => {
-    const status = await context.ask(member.node);
-    const missed = status ? 0 : (known.get(member.node)?.missed ?? 0) + 1;
-    const last = status ?? known.get(member.node)?.status;
-    known.set(member.node, {status: last, missed});
+    const asked = context.ask(member.node).then(status => {
+      if (status) known.set(member.node, status);
+    });
+    if (context.silence(member.node).liveness === 'heard') await asked;
   };
 
-  const isLost = ({node}: Member) =>
-    (known.get(node)?.missed ?? 0) >= LOST_AFTER;
+  const isLostMember = ({node}: Member) => isLost(context.silence(node));
 
   /** Tells whether this daemon is the first of the service that answers. */
   const plans = async (members: readonly Member[]) => {
@@ -115,17 +110,17 @@
     if (rank < 0 || rank > STANDBYS) return false;
     for (const member of ranked.slice(0, rank)) {
       await ask(member);
-      if (!isLost(member)) return false;
+      if (!isLostMember(member)) return false;
     }
     return true;
   };
 
   const candidatesOf = (members: readonly Member[]): readonly Candidate[] =>
     members
-      .filter(member => isOpen(member) && !isLost(member))
-      .filter(member => !known.get(member.node)?.status?.silent)
+      .filter(member => isOpen(member) && !isLostMember(member))
+      .filter(member => !known.get(member.node)?.silent)
       .map(member => {
-        const status = known.get(member.node)?.status;
+        const status = known.get(member.node);
         const current = status?.id === member.id ? status : undefined;
         const capacity = current?.capacity ?? DEFAULT_CAPACITY;
         return {life: lifeOf(member), capacity};
@@ -180,7 +175,7 @@
   ): RangeMap => {
     const isCandidate = (life: Incarnation | undefined) =>
       candidates.some(candidate => sameLife(candidate.life, life));
-    const lost = members.filter(isLost);
+    const lost = members.filter(isLostMember);
     let next = map;
     for (const member of lost) next = revoke(next, lifeOf(member));
     for (const {holder, revocation} of due) {
@@ -204,13 +199,11 @@
     if (!(await plans(members.filter(isOpen)))) return;
     const others = members.filter(member => member.state !== 'left');
     await Promise.all(others.map(ask));
-    const reached = others.filter(member => !isLost(member)).length;
+    const reached = others.filter(member => !isLostMember(member)).length;
     if (reached * 2 <= others.length) return;
     const candidates = candidatesOf(members);
     if (candidates.length === 0) return;
-    const heat = sumHeat(
-      others.map(m => known.get(m.node)?.status?.heat ?? []),
-    );
+    const heat = sumHeat(others.map(m => known.get(m.node)?.heat ?? []));
     const map = context.view().maps.get(service)?.value ?? EMPTY_MAP;
     if (map.terms.length === 0) {
       if (!isSettled(members)) return;
@@ -218,7 +211,7 @@
       return;
     }
     const due = expired(map);
-    for (const member of others.filter(isLost)) {
+    for (const member of others.filter(isLostMember)) {
       const held = (term: RangeTerm) =>
         term.state !== 'revoked' && sameLife(term.holder, lifeOf(member));
       if (!map.terms.some(held)) continue;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -262,7 +262,7 @@
   });
 
   const {ask, heard, silence} = createListener<Status>(node);
-  const planner = createPlanner({...access, ask});
+  const planner = createPlanner({...access, ask, silence});
 
   /** Asks a daemon until it is plain whether it is lost. */
   const pursue = async (peer: string) => {
--- a/test/relay/silence.test.ts
+++ b/test/relay/silence.test.ts
@@ -7,9 +7,11 @@
   UNKNOWN_LOAD,
   compareOthers,
   decideSilence,
+  isLost,
   learnUsual,
   observeSilence,
   questionLimits,
+  silenceOf,
   type Hearing,
   type Pending,
   type Reply,
@@ -86,6 +88,7 @@
   for (const trouble of troubles) {
     const {hearing} = askAll(Array(5).fill('unconnected'), trouble);
     t.is(hearing.liveness, 'heard');
+    t.false(isLost(silenceOf(hearing, 60_000)));
     const refused = askAll(['refused', 'refused'], trouble).hearing;
     t.is(refused.liveness, 'refused');
   }
@@ -186,6 +189,14 @@
   );
 });
 
+test('keys are taken only after a silence of seconds', t => {
+  const dark = {...silent('dark'), silentMs: 1500};
+  t.false(isLost(dark));
+  t.true(isLost({...dark, silentMs: 2500}));
+  t.false(isLost({...silent('late'), silentMs: 2500}));
+  t.false(isLost({...silent('heard'), silentMs: 60_000}));
+});
+
 test('nothing but two refusals or two missing connections makes a loss', t => {
   const reply = fc.oneof(
     fc.constant<Reply>({kind: 'refused'}),
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {ask, startFleet, type TestFleet} from './fixture.js';
+import {SIDECAR_EVENTS} from '../../src/sidecar/index.js';
+import {ask, startFleet, until, type TestFleet} from './fixture.js';
 import {startPeer} from './peer.js';
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
@@ -66,6 +67,40 @@
   });
 }
 
+const isTakenForLost = (fleet: TestFleet, upstream: string) =>
+  fleet.pairs.some(({events}) =>
+    events.some(
+      ([kind, fields]) =>
+        kind === SIDECAR_EVENTS.memberLost && fields.upstream === upstream,
+    ),
+  );
+
+test('a holder whose daemon answers late keeps its keys', async t => {
+  const fleet = await startFleet(['stock', 'stock']);
+  t.teardown(fleet.close);
+  const peer = await startPeer(fleet.store, 'stock', {questionMs: 600});
+  t.teardown(peer.close);
+  await pause(LEARN_MS);
+  shareKeys(fleet, peer);
+  await pause(7000);
+  t.false(isTakenForLost(fleet, peer.id));
+});
+
+for (const manner of [{}, {isDark: true}, {isMute: true}]) {
+  const name = Object.keys(manner)[0] ?? 'gone';
+  test(`a holder whose daemon is lost loses its keys: ${name}`, async t => {
+    const fleet = await startFleet(['stock', 'stock']);
+    t.teardown(fleet.close);
+    const peer = await startPeer(fleet.store, 'stock', manner);
+    t.teardown(peer.close);
+    await pause(LEARN_MS);
+    shareKeys(fleet, peer);
+    if (name === 'gone') await peer.close();
+    await until(() => isTakenForLost(fleet, peer.id));
+    t.pass();
+  });
+}
+
 for (const manner of [{}, {isDark: true}, {isMute: true}]) {
   const name = Object.keys(manner)[0] ?? 'gone';
   test(`requests soon pass a lost daemon by: ${name}`, async t => {
