Refuse the keys of a daemon that stands still as not run

Cause: one class for a daemon whose answer is late and for one that answers nothing.

Change: two questions in a row whose connection was taken and that had no answer in a second each, nor any request meanwhile, while others do answer, mean that the process stands still. New requests pass it by, keys are refused as not run until it answers, and idempotent or unsent requests are given up. A request that may run only once still waits, as the process may go on. The keys move after five seconds, as before this change.

The test in test/sidecar/silence.test.ts failed before: the fourth answer was 504.

--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -13,10 +13,11 @@
  *
  * - `heard`: nothing speaks against it.
  * - `late`: others answer sooner; it is passed over where there is a choice.
+ * - `still`: its machine takes connections, and nothing answers on them.
  * - `dark`: its machine takes no connections, while others do.
  * - `refused`: its machine says that nobody listens; the process has ended.
  */
-export type Liveness = 'heard' | 'late' | 'dark' | 'refused';
+export type Liveness = 'heard' | 'late' | 'still' | 'dark' | 'refused';
 
 /** How long answers take, as a moving mean and a moving deviation. */
 export interface Usual {
@@ -139,14 +140,21 @@
   return {...hearing, against, times, silentSince, liveness};
 }
 
+/** What each reply proves when it is given several times in a row. */
+const PROOFS = {
+  refused: 'refused',
+  unconnected: 'dark',
+  unanswered: 'still',
+} as const;
+
 /** A lost machine stays so until it takes a connection. */
 function livenessOf(
   before: Liveness,
   against: Exclude<Reply['kind'], 'answered'>,
   times: number,
 ): Liveness {
+  if (times >= PROOF_TIMES) return PROOFS[against];
   if (against === 'unanswered') return 'late';
-  if (times >= PROOF_TIMES) return against === 'refused' ? 'refused' : 'dark';
   return before === 'heard' ? 'late' : before;
 }
 
@@ -255,7 +263,7 @@
   ] of hearings) {
     if (other === node) continue;
     if (heardAt >= since) heard += 1;
-    else if (liveness === 'dark' || liveness === 'refused') continue;
+    else if (liveness !== 'heard' && liveness !== 'late') continue;
     else if (isAsked || (against && now - askedAt < RECENT_MS)) waiting += 1;
   }
   return {heard, waiting};
@@ -323,7 +331,8 @@
   const {isSent, isRepeatable, hasChoice, pendingMs} = pending;
   const isFree = !isSent || isRepeatable;
   if (liveness === 'refused') return {kind: 'give-up'};
-  if (liveness === 'dark' && isFree) return {kind: 'give-up'};
+  const isGone = liveness === 'dark' || liveness === 'still';
+  if (isGone && isFree) return {kind: 'give-up'};
   const quietMs = Math.min(pendingMs, silence.quietMs);
   if (quietMs >= ASK_AFTER_MS) {
     const isElsewhere = liveness === 'late' && isFree && hasChoice;
@@ -337,7 +346,7 @@
  * second apart, the interval of plans. A process that stands still behind a
  * kernel that answers is let be for as long as its keys are held without it.
  */
-const LOST_MS = {lost: 2000, late: 5000};
+const LOST_MS = {lost: 2000, standing: 5000};
 
 /**
  * Tells whether a member is silent for so long that its keys are given to
@@ -348,5 +357,6 @@
  */
 export function isLost({liveness, silentMs}: Silence): boolean {
   if (liveness === 'heard') return false;
-  return silentMs >= (liveness === 'late' ? LOST_MS.late : LOST_MS.lost);
+  const isLikely = liveness === 'dark' || liveness === 'refused';
+  return silentMs >= (isLikely ? LOST_MS.lost : LOST_MS.standing);
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -93,6 +93,7 @@
 const LIVENESS_EVENTS = {
   heard: 'reachable',
   late: 'suspected',
+  still: 'unreachable',
   dark: 'unreachable',
   refused: 'unreachable',
 } as const satisfies Readonly<Record<Liveness, LoadEvent['kind']>>;
--- a/test/relay/silence.test.ts
+++ b/test/relay/silence.test.ts
@@ -73,9 +73,9 @@
 });
 
 test('a daemon whose machine takes connections is never taken for dark', t => {
-  const kinds = ['unanswered', 'unanswered', 'unanswered', 'unanswered'];
-  const {hearing} = askAll(kinds as 'unanswered'[]);
-  t.is(hearing.liveness, 'late');
+  t.is(askAll(['unanswered']).hearing.liveness, 'late');
+  const still = askAll(['unanswered', 'unanswered', 'unanswered']).hearing;
+  t.is(still.liveness, 'still');
   const back = askAll(['unconnected', 'unconnected', 'unanswered']).hearing;
   t.is(back.liveness, 'late');
 });
@@ -147,7 +147,7 @@
 });
 
 test('a request that may run only once is not broken off on a suspicion', t => {
-  for (const liveness of ['heard', 'late', 'dark'] as const) {
+  for (const liveness of ['heard', 'late', 'still', 'dark'] as const) {
     t.not(decideSilence(silent(liveness), PENDING).kind, 'give-up');
   }
   t.is(decideSilence(silent('refused'), PENDING).kind, 'give-up');
@@ -161,6 +161,7 @@
     const keyed = {...pending, hasChoice: false};
     t.not(decideSilence(silent('late'), keyed).kind, 'give-up');
     t.is(decideSilence(silent('dark'), keyed).kind, 'give-up');
+    t.is(decideSilence(silent('still'), keyed).kind, 'give-up');
     const young = {...pending, pendingMs: 200};
     t.is(decideSilence(silent('late'), young).kind, 'wait');
   }
@@ -194,6 +195,8 @@
   t.false(isLost(dark));
   t.true(isLost({...dark, silentMs: 2500}));
   t.false(isLost({...silent('late'), silentMs: 2500}));
+  t.false(isLost({...silent('still'), silentMs: 2500}));
+  t.true(isLost({...silent('still'), silentMs: 5500}));
   t.false(isLost({...silent('heard'), silentMs: 60_000}));
 });
 
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -140,3 +140,19 @@
     [503, 503, 503],
   );
 });
+
+test('keys of a daemon that stands still are soon refused as not run', async t => {
+  const fleet = await startFleet(['stock', 'stock']);
+  t.teardown(fleet.close);
+  const peer = await startPeer(fleet.store, 'stock', {isMute: true});
+  t.teardown(peer.close);
+  await pause(LEARN_MS);
+  shareKeys(fleet, peer);
+  await pause(LEARN_MS);
+  const [{callers}] = fleet.pairs;
+  const statuses: number[] = [];
+  for (let turn = 0; turn < 4; turn++) {
+    statuses.push((await ask(callers, 'GET', '/view/x', 65_535)).status);
+  }
+  t.is(statuses.at(-1), 503);
+});
