Cut no request that was taken late in a stop

Callers of a daemon that was stopped saw connections end without an answer.

Cause: a stopping daemon took every request until 1.6 s before its end and cut what was open then, whatever time the request had; what waited for a slot could wait until the cut. Before that it refused look-ups of requests that still ran, which would have been over in time. An answer to a request from the first second of the stop kept its connection, and a refusal closed the connection while the body still arrived, so that a reset overtook it. Refusals carried no load and were not logged.

Change, with the times in stopping.ts: after 2.7 s, when callers know, a request is taken only if its deadline lies before the end, since it is over by then in any case; any other is refused at once as not run (its body is read first). 1.6 s before the end what waits for a slot and could outlast the end is refused the same way. What is still open at the end and arrived whole is answered 502. From one second on every answer closes its connection.

startFleet takes the grace as a parameter; its default is what it was.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -18,6 +18,8 @@
 } from '../fleet/index.js';
 import {
   HOP_HEADER,
+  LOAD_HEADER,
+  RELAY_EVENTS,
   UNKNOWN_LOAD,
   applyLoadEvent,
   chooseService,
@@ -25,9 +27,11 @@
   createRouteTable,
   createSlots,
   failureHeaders,
+  formatLoad,
   handleCaller,
   handleHop,
   loadOf,
+  parseHop,
   type ActiveConfiguration,
   type Dialect,
   type Ended,
@@ -37,7 +41,7 @@
   type RoutedConfiguration,
   type SplitState,
 } from '../relay/index.js';
-import {notRun} from '../model/index.js';
+import {notRun, unknown, type Failure} from '../model/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
 import {breakOff, createPools} from '../upstream/index.js';
@@ -51,6 +55,13 @@
 import {PEER_IDLE_MS, createHandlerServer, listenAt} from './servers.js';
 import type {SidecarSettings} from './settings.js';
 import {createSignal} from './signal.js';
+import {
+  CALLERS_LEAVE_MS,
+  createWithholding,
+  isOverInTime,
+  planStop,
+  type StopPlan,
+} from './stopping.js';
 
 /** A configuration as read from the store, or why it can't be. */
 export type ConfigurationResult =
@@ -126,32 +137,27 @@
 /** Retries kept for requests whose callers have no time to return. */
 const RETRY_KEPT = 1;
 
-/** Time for which callers go on sending after readiness is withdrawn. */
-const LINGER_MS = 2700;
-
-/** Time from SIGTERM until answers close the callers' connections. */
-const CLOSE_AFTER_MS = 1000;
-
 /** Time without a request after which a stopping daemon may end. */
 const QUIET_MS = 400;
 
-/** Time before the grace ends in which the process ends by itself. */
-const GRACE_RESERVE_MS = 500;
-
-/** Time kept within the grace to finish what was taken before. */
-const FINISH_MS = 1600;
+/** Status of a request that may have been run when the daemon ended. */
+const CUT_STATUS = 502;
 
 /** Retry-After of a daemon that is about to end, in milliseconds. */
 const STOPPING_RETRY_MS = 200;
 
-/** Refuses a request that arrives when the daemon is about to end. */
-function refuseStopping(response: ServerResponse): void {
-  const failure = notRun('draining', 'the daemon ends', STOPPING_RETRY_MS);
-  const headers = failureHeaders(failure, false);
-  headers.push('Retry-After', String(STOPPING_RETRY_MS / MS_PER_SECOND));
-  headers.push('Content-Length', '0', 'Connection', 'close');
-  response.writeHead(failure.status, headers);
-  response.end();
+/** Time in which the last answers leave, in milliseconds. */
+const LAST_ANSWERS_MS = 100;
+
+/**
+ * Calls back once the body of a request has arrived and is discarded, so that
+ * the close of the connection does not reset it before its answer is read; at
+ * once where the body is sent only after a word of ours.
+ */
+function whenReceived(request: IncomingMessage, call: () => void): void {
+  if (request.headers.expect !== undefined) return call();
+  request.once('end', call);
+  request.resume();
 }
 
 /**
@@ -172,12 +178,11 @@
   let view: FleetView = EMPTY_VIEW;
   let listed = false;
   let configuration: ActiveConfiguration | undefined;
-  let stoppingAt: number | undefined;
-  /** New requests are refused; what was taken before is finished. */
-  let closing = false;
+  let stop: StopPlan | undefined;
   let lastRequestAt = clock();
   let loopDelayMs = 0;
-  let open = 0;
+  const open = new Set<ServerResponse>();
+  const withholding = createWithholding(STOPPING_RETRY_MS);
   const splits = new Map<string, SplitState>();
   const loads = new Map<string, InstanceLoad>();
   const budgets = new Map<string, RetryBudget>();
@@ -230,7 +235,9 @@
     readThroughPeer,
   };
 
-  let slots = createSlots({slots: 1, clock});
+  const slotsOf = (count: number) =>
+    withholding.wrap(createSlots({slots: count, clock}));
+  let slots = slotsOf(1);
 
   const keeper = createKeeper({
     ...access,
@@ -244,7 +251,7 @@
       return settings.drainS * MS_PER_SECOND;
     },
     began: count => {
-      slots = createSlots({slots: count, clock});
+      slots = slotsOf(count);
       meter.reset();
     },
   });
@@ -364,25 +371,48 @@
     viewSignal.raise();
   };
 
+  /** Answers in place of the handler; the connection closes after it. */
+  const answerStopping = (response: ServerResponse, failure: Failure) => {
+    if (response.destroyed || response.headersSent) return;
+    const headers = failureHeaders(failure, false);
+    headers.push(LOAD_HEADER, formatLoad(loadOf(slots, meter.meanMs())));
+    if (failure.retryAfterMs !== undefined) {
+      const retryS = failure.retryAfterMs / MS_PER_SECOND;
+      headers.push('Retry-After', String(retryS));
+    }
+    headers.push('Content-Length', '0', 'Connection', 'close');
+    response.writeHead(failure.status, headers);
+    response.end();
+  };
+
+  const logStopping = (request: IncomingMessage, failure: Failure) => {
+    const {id} = dialect.readRequest(request.rawHeaders);
+    const {outcome, reason, message, status} = failure;
+    log(RELAY_EVENTS.failed, {request: id, outcome, reason, message, status});
+  };
+
   const track = (
     handle: (
       request: IncomingMessage,
       response: ServerResponse,
     ) => Promise<void>,
+    leftMs: (request: IncomingMessage) => number,
   ) => {
     return (request: IncomingMessage, response: ServerResponse) => {
-      open += 1;
-      lastRequestAt = clock();
-      const stopping = stoppingAt !== undefined;
-      if (stopping && clock() > stoppingAt! + CLOSE_AFTER_MS) {
-        response.shouldKeepAlive = false;
-      }
+      open.add(response);
+      const now = clock();
+      lastRequestAt = now;
+      if (stop && now >= stop.closeFrom) response.shouldKeepAlive = false;
       response.once('close', () => {
-        open -= 1;
+        open.delete(response);
         lastRequestAt = clock();
       });
-      if (closing) {
-        refuseStopping(response);
+      const isLate = stop !== undefined && now >= stop.refuseFrom;
+      if (isLate && !isOverInTime(stop!, now + leftMs(request))) {
+        const message = 'the daemon ends';
+        const failure = notRun('draining', message, STOPPING_RETRY_MS);
+        logStopping(request, failure);
+        whenReceived(request, () => answerStopping(response, failure));
         return;
       }
       handle(request, response).catch(error => {
@@ -392,6 +422,18 @@
     };
   };
 
+  /** Answers what is still open, as far as it arrived whole. */
+  const endOpen = () => {
+    const cut = unknown('draining', 'the daemon ended before an answer');
+    const failure = {...cut, status: CUT_STATUS};
+    for (const response of open) {
+      const {req: request} = response;
+      if (response.headersSent || !request.complete) continue;
+      logStopping(request, failure);
+      answerStopping(response, failure);
+    }
+  };
+
   const statusOf = (): Status | undefined => {
     const life = keeper.life();
     if (!life) return undefined;
@@ -419,13 +461,18 @@
   };
 
   const callers: Server = createHandlerServer(
-    track((request, response) => handleCaller(context, request, response)),
+    track(
+      (request, response) => handleCaller(context, request, response),
+      ({rawHeaders}) => dialect.readRequest(rawHeaders).deadlineMs ?? Infinity,
+    ),
     DEFAULT_HEADER_MS,
     PEER_IDLE_MS,
     log,
   );
-  const handlePeer = track((request, response) =>
-    handleHop(peersContext, request, response),
+  const handlePeer = track(
+    (request, response) => handleHop(peersContext, request, response),
+    // One without a hop is refused by the handler at once.
+    ({headers}) => parseHop(headers[HOP_HEADER])?.leftMs ?? 0,
   );
   const peers = createHandlerServer(
     (request, response) => {
@@ -485,7 +532,7 @@
     loopDelayMs = clock() - dueAt;
     if (loopDelayMs < LOOP_DELAY_LOGGED_MS) return;
     const delayMs = Math.round(loopDelayMs);
-    log(SIDECAR_EVENTS.loopDelayed, {delayMs, open});
+    log(SIDECAR_EVENTS.loopDelayed, {delayMs, open: open.size});
   };
 
   const followFleet = () =>
@@ -523,8 +570,7 @@
 
   return {
     keeper,
-    isReady: () =>
-      configuration !== undefined && listed && stoppingAt === undefined,
+    isReady: () => configuration !== undefined && listed && stop === undefined,
     reload: changed => {
       settings = changed;
     },
@@ -556,20 +602,27 @@
     },
     stop: async () => {
       const startedAt = clock();
-      stoppingAt = startedAt;
+      const plan = planStop(startedAt, settings.graceS * MS_PER_SECOND);
+      stop = plan;
       keeper.stop();
-      log(SIDECAR_EVENTS.stopping, {open});
-      const limitMs = settings.graceS * MS_PER_SECOND - GRACE_RESERVE_MS;
+      log(SIDECAR_EVENTS.stopping, {open: open.size});
       for (;;) {
         await sleep(QUIET_MS / 4);
-        const passedMs = clock() - startedAt;
-        const quietMs = clock() - lastRequestAt;
-        const isQuiet = open === 0 && quietMs >= QUIET_MS;
-        if (passedMs >= LINGER_MS && isQuiet) break;
-        closing ||= passedMs >= limitMs - FINISH_MS;
-        if (passedMs >= limitMs || (closing && open === 0)) break;
+        const now = clock();
+        const isQuiet = open.size === 0 && now - lastRequestAt >= QUIET_MS;
+        if (isQuiet && now >= startedAt + CALLERS_LEAVE_MS) break;
+        if (now >= plan.closeFrom) {
+          for (const response of open) response.shouldKeepAlive = false;
+        }
+        if (now < plan.withholdFrom) continue;
+        withholding.withhold(deadlineAt => !isOverInTime(plan, deadlineAt));
+        if (now >= plan.endsAt || open.size === 0) break;
+      }
+      log(SIDECAR_EVENTS.stopped, {open: open.size});
+      if (open.size > 0) {
+        endOpen();
+        await sleep(LAST_ANSWERS_MS);
       }
-      log(SIDECAR_EVENTS.stopped, {open});
       controller.abort();
       for (const server of [callers, peers]) {
         server.close();
--- /dev/null
+++ b/src/sidecar/stopping.ts
@@ -0,0 +1,120 @@
+import type {Grant, Slots} from '../relay/index.js';
+
+/** What a stopping daemon does from when on, in milliseconds of the clock. */
+export interface StopPlan {
+  /** Answers close their connections. */
+  readonly closeFrom: number;
+  /** Only what is over before the end is taken. */
+  readonly refuseFrom: number;
+  /** What waits for a slot and is not over before the end is refused. */
+  readonly withholdFrom: number;
+  /** What is still open is answered, and the process ends. */
+  readonly endsAt: number;
+}
+
+/** Time from SIGTERM until answers close the callers' connections. */
+const CLOSE_AFTER_MS = 1000;
+
+/**
+ * Time for which callers go on sending after readiness is withdrawn: two checks,
+ * a second apart, and the answers to them.
+ */
+export const CALLERS_LEAVE_MS = 2700;
+
+/** Time before the grace ends in which the process ends by itself. */
+const GRACE_RESERVE_MS = 500;
+
+/** Time kept before the end for what an instance has begun to run. */
+const FINISH_MS = 1600;
+
+/**
+ * Time that is left after a deadline for the answer that it has passed, in
+ * milliseconds; three times what a flow waits beyond its deadline.
+ */
+const ANSWER_MS = 200;
+
+/**
+ * Plans the stop of a daemon.
+ *
+ * @param graceMs Time until the process is killed.
+ *
+ * @example
+ * const plan = planStop(performance.now(), 6000);
+ */
+export function planStop(startedAt: number, graceMs: number): StopPlan {
+  const endsAt = startedAt + graceMs - GRACE_RESERVE_MS;
+  const withholdFrom = endsAt - FINISH_MS;
+  const refuseFrom = Math.min(startedAt + CALLERS_LEAVE_MS, withholdFrom);
+  const closeFrom = startedAt + CLOSE_AFTER_MS;
+  return {closeFrom, refuseFrom, withholdFrom, endsAt};
+}
+
+/**
+ * Tells whether a request is over before the daemon ends, answered or not, so
+ * that taking it can't cut it.
+ *
+ * @example
+ * isOverInTime(plan, now + 400); // a look-up, for most of the grace
+ */
+export function isOverInTime(plan: StopPlan, deadlineAt: number): boolean {
+  return deadlineAt + ANSWER_MS <= plan.endsAt;
+}
+
+/** Slots that may be withheld from what can't finish any more. */
+export interface Withholding {
+  /** Returns slots that are withheld with the others. */
+  readonly wrap: (slots: Slots) => Slots;
+  /** Refuses what waits for a slot, and what asks for one from now on. */
+  readonly withhold: (isRefused: (deadlineAt: number) => boolean) => void;
+}
+
+/**
+ * Creates what withholds slots.
+ *
+ * @param retryAfterMs Time after which those refused are to come back.
+ *
+ * @example
+ * const withholding = createWithholding(200);
+ * const slots = withholding.wrap(createSlots({slots: 12, clock}));
+ * withholding.withhold(deadlineAt => deadlineAt > endsAt);
+ */
+export function createWithholding(retryAfterMs: number): Withholding {
+  const denied: Grant = {kind: 'denied', reason: 'draining', retryAfterMs};
+  const waiting = new Map<AbortController, number>();
+  const withheld = new WeakSet<AbortController>();
+  let isRefused: (deadlineAt: number) => boolean = () => false;
+  return {
+    wrap: inner => ({
+      state: inner.state,
+      take: (request, signal) => {
+        if (isRefused(request.deadlineAt)) return denied;
+        let controller: AbortController | undefined;
+        const grant = inner.take(request, () => {
+          const own = new AbortController();
+          controller = own;
+          const outer = signal();
+          const cancel = () => own.abort();
+          outer.addEventListener('abort', cancel, {once: true});
+          if (outer.aborted) cancel();
+          waiting.set(own, request.deadlineAt);
+          return own.signal;
+        });
+        if (!(grant instanceof Promise)) return grant;
+        return grant.then(known => {
+          if (!controller) return known;
+          waiting.delete(controller);
+          const isOurs = known.kind === 'denied' && withheld.has(controller);
+          return isOurs ? denied : known;
+        });
+      },
+    }),
+    withhold: refused => {
+      isRefused = refused;
+      for (const [controller, deadlineAt] of waiting) {
+        if (!refused(deadlineAt)) continue;
+        withheld.add(controller);
+        controller.abort();
+      }
+    },
+  };
+}
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -143,6 +143,7 @@
   service: string,
   index: number,
   workMs: number,
+  graceS: number,
 ): Promise<Pair> {
   const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
   const [callers, peers, ready, control] = ports.map(p => `127.0.0.1:${p}`);
@@ -165,7 +166,7 @@
       store: store.address,
       heartbeatS: HEARTBEAT_MS / 1000,
       drainS: 1,
-      graceS: 4,
+      graceS,
       holdLimitS: 2,
       retryShare: 0.2,
     },
@@ -211,6 +212,7 @@
  *
  * @param services Service of the instance beside each daemon.
  * @param workMs Time that an instance takes for a request.
+ * @param graceS Time until a daemon that is stopped is killed.
  *
  * @example
  * const fleet = await startFleet(['stock', 'stock', 'desk']);
@@ -218,11 +220,14 @@
 export async function startFleet(
   services: readonly string[],
   workMs = 20,
+  graceS = 4,
 ): Promise<TestFleet> {
   const store = await startMetadataStore();
   store.write('config', 'main', configuration(1));
   const pairs = await Promise.all(
-    services.map((service, index) => startPair(store, service, index, workMs)),
+    services.map((service, index) =>
+      startPair(store, service, index, workMs, graceS),
+    ),
   );
   const keyed = pairs.filter((_, index) => services[index] === 'stock');
   const registered = (index: number) => {
--- /dev/null
+++ b/test/sidecar/stop.test.ts
@@ -0,0 +1,230 @@
+import test from 'ava';
+import http from 'node:http';
+import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  HOP_HEADER,
+  LOAD_HEADER,
+  failureHeaders,
+  formatHop,
+} from '../../src/relay/index.js';
+import {unknown} from '../../src/model/index.js';
+import {configuration, startFleet, until, type Pair} from './fixture.js';
+
+const OUTCOME_HEADER = failureHeaders(unknown('draining', ''), false)[0];
+
+/** Time that callers have, in milliseconds; longer than any stop here. */
+const PATIENCE_MS = 8000;
+
+/** Longer than what the buffers of a connection hold, in bytes. */
+const UPLOAD_BYTES = 10_000_000;
+
+/** Starts a fleet whose requests of `desk` may take long. */
+async function startPatient(services: readonly string[], graceS: number) {
+  const fleet = await startFleet(services, 20, graceS);
+  const patient = configuration(2) as {routes: {rows: unknown[][]}};
+  const [, book] = patient.routes.rows;
+  [book[4], book[5]] = [PATIENCE_MS / 1000, PATIENCE_MS / 2000];
+  fleet.store.write('config', 'main', patient);
+  const isInForce = ({events}: Pair) =>
+    events.some(([, fields]) => fields.version === 2);
+  await until(() => fleet.pairs.every(isInForce));
+  return fleet;
+}
+
+/** Lets an instance take some time for the requests whose id begins with it. */
+function slowDown({instance}: Pair) {
+  const open = new Set<NodeJS.Timeout>();
+  instance.spoil = (response, id) => {
+    const workMs = Number(/^slow-(\d+)/.exec(id)?.[1] ?? 0);
+    if (workMs === 0) return false;
+    const end = () => {
+      response.setHeader('X-Vanillaspool-Response-Signature', 'signed');
+      response.end('late');
+    };
+    open.add(setTimeout(end, workMs));
+    return true;
+  };
+  return () => open.forEach(clearTimeout);
+}
+
+interface Result {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly timeMs: number;
+  /** Code of the error with which the connection ended. */
+  readonly error?: string;
+}
+
+let lastId = 0;
+
+/** Sends a request that an instance takes some time for. */
+function send(
+  address: string,
+  workMs: number,
+  patienceMs = PATIENCE_MS,
+  more: Readonly<Record<string, string>> = {},
+): Promise<Result> {
+  const [host, port] = address.split(':');
+  const sentAt = performance.now();
+  const headers = {
+    Host: 'a.example',
+    'X-Vanillaspool-Request-Id': `slow-${workMs}-${++lastId}`,
+    'X-Vanillaspool-Request-Deadline': String(patienceMs),
+    ...more,
+  };
+  const agent = new http.Agent({keepAlive: true});
+  return new Promise(resolve => {
+    const end = (part: Partial<Result>) => {
+      const timeMs = performance.now() - sentAt;
+      resolve({status: 0, headers: {}, timeMs, ...part});
+      agent.destroy();
+    };
+    const request = http.request(
+      {host, port, path: '/book/x', method: 'POST', headers, agent},
+      response => {
+        const {statusCode: status, headers: told} = response;
+        response.resume();
+        response.on('error', ({message}) => end({error: message}));
+        response.on('end', () => end({status, headers: told}));
+      },
+    );
+    request.on('error', ({message}) => end({error: message}));
+    request.end();
+  });
+}
+
+/** Uploads as a caller that reads no answer before its whole body is sent. */
+function sendWholeFirst(address: string) {
+  const [host, port] = address.split(':');
+  const caller = net.connect(Number(port), host);
+  let received = '';
+  const head = [
+    'POST /book/x HTTP/1.1',
+    'Host: a.example',
+    `X-Vanillaspool-Request-Deadline: ${PATIENCE_MS}`,
+    `Content-Length: ${UPLOAD_BYTES}`,
+  ].join('\r\n');
+  caller.write(`${head}\r\n\r\n`);
+  caller.write(Buffer.alloc(UPLOAD_BYTES), () => {
+    caller.on('data', part => (received += part.toString()));
+  });
+  return new Promise<{error?: string; received: string}>(resolve => {
+    caller.on('error', ({message}) => resolve({error: message, received}));
+    caller.on('end', () => resolve({received}));
+  });
+}
+
+test('a request late in a stop is refused at once instead of being cut', async t => {
+  const fleet = await startPatient(['desk', 'desk'], 6);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  fleet.pairs.forEach(each => t.teardown(slowDown(each)));
+  const first = send(pair.callers, 4000);
+  const stopped = pair.sidecar.stop();
+  await sleep(3200);
+  const late = await send(pair.callers, 3000);
+  await stopped;
+  t.is((await first).status, 200);
+  t.is(late.error, undefined);
+  t.is(late.status, 503);
+  t.is(late.headers['retry-after'], '0.2');
+  t.true(late.timeMs < 500);
+});
+
+test('an upload that is refused late in a stop gets its answer', async t => {
+  const fleet = await startPatient(['desk'], 6);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  const first = send(pair.callers, 4000);
+  const stopped = pair.sidecar.stop();
+  await sleep(3200);
+  const {error, received} = await sendWholeFirst(pair.callers);
+  t.is(error, undefined);
+  t.regex(received, /^HTTP\/1.1 503 /);
+  await Promise.all([first, stopped]);
+});
+
+test('what waits for a slot when no time is left to run it is refused, not cut', async t => {
+  const fleet = await startPatient(['desk'], 4);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  const running = [1, 2, 3, 4].map(() => send(pair.callers, 2500));
+  await sleep(200);
+  const waiting = [1, 2].map(() => send(pair.callers, 2500));
+  await sleep(100);
+  await pair.sidecar.stop();
+  for (const {status} of await Promise.all(running)) t.is(status, 200);
+  for (const {status, error} of await Promise.all(waiting)) {
+    t.is(error, undefined);
+    t.is(status, 503);
+  }
+});
+
+test('what the instance still runs at the end of a stop is answered, not cut', async t => {
+  const fleet = await startPatient(['desk'], 4);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  const result = send(pair.callers, 6000);
+  await sleep(100);
+  await pair.sidecar.stop();
+  const {status, error} = await result;
+  t.is(error, undefined);
+  t.is(status, 502);
+});
+
+test('a look-up with little time is served until shortly before the end of a stop', async t => {
+  const fleet = await startPatient(['desk', 'desk'], 6);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  const first = send(pair.callers, 5000);
+  const stopped = pair.sidecar.stop();
+  await sleep(4300);
+  const {status, timeMs} = await send(pair.callers, 0, 400);
+  t.is(status, 200);
+  t.true(timeMs < 400);
+  await Promise.all([first, stopped]);
+});
+
+test('an answer late in a stop closes its connection, whenever its request came', async t => {
+  const fleet = await startPatient(['desk'], 4);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  const result = send(pair.callers, 1500);
+  await sleep(100);
+  await pair.sidecar.stop();
+  const {status, headers} = await result;
+  t.is(status, 200);
+  t.is(headers.connection, 'close');
+});
+
+test('a stopping daemon tells other daemons what it refuses and its load', async t => {
+  const fleet = await startPatient(['desk'], 6);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  const first = send(pair.callers, 4000);
+  const stopped = pair.sidecar.stop();
+  await sleep(3200);
+  const hop = formatHop({
+    id: 'r1',
+    service: 'desk',
+    instance: 'i-desk-0',
+    route: 'book',
+    repetition: 'once',
+    priority: 1,
+    leftMs: PATIENCE_MS,
+    objectiveLeftMs: PATIENCE_MS,
+    callerService: 'desk',
+  });
+  const refused = await send(pair.node, 0, PATIENCE_MS, {[HOP_HEADER]: hop});
+  t.is(refused.status, 503);
+  t.is(refused.headers[OUTCOME_HEADER], 'not-run');
+  t.regex(String(refused.headers[LOAD_HEADER]), /^\d+,4,\d+$/);
+  await Promise.all([first, stopped]);
+});
