Reset what a stop breaks off, so that it does not look whole

A caller took a part of an answer for the whole one when the daemon ended in its middle.

Cause: at its end a daemon closes all connections plainly, and the plain end of a connection completes an answer without a length.

Change: a response that has begun and is still open at the end is reset, as where an answer breaks off on its way.

The test (an answer without a length, cut at the end of a stop of 4 s) failed before: the caller saw no error. It passes now.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -422,15 +422,17 @@
     };
   };
 
-  /** Answers what is still open, as far as it arrived whole. */
+  /** Ends what is still open; a response that has begun must not look whole. */
   const endOpen = () => {
     const cut = unknown('draining', 'the daemon ended before an answer');
     const failure = {...cut, status: CUT_STATUS};
     for (const response of open) {
       const {req: request} = response;
-      if (response.headersSent || !request.complete) continue;
+      if (response.writableEnded) continue;
+      if (!response.headersSent && !request.complete) continue;
       logStopping(request, failure);
-      answerStopping(response, failure);
+      if (response.headersSent) breakOff(response);
+      else answerStopping(response, failure);
     }
   };
 
--- a/test/sidecar/stop.test.ts
+++ b/test/sidecar/stop.test.ts
@@ -203,6 +203,22 @@
   t.is(headers.connection, 'close');
 });
 
+test('an answer without a length that a stop breaks off does not look whole', async t => {
+  const fleet = await startPatient(['desk'], 4);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  pair.instance.spoil = response => {
+    response.socket?.write(
+      'HTTP/1.1 200 OK\r\nX-Vanillaspool-Response-Signature: signed\r\nConnection: close\r\n\r\nbegin',
+    );
+    return true;
+  };
+  const result = send(pair.callers, 0);
+  await sleep(100);
+  await pair.sidecar.stop();
+  t.not((await result).error, undefined);
+});
+
 test('a stopping daemon tells other daemons what it refuses and its load', async t => {
   const fleet = await startPatient(['desk'], 6);
   t.teardown(fleet.close);
