Refuse a forwarded upload late in a stop before its body arrives

Another daemon learnt only after the whole body that a stopping daemon takes its upload no more; where the body took longer than the stop, the connection was cut and the request counted as possibly run.

Change: a forwarded request is refused at once. Its connection is not closed while a body arrives, since unread bytes would reset it and the answer with it.

The test (a forwarded upload of which five bytes have arrived) failed before: no answer within 500 ms. It passes now; what is sent afterwards meets no reset.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -149,10 +149,16 @@
 /** Time in which the last answers leave, in milliseconds. */
 const LAST_ANSWERS_MS = 100;
 
+/** Tells whether a part of a request's body is still to come. */
+function isArriving({complete, headers}: IncomingMessage): boolean {
+  const hasBody = 'transfer-encoding' in headers;
+  return !complete && (hasBody || Number(headers['content-length']) > 0);
+}
+
 /**
- * Calls back once the body of a request has arrived and is discarded, so that
- * the close of the connection does not reset it before its answer is read; at
- * once where the body is sent only after a word of ours.
+ * Calls back once the body of a request has arrived and is discarded, for
+ * callers that read no answer before; at once where the body is sent only after
+ * a word of ours.
  */
 function whenReceived(request: IncomingMessage, call: () => void): void {
   if (request.headers.expect !== undefined) return call();
@@ -371,7 +377,10 @@
     viewSignal.raise();
   };
 
-  /** Answers in place of the handler; the connection closes after it. */
+  /**
+   * Answers in place of the handler. The connection closes after it, unless a
+   * body still arrives: its unread bytes would reset it.
+   */
   const answerStopping = (response: ServerResponse, failure: Failure) => {
     if (response.destroyed || response.headersSent) return;
     const headers = failureHeaders(failure, false);
@@ -380,7 +389,8 @@
       const retryS = failure.retryAfterMs / MS_PER_SECOND;
       headers.push('Retry-After', String(retryS));
     }
-    headers.push('Content-Length', '0', 'Connection', 'close');
+    headers.push('Content-Length', '0');
+    response.shouldKeepAlive = isArriving(response.req);
     response.writeHead(failure.status, headers);
     response.end();
   };
@@ -397,6 +407,7 @@
       response: ServerResponse,
     ) => Promise<void>,
     leftMs: (request: IncomingMessage) => number,
+    whenRefusable: (request: IncomingMessage, call: () => void) => void,
   ) => {
     return (request: IncomingMessage, response: ServerResponse) => {
       open.add(response);
@@ -412,7 +423,7 @@
         const message = 'the daemon ends';
         const failure = notRun('draining', message, STOPPING_RETRY_MS);
         logStopping(request, failure);
-        whenReceived(request, () => answerStopping(response, failure));
+        whenRefusable(request, () => answerStopping(response, failure));
         return;
       }
       handle(request, response).catch(error => {
@@ -466,6 +477,7 @@
     track(
       (request, response) => handleCaller(context, request, response),
       ({rawHeaders}) => dialect.readRequest(rawHeaders).deadlineMs ?? Infinity,
+      whenReceived,
     ),
     DEFAULT_HEADER_MS,
     PEER_IDLE_MS,
@@ -475,6 +487,8 @@
     (request, response) => handleHop(peersContext, request, response),
     // One without a hop is refused by the handler at once.
     ({headers}) => parseHop(headers[HOP_HEADER])?.leftMs ?? 0,
+    // Another daemon reads answers before its body is sent.
+    (_, call) => call(),
   );
   const peers = createHandlerServer(
     (request, response) => {
--- a/test/sidecar/stop.test.ts
+++ b/test/sidecar/stop.test.ts
@@ -19,6 +19,18 @@
 /** Longer than what the buffers of a connection hold, in bytes. */
 const UPLOAD_BYTES = 10_000_000;
 
+const HOP = formatHop({
+  id: 'r1',
+  service: 'desk',
+  instance: 'i-desk-0',
+  route: 'book',
+  repetition: 'once',
+  priority: 1,
+  leftMs: PATIENCE_MS,
+  objectiveLeftMs: PATIENCE_MS,
+  callerService: 'desk',
+});
+
 /** Starts a fleet whose requests of `desk` may take long. */
 async function startPatient(services: readonly string[], graceS: number) {
   const fleet = await startFleet(services, 20, graceS);
@@ -227,20 +239,35 @@
   const first = send(pair.callers, 4000);
   const stopped = pair.sidecar.stop();
   await sleep(3200);
-  const hop = formatHop({
-    id: 'r1',
-    service: 'desk',
-    instance: 'i-desk-0',
-    route: 'book',
-    repetition: 'once',
-    priority: 1,
-    leftMs: PATIENCE_MS,
-    objectiveLeftMs: PATIENCE_MS,
-    callerService: 'desk',
-  });
-  const refused = await send(pair.node, 0, PATIENCE_MS, {[HOP_HEADER]: hop});
+  const refused = await send(pair.node, 0, PATIENCE_MS, {[HOP_HEADER]: HOP});
   t.is(refused.status, 503);
   t.is(refused.headers[OUTCOME_HEADER], 'not-run');
   t.regex(String(refused.headers[LOAD_HEADER]), /^\d+,4,\d+$/);
   await Promise.all([first, stopped]);
 });
+
+test('a stopping daemon refuses a forwarded upload before its body has arrived', async t => {
+  const fleet = await startPatient(['desk'], 6);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  const first = send(pair.callers, 4000);
+  const stopped = pair.sidecar.stop();
+  await sleep(3200);
+  const [host, port] = pair.node.split(':');
+  const daemon = net.connect(Number(port), host);
+  let received = '';
+  let error: Error | undefined;
+  daemon.on('data', part => (received += part.toString()));
+  daemon.on('error', known => (error = known));
+  daemon.write(
+    `POST /book/x HTTP/1.1\r\nHost: a.example\r\n${HOP_HEADER}: ${HOP}\r\nContent-Length: ${UPLOAD_BYTES}\r\n\r\nbegin`,
+  );
+  await sleep(500);
+  t.regex(received, /^HTTP\/1.1 503 [^]*not-run/);
+  daemon.write(Buffer.alloc(UPLOAD_BYTES / 2));
+  await sleep(200);
+  t.is(error, undefined);
+  daemon.destroy();
+  await Promise.all([first, stopped]);
+});
