--- a/src/relay/offer.ts
+++ b/src/relay/offer.ts
@@ -81,6 +81,7 @@
   if (!answer || !load) {
     // Without a connection the forwarding itself finds out what is wrong.
     if (result.kind === 'failed' && !result.sent) return undefined;
+    if (!answer) context.probe(node);
     const message = 'the daemon did not answer an offer';
     return alternative(notRun('overloaded', message));
   }
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -15,6 +15,8 @@
   type Flow,
   type ForwardContext,
   type Work,
+  UNHEARD,
+  silenceOf,
 } from '../../src/relay/index.js';
 import {createHandlerServer} from '../../src/sidecar/index.js';
 import type {EventFields} from '../../src/telemetry/index.js';
@@ -147,7 +149,9 @@
     peerPools: pools,
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
-    probe: () => Promise.resolve(true),
+    isKeyed: () => false,
+    probe: () => {},
+    silence: () => silenceOf(UNHEARD, performance.now()),
     loopDelayMs: () => 0,
     log: () => {},
   };
