Take an observer without descriptors or ports for no loss of others

Cause: an error of the own machine when a question is sent (no descriptor, port or memory) counted as a missing connection, and two of them follow each other within 50 ms, so that any daemon could be taken to be dark. A question with one limit, as a read through another daemon, could also take twice its limit when its connection was taken late.

Change: such errors say nothing of the other machine. A connection that is taken leaves the limit of the answer where it was, unless the own loop was late.

The test reads the errors; readError did not exist before, so it could not fail on the code before. The limit has no test, as it would assert a duration.

--- a/src/sidecar/ask.ts
+++ b/src/sidecar/ask.ts
@@ -28,7 +28,10 @@
   /** Without a value where the answer was none to the question. */
   | {readonly kind: 'answered'; readonly tookMs: number; readonly value?: T};
 
-/** Result of a question, and by how much the timer that ended it was late. */
+/**
+ * Result of a question, and by how much the timer that ended it was late;
+ * infinitely where this machine could not ask.
+ */
 interface Result<T> {
   readonly answer: Answer<T>;
   readonly lateMs: number;
@@ -87,13 +90,13 @@
       socket.once('connect', () => {
         isConnected = true;
         clearTimeout(timer);
-        const readMs = performance.now() + limits.connectMs;
-        limitAt(Math.max(startedAt + limits.answerMs, readMs));
+        const fromMs = isAnew ? performance.now() : startedAt;
+        limitAt(fromMs + limits.answerMs);
       });
     });
     call.on('error', (error: NodeJS.ErrnoException) => {
-      const isRefused = REFUSALS.has(error.code ?? '');
-      end({kind: isRefused ? 'refused' : 'unconnected'});
+      const {kind, isOwn} = readError(error.code);
+      end({kind}, isOwn ? Infinity : 0);
     });
     limitAt(startedAt + limits.connectMs);
     call.end();
@@ -103,6 +106,32 @@
 /** Errors by which the other machine says that nobody takes a connection. */
 const REFUSALS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
 
+/** Errors of this machine: it has no descriptor, port or memory left. */
+const OWN_ERRORS: ReadonlySet<string> = new Set([
+  'EMFILE',
+  'ENFILE',
+  'EADDRNOTAVAIL',
+  'ENOBUFS',
+  'ENOMEM',
+]);
+
+/**
+ * Tells what the error of a new connection says of the other machine.
+ *
+ * @returns with `isOwn` where the error is this machine's.
+ *
+ * @example
+ * readError('ECONNREFUSED').kind; // 'refused'
+ */
+export function readError(code: string | undefined): {
+  readonly kind: 'refused' | 'unconnected';
+  readonly isOwn: boolean;
+} {
+  const isRefused = code !== undefined && REFUSALS.has(code);
+  const isOwn = code !== undefined && OWN_ERRORS.has(code);
+  return {kind: isRefused ? 'refused' : 'unconnected', isOwn};
+}
+
 /**
  * Asks another daemon once.
  *
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {SIDECAR_EVENTS} from '../../src/sidecar/index.js';
+import {SIDECAR_EVENTS, readError} from '../../src/sidecar/index.js';
 import {ask, startFleet, until, type TestFleet} from './fixture.js';
 import {startPeer} from './peer.js';
 
@@ -156,3 +156,11 @@
   }
   t.is(statuses.at(-1), 503);
 });
+
+test('a machine that has no descriptor left takes no other for lost', t => {
+  for (const code of ['EMFILE', 'EADDRNOTAVAIL', 'ENOBUFS']) {
+    t.true(readError(code).isOwn);
+  }
+  t.deepEqual(readError('ECONNREFUSED'), {kind: 'refused', isOwn: false});
+  t.deepEqual(readError('EHOSTUNREACH'), {kind: 'unconnected', isOwn: false});
+});
