--- a/test/sidecar/peer.ts
+++ b/test/sidecar/peer.ts
@@ -34,6 +34,7 @@
   const isQuestion = request.url === '/vanillaspool/status';
   const waitMs = (isQuestion ? manner.questionMs : manner.requestMs) ?? 0;
   request.resume();
+  response.setHeader('vanillaspool-load', '1,4,20');
   setTimeout(() => response.end(isQuestion ? status : 'answer'), waitMs);
 });
 server.listen({port: 0, host: '127.0.0.1', backlog: manner.isDark ? 1 : 511}, () => {
