Keep a turn on the link while its body arrives

Found in review, not seen by callers: an offer that rightly waited for its turn was given up by its sender after 1 s, as a turn could be held for 1.5 s, and queued anew elsewhere; a body slower than 1.5 s lost its turn while it still travelled, so that a third one began; a turn whose body never came stood idle for 1.5 s; and an offer that had no connection in time was followed by its body, on a link that had just shown that it was full.

Cause: one time limit for a body that does not come and for one that is slow, and a failure to connect that was read as consent.

Change: a turn is given up when its body has not begun within 0.5 s, and kept while it arrives. The daemon beside the instance keeps an offer waiting for 0.9 s at most and refuses it with a Retry-After, before its sender gives up at 1.2 s. An offer without a connection is a refusal: nothing was sent.

Evidence: the test of a body that arrives slowly fails on the code before (no refusal of the third one); the others pass before and after.

--- a/src/relay/offer.ts
+++ b/src/relay/offer.ts
@@ -15,6 +15,7 @@
   readFailure,
   readLoad,
 } from './hop.js';
+import {TURN_WAIT_MS} from './transfers.js';
 import type {Flow, Work} from './work.js';
 
 /**
@@ -24,10 +25,10 @@
 const OFFERED_BYTES = 8 * 1024;
 
 /**
- * Time for which the answer to an offer is awaited, in milliseconds. The daemon
- * beside the instance answers at once, or when the bodies before have arrived.
+ * Time for which the answer to an offer is awaited, in milliseconds: the longest
+ * wait for a turn and the way there and back behind two bodies.
  */
-const OFFER_TIMEOUT_MS = 1000;
+const OFFER_TIMEOUT_MS = TURN_WAIT_MS + 300;
 
 /**
  * Tells whether a request is offered before it is sent.
@@ -79,11 +80,11 @@
   if (flow.state.stopped) return failed(flow.state.stopped);
   const load = answer && readLoad(answer);
   if (!answer || !load) {
-    // Without a connection the forwarding itself finds out what is wrong.
-    if (result.kind === 'failed' && !result.sent) return undefined;
     if (!answer) context.probe(node);
+    const wasReached = result.kind !== 'failed' || result.sent;
+    const reason = wasReached ? 'overloaded' : 'upstream-refused';
     const message = 'the daemon did not answer an offer';
-    return alternative(notRun('overloaded', message));
+    return alternative(notRun(reason, message));
   }
   observeLoad(node, {kind: 'reported', ...load});
   const reported = readFailure(answer);
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -70,6 +70,7 @@
     await handleOffer(context, flow, hop, startedAt);
     return;
   }
+  context.transfers.begin(hop.id);
   const caller = context.dialect.readRequest(request.rawHeaders);
   const settled = stopWhenOver(response, stop, hop.leftMs);
   const body = await readBody(request, caller, context.bodyBytes());
--- a/src/relay/transfers.ts
+++ b/src/relay/transfers.ts
@@ -10,10 +10,17 @@
 const TRANSFERS = 2;
 
 /**
- * Time after which a body that was asked for and has not arrived gives its place
- * up, in milliseconds: about ten times what a usual upload takes.
+ * Time after which a body that was asked for and has not begun to arrive gives
+ * its place up, in milliseconds: several round trips, and the two bodies that may
+ * be before it on a link of 7 Mbit/s.
  */
-const TRANSFER_LIMIT_MS = 1500;
+const BEGIN_LIMIT_MS = 500;
+
+/**
+ * Longest wait for a turn, in milliseconds; what would wait longer is told at once
+ * when to come back. The sender waits a little longer, so that it hears of it.
+ */
+export const TURN_WAIT_MS = 900;
 
 /** A request whose long body is offered. */
 export interface Offered extends Claim {
@@ -32,12 +39,21 @@
     offered: Offered,
     signal: () => AbortSignal,
   ) => Promise<Denied | undefined>;
+  /** Tells that the body of a request begins to arrive. */
+  readonly begin: (name: string) => void;
   /** Tells that the body of a request has arrived, or won't. */
   readonly settle: (name: string, arrived: boolean) => void;
   /** The state as of the last event. */
   readonly state: () => QueueState;
 }
 
+/** A body that was asked for. */
+interface Awaited {
+  /** The body arrives, so that it is not given up any more. */
+  readonly begin: () => void;
+  readonly end: (arrived: boolean) => void;
+}
+
 /** Settings of `createTransfers`. */
 export interface TransfersOptions {
   /** Milliseconds that never go back. */
@@ -59,29 +75,35 @@
  * if (!denied) transfers.settle(offered.name, true);
  */
 export function createTransfers(options: TransfersOptions): Transfers {
-  const {schedule = scheduleTimeout} = options;
+  const {clock, schedule = scheduleTimeout} = options;
   const turns = createSlots({...options, slots: TRANSFERS});
-  const awaited = new Map<string, (arrived: boolean) => void>();
+  const awaited = new Map<string, Awaited>();
 
   const expect = (name: string, release: (ran: boolean) => void) => {
-    const cancel = schedule(TRANSFER_LIMIT_MS, () => end(false));
+    const begin = schedule(BEGIN_LIMIT_MS, () => body.end(false));
     const end = (arrived: boolean) => {
-      cancel();
-      if (awaited.get(name) === end) awaited.delete(name);
+      begin();
+      if (awaited.get(name) === body) awaited.delete(name);
       release(arrived);
     };
-    awaited.get(name)?.(false);
-    awaited.set(name, end);
+    const body = {begin, end};
+    awaited.get(name)?.end(false);
+    awaited.set(name, body);
   };
 
   return {
     take: async ({name, ...claim}, signal) => {
-      const grant = await turns.take(claim, signal);
+      const latestAt = clock() + TURN_WAIT_MS;
+      const objectiveAt = Math.min(claim.objectiveAt, latestAt);
+      const deadlineAt = Math.min(claim.deadlineAt, latestAt);
+      const bounded = {...claim, objectiveAt, deadlineAt};
+      const grant = await turns.take(bounded, signal);
       if (grant.kind === 'denied') return grant;
       expect(name, grant.release);
       return undefined;
     },
-    settle: (name, arrived) => awaited.get(name)?.(arrived),
+    begin: name => awaited.get(name)?.begin(),
+    settle: (name, arrived) => awaited.get(name)?.end(arrived),
     state: turns.state,
   };
 }
--- a/test/relay/transfers.test.ts
+++ b/test/relay/transfers.test.ts
@@ -33,6 +33,7 @@
 /** Every body is sent at once. */
 const UNPACED: Transfers = {
   take: () => Promise.resolve(undefined),
+  begin: () => {},
   settle: () => {},
   state: () => {
     throw new Error('it has no state');
@@ -122,24 +123,46 @@
   t.true(quantile(lookUps, 0.99) < LOOK_UP_MS / 2);
 });
 
-test('a body that never comes gives its place up', async t => {
+/** Takes turns in the order of names and notes who has got one, or not. */
+function createTurns() {
   const {now, after, advance} = createVirtualTime();
   const transfers = paced({now, after, advance});
   const taken: string[] = [];
+  const denied: string[] = [];
   const take = async (name: string) => {
-    const times = {objectiveAt: 5000, deadlineAt: 5000};
+    const times = {objectiveAt: now() + 5000, deadlineAt: now() + 5000};
     const claim = {name, kind: 'upload', priority: 1, ...times};
     const {signal} = new AbortController();
-    const denied = await transfers.take(claim, () => signal);
-    if (!denied) taken.push(name);
+    const refusal = await transfers.take(claim, () => signal);
+    (refusal ? denied : taken).push(name);
+  };
+  const pass = async (timeMs: number) => {
+    for (let turn = 0; turn < timeMs; turn++) await advance(1);
   };
+  return {transfers, taken, denied, take, pass};
+}
+
+test('a body that never comes gives its place up', async t => {
+  const {transfers, taken, take, pass} = createTurns();
   for (const name of ['a', 'b', 'c']) void take(name);
-  await advance(1);
+  await pass(1);
   t.deepEqual(taken, ['a', 'b']);
   transfers.settle('a', true);
-  await advance(1);
+  await pass(1);
   t.deepEqual(taken, ['a', 'b', 'c']);
   void take('d');
-  for (let turn = 0; turn < 1600; turn++) await advance(1);
+  await pass(600);
   t.deepEqual(taken, ['a', 'b', 'c', 'd']);
 });
+
+test('a body that arrives slowly keeps its place', async t => {
+  const {transfers, taken, denied, take, pass} = createTurns();
+  for (const name of ['a', 'b']) void take(name);
+  await pass(1);
+  for (const name of ['a', 'b']) transfers.begin(name);
+  void take('c');
+  await pass(800);
+  t.deepEqual(taken, ['a', 'b']);
+  await pass(200);
+  t.deepEqual([taken, denied], [['a', 'b'], ['c']]);
+});
