Take no instance for silent because the daemon stood still

Found in review, not seen by callers: after a stall the periodic look runs before the heartbeats that have arrived meanwhile are read, so a daemon revoked the keys of a healthy instance. The same class as the daemons told lost for the observer's own lateness.

A request's own connection to another daemon may take as long as a question waits for one, 1.2 s in place of 0.3 s: its end counted as a fault of the instance, and whether the daemon is lost is decided by its silence before.

Evidence: 'an instance is not silent because its daemon stood still' fails on the code before, as tick took no lateness and set the instance silent.

--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -30,7 +30,7 @@
   type RangeTerm,
 } from '../ranges/index.js';
 import {parseAddress, type Address} from '../model/index.js';
-import type {LocalInstance} from '../relay/index.js';
+import {LATE_MS, type LocalInstance} from '../relay/index.js';
 import {SIDECAR_EVENTS} from './events.js';
 import type {Heartbeat, HeartbeatAnswer} from './heartbeat.js';
 import {changeMap, confirmMap, type MapAccess} from './maps.js';
@@ -81,8 +81,12 @@
    * checks itself.
    */
   readonly resume: () => void;
-  /** Does what falls due with time; to be called about twice a second. */
-  readonly tick: () => Promise<void>;
+  /**
+   * Does what falls due with time; to be called about twice a second.
+   *
+   * @param lateMs Time by which the call is late, in milliseconds.
+   */
+  readonly tick: (lateMs: number) => Promise<void>;
   /** The daemon is about to stop. */
   readonly stop: () => void;
 }
@@ -356,10 +360,12 @@
     );
   };
 
-  const tick = async () => {
+  const tick = async (lateMs: number) => {
     if (!instance) return;
     const quietMs = clock() - instance.heardAt;
-    const isQuiet = quietMs > context.heartbeatMs * MISSED_HEARTBEATS;
+    // What has arrived while the loop stood still is read after this call.
+    const isQuiet =
+      lateMs < LATE_MS && quietMs > context.heartbeatMs * MISSED_HEARTBEATS;
     if (isQuiet && !silent && instance.state !== 'left') {
       silent = true;
       log(SIDECAR_EVENTS.instanceSilent, {id: instance.id, quietMs});
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -130,9 +130,15 @@
 /** Lateness of a timer from which it is logged, in milliseconds. */
 const LOOP_DELAY_LOGGED_MS = 250;
 
-/** Time limit for a connection to the instance or another daemon. */
+/** Time limit for a connection to the instance beside, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
 
+/**
+ * Time limit for a connection to another daemon, in milliseconds; the longest
+ * that a question waits for one. Requests are given up sooner by its silence.
+ */
+const PEER_CONNECT_TIMEOUT_MS = 1200;
+
 /** Time for which idle connections to an instance are kept, at most. */
 const INSTANCE_IDLE_MS = 8000;
 
@@ -359,7 +365,7 @@
     },
     observeLoad,
     peerPools: createPools({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
       keepAliveMs: PEER_IDLE_MS / 2,
     }),
     returns: createReturns(),
@@ -633,7 +639,7 @@
       await listenAt(callers, settings.callers);
       guard(followFleet());
       guard(followConfiguration());
-      every(waitForTick, keeper.tick);
+      every(waitForTick, () => keeper.tick(loopDelayMs));
       every(
         () => sleep(PLANNER_INTERVAL_MS),
         async () => {
