Learn the length of a move only from changes that are seen in time

Found in review: a change of the map that a daemon saw a minute late counted as a move of a minute, so that keys on the move were refused at once with a Retry-After of a minute. The new test fails on the code before (moveMs 60,000). A stopping daemon's time for the last answer follows from the time that a caller's daemon waits beyond a deadline, which had become longer than the comment said.

--- a/src/relay/holder.ts
+++ b/src/relay/holder.ts
@@ -91,7 +91,8 @@
     if (known.service !== service) return true;
     const term = termOf(map, known.term.from);
     if (term && sameTenure(term, known.term)) return true;
-    if (term && sameLife(term.holder, known.term.next)) {
+    // A change that was seen late tells nothing of how long the move took.
+    if (term && sameLife(term.holder, known.term.next) && now < known.until) {
       const lastedMs = now - known.since;
       moveMs ??= lastedMs;
       moveMs += MOVE_WEIGHT * (lastedMs - moveMs);
--- a/src/sidecar/stopping.ts
+++ b/src/sidecar/stopping.ts
@@ -1,4 +1,4 @@
-import type {Denied, Slots} from '../relay/index.js';
+import {ENTRY_GRACE_MS, type Denied, type Slots} from '../relay/index.js';
 
 /** What a stopping daemon does from when on, in milliseconds of the clock. */
 export interface StopPlan {
@@ -29,9 +29,9 @@
 
 /**
  * Time that is left after a deadline for the answer that it has passed, in
- * milliseconds; three times what a flow waits beyond its deadline.
+ * milliseconds: what the caller's daemon waits beyond it, and a turn of its loop.
  */
-const ANSWER_MS = 200;
+const ANSWER_MS = ENTRY_GRACE_MS + 100;
 
 /**
  * Plans the stop of a daemon.
--- a/test/relay/holder.test.ts
+++ b/test/relay/holder.test.ts
@@ -105,3 +105,10 @@
   t.false(mayReceive(at(held, 10), c, true));
   t.false(mayReceive(at(revoke(held, a), 10), a, false));
 });
+
+test('a change of the map that is seen late does not make moves look long', t => {
+  const state = refuse(NO_REFUSALS, moving, 10, 0);
+  const settled = settleRefusals(state, 'stock', moved, 60_000);
+  t.deepEqual(settled.refusals, []);
+  t.is(settled.moveMs, undefined);
+});
