Run nothing after a connection of the gateway was told of a time-out

A raw answer between these daemons is no fault: an answer without the request's id is never passed on.

Change: what arrives on such a connection is logged (3006) and not handled.

Evidence: the new test of test/gateway/sockets.test.ts failed before (one run after the 408), none after.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -26,12 +26,23 @@
   limits: Limits,
   log: Log,
 ): Server {
-  const server = createServer(limits, limits.headerBytes, gateway.callers);
+  /** Connections that had an answer of the server's own; nothing is run after it. */
+  const refused = new WeakSet<Socket>();
+  const handle: Handler = (request, response) => {
+    if (refused.has(request.socket)) {
+      const caller = request.socket.remoteAddress;
+      log(GATEWAY_EVENTS.malformed, {code: 'ERR_AFTER_ANSWER', caller});
+      return;
+    }
+    gateway.callers(request, response);
+  };
+  const server = createServer(limits, limits.headerBytes, handle);
   server.maxConnections = limits.connections;
-  server.on('checkContinue', gateway.callers);
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
-    refuseMalformed(gateway, log, error, socket),
-  );
+  server.on('checkContinue', handle);
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    refused.add(socket);
+    refuseMalformed(gateway, log, error, socket);
+  });
   return server;
 }
 
--- a/test/gateway/sockets.test.ts
+++ b/test/gateway/sockets.test.ts
@@ -1,4 +1,5 @@
 import {subscribe} from 'node:diagnostics_channel';
+import {once} from 'node:events';
 import http from 'node:http';
 import net from 'node:net';
 import test from 'ava';
@@ -276,6 +277,34 @@
   await fleet.stop();
 });
 
+test('a request that crosses the time-out of its connection is not run', async t => {
+  let runs = 0;
+  const upstream = await startServer((_request, response) => {
+    runs += 1;
+    response.end('ok');
+  });
+  const fleet = await startFleet({
+    configuration: configuration([service()], {headerTimeoutMs: 50}),
+    upstreams: [upstream.address],
+  });
+  const [{address, servers}] = fleet.daemons;
+  const caller = net.connect(address.port, address.host);
+  const [begin, ...rest] = rawRequest('POST /rota/a', [
+    'Content-Length: 0',
+  ]).split('\r\n');
+  caller.write(`${begin}\r\n`);
+  const [callers] = servers;
+  callers.prependListener('clientError', () => caller.write(rest.join('\r\n')));
+  let text = '';
+  caller.on('data', part => (text += part.toString()));
+  await once(caller, 'close');
+  await new Promise(resolve => setTimeout(resolve, 200));
+  t.regex(text, /^HTTP\/1.1 408 /);
+  t.is(runs, 0);
+  await fleet.stop();
+  await upstream.stop();
+});
+
 test('a cancelled request is cancelled at the upstream', async t => {
   let arrive = () => {};
   let close = () => {};
