Break off nothing that was sent to a daemon that is only late

What callers saw: 502 for an idempotent request whose answer was on its way. One question without a connection makes a daemon late, and every repeatable request there that had been quiet for 400 ms was aborted, also where max_attempts, the retry budget or the want of another instance left nothing to repeat it with: that is looked at only after the abort.

Cause: decideSilence took "repeatable" for "free to go elsewhere". A request that was sent has had the instance's work; at a daemon that is late its answer is likelier than that of another attempt.

Change: at a late daemon only what was not sent is given up, where another instance may run it. At one that is dark, still or refused nothing changes.

--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -321,7 +321,9 @@
  * Decides on a request without an answer. One that may have run already and
  * must not run again is ended only when the process is known to have ended, as
  * a late answer is worth more to its caller than none. Any other is given up
- * when its daemon is lost, or late and another instance may run it.
+ * when its daemon is lost. Where the daemon is only late, nothing that was sent
+ * is given up, as its answer is likelier than that of another attempt; what was
+ * not sent is, where another instance may run it.
  *
  * @example
  * decideSilence(silence, pending).kind; // 'wait'
@@ -335,7 +337,7 @@
   if (isGone && isFree) return {kind: 'give-up'};
   const quietMs = Math.min(pendingMs, silence.quietMs);
   if (quietMs >= ASK_AFTER_MS) {
-    const isElsewhere = liveness === 'late' && isFree && hasChoice;
+    const isElsewhere = liveness === 'late' && !isSent && hasChoice;
     return isElsewhere ? {kind: 'give-up'} : {kind: 'ask', ms: LOOK_MS};
   }
   return {kind: 'wait', ms: Math.max(1, ASK_AFTER_MS - quietMs)};
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import {SIDECAR_EVENTS, readError} from '../../src/sidecar/index.js';
-import {ask, startFleet, until, type TestFleet} from './fixture.js';
+import {
+  ask,
+  configuration,
+  startFleet,
+  until,
+  type TestFleet,
+} from './fixture.js';
 import {startPeer} from './peer.js';
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
@@ -31,6 +37,25 @@
   );
 });
 
+/** Makes the requests of `desk` idempotent, with a timeout of 3 s. */
+function repeatable(known: unknown): unknown {
+  const {routes} = known as {routes: {rows: unknown[][]}};
+  routes.rows[1].splice(3, 2, 'idempotent', 3);
+  return known;
+}
+
+test('a request that may be repeated is answered by a daemon that is late', async t => {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const late = {questionMs: 5000, requestMs: 1600};
+  const peer = await startPeer(fleet.store, 'desk', late);
+  t.teardown(peer.close);
+  fleet.store.write('config', 'main', repeatable(configuration(2)));
+  await pause(LEARN_MS);
+  const [{callers}] = fleet.pairs;
+  t.is((await ask(callers, 'GET', '/book/x')).status, 200);
+});
+
 test('a daemon whose own loop stood still takes no other for lost', async t => {
   const fleet = await startFleet(['stock']);
   t.teardown(fleet.close);
