Take a reset connection for no proof that a process has ended

What callers saw: 502 for all requests at a daemon, also those that may run only once, after two of its connections were reset within 50 ms.

Cause: ECONNRESET and any error in the middle of an answer were told as `refused`, "nobody listens". A process that lives resets connections too: it sheds what it can't take, stops, or ends one answer.

Change: only ECONNREFUSED before the connection stood is a refusal.

The test of errors of the own machine now covers both values of that argument.

--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -1,11 +1,11 @@
 /** How a question to a daemon, on a connection of its own, ended. */
 export type Reply =
   | {readonly kind: 'answered'; readonly tookMs: number}
-  /** The new connection was refused or reset. */
+  /** The new connection was refused: nobody listens. */
   | {readonly kind: 'refused'}
   /** No connection in time: the machine is gone, or the way to it is slow. */
   | {readonly kind: 'unconnected'}
-  /** The machine took the connection, but the daemon did not answer in time. */
+  /** The machine took the connection, but no whole answer came in time. */
   | {readonly kind: 'unanswered'};
 
 /**
--- a/src/sidecar/ask.ts
+++ b/src/sidecar/ask.ts
@@ -73,7 +73,7 @@
     const call = request({host, port, path, agent: false}, response => {
       const parts: Buffer[] = [];
       response.on('data', (part: Buffer) => parts.push(part));
-      response.on('error', () => end({kind: 'refused'}));
+      response.on('error', () => end({kind: 'unanswered'}));
       response.on('end', () => {
         const isWhole = response.complete && response.statusCode === 200;
         const value = isWhole ? parse<T>(Buffer.concat(parts)) : undefined;
@@ -95,7 +95,7 @@
       });
     });
     call.on('error', (error: NodeJS.ErrnoException) => {
-      const {kind, isOwn} = readError(error.code);
+      const {kind, isOwn} = readError(error.code, isConnected);
       end({kind}, isOwn ? Infinity : 0);
     });
     limitAt(startedAt + limits.connectMs);
@@ -103,9 +103,6 @@
   });
 }
 
-/** Errors by which the other machine says that nobody takes a connection. */
-const REFUSALS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
-
 /** Errors of this machine: it has no descriptor, port or memory left. */
 const OWN_ERRORS: ReadonlySet<string> = new Set([
   'EMFILE',
@@ -116,20 +113,28 @@
 ]);
 
 /**
- * Tells what the error of a new connection says of the other machine.
+ * Tells what the error of a new connection says of the other machine. Only a
+ * refusal before the connection stood proves that nobody listens; a process that
+ * lives resets connections too.
  *
+ * @param isConnected The connection stood before.
  * @returns with `isOwn` where the error is this machine's.
  *
  * @example
- * readError('ECONNREFUSED').kind; // 'refused'
+ * readError('ECONNREFUSED', false).kind; // 'refused'
  */
-export function readError(code: string | undefined): {
-  readonly kind: 'refused' | 'unconnected';
+export function readError(
+  code: string | undefined,
+  isConnected: boolean,
+): {
+  readonly kind: Exclude<Reply['kind'], 'answered'>;
   readonly isOwn: boolean;
 } {
-  const isRefused = code !== undefined && REFUSALS.has(code);
   const isOwn = code !== undefined && OWN_ERRORS.has(code);
-  return {kind: isRefused ? 'refused' : 'unconnected', isOwn};
+  // A reset before the connection is told of comes after it was taken as well.
+  const isTaken = isConnected || code === 'ECONNRESET';
+  if (isTaken) return {kind: 'unanswered', isOwn};
+  return {kind: code === 'ECONNREFUSED' ? 'refused' : 'unconnected', isOwn};
 }
 
 /**
--- a/test/sidecar/peer.ts
+++ b/test/sidecar/peer.ts
@@ -78,3 +78,33 @@
     },
   };
 }
+
+/** Part of an answer after which the rest does not come. */
+const BEGUN = 'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{';
+
+/**
+ * Starts what stands in for a daemon that lives and cuts each connection: at
+ * once, after it was taken and asked, or in the middle of the answer.
+ *
+ * @example
+ * const peer = await startCutter('answering');
+ */
+export async function startCutter(
+  cut: 'closed' | 'taken' | 'answering',
+): Promise<Pick<Peer, 'node' | 'close'>> {
+  const server = net.createServer(socket => {
+    socket.on('error', () => {}); // The other side is cut as well.
+    if (cut === 'closed') socket.destroy();
+    socket.once('data', () => {
+      if (cut === 'taken') socket.resetAndDestroy();
+      else socket.write(BEGUN, () => socket.resetAndDestroy());
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as net.AddressInfo;
+  const close = async () => {
+    server.close();
+  };
+  return {node: `127.0.0.1:${port}`, close};
+}
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -1,5 +1,10 @@
 import test from 'ava';
-import {SIDECAR_EVENTS, readError} from '../../src/sidecar/index.js';
+import {
+  SIDECAR_EVENTS,
+  STATUS_PATH,
+  question,
+  readError,
+} from '../../src/sidecar/index.js';
 import {
   ask,
   configuration,
@@ -7,7 +12,7 @@
   until,
   type TestFleet,
 } from './fixture.js';
-import {startPeer} from './peer.js';
+import {startCutter, startPeer} from './peer.js';
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -183,9 +188,32 @@
 });
 
 test('a machine that has no descriptor left takes no other for lost', t => {
-  for (const code of ['EMFILE', 'EADDRNOTAVAIL', 'ENOBUFS']) {
-    t.true(readError(code).isOwn);
+  for (const isConnected of [false, true]) {
+    for (const code of ['EMFILE', 'EADDRNOTAVAIL', 'ENOBUFS']) {
+      t.true(readError(code, isConnected).isOwn);
+    }
   }
-  t.deepEqual(readError('ECONNREFUSED'), {kind: 'refused', isOwn: false});
-  t.deepEqual(readError('EHOSTUNREACH'), {kind: 'unconnected', isOwn: false});
+  const refused = {kind: 'refused', isOwn: false} as const;
+  t.deepEqual(readError('ECONNREFUSED', false), refused);
+  const unconnected = {kind: 'unconnected', isOwn: false} as const;
+  t.deepEqual(readError('EHOSTUNREACH', false), unconnected);
 });
+
+test('an error after the connection was taken does not prove the end of a process', t => {
+  const unanswered = {kind: 'unanswered', isOwn: false} as const;
+  for (const code of ['ECONNRESET', 'EPIPE', 'ECONNREFUSED', undefined]) {
+    t.deepEqual(readError(code, true), unanswered);
+  }
+  t.deepEqual(readError('ECONNRESET', false), unanswered);
+});
+
+const LIMITS = {connectMs: 300, answerMs: 1000};
+
+for (const cut of ['closed', 'taken', 'answering'] as const) {
+  test(`a process that resets a connection is not taken for ended: ${cut}`, async t => {
+    const peer = await startCutter(cut);
+    t.teardown(peer.close);
+    const {answer} = await question(peer.node, STATUS_PATH, LIMITS);
+    t.is(answer.kind, 'unanswered');
+  });
+}
