Let no look decide on a request whose answer is not read yet

What callers saw: 502 for requests whose answers lay unread on the daemon that had forwarded them.

Cause: a loop that stood still sees to its timers before it reads what has arrived. The questions of the failure detector wait anew after a late timer; the look at a forwarded request did not, and gave it up at once.

Change: a look whose own timer was LATE_MS or more late decides nothing and is repeated after LOOK_MS, once, so that a loop that is always late still decides. decideSilence is told the lateness.

Measured, test/sidecar/silence.test.ts: an idempotent request at a daemon that is taken for dark answers after 250 ms, while the loop stands still from 150 ms to 600 ms: before `failed`, after `answered`. The pure test (late looks wait at each liveness, looks in time decide as before) and this one failed on the code before.

--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -13,7 +13,12 @@
   readFailure,
   readLoad,
 } from './hop.js';
-import {decideSilence, type Silence, type Liveness} from './silence.js';
+import {
+  LATE_MS,
+  decideSilence,
+  type Liveness,
+  type Silence,
+} from './silence.js';
 import {sendable, type Flow, type Work} from './work.js';
 
 /** How requests are forwarded to other daemons. */
@@ -45,7 +50,8 @@
 /**
  * Forwards a request to the daemon beside an instance and passes its answer on.
  * A daemon that stays silent is asked whether it lives; what follows for the
- * request, `decideSilence` says.
+ * request, `decideSilence` says. A look that is late is repeated once before it
+ * counts, so that a loop that is always late still decides.
  *
  * @param node Address of the daemon, as `ip:port`.
  *
@@ -68,11 +74,15 @@
   const isRepeatable =
     work.repetition === 'idempotent' && work.body.kind !== 'streamed';
   const hasChoice = !context.isKeyed(work.service);
-  const look = () => {
+  let isAnew = false;
+  const look = (dueAt: number) => {
     if (heard) return;
     const known = context.silence(node);
-    const pendingMs = context.clock() - now;
-    const pending = {pendingMs, isSent, isRepeatable, hasChoice};
+    const at = context.clock();
+    const lateMs = isAnew ? 0 : at - dueAt;
+    isAnew = lateMs >= LATE_MS;
+    const pendingMs = at - now;
+    const pending = {pendingMs, isSent, isRepeatable, hasChoice, lateMs};
     const step = decideSilence(known, pending);
     if (step.kind === 'give-up') {
       silence = known.liveness;
@@ -80,9 +90,10 @@
       return;
     }
     if (step.kind === 'ask') context.probe(node);
-    looking = setTimeout(look, step.ms);
+    looking = lookIn(step.ms);
   };
-  let looking = setTimeout(look, FIRST_LOOK_MS);
+  const lookIn = (ms: number) => setTimeout(look, ms, context.clock() + ms);
+  let looking = lookIn(FIRST_LOOK_MS);
   const read = (head: AnswerHead) => {
     heard = true;
     const load = readLoad(head);
--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -299,6 +299,8 @@
   readonly isRepeatable: boolean;
   /** Another instance may run it. */
   readonly hasChoice: boolean;
+  /** Time by which the timer of this look was late, in milliseconds. */
+  readonly lateMs: number;
 }
 
 /** What to do about a request that has no answer yet. */
@@ -323,14 +325,16 @@
  * a late answer is worth more to its caller than none. Any other is given up
  * when its daemon is lost. Where the daemon is only late, nothing that was sent
  * is given up, as its answer is likelier than that of another attempt; what was
- * not sent is, where another instance may run it.
+ * not sent is, where another instance may run it. A look whose timer was late
+ * decides nothing: what has arrived meanwhile is not read yet.
  *
  * @example
  * decideSilence(silence, pending).kind; // 'wait'
  */
 export function decideSilence(silence: Silence, pending: Pending): Step {
   const {liveness} = silence;
-  const {isSent, isRepeatable, hasChoice, pendingMs} = pending;
+  const {isSent, isRepeatable, hasChoice, pendingMs, lateMs} = pending;
+  if (lateMs >= LATE_MS) return {kind: 'wait', ms: LOOK_MS};
   const isFree = !isSent || isRepeatable;
   if (liveness === 'refused') return {kind: 'give-up'};
   const isGone = liveness === 'dark' || liveness === 'still';
--- a/test/relay/silence.test.ts
+++ b/test/relay/silence.test.ts
@@ -52,6 +52,7 @@
   isSent: true,
   isRepeatable: false,
   hasChoice: true,
+  lateMs: 0,
 };
 
 const silent = (liveness: Silence['liveness']): Silence => ({
@@ -186,6 +187,26 @@
   }
 });
 
+test('a look that is late itself breaks nothing off and accuses nobody', t => {
+  for (const liveness of [
+    'heard',
+    'late',
+    'still',
+    'dark',
+    'refused',
+  ] as const) {
+    for (const isRepeatable of [false, true]) {
+      for (const isSent of [false, true]) {
+        const pending = {...PENDING, isSent, isRepeatable};
+        const late = decideSilence(silent(liveness), {...pending, lateMs: 100});
+        t.is(late.kind, 'wait');
+        const inTime = {...pending, lateMs: 99};
+        t.not(decideSilence(silent(liveness), inTime).kind, 'wait');
+      }
+    }
+  }
+});
+
 test('a daemon is not asked while answers arrive from it', t => {
   const heard = {...silent('heard'), quietMs: 100};
   t.deepEqual(decideSilence(heard, PENDING), {kind: 'wait', ms: 300});
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -1,4 +1,17 @@
 import test from 'ava';
+import {
+  stopper,
+  type Attempt,
+  type PassState,
+} from '../../src/gateway/index.js';
+import {
+  UNKNOWN_LOAD,
+  forward,
+  type Flow,
+  type ForwardContext,
+  type Work,
+} from '../../src/relay/index.js';
+import {createPools} from '../../src/upstream/index.js';
 import {
   SIDECAR_EVENTS,
   STATUS_PATH,
@@ -76,6 +89,71 @@
   t.is((await asked).status, 200);
 });
 
+/** Forwards an idempotent request to a daemon that is taken for dark. */
+async function forwardToDark(node: string): Promise<Attempt> {
+  const pools = createPools({connectTimeoutMs: 300, keepAliveMs: 1000});
+  const clock = () => performance.now();
+  const state: PassState = {mayHaveRun: false, consumed: false};
+  const at = clock();
+  const context: ForwardContext = {
+    clock,
+    peerPools: pools,
+    loads: () => UNKNOWN_LOAD,
+    observeLoad: () => {},
+    isKeyed: () => false,
+    probe: () => {},
+    // It becomes so while the loop stands still.
+    silence: () => ({
+      liveness: clock() - at < 300 ? 'heard' : 'dark',
+      quietMs: clock() - at,
+      silentMs: 0,
+    }),
+    loopDelayMs: () => 0,
+    log: () => {},
+  };
+  const work: Work = {
+    id: 'r1',
+    service: 'desk',
+    instance: 'i-1',
+    route: 'view',
+    repetition: 'idempotent',
+    priority: 1,
+    callerService: 'desk',
+    deadlineAt: at + 5000,
+    objectiveAt: at + 2000,
+    method: 'GET',
+    target: '/view/x',
+    headers: ['Host', 'a.example'],
+    body: {kind: 'none'},
+  };
+  const request = {complete: true};
+  const response = {
+    writeHead: () => {},
+    write: () => true,
+    end: () => {},
+    once: () => {},
+    off: () => {},
+  };
+  const stop = stopper(state);
+  const course = {bodyMs: 0};
+  const flow = {request, response, state, bodyMode: 'none', stop, course};
+  const attempt = await forward(context, flow as unknown as Flow, node, work);
+  await pools.close();
+  return attempt;
+}
+
+test('a request whose answer waits for the own loop is not broken off', async t => {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const peer = await startPeer(fleet.store, 'desk', {requestMs: 250});
+  t.teardown(peer.close);
+  const forwarded = forwardToDark(peer.node);
+  await pause(150);
+  // After a check the loop sees to its timers before it reads what has arrived.
+  setImmediate(block, 450);
+  t.is((await forwarded).kind, 'answered');
+});
+
 /** Gives a peer the upper half of the keys of `stock`. */
 function shareKeys(fleet: TestFleet, peer: {node: string; id: string}): void {
   const map = fleet.store.read('fleet', 'ranges.stock') as {
