Take no member's keys on one sign or in the observer's own trouble

What callers saw: keys refused as not run after their holder, which lived, was taken for lost.

Cause: one counted question without an answer set the time from which a member is silent. Later questions were left out while the observer was unwell, but the silence went on growing until the planner revoked the keys: one sign was enough, and the observer's own trouble supplied the rest.

Change: a member is lost only with a proof, two signs of one kind in a row, as for requests; one that is late never is. The silence reaches from the first sign to the end of the last question that was judged, and a question that ends while the observer is unwell moves its beginning on by the time since then.

Measured in virtual time (test/relay/silence.test.ts), a question each second: one sign, then an observer that is unwell: before lost after 5999 ms, after not lost in 60 s. An observer that is unwell for 18 s of a loss: before the keys were taken as early as by one that is well, after 18 s later. Both tests failed on the code before; a third guards that a loss is still found, within 3 s (refused, no connection) or 6 s (no answer), before and after.

--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -39,8 +39,13 @@
   readonly against?: Exclude<Reply['kind'], 'answered'>;
   /** Questions in a row that ended so. */
   readonly times: number;
-  /** Time of the first question that counts against it, in milliseconds. */
+  /**
+   * Time of the first question that counts against it, moved on by the time in
+   * which the observer was unwell, in milliseconds.
+   */
   readonly silentSince?: number;
+  /** End of the last question by which its silence was judged, likewise. */
+  readonly judgedAt?: number;
   readonly liveness: Liveness;
   readonly usual?: Usual;
 }
@@ -115,8 +120,10 @@
         return {...listened(ended, now), usual};
       }
       if (hearing.heardAt > hearing.askedAt) return ended;
-      if (reply.kind !== 'refused' && !isWell(observer)) return ended;
-      return accuse(ended, reply.kind);
+      if (reply.kind !== 'refused' && !isWell(observer)) {
+        return excuse(ended, now);
+      }
+      return accuse(ended, reply.kind, now);
     }
   }
 }
@@ -130,14 +137,23 @@
   return lateMs < LATE_MS && heard >= waiting;
 }
 
+/** Leaves the time since the last judgement out of the silence. */
+function excuse(hearing: Hearing, now: number): Hearing {
+  const {silentSince, judgedAt = now} = hearing;
+  if (silentSince === undefined) return hearing;
+  const movedTo = silentSince + (now - judgedAt);
+  return {...hearing, silentSince: movedTo, judgedAt: now};
+}
+
 function accuse(
   hearing: Hearing,
   against: Exclude<Reply['kind'], 'answered'>,
+  now: number,
 ): Hearing {
   const times = hearing.against === against ? hearing.times + 1 : 1;
   const silentSince = hearing.silentSince ?? hearing.askedAt;
   const liveness = livenessOf(hearing.liveness, against, times);
-  return {...hearing, against, times, silentSince, liveness};
+  return {...hearing, against, times, silentSince, judgedAt: now, liveness};
 }
 
 /** What each reply proves when it is given several times in a row. */
@@ -274,7 +290,10 @@
   readonly liveness: Liveness;
   /** Time since anything was heard of it, in milliseconds. */
   readonly quietMs: number;
-  /** Time since the first question that counts against it, in milliseconds. */
+  /**
+   * Time from the first question that counts against it to the end of the last
+   * one, without that in which the observer was unwell, in milliseconds.
+   */
   readonly silentMs: number;
 }
 
@@ -285,8 +304,8 @@
  * silenceOf(UNHEARD, performance.now()).liveness; // 'heard'
  */
 export function silenceOf(hearing: Hearing, now: number): Silence {
-  const {liveness, heardAt, silentSince = now} = hearing;
-  return {liveness, quietMs: now - heardAt, silentMs: now - silentSince};
+  const {liveness, heardAt, silentSince = 0, judgedAt = 0} = hearing;
+  return {liveness, quietMs: now - heardAt, silentMs: judgedAt - silentSince};
 }
 
 /** A request that a daemon has not answered yet. */
@@ -356,13 +375,13 @@
 
 /**
  * Tells whether a member is silent for so long that its keys are given to
- * others.
+ * others. One that is only late is not: nothing proves a loss.
  *
  * @example
  * isLost(silenceOf(UNHEARD, performance.now())); // false
  */
 export function isLost({liveness, silentMs}: Silence): boolean {
-  if (liveness === 'heard') return false;
+  if (liveness === 'heard' || liveness === 'late') return false;
   const isLikely = liveness === 'dark' || liveness === 'refused';
   return silentMs >= (isLikely ? LOST_MS.lost : LOST_MS.standing);
 }
--- a/test/relay/silence.test.ts
+++ b/test/relay/silence.test.ts
@@ -240,6 +240,65 @@
   t.false(isLost({...silent('heard'), silentMs: 60_000}));
 });
 
+/** Asks every second and returns the first time at which the keys are taken. */
+function lostAt(
+  count: number,
+  kindOf: (turn: number) => 'refused' | 'unconnected' | 'unanswered',
+  observerOf: (turn: number) => typeof WELL,
+): number | undefined {
+  let hearing = UNHEARD;
+  for (let turn = 0; turn < count; turn++) {
+    const kind = kindOf(turn);
+    const asked = askOnce(hearing, kind, turn * 1000, observerOf(turn));
+    ({hearing} = asked);
+    const soon = turn * 1000 + 999;
+    if (isLost(silenceOf(hearing, soon))) return soon;
+  }
+  return undefined;
+}
+
+const UNWELL = {heard: 0, waiting: 60, lateMs: 900};
+
+test('keys are not taken on one sign, however long the observer is unwell', t => {
+  for (const kind of ['unconnected', 'unanswered'] as const) {
+    const once = (turn: number) => (turn === 0 ? WELL : UNWELL);
+    t.is(
+      lostAt(60, () => kind, once),
+      undefined,
+    );
+    const first = askOnce(UNHEARD, kind, 0);
+    t.false(isLost(silenceOf(first.hearing, 60_000)));
+    t.false(isLost({...silent('late'), silentMs: 60_000}));
+  }
+});
+
+test('the time in which the observer is unwell does not count as silence', t => {
+  const from = 2;
+  const to = 20;
+  const between = (turn: number) => (turn >= from && turn < to ? UNWELL : WELL);
+  for (const kind of ['unconnected', 'unanswered'] as const) {
+    const well = lostAt(
+      60,
+      () => kind,
+      () => WELL,
+    );
+    const unwell = lostAt(60, () => kind, between);
+    t.is(unwell! - well!, (to - from) * 1000);
+  }
+});
+
+test('a lost member loses its keys in the time that its proof takes', t => {
+  const at = (kind: 'refused' | 'unconnected' | 'unanswered') =>
+    lostAt(
+      60,
+      () => kind,
+      () => WELL,
+    );
+  t.true(at('refused')! <= 3000);
+  t.true(at('unconnected')! <= 3000);
+  t.true(at('unanswered')! <= 6000);
+});
+
 test('nothing but two refusals or two missing connections makes a loss', t => {
   const reply = fc.oneof(
     fc.constant<Reply>({kind: 'refused'}),
