Prove no machine dark while nobody at all is heard

What callers saw: keys and requests refused by an entry whose own link was broken, on the ground that a daemon it had asked was dark.

Cause: silence counts where as many others were heard as keep the observer waiting. An entry that asked one daemon and heard nobody had none waiting either, so 0 of 0 passed for a working link.

Change: where another daemon is known that is not proven lost, at least one must have been heard since the question. If none was, a random one of them is asked once as a control, and its answer or refusal shows that the own link works; a random one, since the one heard last may share the failure domain of the lost one. Without any third daemon the evidence stays as it was. The members of the fleet are told with the question, as an entry may have asked nobody before.

Measured, test/sidecar/silence.test.ts: three questions to a machine that takes no connection, by one whose other daemon takes none either: before `dark`, after `heard`; by one whose other daemon answers, or that has no other: `dark` before and after. The first and the pure test (0 heard, 0 waiting) failed on the code before; the others guard that a real loss is still found.

The observers of the pure tests state the new field; the expectations are as they were.

--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -65,6 +65,8 @@
   readonly heard: number;
   /** Other daemons that owe an answer and are not known to be lost. */
   readonly waiting: number;
+  /** No other daemon is known that could have been heard. */
+  readonly isAlone: boolean;
   /** Time by which timers of the observer were late, in milliseconds. */
   readonly lateMs: number;
 }
@@ -91,8 +93,8 @@
 
 /**
  * Counts an observation. Silence counts only where the observer is well: its
- * timers are in time, and at least as many other daemons were heard since the
- * question as keep it waiting.
+ * timers are in time, at least as many other daemons were heard since the
+ * question as keep it waiting, and at least one was unless there is none.
  *
  * Answers fleets whose links and processors are so narrow that answers are late
  * by as much as a lost machine is silent: a busy link or loop of the observer
@@ -133,8 +135,9 @@
   return {...UNHEARD, heardAt: now, askedAt, isAsked, usual};
 }
 
-function isWell({heard, waiting, lateMs}: Observer): boolean {
-  return lateMs < LATE_MS && heard >= waiting;
+function isWell({heard, waiting, isAlone, lateMs}: Observer): boolean {
+  const isHearing = heard > 0 || isAlone;
+  return lateMs < LATE_MS && isHearing && heard >= waiting;
 }
 
 /** Leaves the time since the last judgement out of the silence. */
@@ -269,7 +272,7 @@
   hearings: ReadonlyMap<string, Hearing>,
   node: string,
   now: number,
-): Omit<Observer, 'lateMs'> {
+): Pick<Observer, 'heard' | 'waiting'> {
   const since = hearings.get(node)?.askedAt ?? now;
   let heard = 0;
   let waiting = 0;
@@ -279,12 +282,41 @@
   ] of hearings) {
     if (other === node) continue;
     if (heardAt >= since) heard += 1;
-    else if (liveness !== 'heard' && liveness !== 'late') continue;
+    else if (isProven(liveness)) continue;
     else if (isAsked || (against && now - askedAt < RECENT_MS)) waiting += 1;
   }
   return {heard, waiting};
 }
 
+function isProven(liveness: Liveness): boolean {
+  return liveness !== 'heard' && liveness !== 'late';
+}
+
+/**
+ * Returns a daemon to ask whether the observer hears anyone at all: any that is
+ * not known to be lost. One that was heard lately may be lost as well, with its
+ * failure domain, so the choice is random and the next one may be another.
+ *
+ * @param others Daemons that are known, with or without the excluded ones.
+ * @param random Number from 0 to less than 1.
+ * @returns undefined where there is no third daemon.
+ *
+ * @example
+ * const control = chooseControl(hearings, members, [own, node], Math.random());
+ */
+export function chooseControl(
+  hearings: ReadonlyMap<string, Hearing>,
+  others: Iterable<string>,
+  excluded: readonly string[],
+  random: number,
+): string | undefined {
+  const choices = [...others].filter(other => {
+    const {liveness} = hearings.get(other) ?? UNHEARD;
+    return !excluded.includes(other) && !isProven(liveness);
+  });
+  return choices[Math.floor(random * choices.length)];
+}
+
 /** What is known of a daemon that may be silent. */
 export interface Silence {
   readonly liveness: Liveness;
--- a/src/sidecar/ask.ts
+++ b/src/sidecar/ask.ts
@@ -3,6 +3,7 @@
 import {
   LATE_MS,
   UNHEARD,
+  chooseControl,
   compareOthers,
   learnUsual,
   observeSilence,
@@ -155,14 +156,22 @@
   return answer.kind === 'answered' ? answer.value : undefined;
 }
 
+/** The observer of a question that is judged without a comparison. */
+const UNCOMPARED = {heard: 0, waiting: 0, isAlone: false};
+
 /** What a daemon hears of the others. */
 export interface Listener<T> {
   /**
-   * Asks a daemon for its status; a question that is under way is shared.
+   * Asks a daemon for its status; a question that is under way is shared. Where
+   * it stays silent and nobody else was heard, another one is asked as well.
    *
+   * @param others Other daemons that are known; those asked so far if missing.
    * @returns undefined when it does not answer.
    */
-  readonly ask: (node: string) => Promise<T | undefined>;
+  readonly ask: (
+    node: string,
+    others?: Iterable<string>,
+  ) => Promise<T | undefined>;
   /** Tells that a daemon has answered a request. */
   readonly heard: (node: string) => void;
   /** What is known now of a daemon that may be silent. */
@@ -190,23 +199,56 @@
     hearings.set(peer, observeSilence(hearingOf(peer), observation, now));
   };
 
-  const askNow = async (peer: string) => {
+  /** Tells whether another daemon, or the machine that it ran on, answers. */
+  const reaches = async (control: string) => {
+    const limits = questionLimits(hearingOf(control), all, performance.now());
+    const {answer} = await question<T>(control, STATUS_PATH, limits);
+    if (answer.kind === 'answered') observe(control, {kind: 'heard'});
+    return answer.kind === 'answered' || answer.kind === 'refused';
+  };
+
+  /** Compares a daemon with the others; one is asked where none was heard. */
+  const compare = async (
+    peer: string,
+    others: Iterable<string> = hearings.keys(),
+  ) => {
+    const counted = () => compareOthers(hearings, peer, performance.now());
+    const before = counted();
+    if (before.heard > 0) return {...before, isAlone: false};
+    const control = chooseControl(
+      hearings,
+      others,
+      [node, peer],
+      Math.random(),
+    );
+    if (control === undefined) return {...before, isAlone: true};
+    const isReached = await reaches(control);
+    const {heard, waiting} = counted();
+    return {heard: heard || Number(isReached), waiting, isAlone: false};
+  };
+
+  const askNow = async (peer: string, others?: Iterable<string>) => {
     const limits = questionLimits(hearingOf(peer), all, performance.now());
     observe(peer, {kind: 'asked'});
     const {answer, lateMs} = await question<T>(peer, STATUS_PATH, limits);
-    const now = performance.now();
-    const observer = {...compareOthers(hearings, peer, now), lateMs};
+    const isSilent = answer.kind !== 'answered' && answer.kind !== 'refused';
+    const observer = {
+      ...(isSilent && lateMs < LATE_MS
+        ? await compare(peer, others)
+        : UNCOMPARED),
+      lateMs,
+    };
     observe(peer, {kind: 'ended', reply: answer, observer});
     if (answer.kind !== 'answered') return undefined;
-    if (peer !== node) all = learnUsual(all, answer.tookMs, now);
+    if (peer !== node) all = learnUsual(all, answer.tookMs, performance.now());
     return answer.value;
   };
 
   return {
-    ask: peer => {
+    ask: (peer, others) => {
       const running = questions.get(peer);
       if (running) return running;
-      const asked = askNow(peer).finally(() => questions.delete(peer));
+      const asked = askNow(peer, others).finally(() => questions.delete(peer));
       questions.set(peer, asked);
       return asked;
     },
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -285,7 +285,7 @@
   const pursue = async (peer: string) => {
     for (let asked = 0; asked < QUESTIONS; asked++) {
       if (asked > 0) await sleep(QUESTION_PAUSE_MS);
-      await ask(peer);
+      await ask(peer, view.members.keys());
       const {liveness} = silence(peer);
       observeLoad(peer, {kind: LIVENESS_EVENTS[liveness]});
       if (liveness !== 'late') return;
--- a/test/relay/silence.test.ts
+++ b/test/relay/silence.test.ts
@@ -3,6 +3,7 @@
 import {
   UNHEARD,
   applyLoadEvent,
+  chooseControl,
   chooseInstance,
   UNKNOWN_LOAD,
   compareOthers,
@@ -18,7 +19,7 @@
   type Silence,
 } from '../../src/relay/index.js';
 
-const WELL = {heard: 8, waiting: 1, lateMs: 0};
+const WELL = {heard: 8, waiting: 1, isAlone: false, lateMs: 0};
 
 /** Asks once at a time, and gets a reply after the time that it is waited for. */
 function askOnce(
@@ -83,8 +84,9 @@
 
 test('an observer in trouble accuses nobody by silence', t => {
   const troubles = [
-    {heard: 0, waiting: 2, lateMs: 0},
-    {heard: 8, waiting: 1, lateMs: 300},
+    {heard: 0, waiting: 2, isAlone: false, lateMs: 0},
+    {heard: 0, waiting: 0, isAlone: false, lateMs: 0},
+    {heard: 8, waiting: 1, isAlone: false, lateMs: 300},
   ];
   for (const trouble of troubles) {
     const {hearing} = askAll(Array(5).fill('unconnected'), trouble);
@@ -95,6 +97,29 @@
   }
 });
 
+test('without a third daemon the silence of the other one counts', t => {
+  const alone = {heard: 0, waiting: 0, isAlone: true, lateMs: 0};
+  const dark = askAll(['unconnected', 'unconnected'], alone).hearing;
+  t.is(dark.liveness, 'dark');
+});
+
+test('the control of a silence is any third daemon that is not lost', t => {
+  const lost = askAll(['unconnected', 'unconnected']).hearing;
+  const heard = observeSilence(UNHEARD, {kind: 'heard'}, 10);
+  const all = new Map([
+    ['peer', heard],
+    ['lost', lost],
+    ['old', heard],
+    ['own', heard],
+  ]);
+  const choose = (others: string[], random: number) =>
+    chooseControl(all, others, ['own', 'peer'], random);
+  const known = [...all.keys(), 'unheard'];
+  const chosen = [0, 0.3, 0.49, 0.5, 0.99].map(at => choose(known, at));
+  t.deepEqual(chosen, ['old', 'old', 'old', 'unheard', 'unheard']);
+  t.is(choose(['own', 'peer', 'lost'], 0.5), undefined);
+});
+
 test('of daemons that fall silent at once none is accused, of one among many it is', t => {
   const asked = observeSilence(UNHEARD, {kind: 'asked'}, 100);
   const heard = observeSilence(UNHEARD, {kind: 'heard'}, 300);
@@ -257,7 +282,7 @@
   return undefined;
 }
 
-const UNWELL = {heard: 0, waiting: 60, lateMs: 900};
+const UNWELL = {heard: 0, waiting: 60, isAlone: false, lateMs: 900};
 
 test('keys are not taken on one sign, however long the observer is unwell', t => {
   for (const kind of ['unconnected', 'unanswered'] as const) {
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -15,6 +15,7 @@
 import {
   SIDECAR_EVENTS,
   STATUS_PATH,
+  createListener,
   question,
   readError,
 } from '../../src/sidecar/index.js';
@@ -295,3 +296,49 @@
     t.is(answer.kind, 'unanswered');
   });
 }
+
+for (const [own, liveness] of [
+  ['broken', 'heard'],
+  ['working', 'dark'],
+] as const) {
+  test(`a machine is dark only to one that hears others: link ${own}`, async t => {
+    const fleet = await startFleet([]);
+    t.teardown(fleet.close);
+    const dark = await startPeer(fleet.store, 'desk', {isDark: true});
+    t.teardown(dark.close);
+    // Behind a broken link all others look alike.
+    const manner = own === 'broken' ? {isDark: true} : {};
+    const other = await startPeer(fleet.store, 'desk', manner);
+    t.teardown(other.close);
+    const listener = createListener('127.0.0.1:1');
+    for (let turn = 0; turn < 3; turn++) {
+      await listener.ask(dark.node, [dark.node, other.node]);
+    }
+    t.is(listener.silence(dark.node).liveness, liveness);
+    t.is(listener.silence(other.node).liveness, 'heard');
+  });
+}
+
+test('a machine is dark to the only other one', async t => {
+  const fleet = await startFleet([]);
+  t.teardown(fleet.close);
+  const dark = await startPeer(fleet.store, 'desk', {isDark: true});
+  t.teardown(dark.close);
+  const listener = createListener('127.0.0.1:1');
+  for (let turn = 0; turn < 3; turn++) await listener.ask(dark.node);
+  t.is(listener.silence(dark.node).liveness, 'dark');
+});
+
+test('of daemons that are asked at once without any before, none is alone', async t => {
+  const fleet = await startFleet([]);
+  t.teardown(fleet.close);
+  const peers = await Promise.all(
+    [1, 2].map(() => startPeer(fleet.store, 'desk', {isDark: true})),
+  );
+  t.teardown(() => Promise.all(peers.map(peer => peer.close())));
+  const listener = createListener('127.0.0.1:1');
+  for (let turn = 0; turn < 3; turn++) {
+    await Promise.all(peers.map(({node}) => listener.ask(node)));
+  }
+  for (const {node} of peers) t.is(listener.silence(node).liveness, 'heard');
+});
