Count an offered body once when its turn has come

Found when reading the change again: the second look at the queue of the slots counted the body that had just got its turn among those ahead of it, so that the last one that fits was refused. The timer of an offer is cleared with its end.

--- a/src/relay/offer.ts
+++ b/src/relay/offer.ts
@@ -63,6 +63,7 @@
   const headers = [HOP_HEADER, hop, OFFER_HEADER, length];
   const call = {method: 'GET', path: '/', headers, body: null};
   let answer: AnswerHead | undefined;
+  let timer: NodeJS.Timeout | undefined;
   const result = await new Promise<ExchangeResult>(resolve => {
     const abort = exchange(pool, call, flow.response, {
       ready: () => true,
@@ -73,9 +74,9 @@
       ended: resolve,
     });
     flow.state.giveUp = () => abort(new Error('the request was given up'));
-    const timer = setTimeout(flow.state.giveUp, OFFER_TIMEOUT_MS);
-    timer.unref();
+    timer = setTimeout(flow.state.giveUp, OFFER_TIMEOUT_MS);
   });
+  clearTimeout(timer);
   flow.state.giveUp = undefined;
   if (flow.state.stopped) return failed(flow.state.stopped);
   const load = answer && readLoad(answer);
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -147,10 +147,11 @@
   const {request, response, stop} = flow;
   const settled = stopWhenOver(response, stop, hop.leftMs);
   const work = workOf(request, hop, startedAt, [], {kind: 'none'});
+  const ahead = () => context.transfers.state().running.length;
   const refusal =
-    refuseOffer(context, work) ??
+    refuseOffer(context, work, ahead()) ??
     (await awaitTurn(context, flow, work)) ??
-    refuseOffer(context, work);
+    refuseOffer(context, work, ahead() - 1);
   settled();
   if (!refusal) {
     const headers = [LOAD_HEADER, formatLoad(context.load())];
@@ -169,10 +170,14 @@
 /** Status of the answer to an offer that is accepted. */
 const ACCEPTED_STATUS = 204;
 
-function refuseOffer(context: PeersContext, work: Work): Failure | undefined {
+/** @param ahead Bodies that are to arrive before the one that is offered. */
+function refuseOffer(
+  context: PeersContext,
+  work: Work,
+  ahead: number,
+): Failure | undefined {
   const refused = checkInstance(context, work);
   if (refused) return refused.failure;
-  const ahead = context.transfers.state().running.length;
   const denied = context.slots().refusal(claimOf(work), ahead);
   return denied && failureOf(denied, 'no slot in time for a body');
 }
