--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -18,6 +18,8 @@
 } from '../fleet/index.js';
 import {
   HOP_HEADER,
+  LOAD_HEADER,
+  RELAY_EVENTS,
   UNKNOWN_LOAD,
   applyLoadEvent,
   chooseService,
@@ -27,9 +29,11 @@
   createSlots,
   createTransfers,
   failureHeaders,
+  formatLoad,
   handleCaller,
   handleHop,
   loadOf,
+  parseHop,
   type ActiveConfiguration,
   type Dialect,
   type Ended,
@@ -38,12 +42,13 @@
   type LoadEvent,
   type RoutedConfiguration,
   type SplitState,
+  type Liveness,
 } from '../relay/index.js';
-import {notRun} from '../model/index.js';
+import {notRun, unknown, type Failure} from '../model/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
 import {breakOff, createPools} from '../upstream/index.js';
-import {MAP_PATH, STATUS_PATH, askDaemon} from './ask.js';
+import {MAP_PATH, STATUS_PATH, askDaemon, createListener} from './ask.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {createKeeper, type Keeper} from './keeper.js';
 import {readOwnMap} from './maps.js';
@@ -53,6 +58,13 @@
 import {PEER_IDLE_MS, createHandlerServer, listenAt} from './servers.js';
 import type {SidecarSettings} from './settings.js';
 import {createSignal} from './signal.js';
+import {
+  CALLERS_LEAVE_MS,
+  createWithholding,
+  isOverInTime,
+  planStop,
+  type StopPlan,
+} from './stopping.js';
 
 /** A configuration as read from the store, or why it can't be. */
 export type ConfigurationResult =
@@ -90,8 +102,14 @@
 /** Longest hold of a key; the settings may bound it further. */
 const HOLD_MS = 5000;
 
-/** Time limit of a question to another daemon, in milliseconds. */
-const ASK_TIMEOUT_MS = 400;
+/** What the silence of a daemon means for the choice of an instance. */
+const LIVENESS_EVENTS = {
+  heard: 'reachable',
+  late: 'suspected',
+  still: 'unreachable',
+  dark: 'unreachable',
+  refused: 'unreachable',
+} as const satisfies Readonly<Record<Liveness, LoadEvent['kind']>>;
 
 /** Time limit of a read of the store through another daemon. */
 const RELAY_TIMEOUT_MS = 300;
@@ -99,6 +117,12 @@
 /** Interval between two questions to a daemon that did not answer. */
 const RETURN_INTERVAL_MS = 400;
 
+/** Questions that tell a lost packet, or one connection refused, from a loss. */
+const QUESTIONS = 2;
+
+/** Pause between them, in which a listening daemon takes what it has. */
+const QUESTION_PAUSE_MS = 50;
+
 /** Interval between two looks at what falls due, in milliseconds. */
 const KEEPER_INTERVAL_MS = 500;
 const PLANNER_INTERVAL_MS = 1000;
@@ -106,9 +130,15 @@
 /** Lateness of a timer from which it is logged, in milliseconds. */
 const LOOP_DELAY_LOGGED_MS = 250;
 
-/** Time limit for a connection to the instance or another daemon. */
+/** Time limit for a connection to the instance beside, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
 
+/**
+ * Time limit for a connection to another daemon, in milliseconds; the longest
+ * that a question waits for one. Requests are given up sooner by its silence.
+ */
+const PEER_CONNECT_TIMEOUT_MS = 1200;
+
 /** Time for which idle connections to an instance are kept, at most. */
 const INSTANCE_IDLE_MS = 8000;
 
@@ -128,32 +158,33 @@
 /** Retries kept for requests whose callers have no time to return. */
 const RETRY_KEPT = 1;
 
-/** Time for which callers go on sending after readiness is withdrawn. */
-const LINGER_MS = 2700;
-
-/** Time from SIGTERM until answers close the callers' connections. */
-const CLOSE_AFTER_MS = 1000;
-
 /** Time without a request after which a stopping daemon may end. */
 const QUIET_MS = 400;
 
-/** Time before the grace ends in which the process ends by itself. */
-const GRACE_RESERVE_MS = 500;
-
-/** Time kept within the grace to finish what was taken before. */
-const FINISH_MS = 1600;
+/** Status of a request that may have been run when the daemon ended. */
+const CUT_STATUS = 502;
 
 /** Retry-After of a daemon that is about to end, in milliseconds. */
 const STOPPING_RETRY_MS = 200;
 
-/** Refuses a request that arrives when the daemon is about to end. */
-function refuseStopping(response: ServerResponse): void {
-  const failure = notRun('draining', 'the daemon ends', STOPPING_RETRY_MS);
-  const headers = failureHeaders(failure, false);
-  headers.push('Retry-After', String(STOPPING_RETRY_MS / MS_PER_SECOND));
-  headers.push('Content-Length', '0', 'Connection', 'close');
-  response.writeHead(failure.status, headers);
-  response.end();
+/** Time in which the last answers leave, in milliseconds. */
+const LAST_ANSWERS_MS = 100;
+
+/** Tells whether a part of a request's body is still to come. */
+function isArriving({complete, headers}: IncomingMessage): boolean {
+  const hasBody = 'transfer-encoding' in headers;
+  return !complete && (hasBody || Number(headers['content-length']) > 0);
+}
+
+/**
+ * Calls back once the body of a request has arrived and is discarded, for
+ * callers that read no answer before; at once where the body is sent only after
+ * a word of ours.
+ */
+function whenReceived(request: IncomingMessage, call: () => void): void {
+  if (request.headers.expect !== undefined) return call();
+  request.once('end', call);
+  request.resume();
 }
 
 /**
@@ -174,16 +205,15 @@
   let view: FleetView = EMPTY_VIEW;
   let listed = false;
   let configuration: ActiveConfiguration | undefined;
-  let stoppingAt: number | undefined;
-  /** New requests are refused; what was taken before is finished. */
-  let closing = false;
+  let stop: StopPlan | undefined;
   let lastRequestAt = clock();
   let loopDelayMs = 0;
-  let open = 0;
+  const open = new Set<ServerResponse>();
+  const withholding = createWithholding(STOPPING_RETRY_MS);
   const splits = new Map<string, SplitState>();
   const loads = new Map<string, InstanceLoad>();
   const budgets = new Map<string, RetryBudget>();
-  const probes = new Map<string, Promise<boolean>>();
+  const probes = new Set<string>();
 
   const reportError = (error: unknown) => {
     const message = (error as Error).stack ?? String(error);
@@ -232,7 +262,9 @@
     readThroughPeer,
   };
 
-  let slots = createSlots({slots: 1, clock});
+  const slotsOf = (count: number) =>
+    withholding.wrap(createSlots({slots: count, clock}));
+  let slots = slotsOf(1);
   const transfers = createTransfers({clock});
 
   const keeper = createKeeper({
@@ -247,28 +279,37 @@
       return settings.drainS * MS_PER_SECOND;
     },
     began: count => {
-      slots = createSlots({slots: count, clock});
+      slots = slotsOf(count);
       meter.reset();
     },
   });
 
-  const ask = (peer: string) =>
-    askDaemon<Status>(peer, STATUS_PATH, ASK_TIMEOUT_MS);
-  const planner = createPlanner({...access, ask});
-
-  const probe = (peer: string) => {
-    const running = probes.get(peer);
-    if (running) return running;
-    const asked = ask(peer).then(status => status !== undefined);
-    probes.set(peer, asked);
-    void asked.finally(() => probes.delete(peer));
-    return asked;
+  const {ask, heard, silence} = createListener<Status>(node);
+  const planner = createPlanner({...access, ask, silence});
+
+  /** Asks a daemon until it is plain whether it is lost. */
+  const pursue = async (peer: string) => {
+    for (let asked = 0; asked < QUESTIONS; asked++) {
+      if (asked > 0) await sleep(QUESTION_PAUSE_MS);
+      await ask(peer);
+      const {liveness} = silence(peer);
+      observeLoad(peer, {kind: LIVENESS_EVENTS[liveness]});
+      if (liveness !== 'late') return;
+    }
+  };
+
+  const probe = async (peer: string) => {
+    if (probes.has(peer)) return;
+    probes.add(peer);
+    await pursue(peer).finally(() => probes.delete(peer));
   };
 
   const observeLoad = (peer: string, event: LoadEvent) => {
     const before = loads.get(peer) ?? UNKNOWN_LOAD;
-    loads.set(peer, applyLoadEvent(before, event, clock()));
-    const isFirst = event.kind === 'unreachable' && before.unreachable === 0;
+    const after = applyLoadEvent(before, event, clock());
+    loads.set(peer, after);
+    if (event.kind === 'reported') heard(peer);
+    const isFirst = before.unreachable === 0 && after.unreachable > 0;
     if (isFirst) guard(awaitReturn(peer));
   };
 
@@ -276,10 +317,8 @@
   const awaitReturn = async (peer: string) => {
     while (!controller.signal.aborted && view.members.has(peer)) {
       await sleep(RETURN_INTERVAL_MS);
-      const load = loads.get(peer);
-      if (!load || load.unreachable === 0) return;
-      const answers = await probe(peer);
-      observeLoad(peer, {kind: answers ? 'reachable' : 'unreachable'});
+      if ((loads.get(peer)?.unreachable ?? 0) === 0) return;
+      await probe(peer);
     }
   };
 
@@ -326,7 +365,7 @@
     },
     observeLoad,
     peerPools: createPools({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
       keepAliveMs: PEER_IDLE_MS / 2,
     }),
     returns: createReturns(),
@@ -340,7 +379,8 @@
     countRequest: service => {
       budgets.set(service, countForwarded(budgetOf(service)));
     },
-    probe,
+    probe: peer => guard(probe(peer)),
+    silence,
     ended: ended => options.ended?.(ended),
   };
   const peersContext = {
@@ -369,25 +409,56 @@
     viewSignal.raise();
   };
 
+  /**
+   * Answers in place of the handler. The connection closes after it, unless a
+   * body still arrives: its unread bytes would reset it.
+   */
+  const answerStopping = (response: ServerResponse, failure: Failure) => {
+    if (response.destroyed || response.headersSent) return;
+    const headers = failureHeaders(failure, false);
+    headers.push(
+      LOAD_HEADER,
+      formatLoad(loadOf(slots, transfers, meter.meanMs())),
+    );
+    if (failure.retryAfterMs !== undefined) {
+      const retryS = failure.retryAfterMs / MS_PER_SECOND;
+      headers.push('Retry-After', String(retryS));
+    }
+    headers.push('Content-Length', '0');
+    response.shouldKeepAlive = isArriving(response.req);
+    response.writeHead(failure.status, headers);
+    response.end();
+  };
+
+  const logStopping = (request: IncomingMessage, failure: Failure) => {
+    const {id} = dialect.readRequest(request.rawHeaders);
+    const {outcome, reason, message, status} = failure;
+    log(RELAY_EVENTS.failed, {request: id, outcome, reason, message, status});
+  };
+
   const track = (
     handle: (
       request: IncomingMessage,
       response: ServerResponse,
     ) => Promise<void>,
+    leftMs: (request: IncomingMessage) => number,
+    whenRefusable: (request: IncomingMessage, call: () => void) => void,
   ) => {
     return (request: IncomingMessage, response: ServerResponse) => {
-      open += 1;
-      lastRequestAt = clock();
-      const stopping = stoppingAt !== undefined;
-      if (stopping && clock() > stoppingAt! + CLOSE_AFTER_MS) {
-        response.shouldKeepAlive = false;
-      }
+      open.add(response);
+      const now = clock();
+      lastRequestAt = now;
+      if (stop && now >= stop.closeFrom) response.shouldKeepAlive = false;
       response.once('close', () => {
-        open -= 1;
+        open.delete(response);
         lastRequestAt = clock();
       });
-      if (closing) {
-        refuseStopping(response);
+      const isLate = stop !== undefined && now >= stop.refuseFrom;
+      if (isLate && !isOverInTime(stop!, now + leftMs(request))) {
+        const message = 'the daemon ends';
+        const failure = notRun('draining', message, STOPPING_RETRY_MS);
+        logStopping(request, failure);
+        whenRefusable(request, () => answerStopping(response, failure));
         return;
       }
       handle(request, response).catch(error => {
@@ -397,6 +468,20 @@
     };
   };
 
+  /** Ends what is still open; a response that has begun must not look whole. */
+  const endOpen = () => {
+    const cut = unknown('draining', 'the daemon ended before an answer');
+    const failure = {...cut, status: CUT_STATUS};
+    for (const response of open) {
+      const {req: request} = response;
+      if (response.writableEnded) continue;
+      if (!response.headersSent && !request.complete) continue;
+      logStopping(request, failure);
+      if (response.headersSent) breakOff(response);
+      else answerStopping(response, failure);
+    }
+  };
+
   const statusOf = (): Status | undefined => {
     const life = keeper.life();
     if (!life) return undefined;
@@ -424,13 +509,21 @@
   };
 
   const callers: Server = createHandlerServer(
-    track((request, response) => handleCaller(context, request, response)),
+    track(
+      (request, response) => handleCaller(context, request, response),
+      ({rawHeaders}) => dialect.readRequest(rawHeaders).deadlineMs ?? Infinity,
+      whenReceived,
+    ),
     DEFAULT_HEADER_MS,
     PEER_IDLE_MS,
     log,
   );
-  const handlePeer = track((request, response) =>
-    handleHop(peersContext, request, response),
+  const handlePeer = track(
+    (request, response) => handleHop(peersContext, request, response),
+    // One without a hop is refused by the handler at once.
+    ({headers}) => parseHop(headers[HOP_HEADER])?.leftMs ?? 0,
+    // Another daemon reads answers before its body is sent.
+    (_, call) => call(),
   );
   const peers = createHandlerServer(
     (request, response) => {
@@ -490,7 +583,7 @@
     loopDelayMs = clock() - dueAt;
     if (loopDelayMs < LOOP_DELAY_LOGGED_MS) return;
     const delayMs = Math.round(loopDelayMs);
-    log(SIDECAR_EVENTS.loopDelayed, {delayMs, open});
+    log(SIDECAR_EVENTS.loopDelayed, {delayMs, open: open.size});
   };
 
   const followFleet = () =>
@@ -528,8 +621,7 @@
 
   return {
     keeper,
-    isReady: () =>
-      configuration !== undefined && listed && stoppingAt === undefined,
+    isReady: () => configuration !== undefined && listed && stop === undefined,
     reload: changed => {
       settings = changed;
     },
@@ -547,7 +639,7 @@
       await listenAt(callers, settings.callers);
       guard(followFleet());
       guard(followConfiguration());
-      every(waitForTick, keeper.tick);
+      every(waitForTick, () => keeper.tick(loopDelayMs));
       every(
         () => sleep(PLANNER_INTERVAL_MS),
         async () => {
@@ -561,20 +653,27 @@
     },
     stop: async () => {
       const startedAt = clock();
-      stoppingAt = startedAt;
+      const plan = planStop(startedAt, settings.graceS * MS_PER_SECOND);
+      stop = plan;
       keeper.stop();
-      log(SIDECAR_EVENTS.stopping, {open});
-      const limitMs = settings.graceS * MS_PER_SECOND - GRACE_RESERVE_MS;
+      log(SIDECAR_EVENTS.stopping, {open: open.size});
       for (;;) {
         await sleep(QUIET_MS / 4);
-        const passedMs = clock() - startedAt;
-        const quietMs = clock() - lastRequestAt;
-        const isQuiet = open === 0 && quietMs >= QUIET_MS;
-        if (passedMs >= LINGER_MS && isQuiet) break;
-        closing ||= passedMs >= limitMs - FINISH_MS;
-        if (passedMs >= limitMs || (closing && open === 0)) break;
+        const now = clock();
+        const isQuiet = open.size === 0 && now - lastRequestAt >= QUIET_MS;
+        if (isQuiet && now >= startedAt + CALLERS_LEAVE_MS) break;
+        if (now >= plan.closeFrom) {
+          for (const response of open) response.shouldKeepAlive = false;
+        }
+        if (now < plan.withholdFrom) continue;
+        withholding.withhold(deadlineAt => !isOverInTime(plan, deadlineAt));
+        if (now >= plan.endsAt || open.size === 0) break;
+      }
+      log(SIDECAR_EVENTS.stopped, {open: open.size});
+      if (open.size > 0) {
+        endOpen();
+        await sleep(LAST_ANSWERS_MS);
       }
-      log(SIDECAR_EVENTS.stopped, {open});
       controller.abort();
       for (const server of [callers, peers]) {
         server.close();
