--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -1,11 +1,11 @@
 /** How a question to a daemon, on a connection of its own, ended. */
 export type Reply =
   | {readonly kind: 'answered'; readonly tookMs: number}
-  /** The new connection was refused or reset. */
+  /** The new connection was refused: nobody listens. */
   | {readonly kind: 'refused'}
   /** No connection in time: the machine is gone, or the way to it is slow. */
   | {readonly kind: 'unconnected'}
-  /** The machine took the connection, but the daemon did not answer in time. */
+  /** The machine took the connection, but no whole answer came in time. */
   | {readonly kind: 'unanswered'};
 
 /**
@@ -39,8 +39,13 @@
   readonly against?: Exclude<Reply['kind'], 'answered'>;
   /** Questions in a row that ended so. */
   readonly times: number;
-  /** Time of the first question that counts against it, in milliseconds. */
+  /**
+   * Time of the first question that counts against it, moved on by the time in
+   * which the observer was unwell, in milliseconds.
+   */
   readonly silentSince?: number;
+  /** End of the last question by which its silence was judged, likewise. */
+  readonly judgedAt?: number;
   readonly liveness: Liveness;
   readonly usual?: Usual;
 }
@@ -60,6 +65,8 @@
   readonly heard: number;
   /** Other daemons that owe an answer and are not known to be lost. */
   readonly waiting: number;
+  /** No other daemon is known that could have been heard. */
+  readonly isAlone: boolean;
   /** Time by which timers of the observer were late, in milliseconds. */
   readonly lateMs: number;
 }
@@ -86,8 +93,8 @@
 
 /**
  * Counts an observation. Silence counts only where the observer is well: its
- * timers are in time, and at least as many other daemons were heard since the
- * question as keep it waiting.
+ * timers are in time, at least as many other daemons were heard since the
+ * question as keep it waiting, and at least one was unless there is none.
  *
  * Answers fleets whose links and processors are so narrow that answers are late
  * by as much as a lost machine is silent: a busy link or loop of the observer
@@ -115,8 +122,10 @@
         return {...listened(ended, now), usual};
       }
       if (hearing.heardAt > hearing.askedAt) return ended;
-      if (reply.kind !== 'refused' && !isWell(observer)) return ended;
-      return accuse(ended, reply.kind);
+      if (reply.kind !== 'refused' && !isWell(observer)) {
+        return excuse(ended, now);
+      }
+      return accuse(ended, reply.kind, now);
     }
   }
 }
@@ -126,18 +135,28 @@
   return {...UNHEARD, heardAt: now, askedAt, isAsked, usual};
 }
 
-function isWell({heard, waiting, lateMs}: Observer): boolean {
-  return lateMs < LATE_MS && heard >= waiting;
+function isWell({heard, waiting, isAlone, lateMs}: Observer): boolean {
+  const isHearing = heard > 0 || isAlone;
+  return lateMs < LATE_MS && isHearing && heard >= waiting;
+}
+
+/** Leaves the time since the last judgement out of the silence. */
+function excuse(hearing: Hearing, now: number): Hearing {
+  const {silentSince, judgedAt = now} = hearing;
+  if (silentSince === undefined) return hearing;
+  const movedTo = silentSince + (now - judgedAt);
+  return {...hearing, silentSince: movedTo, judgedAt: now};
 }
 
 function accuse(
   hearing: Hearing,
   against: Exclude<Reply['kind'], 'answered'>,
+  now: number,
 ): Hearing {
   const times = hearing.against === against ? hearing.times + 1 : 1;
   const silentSince = hearing.silentSince ?? hearing.askedAt;
   const liveness = livenessOf(hearing.liveness, against, times);
-  return {...hearing, against, times, silentSince, liveness};
+  return {...hearing, against, times, silentSince, judgedAt: now, liveness};
 }
 
 /** What each reply proves when it is given several times in a row. */
@@ -253,7 +272,7 @@
   hearings: ReadonlyMap<string, Hearing>,
   node: string,
   now: number,
-): Omit<Observer, 'lateMs'> {
+): Pick<Observer, 'heard' | 'waiting'> {
   const since = hearings.get(node)?.askedAt ?? now;
   let heard = 0;
   let waiting = 0;
@@ -263,18 +282,50 @@
   ] of hearings) {
     if (other === node) continue;
     if (heardAt >= since) heard += 1;
-    else if (liveness !== 'heard' && liveness !== 'late') continue;
+    else if (isProven(liveness)) continue;
     else if (isAsked || (against && now - askedAt < RECENT_MS)) waiting += 1;
   }
   return {heard, waiting};
 }
 
+function isProven(liveness: Liveness): boolean {
+  return liveness !== 'heard' && liveness !== 'late';
+}
+
+/**
+ * Returns a daemon to ask whether the observer hears anyone at all: any that is
+ * not known to be lost. One that was heard lately may be lost as well, with its
+ * failure domain, so the choice is random and the next one may be another.
+ *
+ * @param others Daemons that are known, with or without the excluded ones.
+ * @param random Number from 0 to less than 1.
+ * @returns undefined where there is no third daemon.
+ *
+ * @example
+ * const control = chooseControl(hearings, members, [own, node], Math.random());
+ */
+export function chooseControl(
+  hearings: ReadonlyMap<string, Hearing>,
+  others: Iterable<string>,
+  excluded: readonly string[],
+  random: number,
+): string | undefined {
+  const choices = [...others].filter(other => {
+    const {liveness} = hearings.get(other) ?? UNHEARD;
+    return !excluded.includes(other) && !isProven(liveness);
+  });
+  return choices[Math.floor(random * choices.length)];
+}
+
 /** What is known of a daemon that may be silent. */
 export interface Silence {
   readonly liveness: Liveness;
   /** Time since anything was heard of it, in milliseconds. */
   readonly quietMs: number;
-  /** Time since the first question that counts against it, in milliseconds. */
+  /**
+   * Time from the first question that counts against it to the end of the last
+   * one, without that in which the observer was unwell, in milliseconds.
+   */
   readonly silentMs: number;
 }
 
@@ -285,8 +336,8 @@
  * silenceOf(UNHEARD, performance.now()).liveness; // 'heard'
  */
 export function silenceOf(hearing: Hearing, now: number): Silence {
-  const {liveness, heardAt, silentSince = now} = hearing;
-  return {liveness, quietMs: now - heardAt, silentMs: now - silentSince};
+  const {liveness, heardAt, silentSince = 0, judgedAt = 0} = hearing;
+  return {liveness, quietMs: now - heardAt, silentMs: judgedAt - silentSince};
 }
 
 /** A request that a daemon has not answered yet. */
@@ -299,6 +350,8 @@
   readonly isRepeatable: boolean;
   /** Another instance may run it. */
   readonly hasChoice: boolean;
+  /** Time by which the timer of this look was late, in milliseconds. */
+  readonly lateMs: number;
 }
 
 /** What to do about a request that has no answer yet. */
@@ -321,21 +374,25 @@
  * Decides on a request without an answer. One that may have run already and
  * must not run again is ended only when the process is known to have ended, as
  * a late answer is worth more to its caller than none. Any other is given up
- * when its daemon is lost, or late and another instance may run it.
+ * when its daemon is lost. Where the daemon is only late, nothing that was sent
+ * is given up, as its answer is likelier than that of another attempt; what was
+ * not sent is, where another instance may run it. A look whose timer was late
+ * decides nothing: what has arrived meanwhile is not read yet.
  *
  * @example
  * decideSilence(silence, pending).kind; // 'wait'
  */
 export function decideSilence(silence: Silence, pending: Pending): Step {
   const {liveness} = silence;
-  const {isSent, isRepeatable, hasChoice, pendingMs} = pending;
+  const {isSent, isRepeatable, hasChoice, pendingMs, lateMs} = pending;
+  if (lateMs >= LATE_MS) return {kind: 'wait', ms: LOOK_MS};
   const isFree = !isSent || isRepeatable;
   if (liveness === 'refused') return {kind: 'give-up'};
   const isGone = liveness === 'dark' || liveness === 'still';
   if (isGone && isFree) return {kind: 'give-up'};
   const quietMs = Math.min(pendingMs, silence.quietMs);
   if (quietMs >= ASK_AFTER_MS) {
-    const isElsewhere = liveness === 'late' && isFree && hasChoice;
+    const isElsewhere = liveness === 'late' && !isSent && hasChoice;
     return isElsewhere ? {kind: 'give-up'} : {kind: 'ask', ms: LOOK_MS};
   }
   return {kind: 'wait', ms: Math.max(1, ASK_AFTER_MS - quietMs)};
@@ -350,13 +407,13 @@
 
 /**
  * Tells whether a member is silent for so long that its keys are given to
- * others.
+ * others. One that is only late is not: nothing proves a loss.
  *
  * @example
  * isLost(silenceOf(UNHEARD, performance.now())); // false
  */
 export function isLost({liveness, silentMs}: Silence): boolean {
-  if (liveness === 'heard') return false;
+  if (liveness === 'heard' || liveness === 'late') return false;
   const isLikely = liveness === 'dark' || liveness === 'refused';
   return silentMs >= (isLikely ? LOST_MS.lost : LOST_MS.standing);
 }
--- a/src/sidecar/ask.ts
+++ b/src/sidecar/ask.ts
@@ -3,6 +3,7 @@
 import {
   LATE_MS,
   UNHEARD,
+  chooseControl,
   compareOthers,
   learnUsual,
   observeSilence,
@@ -73,7 +74,7 @@
     const call = request({host, port, path, agent: false}, response => {
       const parts: Buffer[] = [];
       response.on('data', (part: Buffer) => parts.push(part));
-      response.on('error', () => end({kind: 'refused'}));
+      response.on('error', () => end({kind: 'unanswered'}));
       response.on('end', () => {
         const isWhole = response.complete && response.statusCode === 200;
         const value = isWhole ? parse<T>(Buffer.concat(parts)) : undefined;
@@ -95,7 +96,7 @@
       });
     });
     call.on('error', (error: NodeJS.ErrnoException) => {
-      const {kind, isOwn} = readError(error.code);
+      const {kind, isOwn} = readError(error.code, isConnected);
       end({kind}, isOwn ? Infinity : 0);
     });
     limitAt(startedAt + limits.connectMs);
@@ -103,9 +104,6 @@
   });
 }
 
-/** Errors by which the other machine says that nobody takes a connection. */
-const REFUSALS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
-
 /** Errors of this machine: it has no descriptor, port or memory left. */
 const OWN_ERRORS: ReadonlySet<string> = new Set([
   'EMFILE',
@@ -116,20 +114,28 @@
 ]);
 
 /**
- * Tells what the error of a new connection says of the other machine.
+ * Tells what the error of a new connection says of the other machine. Only a
+ * refusal before the connection stood proves that nobody listens; a process that
+ * lives resets connections too.
  *
+ * @param isConnected The connection stood before.
  * @returns with `isOwn` where the error is this machine's.
  *
  * @example
- * readError('ECONNREFUSED').kind; // 'refused'
+ * readError('ECONNREFUSED', false).kind; // 'refused'
  */
-export function readError(code: string | undefined): {
-  readonly kind: 'refused' | 'unconnected';
+export function readError(
+  code: string | undefined,
+  isConnected: boolean,
+): {
+  readonly kind: Exclude<Reply['kind'], 'answered'>;
   readonly isOwn: boolean;
 } {
-  const isRefused = code !== undefined && REFUSALS.has(code);
   const isOwn = code !== undefined && OWN_ERRORS.has(code);
-  return {kind: isRefused ? 'refused' : 'unconnected', isOwn};
+  // A reset before the connection is told of comes after it was taken as well.
+  const isTaken = isConnected || code === 'ECONNRESET';
+  if (isTaken) return {kind: 'unanswered', isOwn};
+  return {kind: code === 'ECONNREFUSED' ? 'refused' : 'unconnected', isOwn};
 }
 
 /**
@@ -150,14 +156,22 @@
   return answer.kind === 'answered' ? answer.value : undefined;
 }
 
+/** The observer of a question that is judged without a comparison. */
+const UNCOMPARED = {heard: 0, waiting: 0, isAlone: false};
+
 /** What a daemon hears of the others. */
 export interface Listener<T> {
   /**
-   * Asks a daemon for its status; a question that is under way is shared.
+   * Asks a daemon for its status; a question that is under way is shared. Where
+   * it stays silent and nobody else was heard, another one is asked as well.
    *
+   * @param others Other daemons that are known; those asked so far if missing.
    * @returns undefined when it does not answer.
    */
-  readonly ask: (node: string) => Promise<T | undefined>;
+  readonly ask: (
+    node: string,
+    others?: Iterable<string>,
+  ) => Promise<T | undefined>;
   /** Tells that a daemon has answered a request. */
   readonly heard: (node: string) => void;
   /** What is known now of a daemon that may be silent. */
@@ -185,23 +199,56 @@
     hearings.set(peer, observeSilence(hearingOf(peer), observation, now));
   };
 
-  const askNow = async (peer: string) => {
+  /** Tells whether another daemon, or the machine that it ran on, answers. */
+  const reaches = async (control: string) => {
+    const limits = questionLimits(hearingOf(control), all, performance.now());
+    const {answer} = await question<T>(control, STATUS_PATH, limits);
+    if (answer.kind === 'answered') observe(control, {kind: 'heard'});
+    return answer.kind === 'answered' || answer.kind === 'refused';
+  };
+
+  /** Compares a daemon with the others; one is asked where none was heard. */
+  const compare = async (
+    peer: string,
+    others: Iterable<string> = hearings.keys(),
+  ) => {
+    const counted = () => compareOthers(hearings, peer, performance.now());
+    const before = counted();
+    if (before.heard > 0) return {...before, isAlone: false};
+    const control = chooseControl(
+      hearings,
+      others,
+      [node, peer],
+      Math.random(),
+    );
+    if (control === undefined) return {...before, isAlone: true};
+    const isReached = await reaches(control);
+    const {heard, waiting} = counted();
+    return {heard: heard || Number(isReached), waiting, isAlone: false};
+  };
+
+  const askNow = async (peer: string, others?: Iterable<string>) => {
     const limits = questionLimits(hearingOf(peer), all, performance.now());
     observe(peer, {kind: 'asked'});
     const {answer, lateMs} = await question<T>(peer, STATUS_PATH, limits);
-    const now = performance.now();
-    const observer = {...compareOthers(hearings, peer, now), lateMs};
+    const isSilent = answer.kind !== 'answered' && answer.kind !== 'refused';
+    const observer = {
+      ...(isSilent && lateMs < LATE_MS
+        ? await compare(peer, others)
+        : UNCOMPARED),
+      lateMs,
+    };
     observe(peer, {kind: 'ended', reply: answer, observer});
     if (answer.kind !== 'answered') return undefined;
-    if (peer !== node) all = learnUsual(all, answer.tookMs, now);
+    if (peer !== node) all = learnUsual(all, answer.tookMs, performance.now());
     return answer.value;
   };
 
   return {
-    ask: peer => {
+    ask: (peer, others) => {
       const running = questions.get(peer);
       if (running) return running;
-      const asked = askNow(peer).finally(() => questions.delete(peer));
+      const asked = askNow(peer, others).finally(() => questions.delete(peer));
       questions.set(peer, asked);
       return asked;
     },
