--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -13,6 +13,7 @@
   readFailure,
   readLoad,
 } from './hop.js';
+import {alternative} from './owner.js';
 import {
   LATE_MS,
   decideSilence,
@@ -138,8 +139,7 @@
           context.probe(node);
         }
         const message = `the daemon was not reached: ${error.message}`;
-        const failure = notRun('upstream-refused', message);
-        return {kind: 'failed', failure, alternative: true, free: true};
+        return alternative(notRun('upstream-refused', message));
       },
       ended: () => {
         heard = true;
--- a/src/relay/offer.ts
+++ b/src/relay/offer.ts
@@ -15,6 +15,7 @@
   readFailure,
   readLoad,
 } from './hop.js';
+import {alternative} from './owner.js';
 import {TURN_WAIT_MS} from './transfers.js';
 import type {Flow, Work} from './work.js';
 
@@ -91,7 +92,3 @@
   const reported = readFailure(answer);
   return reported && alternative(reported.failure);
 }
-
-function alternative(failure: FailedTry['failure']): FailedTry {
-  return {kind: 'failed', failure, alternative: true, free: true};
-}
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -240,7 +240,14 @@
   return {kind: 'failed', failure, alternative: true, free: false};
 }
 
-function alternative(failure: Failure): FailedTry {
+/**
+ * Describes a failed attempt that reached no instance, so that another one may
+ * be tried freely.
+ *
+ * @example
+ * return alternative(notRun('draining', 'the instance is leaving'));
+ */
+export function alternative(failure: Failure): FailedTry {
   return {kind: 'failed', failure, alternative: true, free: true};
 }
 
