Make the signal of a stopped request in one place

src/relay/work.ts had written again what the gateway's admission request did: one controller, made when it is first asked for and aborted if the request was stopped before. signalOf of gateway/pass.ts now serves both.

--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -9,7 +9,7 @@
 export type {GatewayOptions, Self} from './context.js';
 export * from './events.js';
 export * from './gateway.js';
-export {stopper, untilStoppedOrTime, type PassState} from './pass.js';
+export {signalOf, stopper, untilStoppedOrTime, type PassState} from './pass.js';
 export * from './signature.js';
 export * from './trace.js';
 
--- a/src/gateway/pass.ts
+++ b/src/gateway/pass.ts
@@ -94,12 +94,7 @@
   }
 
   get signal(): AbortSignal {
-    const state = this.#state;
-    if (!state.controller) {
-      state.controller = new AbortController();
-      if (state.stopped) state.controller.abort();
-    }
-    return state.controller.signal;
+    return signalOf({state: this.#state});
   }
 }
 
@@ -113,6 +108,21 @@
   return new PendingAdmission(pass);
 }
 
+/**
+ * Returns the signal that aborts when a pass is stopped. It is made when it is
+ * first asked for, as most passes never need it.
+ *
+ * @example
+ * await slots.take(request, () => signalOf(pass));
+ */
+export function signalOf({state}: Pick<Pass, 'state'>): AbortSignal {
+  if (!state.controller) {
+    state.controller = new AbortController();
+    if (state.stopped) state.controller.abort();
+  }
+  return state.controller.signal;
+}
+
 /**
  * Waits for a promise until the pass is stopped.
  *
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -1,6 +1,7 @@
 import {
   failed,
   runExchange,
+  signalOf,
   untilStoppedOrTime,
   type Attempt,
   type FailedTry,
@@ -14,13 +15,7 @@
 import type {QueueState} from './queue.js';
 import type {Claim, Grant, Slots} from './slots.js';
 import type {Transfers} from './transfers.js';
-import {
-  holderWaitUntil,
-  sendable,
-  signalOf,
-  type Flow,
-  type Work,
-} from './work.js';
+import {holderWaitUntil, sendable, type Flow, type Work} from './work.js';
 
 /** The upstream instance beside a daemon. */
 export interface LocalInstance {
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {stopper, type PassState} from '../gateway/index.js';
+import {signalOf, stopper, type PassState} from '../gateway/index.js';
 import {notRun, type Failure} from '../model/index.js';
 import {breakOff} from '../upstream/index.js';
 import {lengthOf, readBody, type RequestBody} from './body.js';
@@ -23,13 +23,7 @@
 } from './owner.js';
 import type {Denied} from './slots.js';
 import type {Transfers} from './transfers.js';
-import {
-  signalOf,
-  stopWhenOver,
-  type Course,
-  type Flow,
-  type Work,
-} from './work.js';
+import {stopWhenOver, type Course, type Flow, type Work} from './work.js';
 
 /** How forwarded requests are handled. */
 export interface PeersContext extends OwnerContext {
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -39,20 +39,6 @@
   runMs?: number;
 }
 
-/**
- * Returns the signal that aborts when a flow is stopped.
- *
- * @example
- * await slots.take(request, () => signalOf(flow));
- */
-export function signalOf({state}: Flow): AbortSignal {
-  if (!state.controller) {
-    state.controller = new AbortController();
-    if (state.stopped) state.controller.abort();
-  }
-  return state.controller.signal;
-}
-
 /**
  * Time after the deadline at which the daemon beside an instance gives an answer
  * up, in milliseconds: the instance ends its work at the deadline, and its answer
