--- a/test/sidecar/stop.test.ts
+++ b/test/sidecar/stop.test.ts
@@ -1,4 +1,4 @@
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import http from 'node:http';
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -60,6 +60,19 @@
   return () => open.forEach(clearTimeout);
 }
 
+/** Starts a patient fleet and returns its first pair, slowed down. */
+async function startSlow(
+  t: ExecutionContext,
+  services: readonly string[],
+  graceS: number,
+) {
+  const fleet = await startPatient(services, graceS);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  t.teardown(slowDown(pair));
+  return pair;
+}
+
 interface Result {
   readonly status: number;
   readonly headers: http.IncomingHttpHeaders;
@@ -145,10 +158,7 @@
 });
 
 test('an upload that is refused late in a stop gets its answer', async t => {
-  const fleet = await startPatient(['desk'], 6);
-  t.teardown(fleet.close);
-  const [pair] = fleet.pairs;
-  t.teardown(slowDown(pair));
+  const pair = await startSlow(t, ['desk'], 6);
   const first = send(pair.callers, 4000);
   const stopped = pair.sidecar.stop();
   await sleep(3200);
@@ -159,10 +169,7 @@
 });
 
 test('what waits for a slot when no time is left to run it is refused, not cut', async t => {
-  const fleet = await startPatient(['desk'], 4);
-  t.teardown(fleet.close);
-  const [pair] = fleet.pairs;
-  t.teardown(slowDown(pair));
+  const pair = await startSlow(t, ['desk'], 4);
   const running = [1, 2, 3, 4].map(() => send(pair.callers, 2500));
   await sleep(200);
   const waiting = [1, 2].map(() => send(pair.callers, 2500));
@@ -176,10 +183,7 @@
 });
 
 test('what the instance still runs at the end of a stop is answered, not cut', async t => {
-  const fleet = await startPatient(['desk'], 4);
-  t.teardown(fleet.close);
-  const [pair] = fleet.pairs;
-  t.teardown(slowDown(pair));
+  const pair = await startSlow(t, ['desk'], 4);
   const result = send(pair.callers, 6000);
   await sleep(100);
   await pair.sidecar.stop();
@@ -189,10 +193,7 @@
 });
 
 test('a look-up with little time is served until shortly before the end of a stop', async t => {
-  const fleet = await startPatient(['desk', 'desk'], 6);
-  t.teardown(fleet.close);
-  const [pair] = fleet.pairs;
-  t.teardown(slowDown(pair));
+  const pair = await startSlow(t, ['desk', 'desk'], 6);
   const first = send(pair.callers, 5000);
   const stopped = pair.sidecar.stop();
   await sleep(4300);
@@ -203,10 +204,7 @@
 });
 
 test('an answer late in a stop closes its connection, whenever its request came', async t => {
-  const fleet = await startPatient(['desk'], 4);
-  t.teardown(fleet.close);
-  const [pair] = fleet.pairs;
-  t.teardown(slowDown(pair));
+  const pair = await startSlow(t, ['desk'], 4);
   const result = send(pair.callers, 1500);
   await sleep(100);
   await pair.sidecar.stop();
@@ -232,10 +230,7 @@
 });
 
 test('a stopping daemon tells other daemons what it refuses and its load', async t => {
-  const fleet = await startPatient(['desk'], 6);
-  t.teardown(fleet.close);
-  const [pair] = fleet.pairs;
-  t.teardown(slowDown(pair));
+  const pair = await startSlow(t, ['desk'], 6);
   const first = send(pair.callers, 4000);
   const stopped = pair.sidecar.stop();
   await sleep(3200);
@@ -247,10 +242,7 @@
 });
 
 test('a stopping daemon refuses a forwarded upload before its body has arrived', async t => {
-  const fleet = await startPatient(['desk'], 6);
-  t.teardown(fleet.close);
-  const [pair] = fleet.pairs;
-  t.teardown(slowDown(pair));
+  const pair = await startSlow(t, ['desk'], 6);
   const first = send(pair.callers, 4000);
   const stopped = pair.sidecar.stop();
   await sleep(3200);
