Put a configuration in force as far as it can be read

Each value that can't be read is now a finding with its place and the rest holds. A route without a readable service answers 503; while a route can't be told from others, paths without a route answer 503 in place of 404. Only a version or whole tables that can't be read refuse a configuration; two gauges and an event tell of both. Malformed addresses and ranges of heartbeats are refused as malformed in place of failing inside.

--- a/src/relay/configuration.ts
+++ b/src/relay/configuration.ts
@@ -27,7 +27,10 @@
   readonly maxAttempts: number;
   /** Rank of the requests; 0 goes first. */
   readonly priority: number;
-  /** Services in the shares of their weights; at least one. */
+  /**
+   * Services in the shares of their weights; none where they can't be read, so
+   * that requests are refused for now.
+   */
   readonly parts: readonly RoutePart[];
 }
 
@@ -53,6 +56,8 @@
 export interface RoutedConfiguration {
   readonly version: number;
   readonly routes: readonly Route[];
+  /** There are routes that can't be read, so that others are not ruled out. */
+  readonly isPartial: boolean;
   readonly services: ReadonlyMap<string, RoutedService>;
   readonly limits: CallerLimits;
 }
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -162,6 +162,11 @@
   }
   const path = target.split('?', 1)[0];
   const route = findRoute(configuration.table, caller.host, path);
+  if (route ? route.parts.length === 0 : configuration.isPartial) {
+    const message = 'the route of this request can not be read';
+    const failure = notRun('no-owner', message, NO_OWNER_RETRY_MS);
+    return refuse(failure, route?.name);
+  }
   if (!route) {
     const message = `no route for this path in version ${configuration.version}`;
     return refuse(notRun('no-service', message));
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -33,6 +33,11 @@
     level: 'error',
     message: 'configuration refused; the last good one stays in force',
   },
+  configurationPartial: {
+    number: 6022,
+    level: 'error',
+    message: 'configuration in force holds values that can not be read',
+  },
   instanceBegan: {
     number: 6030,
     level: 'info',
--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -27,6 +27,18 @@
     help: 'Version of the configuration in force.',
     labels: [],
   },
+  unreadableParts: {
+    type: 'gauge',
+    name: 'vanillaspool_configuration_unreadable_values',
+    help: 'Values of the configuration in force that could not be read.',
+    labels: [],
+  },
+  configurationRefused: {
+    type: 'gauge',
+    name: 'vanillaspool_configuration_refused',
+    help: '1 while the newest configuration could not be put in force.',
+    labels: [],
+  },
   instanceBusy: {
     type: 'gauge',
     name: 'vanillaspool_instance_busy',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -66,10 +66,14 @@
   type StopPlan,
 } from './stopping.js';
 
-/** A configuration as read from the store, or why it can't be. */
-export type ConfigurationResult =
-  | {readonly configuration: RoutedConfiguration}
-  | {readonly findings: readonly string[]};
+/**
+ * A configuration as far as it can be read from the store, and every place where
+ * it can't; without a configuration none of it can be put in force.
+ */
+export interface ConfigurationResult {
+  readonly configuration?: RoutedConfiguration;
+  readonly findings: readonly string[];
+}
 
 /** What a daemon beside an instance is made of. */
 export interface SidecarOptions {
@@ -213,6 +217,10 @@
   const splits = new Map<string, SplitState>();
   const loads = new Map<string, InstanceLoad>();
   const budgets = new Map<string, RetryBudget>();
+  /** Values of the configuration in force that could not be read. */
+  let unreadableParts = 0;
+  /** The newest configuration could not be put in force. */
+  let isRefused = false;
   const probes = new Set<string>();
 
   const reportError = (error: unknown) => {
@@ -393,18 +401,23 @@
   const takeConfiguration = (change: StoredChange) => {
     if (change.key !== options.configurationKey) return;
     if (change.value === undefined) return;
-    const result = options.readConfiguration(change.value);
-    if ('findings' in result) {
-      const findings = result.findings.join('; ');
+    const read = options.readConfiguration(change.value);
+    const findings = read.findings.join('; ');
+    isRefused = read.configuration === undefined;
+    if (!read.configuration) {
       log(SIDECAR_EVENTS.configurationRefused, {findings});
       return;
     }
-    const {version, routes} = result.configuration;
+    const {version, routes, limits} = read.configuration;
     if (configuration && version <= configuration.version) return;
     const table = createRouteTable(routes);
-    configuration = {...result.configuration, table};
-    callers.keepAliveTimeout = result.configuration.limits.idleTimeoutMs;
-    callers.headersTimeout = result.configuration.limits.headerTimeoutMs;
+    configuration = {...read.configuration, table};
+    unreadableParts = read.findings.length;
+    if (unreadableParts > 0) {
+      log(SIDECAR_EVENTS.configurationPartial, {version, findings});
+    }
+    callers.keepAliveTimeout = limits.idleTimeoutMs;
+    callers.headersTimeout = limits.headerTimeoutMs;
     log(SIDECAR_EVENTS.configurationTaken, {version, routes: routes.length});
     viewSignal.raise();
   };
@@ -628,6 +641,9 @@
     measure: metrics => {
       const {version = 0} = configuration ?? {};
       metrics.gauge(SIDECAR_METRICS.configurationVersion, {})(version);
+      metrics.gauge(SIDECAR_METRICS.unreadableParts, {})(unreadableParts);
+      const refused = isRefused ? 1 : 0;
+      metrics.gauge(SIDECAR_METRICS.configurationRefused, {})(refused);
       const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
--- /dev/null
+++ b/test/platform/heartbeat.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {readHeartbeat} from '../../platform/heartbeat.js';
+
+/** Returns what an instance that holds keys says of itself. */
+function wire(): Record<string, unknown> {
+  return {
+    service: 'stock',
+    address: '10.128.0.9:8080',
+    zone: 'north',
+    version: 'v1',
+    slots: 6,
+    state: 'ready',
+    cold_left_s: 0,
+    seq: 4,
+    born: 1000,
+    holds: [[0, 99, 7]],
+    freed: [[100, 199, 'token']],
+  };
+}
+
+test('a heartbeat without lists of keys is whole', t => {
+  const {holds, freed, ...rest} = wire();
+  t.truthy(holds && freed);
+  const read = readHeartbeat('i-1', JSON.stringify(rest));
+  t.true('heartbeat' in read && read.heartbeat.holds.length === 0);
+});
+
+for (const [name, value] of [
+  ['address', 'nowhere'],
+  ['holds', [['x', 1, 1]]],
+  ['freed', 'all'],
+  ['state', 'lost'],
+] as const) {
+  test(`a heartbeat with a malformed ${name} names no instance`, t => {
+    const text = JSON.stringify({...wire(), [name]: value});
+    t.true('problem' in readHeartbeat('i-1', text));
+  });
+}
+
+test('any value in place of another is read or refused without an exception', t => {
+  fc.assert(
+    fc.property(
+      fc.constantFrom(...Object.keys(wire())),
+      fc.jsonValue(),
+      (name, value) => {
+        const text = JSON.stringify({...wire(), [name]: value});
+        const read = readHeartbeat('i-1', text);
+        if ('problem' in read) {
+          t.not(read.problem, '');
+          return;
+        }
+        const {slots, coldMs, holds} = read.heartbeat;
+        t.true(slots > 0 && coldMs >= 0);
+        t.true(holds.every(({from, to}) => Number.isInteger(from + to)));
+      },
+    ),
+    {numRuns: 2000, seed: 18},
+  );
+});
