--- a/src/ranges/change.ts
+++ b/src/ranges/change.ts
@@ -4,21 +4,18 @@
   sameLife,
   splitAt,
   type Incarnation,
+  type KeySpan,
   type RangeMap,
   type RangeTerm,
 } from './map.js';
 
 /** A range of keys that an incarnation is to get. */
-export interface Placement {
-  readonly from: number;
-  readonly to: number;
+export interface Placement extends KeySpan {
   readonly holder: Incarnation;
 }
 
 /** A range that an upstream has released, with the token of its handover. */
-export interface Release {
-  readonly from: number;
-  readonly to: number;
+export interface Release extends KeySpan {
   readonly handover: string;
 }
 
@@ -186,6 +183,25 @@
   });
 }
 
+/**
+ * Gives terms of a holder a new fencing token, above all that were used, where
+ * its instance has seen a higher one than theirs.
+ *
+ * @example
+ * renumber(map, incarnation, {from: 0, to: 99});
+ */
+export function renumber(
+  map: RangeMap,
+  holder: Incarnation,
+  range: KeySpan,
+): RangeMap {
+  const fence = map.fence + 1;
+  return changeTerms(map, term => {
+    const isOwn = term.state === 'held' && sameLife(term.holder, holder);
+    return isOwn && covers(range, term) ? {...term, fence} : term;
+  });
+}
+
 /**
  * Withdraws a planned move that the holder has not made yet.
  *
@@ -203,10 +219,7 @@
   });
 }
 
-function covers(
-  range: {readonly from: number; readonly to: number},
-  term: RangeTerm,
-): boolean {
+function covers(range: KeySpan, term: KeySpan): boolean {
   return range.from <= term.from && term.to <= range.to;
 }
 
--- a/src/ranges/holder.ts
+++ b/src/ranges/holder.ts
@@ -1,7 +1,9 @@
 import type {Release} from './change.js';
 import {
+  overlaps,
   sameLife,
   type Incarnation,
+  type KeySpan,
   type RangeMap,
   type RangeTerm,
 } from './map.js';
@@ -16,9 +18,7 @@
 }
 
 /** A range that an upstream holds or still works on. */
-export interface HeldRange {
-  readonly from: number;
-  readonly to: number;
+export interface HeldRange extends KeySpan {
   readonly fence: number;
 }
 
@@ -207,18 +207,19 @@
 /** Longest time that a heartbeat that is answered takes to arrive. */
 const TRAVEL_MS = 1000;
 
-/** Returns the terms that the map wants back from an incarnation. */
-function wantedFrom(map: RangeMap, life: Incarnation): readonly RangeTerm[] {
+/**
+ * Returns the terms that the map wants back from an incarnation.
+ *
+ * @example
+ * wantedFrom(map, life).map(({from, to}) => [from, to]);
+ */
+export function wantedFrom(
+  map: RangeMap,
+  life: Incarnation,
+): readonly RangeTerm[] {
   return map.terms.filter(
     term =>
       (term.state === 'moving' || term.state === 'revoked') &&
       sameLife(term.holder, life),
   );
 }
-
-function overlaps(
-  a: {readonly from: number; readonly to: number},
-  b: {readonly from: number; readonly to: number},
-): boolean {
-  return a.from <= b.to && b.from <= a.to;
-}
--- a/src/ranges/index.ts
+++ b/src/ranges/index.ts
@@ -6,5 +6,6 @@
 
 export * from './change.js';
 export * from './holder.js';
+export * from './ledger.js';
 export * from './map.js';
 export * from './plan.js';
--- a/src/ranges/map.ts
+++ b/src/ranges/map.ts
@@ -20,11 +20,15 @@
  */
 export type TermState = 'held' | 'moving' | 'revoked' | 'free';
 
-/** A range of keys and who may hold it under which fencing token. */
-export interface RangeTerm {
+/** Keys that lie together. */
+export interface KeySpan {
   readonly from: number;
   /** Last key of the range. */
   readonly to: number;
+}
+
+/** A range of keys and who may hold it under which fencing token. */
+export interface RangeTerm extends KeySpan {
   readonly fence: number;
   readonly holder: Incarnation;
   readonly state: TermState;
@@ -43,6 +47,16 @@
   readonly terms: readonly RangeTerm[];
 }
 
+/**
+ * Tells whether two ranges have a key in common.
+ *
+ * @example
+ * overlaps({from: 0, to: 9}, {from: 9, to: 20}); // true
+ */
+export function overlaps(a: KeySpan, b: KeySpan): boolean {
+  return a.from <= b.to && b.from <= a.to;
+}
+
 /** The map of a service of which no key was ever assigned. */
 export const EMPTY_MAP: RangeMap = {fence: 0, terms: []};
 
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -36,6 +36,8 @@
   readonly isKeyed: (service: string) => boolean;
   /** Tells whether the instance holds a key now. */
   readonly holds: (key: number) => boolean;
+  /** Told when the instance says that it does not hold a key. */
+  readonly denied: (key: number) => void;
   /** Tells whether the instance is about to hold a key. */
   readonly awaits: (key: number) => boolean;
   /** Resolves when the keys that the instance holds may have changed. */
@@ -56,9 +58,19 @@
 /** Time after which a caller is to ask for a key that has no holder. */
 const HOLDER_RETRY_MS = 400;
 
-/** Connections beyond the slots, for those that are being closed. */
+/** Connections beyond the slots: calls, and those that are being closed. */
 const SPARE_CONNECTIONS = 8;
 
+/**
+ * Returns the most connections that a daemon opens to the instance beside.
+ *
+ * @example
+ * pools.to(address, connectionsOf(local.slots));
+ */
+export function connectionsOf(slots: number): number {
+  return slots + SPARE_CONNECTIONS;
+}
+
 /**
  * Runs a request at the instance beside: waits for its key and for a slot, then
  * passes the request on and the answer back.
@@ -170,7 +182,7 @@
 ): Promise<Attempt> {
   const {dialect, clock} = context;
   const local = context.local() as LocalInstance;
-  const pool = context.pools.to(local.address, local.slots + SPARE_CONNECTIONS);
+  const pool = context.pools.to(local.address, connectionsOf(local.slots));
   const startedAt = clock();
   let load: StatedLoad | undefined;
   let answered = false;
@@ -196,6 +208,8 @@
         return undefined;
       }
       garbled = verdict.kind === 'garbled';
+      const isDenial = verdict.kind === 'not-holder' && verdict.sameInstance;
+      if (isDenial && work.key !== undefined) context.denied(work.key);
       context.log(RELAY_EVENTS.answerRefused, {
         request: work.id,
         verdict: verdict.kind,
--- /dev/null
+++ b/src/sidecar/called.ts
@@ -0,0 +1,303 @@
+import type {Address} from '../model/index.js';
+import {
+  EMPTY_LEDGER,
+  beginCall,
+  endCall,
+  forgetEnded,
+  heldBy,
+  isDue,
+  isHeld,
+  openUntil,
+  overlaps,
+  release,
+  renumber,
+  sameLife,
+  wantedFrom,
+  withdraw,
+  type CallOutcome,
+  type HeldRange,
+  type KeySpan,
+  type Ledger,
+  type RangeTerm,
+} from '../ranges/index.js';
+import {
+  confirmFor,
+  logGranted,
+  type Delivery,
+  type DeliveryContext,
+  type Recipient,
+} from './delivery.js';
+import {SIDECAR_EVENTS} from './events.js';
+import {RENEWAL_SHARE, holdBoundMs} from './hold.js';
+import {changeMap} from './maps.js';
+
+/** How an instance answered a call to release a range. */
+export type ReleaseOutcome =
+  | {readonly kind: 'released'; readonly handover: string}
+  /** The instance may still hold the range. */
+  | {readonly kind: 'unknown'; readonly message: string};
+
+/** How an instance answered a call that grants a range. */
+export interface GrantOutcome {
+  readonly kind: CallOutcome;
+  readonly message: string;
+}
+
+/** An instance that is called. */
+export interface Callee {
+  readonly id: string;
+  readonly address: Address;
+}
+
+/** The calls by which an instance gets keys and gives them back. */
+export interface InstanceCalls {
+  /**
+   * Grants a range for a time that counts from the arrival of the call. No call
+   * may arrive after the limit.
+   */
+  readonly grant: (
+    callee: Callee,
+    range: HeldRange,
+    handover: string,
+    holdMs: number,
+    limitMs: number,
+  ) => Promise<GrantOutcome>;
+  /** Asks for a range; answered when work on its keys has ended. */
+  readonly release: (
+    callee: Callee,
+    range: HeldRange,
+    limitMs: number,
+  ) => Promise<ReleaseOutcome>;
+}
+
+/**
+ * Time limit of a call that grants keys, in milliseconds. It is taken off the
+ * hold, since a call that arrives late is counted from then.
+ */
+const GRANT_LIMIT_MS = 500;
+
+/** Shortest hold that is worth a call, in milliseconds. */
+const SHORTEST_HOLD_MS = 1000;
+
+/** Pause before a call or write that failed is tried again, in milliseconds. */
+const RETRY_MS = 150;
+
+/** Shortest time between two denials of keys that are acted on. */
+const DENIAL_INTERVAL_MS = 300;
+
+/**
+ * Delivers keys by calls to the instance. A range is granted only after a read
+ * of the map, and for a time that ends a bounded time after the read began,
+ * whenever the call arrives before its limit. A range counts as released when
+ * the instance has answered so and no call without an answer can grant it again,
+ * or when the last hold has run out.
+ *
+ * @example
+ * const delivery = createCalledDelivery(context, calls);
+ * delivery.look();
+ */
+export function createCalledDelivery(
+  context: DeliveryContext,
+  calls: InstanceCalls,
+): Delivery {
+  const {clock, holdMs, recipient, log} = context;
+  const startedAt = clock();
+  const renewalLeftMs = (holdMs - GRANT_LIMIT_MS) * (1 - RENEWAL_SHARE);
+  let ledger: Ledger = EMPTY_LEDGER;
+  let lastCall = 0;
+  let confirmedAt = -Infinity;
+  let hasGranted = false;
+  /** Time until which calls of an earlier process may be carried out. */
+  let unknownUntil = -Infinity;
+  let renewal: Promise<void> | undefined;
+  let deniedAt = -Infinity;
+  const releasing = new Set<KeySpan>();
+
+  const guard = (task: Promise<unknown>) => {
+    task.catch((error: Error) => {
+      const message = error.stack ?? error.message;
+      log(SIDECAR_EVENTS.failedTask, {message});
+    });
+  };
+
+  const isReleasing = (range: KeySpan) =>
+    [...releasing].some(other => overlaps(other, range));
+
+  const isCurrent = ({life}: Recipient) => sameLife(recipient()?.life, life);
+
+  const grantRange = async (to: Recipient, term: RangeTerm, readAt: number) => {
+    const sentAt = clock();
+    const leftMs = readAt + holdMs - sentAt - GRANT_LIMIT_MS;
+    if (leftMs < SHORTEST_HOLD_MS || isReleasing(term)) return;
+    const number = ++lastCall;
+    const {from, to: last, fence, handover} = term;
+    const range = {from, to: last, fence};
+    const endsAt = readAt + holdBoundMs(holdMs);
+    ledger = beginCall(ledger, {...range, number, endsAt});
+    const callee = {id: to.life.id, address: to.address};
+    const {kind, message} = await calls.grant(
+      callee,
+      range,
+      handover,
+      leftMs,
+      GRANT_LIMIT_MS,
+    );
+    if (isCurrent(to)) {
+      ledger = endCall(ledger, number, kind, sentAt + leftMs);
+    }
+    if (kind === 'granted') {
+      context.answered(to.life);
+      return;
+    }
+    const upstream = to.life.id;
+    log(SIDECAR_EVENTS.grantFailed, {upstream, ...range, kind, message});
+    if (kind === 'outranked') {
+      await changeMap(context, to.service, 'higher fence seen', m =>
+        renumber(m, to.life, range),
+      );
+    }
+    guard(context.pause(RETRY_MS).then(look));
+  };
+
+  const dueTerms = (terms: readonly RangeTerm[], leftMs: number) =>
+    terms.filter(
+      term => !isReleasing(term) && isDue(ledger, term, clock(), leftMs),
+    );
+
+  /** @param leftMs Shortest rest of a hold that is not renewed. */
+  const renew = async (to: Recipient, leftMs: number) => {
+    const readAt = clock();
+    const map = await confirmFor(context, to);
+    if (!map || !isCurrent(to)) return;
+    const terms = heldBy(map, to.life);
+    const isNew = terms.some(term => isDue(ledger, term, clock(), -Infinity));
+    if (isNew) logGranted(context, to, terms);
+    confirmedAt = readAt;
+    await Promise.all(
+      dueTerms(terms, leftMs).map(term => grantRange(to, term, readAt)),
+    );
+    hasGranted = true;
+    context.changed();
+  };
+
+  /** Asks for a range until it is provably released and the map says so. */
+  const takeBack = async (to: Recipient, term: RangeTerm) => {
+    const {service, life} = to;
+    const runsOutAt = Math.max(confirmedAt, startedAt) + holdBoundMs(holdMs);
+    const isWanted = () => {
+      const map = context.view().maps.get(service)?.value;
+      const wanted = map && isCurrent(to) ? wantedOf(to, map.terms) : [];
+      return wanted.some(other => overlaps(other, term));
+    };
+    const {from, to: last, fence} = term;
+    const range = {from, to: last, fence};
+    const callee = {id: life.id, address: to.address};
+    ledger = withdraw(ledger, range);
+    context.changed();
+    let handover: string | undefined;
+    while (isWanted()) {
+      const limitMs = runsOutAt - clock();
+      if (handover === undefined && limitMs > 0) {
+        const outcome = await calls.release(callee, range, limitMs);
+        const fields = {upstream: life.id, ...range, kind: outcome.kind};
+        if (outcome.kind === 'unknown') {
+          const {message} = outcome;
+          log(SIDECAR_EVENTS.releaseUnanswered, {...fields, message});
+          await context.pause(RETRY_MS);
+          continue;
+        }
+        log(SIDECAR_EVENTS.released, fields);
+        ({handover} = outcome);
+      }
+      const released = {from, to: last, handover: handover ?? ''};
+      const map = await changeMap(context, service, 'release', m =>
+        release(m, life, [released]),
+      );
+      if (map) break;
+      await context.pause(RETRY_MS);
+    }
+  };
+
+  /** Terms that are asked for; revoked ones of a living instance come back. */
+  const wantedOf = ({life, state}: Recipient, terms: readonly RangeTerm[]) =>
+    wantedFrom({fence: 0, terms}, life).filter(
+      term => term.state === 'moving' || state !== 'ready',
+    );
+
+  const look = () => {
+    const to = recipient();
+    const map = to && context.view().maps.get(to.service)?.value;
+    if (!to || !map) return;
+    ledger = forgetEnded(ledger, clock());
+    for (const term of wantedOf(to, map.terms)) {
+      if (isReleasing(term)) continue;
+      const openMs = Math.max(unknownUntil, openUntil(ledger, term)) - clock();
+      if (openMs > 0) continue;
+      releasing.add(term);
+      const task = takeBack(to, term).finally(() => {
+        releasing.delete(term);
+        look();
+      });
+      guard(task);
+    }
+    if (renewal || to.isSilent || to.state === 'left') return;
+    if (!needsRenewal(to, map.terms)) return;
+    void begin(to, renewalLeftMs);
+  };
+
+  const begin = (to: Recipient, leftMs: number) => {
+    renewal = renew(to, leftMs).finally(() => (renewal = undefined));
+    guard(renewal);
+    return renewal;
+  };
+
+  const needsRenewal = (to: Recipient, terms: readonly RangeTerm[]) => {
+    const own = terms.filter(term => sameLife(term.holder, to.life));
+    const isRestorable = to.state === 'ready';
+    return own.some(term => {
+      if (term.state === 'revoked') return isRestorable;
+      return (
+        term.state === 'held' && dueTerms([term], renewalLeftMs).length > 0
+      );
+    });
+  };
+
+  return {
+    begin: () => {
+      ledger = {...ledger, held: []};
+    },
+    resume: () => {
+      unknownUntil = startedAt + holdBoundMs(holdMs);
+      look();
+    },
+    hear: () => {
+      look();
+      return Promise.resolve({holdMs});
+    },
+    look,
+    ask: async () => {
+      const to = recipient();
+      if (to?.state === 'ready') await (renewal ?? begin(to, Infinity));
+    },
+    holds: key => (hasGranted ? isHeld(ledger, key, clock()) : undefined),
+    denied: key => {
+      const now = clock();
+      if (now - deniedAt < DENIAL_INTERVAL_MS || !isHeld(ledger, key, now)) {
+        return;
+      }
+      deniedAt = now;
+      log(SIDECAR_EVENTS.holdDenied, {key});
+      const lost = ledger.held.filter(row =>
+        overlaps(row, {from: key, to: key}),
+      );
+      for (const row of lost) ledger = withdraw(ledger, row);
+      look();
+    },
+    holdLeftMs: () => {
+      if (!hasGranted) return undefined;
+      const ends = ledger.held.map(row => row.until);
+      return Math.max(0, Math.min(...ends) - clock());
+    },
+    boundedFrom: () => confirmedAt,
+  };
+}
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -86,6 +86,22 @@
     level: 'warn',
     message: 'instance taken to be lost; its keys are revoked',
   },
+  grantFailed: {
+    number: 6044,
+    level: 'warn',
+    message: 'call that grants keys was not carried out or not answered',
+  },
+  released: {number: 6045, level: 'info', message: 'keys released'},
+  releaseUnanswered: {
+    number: 6046,
+    level: 'warn',
+    message: 'call to release keys was not answered',
+  },
+  holdDenied: {
+    number: 6047,
+    level: 'warn',
+    message: 'instance does not hold keys that it was granted',
+  },
   failedTask: {
     number: 6050,
     level: 'error',
--- /dev/null
+++ b/src/sidecar/fetched.ts
@@ -0,0 +1,129 @@
+import {
+  NO_GRANTS,
+  findReleases,
+  grant,
+  hear,
+  heldBy,
+  holdsKey,
+  newlyGranted,
+  release,
+  sameLife,
+  settle,
+  type Grants,
+  type HeldRange,
+  type HoldReport,
+  type RangeMap,
+  type RangeTerm,
+} from '../ranges/index.js';
+import {
+  confirmFor,
+  logGranted,
+  type Delivery,
+  type DeliveryContext,
+} from './delivery.js';
+import type {Heartbeat, HeartbeatAnswer} from './heartbeat.js';
+import {RENEWAL_SHARE} from './hold.js';
+import {changeMap} from './maps.js';
+
+/**
+ * Time in which an instance has read the answer that grants it keys, in
+ * milliseconds: the way on the machine and a turn of a busy process. A request
+ * that is sent together with the answer may overtake it.
+ */
+const GRANT_READ_MS = 20;
+
+/**
+ * Delivers keys with the answers to heartbeats. Keys are granted only after a
+ * read of the map that began once the heartbeat had arrived, so that a hold ends
+ * a bounded time after the write that revoked it.
+ *
+ * @example
+ * const delivery = createFetchedDelivery(context);
+ * const answer = await delivery.hear(beat, report, clock());
+ */
+export function createFetchedDelivery(context: DeliveryContext): Delivery {
+  const {clock, holdMs, recipient} = context;
+  let grants: Grants = NO_GRANTS;
+  /** Ranges that the instance may not have read of, and until when. */
+  let unread: readonly HeldRange[] = [];
+  let unreadUntil = -Infinity;
+
+  const renew = async (
+    report: HoldReport,
+    arrivedAt: number,
+  ): Promise<readonly RangeTerm[] | undefined> => {
+    const to = recipient();
+    if (!to || !sameLife(to.life, report.life)) return undefined;
+    const map = await confirmFor(context, to);
+    if (!map) return undefined;
+    const rows = heldBy(map, report.life);
+    if (!sameRows(rows, grants.granted)) logGranted(context, to, rows);
+    unread = newlyGranted(grants.granted, rows);
+    unreadUntil = clock() + GRANT_READ_MS;
+    grants = settle(grant(grants, report.sequence, rows, arrivedAt), map);
+    context.changed();
+    if (unread.length > 0) setTimeout(context.changed, GRANT_READ_MS + 1);
+    return rows;
+  };
+
+  const answerKeys = async (
+    {service}: Heartbeat,
+    report: HoldReport,
+    arrivedAt: number,
+  ): Promise<HeartbeatAnswer> => {
+    const map = context.view().maps.get(service)?.value;
+    if (!map) return {holdMs};
+    const released = findReleases(map, grants, report);
+    let current: RangeMap | undefined = map;
+    if (released.length > 0) {
+      current = await changeMap(context, service, 'release', m =>
+        release(m, report.life, released),
+      );
+      if (current) grants = settle(grants, current);
+    }
+    const due = current && heldBy(current, report.life);
+    const isFresh =
+      grants.grantedAt >= 0 &&
+      clock() - grants.since < holdMs * RENEWAL_SHARE &&
+      due !== undefined &&
+      sameRows(due, grants.granted);
+    if (isFresh) return {holdMs};
+    const rows = await renew(report, arrivedAt);
+    return rows ? {grants: rows, holdMs} : {holdMs};
+  };
+
+  return {
+    begin: () => {
+      grants = NO_GRANTS;
+    },
+    resume: () => {},
+    hear: (beat, report, arrivedAt) => {
+      grants = hear(grants, report);
+      return answerKeys(beat, report, arrivedAt);
+    },
+    look: () => {},
+    ask: () => Promise.resolve(),
+    holds: key => {
+      const isUnread = unread.some(({from, to}) => from <= key && key <= to);
+      if (isUnread && clock() < unreadUntil) return false;
+      if (grants.grantedAt < 0) return undefined;
+      return holdsKey(grants, key, clock(), holdMs);
+    },
+    denied: () => {},
+    holdLeftMs: () =>
+      grants.grantedAt < 0 ? undefined : grants.since + holdMs - clock(),
+    boundedFrom: () => grants.since,
+  };
+}
+
+type Row = Pick<RangeTerm, 'from' | 'to' | 'fence'>;
+
+function sameRows(a: readonly Row[], b: readonly Row[]): boolean {
+  return (
+    a.length === b.length &&
+    a.every(({from, to, fence}, i) => {
+      const other = b[i];
+      return from === other.from && to === other.to && fence === other.fence;
+    })
+  );
+}
--- a/src/sidecar/index.ts
+++ b/src/sidecar/index.ts
@@ -6,8 +6,12 @@
  */
 
 export * from './ask.js';
+export * from './called.js';
+export * from './delivery.js';
 export * from './events.js';
+export * from './fetched.js';
 export * from './heartbeat.js';
+export * from './hold.js';
 export * from './keeper.js';
 export * from './metrics.js';
 export * from './planner.js';
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -6,34 +6,23 @@
   type MemberState,
 } from '../fleet/index.js';
 import {
-  NO_GRANTS,
   expire,
-  findReleases,
-  grant,
-  hear,
-  heldBy,
-  holdsKey,
   mayReceive,
-  newlyGranted,
-  release,
-  restore,
   revoke,
   sameLife,
-  settle,
   succeed,
   termOf,
-  type Grants,
-  type HeldRange,
   type HoldReport,
   type Incarnation,
-  type RangeMap,
   type RangeTerm,
 } from '../ranges/index.js';
 import {parseAddress, type Address} from '../model/index.js';
 import {LATE_MS, type LocalInstance} from '../relay/index.js';
+import type {Delivery, DeliveryContext} from './delivery.js';
 import {SIDECAR_EVENTS} from './events.js';
 import type {Heartbeat, HeartbeatAnswer} from './heartbeat.js';
-import {changeMap, confirmMap, type MapAccess} from './maps.js';
+import {holdBoundMs} from './hold.js';
+import {changeMap, type MapAccess} from './maps.js';
 import {createSignal} from './signal.js';
 import {writeFromView} from './write.js';
 
@@ -51,6 +40,8 @@
   readonly drainMs: number;
   /** Told of the slots of an instance that is heard or taken up. */
   readonly began: (slots: number) => void;
+  /** Creates the way in which the instance gets its keys. */
+  readonly deliver: (context: DeliveryContext) => Delivery;
 }
 
 /** Looks after the instance beside a daemon. */
@@ -73,8 +64,12 @@
    */
   readonly holdLeftMs: () => number | undefined;
   readonly holds: (key: number) => boolean;
+  /** The instance says that it does not hold a key. */
+  readonly denied: (key: number) => void;
   readonly awaits: (key: number) => boolean;
   readonly changed: () => Promise<void>;
+  /** The map of the instance's service may have changed. */
+  readonly mapChanged: () => void;
   /**
    * Takes the instance up again that the daemon's earlier process recorded. It
    * is served before its next heartbeat; whether it still holds its keys it
@@ -102,6 +97,8 @@
   /** Time from which it takes no new requests. */
   readonly closesAt: number;
   readonly heardAt: number;
+  /** Number of its last heartbeat; -1 before the first. */
+  readonly sequence: number;
 }
 
 /** Heartbeats that may be missed before an instance counts as silent. */
@@ -110,22 +107,6 @@
 /** Heartbeats for which the record of an earlier process is relied on. */
 const RESUMED_HEARTBEATS = 2;
 
-/** Share of a hold after which a heartbeat renews it. */
-const RENEWAL_SHARE = 0.3;
-
-/** Rate by which an instance's clock may run slow, with a reserve. */
-const CLOCK_FACTOR = 1.03;
-
-/** Time beyond the end of a hold that covers late timers. */
-const HOLD_MARGIN_MS = 100;
-
-/**
- * Time in which an instance has read the answer that grants it keys, in
- * milliseconds: the way on the machine and a turn of a busy process. A request
- * that is sent together with the answer may overtake it.
- */
-const GRANT_READ_MS = 20;
-
 /** Share of the drain time in which an instance that leaves takes requests. */
 const OPEN_SHARE = 0.4;
 
@@ -133,20 +114,7 @@
 const RECORD_WAIT_MS = 500;
 
 /**
- * Returns the time after which a hold that was confirmed earlier has certainly
- * run out, by the slowest clock.
- *
- * @example
- * holdBoundMs(5000); // 5250
- */
-export function holdBoundMs(holdMs: number): number {
-  return holdMs * CLOCK_FACTOR + HOLD_MARGIN_MS;
-}
-
-/**
- * Creates the keeper of the instance beside a daemon. It grants keys only after
- * a read of the map that began once the heartbeat had arrived, so that a hold
- * ends a bounded time after the write that revoked it.
+ * Creates the keeper of the instance beside a daemon.
  *
  * @example
  * const keeper = createKeeper(context);
@@ -157,18 +125,32 @@
   const signal = createSignal();
   const startedAt = clock();
   let instance: Instance | undefined;
-  let grants: Grants = NO_GRANTS;
   let silent = false;
   let stopping = false;
   let resumedUntil = -Infinity;
-  /** Ranges that the instance may not have read of, and until when. */
-  let unread: readonly HeldRange[] = [];
-  let unreadUntil = -Infinity;
   let writing: Promise<void> | undefined;
 
   const life = (): Incarnation | undefined =>
     instance && {node, id: instance.id, born: instance.born};
 
+  const delivery = context.deliver({
+    ...context,
+    pause: sleep,
+    recipient: () => {
+      const own = life();
+      if (!instance || !own || !context.isKeyed(instance.service)) {
+        return undefined;
+      }
+      const {service, address, state} = instance;
+      return {life: own, service, address, state, isSilent: silent};
+    },
+    answered: callee => {
+      if (!instance || !sameLife(life(), callee)) return;
+      instance = {...instance, heardAt: clock()};
+    },
+    changed: signal.raise,
+  });
+
   const recorded = () => context.view().members.get(node);
 
   const desired = (): Member | undefined => {
@@ -201,7 +183,6 @@
   const begin = (beat: Heartbeat) => {
     const {id, born, service, slots, address} = beat;
     log(SIDECAR_EVENTS.instanceBegan, {id, born, service, address});
-    grants = NO_GRANTS;
     silent = false;
     context.began(slots);
   };
@@ -221,69 +202,8 @@
     }
   };
 
-  const renew = async (
-    report: HoldReport,
-    service: string,
-    arrivedAt: number,
-  ): Promise<readonly RangeTerm[] | undefined> => {
-    let map = await confirmMap(context, service);
-    if (!map || !sameLife(life(), report.life)) return undefined;
-    const isRevoked = (term: RangeTerm) =>
-      term.state === 'revoked' && sameLife(term.holder, report.life);
-    if (map.terms.some(isRevoked) && instance?.state === 'ready') {
-      map = await changeMap(context, service, 'restore', m =>
-        restore(m, report.life),
-      );
-      if (!map) return undefined;
-    }
-    const rows = heldBy(map, report.life);
-    if (!sameRows(rows, grants.granted)) {
-      const keys = rows.reduce((sum, {from, to}) => sum + to - from + 1, 0);
-      log(SIDECAR_EVENTS.granted, {
-        service,
-        upstream: report.life.id,
-        ranges: rows.length,
-        keys,
-        fence: Math.max(0, ...rows.map(row => row.fence)),
-      });
-    }
-    unread = newlyGranted(grants.granted, rows);
-    unreadUntil = clock() + GRANT_READ_MS;
-    grants = settle(grant(grants, report.sequence, rows, arrivedAt), map);
-    signal.raise();
-    if (unread.length > 0) setTimeout(signal.raise, GRANT_READ_MS + 1);
-    return rows;
-  };
-
-  const answerKeys = async (
-    beat: Heartbeat,
-    report: HoldReport,
-    arrivedAt: number,
-  ): Promise<HeartbeatAnswer> => {
-    const {holdMs} = context;
-    const map = context.view().maps.get(beat.service)?.value;
-    if (!map) return {holdMs};
-    const released = findReleases(map, grants, report);
-    let current: RangeMap | undefined = map;
-    if (released.length > 0) {
-      current = await changeMap(context, beat.service, 'release', m =>
-        release(m, report.life, released),
-      );
-      if (current) grants = settle(grants, current);
-    }
-    const due = current && heldBy(current, report.life);
-    const isFresh =
-      grants.grantedAt >= 0 &&
-      clock() - grants.since < holdMs * RENEWAL_SHARE &&
-      due !== undefined &&
-      sameRows(due, grants.granted);
-    if (isFresh) return {holdMs};
-    const rows = await renew(report, beat.service, arrivedAt);
-    return rows ? {grants: rows, holdMs} : {holdMs};
-  };
-
   const update = (beat: Heartbeat, arrivedAt: number) => {
-    const {id, born, service, domain, slots} = beat;
+    const {id, born, service, domain, slots, sequence} = beat;
     const known = sameLife(life(), {node, id, born}) ? instance : undefined;
     const announces = beat.state === 'draining' && known?.state !== 'draining';
     const openMs = context.drainMs * OPEN_SHARE;
@@ -297,6 +217,7 @@
       state: known?.state === 'left' ? 'left' : beat.state,
       closesAt: announces ? arrivedAt + openMs : (known?.closesAt ?? Infinity),
       heardAt: arrivedAt,
+      sequence,
     };
     if (announces) log(SIDECAR_EVENTS.instanceLeaving, {id, state: beat.state});
     return announces;
@@ -308,7 +229,8 @@
     if (instance && beat.born < instance.born) return true;
     if (known && beat.born < known.born) return true;
     if (known?.state === 'left' && sameLife(lifeOf(known), own)) return true;
-    return sameLife(life(), own) && beat.sequence <= grants.sequence;
+    const lastSequence = instance?.sequence ?? -1;
+    return sameLife(life(), own) && beat.sequence <= lastSequence;
   };
 
   const hearBeat = async (beat: Heartbeat) => {
@@ -325,16 +247,16 @@
     if (silent) log(SIDECAR_EVENTS.instanceBack, {id: beat.id});
     silent = false;
     const announced = update(beat, arrivedAt);
+    if (isNew) delivery.begin();
     const {sequence, holds, freed} = beat;
     const report: HoldReport = {life: own, sequence, holds, freed};
-    grants = hear(grants, report);
     if (isNew || announced) {
       const written = record().then(() => inherit());
       await Promise.race([written, sleep(RECORD_WAIT_MS)]);
       written.catch(error => logFailure(error));
     }
     if (!context.isKeyed(beat.service)) return {holdMs};
-    return answerKeys(beat, report, arrivedAt);
+    return delivery.hear(beat, report, arrivedAt);
   };
 
   const logFailure = (error: unknown) =>
@@ -353,7 +275,7 @@
     const isOpen = (term: RangeTerm) =>
       term.state === 'revoked' && sameLife(term.holder, own);
     if (!map?.terms.some(isOpen)) return;
-    const last = Math.max(startedAt, grants.since);
+    const last = Math.max(startedAt, delivery.boundedFrom());
     if (clock() < last + holdBoundMs(context.holdMs)) return;
     await changeMap(context, instance.service, 'hold ran out', m =>
       expire(m, own),
@@ -362,18 +284,23 @@
 
   const tick = async (lateMs: number) => {
     if (!instance) return;
-    const quietMs = clock() - instance.heardAt;
+    const isQuiet = () =>
+      clock() - (instance?.heardAt ?? -Infinity) >
+      context.heartbeatMs * MISSED_HEARTBEATS;
     // What has arrived while the loop stood still is read after this call.
-    const isQuiet =
-      lateMs < LATE_MS && quietMs > context.heartbeatMs * MISSED_HEARTBEATS;
-    if (isQuiet && !silent && instance.state !== 'left') {
+    const mayBeSilent = !silent && lateMs < LATE_MS;
+    if (mayBeSilent && isQuiet()) await delivery.ask();
+    if (mayBeSilent && isQuiet() && instance.state !== 'left') {
       silent = true;
-      log(SIDECAR_EVENTS.instanceSilent, {id: instance.id, quietMs});
+      const {id, heardAt} = instance;
+      const quietMs = clock() - heardAt;
+      log(SIDECAR_EVENTS.instanceSilent, {id, quietMs});
       await revokeOwn('silent');
     }
     await record();
     await inherit();
     if (silent || instance.state !== 'ready') await expireOwn();
+    delivery.look();
   };
 
   const leave = async (id: string) => {
@@ -391,7 +318,11 @@
 
   const resume = () => {
     const known = recorded()?.value;
-    if (instance || !known) return;
+    if (!known || (instance && !sameLife(life(), lifeOf(known)))) return;
+    if (instance) {
+      delivery.resume();
+      return;
+    }
     const {id, born, service, domain, slots, state} = known;
     const closesAt = state === 'ready' ? Infinity : -Infinity;
     const address = parseAddress(context.instance);
@@ -406,8 +337,10 @@
       address,
       closesAt,
       heardAt,
+      sequence: -1,
     };
     context.began(slots);
+    delivery.resume();
     resumedUntil = heardAt + context.heartbeatMs * RESUMED_HEARTBEATS;
     log(SIDECAR_EVENTS.instanceResumed, {id, born, service, state});
   };
@@ -428,29 +361,22 @@
     leave,
     life,
     isSilent: () => silent,
-    holdLeftMs: () => {
-      if (grants.grantedAt < 0) return undefined;
-      return grants.since + context.holdMs - clock();
-    },
+    holdLeftMs: delivery.holdLeftMs,
     local: () => {
       if (!instance) return undefined;
       const {id, service, address, slots, closesAt} = instance;
       return {id, service, address, slots, closed: clock() >= closesAt};
     },
-    holds: key => {
-      const isUnread = unread.some(({from, to}) => from <= key && key <= to);
-      if (isUnread && clock() < unreadUntil) return false;
-      if (grants.grantedAt >= 0 || clock() > resumedUntil) {
-        return holdsKey(grants, key, clock(), context.holdMs);
-      }
-      return holdsByMap(key);
-    },
+    holds: key =>
+      delivery.holds(key) ?? (clock() <= resumedUntil && holdsByMap(key)),
+    denied: delivery.denied,
     awaits: key => {
       const own = life();
       const isHeard = !silent && instance?.state === 'ready';
       return own !== undefined && mayReceive(termAt(key), own, isHeard);
     },
     changed: signal.next,
+    mapChanged: delivery.look,
     tick,
     stop: () => {
       stopping = true;
@@ -470,15 +396,3 @@
     a.stopping === b.stopping
   );
 }
-
-type Row = Pick<RangeTerm, 'from' | 'to' | 'fence'>;
-
-function sameRows(a: readonly Row[], b: readonly Row[]): boolean {
-  return (
-    a.length === b.length &&
-    a.every(({from, to, fence}, i) => {
-      const other = b[i];
-      return from === other.from && to === other.to && fence === other.fence;
-    })
-  );
-}
--- a/src/sidecar/maps.ts
+++ b/src/sidecar/maps.ts
@@ -26,7 +26,8 @@
 const HEDGE_MS = 250;
 
 /**
- * Reads a map from the store, past all copies.
+ * Reads a map from the store, past all copies. Where a newer one became known
+ * meanwhile, that one is returned.
  *
  * @returns undefined when the store does not answer or the map is malformed.
  *
@@ -40,6 +41,8 @@
   const object = await readMap(access, service);
   if (!object) return undefined;
   access.learn(object);
+  const known = access.view().maps.get(service);
+  if (known && known.version > object.version) return known.value;
   return readableMap(object);
 }
 
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -21,7 +21,7 @@
 } from '../ranges/index.js';
 import {isLost, type Silence} from '../relay/index.js';
 import {SIDECAR_EVENTS} from './events.js';
-import {holdBoundMs} from './keeper.js';
+import {holdBoundMs} from './hold.js';
 import {changeMap, type MapAccess} from './maps.js';
 import {sumHeat} from './meter.js';
 
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -1,3 +1,11 @@
+/**
+ * How instances get keys.
+ *
+ * - `heartbeat`: they fetch them with the answers to their heartbeats.
+ * - `call`: they are called.
+ */
+export type GrantWay = 'heartbeat' | 'call';
+
 /** Settings of a daemon beside one upstream instance. */
 export interface SidecarSettings {
   readonly name: string;
@@ -20,6 +28,8 @@
   readonly store: string;
   /** Interval between heartbeats, in seconds. */
   readonly heartbeatS: number;
+  /** How the instance beside gets its keys. */
+  readonly grants: GrantWay;
   /** Time after the announcement of an end in which no new request may arrive. */
   readonly drainS: number;
   /** Time between SIGTERM and SIGKILL, in seconds. */
@@ -55,6 +65,11 @@
   'retryShare',
 ] as const;
 
+const GRANT_WAYS: readonly unknown[] = [
+  'heartbeat',
+  'call',
+] satisfies readonly GrantWay[];
+
 /**
  * Checks parsed settings. Findings are collected with their place.
  *
@@ -75,6 +90,10 @@
       findings.push(`${name}: a positive number is required`);
     }
   }
+  if (!GRANT_WAYS.includes(fields.grants)) {
+    const found = JSON.stringify(fields.grants);
+    findings.push(`grants: ${found} is neither "heartbeat" nor "call"`);
+  }
   if (findings.length > 0) return {findings};
   return {settings: value as SidecarSettings};
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -23,6 +23,7 @@
   UNKNOWN_LOAD,
   applyLoadEvent,
   chooseService,
+  connectionsOf,
   createHolders,
   createReturns,
   createRouteTable,
@@ -44,12 +45,15 @@
   type SplitState,
   type Liveness,
 } from '../relay/index.js';
-import {notRun, unknown, type Failure} from '../model/index.js';
+import type {Dispatcher} from 'undici';
+import {notRun, unknown, type Address, type Failure} from '../model/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
 import {breakOff, createPools} from '../upstream/index.js';
 import {MAP_PATH, STATUS_PATH, askDaemon, createListener} from './ask.js';
+import {createCalledDelivery, type InstanceCalls} from './called.js';
 import {SIDECAR_EVENTS} from './events.js';
+import {createFetchedDelivery} from './fetched.js';
 import {createKeeper, type Keeper} from './keeper.js';
 import {readOwnMap} from './maps.js';
 import {createMeter} from './meter.js';
@@ -82,6 +86,10 @@
   readonly dialect: Dialect;
   readonly configurationKey: string;
   readonly readConfiguration: (text: string) => ConfigurationResult;
+  /** Creates the calls to an instance that is granted its keys by call. */
+  readonly instanceCalls: (
+    poolOf: (address: Address) => Dispatcher,
+  ) => InstanceCalls;
   readonly log: Log;
   /** Told of each request of a caller that has ended. */
   readonly ended?: (ended: Ended) => void;
@@ -209,6 +217,10 @@
   let view: FleetView = EMPTY_VIEW;
   let listed = false;
   let configuration: ActiveConfiguration | undefined;
+  /** Values of the configuration in force that could not be read. */
+  let unreadableParts = 0;
+  /** The newest configuration could not be put in force. */
+  let isRefused = false;
   let stop: StopPlan | undefined;
   let lastRequestAt = clock();
   let loopDelayMs = 0;
@@ -217,10 +229,6 @@
   const splits = new Map<string, SplitState>();
   const loads = new Map<string, InstanceLoad>();
   const budgets = new Map<string, RetryBudget>();
-  /** Values of the configuration in force that could not be read. */
-  let unreadableParts = 0;
-  /** The newest configuration could not be put in force. */
-  let isRefused = false;
   const probes = new Set<string>();
 
   const reportError = (error: unknown) => {
@@ -235,8 +243,10 @@
       log(SIDECAR_EVENTS.unreadable, {key, message: step.problem});
     }
     if (step.view === view) return;
+    const hasNewMap = step.view.maps !== view.maps;
     view = step.view;
     viewSignal.raise();
+    if (hasNewMap) keeper.mapChanged();
   };
 
   const isKeyed = (service: string) =>
@@ -275,7 +285,14 @@
   let slots = slotsOf(1);
   const transfers = createTransfers({clock});
 
-  const keeper = createKeeper({
+  const pools = createPools({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    keepAliveMs: INSTANCE_IDLE_MS,
+  });
+  const poolOf = (address: Address) =>
+    pools.to(address, connectionsOf(keeper.local()?.slots ?? 1));
+
+  const keeper: Keeper = createKeeper({
     ...access,
     domain,
     instance: settings.instance,
@@ -290,6 +307,10 @@
       slots = slotsOf(count);
       meter.reset();
     },
+    deliver: context =>
+      settings.grants === 'call'
+        ? createCalledDelivery(context, options.instanceCalls(poolOf))
+        : createFetchedDelivery(context),
   });
 
   const {ask, heard, silence} = createListener<Status>(node);
@@ -346,12 +367,10 @@
     isKeyed,
     holds: keeper.holds,
     awaits: keeper.awaits,
+    denied: keeper.denied,
     holdsChanged: () => Promise.race([keeper.changed(), viewSignal.next()]),
     slots: () => slots,
-    pools: createPools({
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      keepAliveMs: INSTANCE_IDLE_MS,
-    }),
+    pools,
     observed: (_, timeMs) => meter.ran(timeMs),
     asked: meter.asked,
     log,
@@ -695,7 +714,7 @@
         server.close();
         server.closeAllConnections();
       }
-      guard(context.pools.close());
+      guard(pools.close());
       guard(context.peerPools.close());
     },
   };
--- a/src/store/exchange.ts
+++ b/src/store/exchange.ts
@@ -1,3 +1,4 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import {AnswerLostError, UnavailableError} from './errors.js';
 
@@ -14,6 +15,7 @@
 export interface Reply {
   readonly status: number;
   readonly body: string;
+  readonly headers: IncomingHttpHeaders;
 }
 
 /**
@@ -67,6 +69,9 @@
   });
 }
 
+/** Longest answer, in bytes: several times a page of a listing. */
+const REPLY_BYTES = 8 * 1024 * 1024;
+
 /** What is told of the course of a request. */
 interface Course {
   /** The request is about to be written to a connection. */
@@ -77,17 +82,23 @@
 
 function collectReply(course: Course): Dispatcher.DispatchHandler {
   const parts: Buffer[] = [];
+  let total = 0;
   let status = 0;
+  let headers: IncomingHttpHeaders = {};
   return {
     onRequestStart: course.sent,
-    onResponseStart: (_controller, statusCode) => {
+    onResponseStart: (_controller, statusCode, received) => {
       status = statusCode;
+      headers = received;
     },
-    onResponseData: (_controller, part) => {
-      parts.push(part);
+    onResponseData: (controller, part) => {
+      total += part.length;
+      if (total <= REPLY_BYTES) parts.push(part);
+      else controller.abort(new Error(`more than ${REPLY_BYTES} bytes`));
     },
     onResponseEnd: () => {
-      course.answered({status, body: Buffer.concat(parts).toString()});
+      const body = Buffer.concat(parts).toString();
+      course.answered({status, body, headers});
     },
     onResponseError: (_controller, error) => course.failed(error),
   };
--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -1,4 +1,4 @@
-import http, {type ServerResponse} from 'node:http';
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listen} from './store.js';
@@ -16,6 +16,8 @@
   readonly workMs: number;
   readonly keyed: boolean;
   readonly heartbeatMs: number;
+  /** How it gets its keys; with the answers to heartbeats if missing. */
+  readonly grants?: 'heartbeat' | 'call';
   /** Address that takes heartbeats. */
   readonly control: string;
   readonly port?: number;
@@ -30,6 +32,24 @@
   bodyBytes: number;
 }
 
+/** A call by which the instance gets keys or gives them back. */
+export interface KeyCall {
+  readonly kind: 'grant' | 'release';
+  readonly from: number;
+  readonly to: number;
+  readonly fence: number;
+  readonly handover: string;
+}
+
+/**
+ * What becomes of a call.
+ *
+ * - `lost`: it is carried out, and its connection closes without an answer.
+ * - `late`: the same, but it is carried out `lateMs` later.
+ * - `endless`: it is carried out, and its answer never ends.
+ */
+export type CallFault = 'none' | 'lost' | 'late' | 'endless';
+
 /** A stand-in for an upstream instance that owns keys. */
 export interface InstanceStandin {
   readonly address: string;
@@ -41,10 +61,20 @@
   readonly leave: () => Promise<number>;
   /** Replaces the next answers: the function may write anything. */
   spoil?: (response: ServerResponse, id: string) => boolean;
+  /** Calls for its keys in the order of their arrival. */
+  readonly calls: readonly KeyCall[];
+  /** Decides what becomes of a call. */
+  callFault?: (call: KeyCall) => CallFault;
+  /** Time after which a late call is carried out, in milliseconds. */
+  lateMs: number;
+  /** Forgets all keys that it holds. */
+  readonly forget: () => void;
   /** Time for which it works on keys that it is to let go, in milliseconds. */
   lettingGoMs: number;
   /** Time after which it has read the answer to a heartbeat, in milliseconds. */
   readingMs: number;
+  /** Stops heartbeats, and nothing else. */
+  readonly mute: () => void;
   /** Stops heartbeats and closes the port, as a crash does. */
   readonly crash: () => void;
 }
@@ -72,7 +102,13 @@
   let running = 0;
   let announced: 'ready' | 'draining' = 'ready';
 
-  const current = () => (Date.now() < heldUntil ? held : []);
+  const called = createCalledKeys(id);
+  const current = () =>
+    options.grants === 'call'
+      ? called.holds()
+      : Date.now() < heldUntil
+        ? held
+        : [];
   const holdsKey = (key: number) =>
     current().some(([from, to]) => from <= key && key <= to);
 
@@ -81,10 +117,14 @@
       address: '',
       lettingGoMs: 0,
       readingMs: 0,
+      lateMs: 0,
+      calls: called.calls,
+      forget: called.forget,
       runs,
       holds: current,
       beat: state => beat(state),
       leave: () => call(control, 'DELETE', id, {born}).then(r => r.status),
+      mute: () => clearInterval(timer),
       crash: () => {
         clearInterval(timer);
         server.closeAllConnections();
@@ -93,6 +133,11 @@
     };
 
   const server = http.createServer((request, response) => {
+    if (request.url === '/-/grant' || request.url === '/-/release') {
+      const kind = request.url === '/-/grant' ? 'grant' : 'release';
+      void called.handle(kind, request, response, standin);
+      return;
+    }
     const header = (name: string) =>
       request.headers[`x-vanillaspool-${name}`] as string | undefined;
     const requestId = header('request-id') ?? '';
@@ -150,8 +195,10 @@
       cold_left_s: 0,
       seq: sequence,
       born,
-      holds: [...current(), ...leaving.map(({row}) => row)],
-      freed: reported,
+      ...(options.grants !== 'call' && {
+        holds: [...current(), ...leaving.map(({row}) => row)],
+        freed: reported,
+      }),
     });
     const {holds, hold_s: holdS} = answer.body as Granted;
     if (standin.readingMs > 0) await sleep(standin.readingMs);
@@ -175,6 +222,102 @@
   return standin;
 }
 
+/** Body of a call for keys. */
+interface WireCall {
+  readonly from: number;
+  readonly target_version: number;
+  readonly fence: number;
+  readonly hold_s?: number;
+  readonly handover?: string;
+}
+
+/** Keys that an instance got by calls. */
+function createCalledKeys(id: string) {
+  let held: {readonly row: HeldRow; readonly until: number}[] = [];
+  let seen: HeldRow[] = [];
+  const calls: KeyCall[] = [];
+  const overlaps = (a: HeldRow, {from, to}: KeyCall) =>
+    a[0] <= to && from <= a[1];
+  const withdraw = (call: KeyCall) => {
+    held = held.flatMap(({row, until}) => {
+      if (!overlaps(row, call)) return [{row, until}];
+      const [from, to, fence] = row;
+      const parts: HeldRow[] = [
+        [from, call.from - 1, fence],
+        [call.to + 1, to, fence],
+      ];
+      return parts
+        .filter(part => part[0] <= part[1])
+        .map(part => ({row: part, until}));
+    });
+  };
+  const grant = (call: KeyCall, until: number) => {
+    const {from, to, fence} = call;
+    const isOutranked = seen.some(row => overlaps(row, call) && row[2] > fence);
+    if (isOutranked) return 409;
+    withdraw(call);
+    seen = [...seen, [from, to, fence]];
+    held = [...held, {row: [from, to, fence], until}];
+    return 200;
+  };
+  const handle = async (
+    kind: KeyCall['kind'],
+    request: IncomingMessage,
+    response: ServerResponse,
+    standin: Pick<InstanceStandin, 'callFault' | 'lateMs' | 'lettingGoMs'>,
+  ) => {
+    const parts: Buffer[] = [];
+    for await (const part of request) parts.push(part as Buffer);
+    const body = JSON.parse(Buffer.concat(parts).toString()) as WireCall;
+    const {from, target_version: to, fence, hold_s: holdS, handover} = body;
+    const call = {kind, from, to, fence, handover: handover ?? ''};
+    calls.push(call);
+    const until = Date.now() + (holdS ?? 0) * 1000;
+    const fault = standin.callFault?.(call) ?? 'none';
+    if (fault === 'late') {
+      setTimeout(() => grant(call, until), standin.lateMs);
+      request.socket.destroy();
+      return;
+    }
+    let status = 200;
+    if (kind === 'grant') status = grant(call, until);
+    else withdraw(call);
+    if (kind === 'release' && standin.lettingGoMs > 0) {
+      await sleep(standin.lettingGoMs);
+    }
+    if (fault === 'lost') {
+      request.socket.destroy();
+      return;
+    }
+    if (kind === 'release') {
+      response.setHeader('X-Vanillaspool-Handover', `token-${id}-${fence}`);
+    }
+    response.writeHead(status);
+    if (fault === 'endless') writeWithoutEnd(response);
+    else response.end();
+  };
+  return {
+    calls,
+    handle,
+    holds: () =>
+      held.filter(({until}) => Date.now() < until).map(({row}) => row),
+    forget: () => {
+      held = [];
+    },
+  };
+}
+
+const ENDLESS_PART = Buffer.alloc(64 * 1024, 'x');
+
+/** Writes bytes that are no answer until the other side closes. */
+export function writeWithoutEnd(response: ServerResponse): void {
+  const more = () => {
+    while (!response.destroyed && response.write(ENDLESS_PART));
+  };
+  response.on('drain', more);
+  more();
+}
+
 interface Granted {
   readonly holds?: readonly (readonly [number, number, number, string])[];
   readonly hold_s?: number;
--- a/test/sidecar/explain.test.ts
+++ b/test/sidecar/explain.test.ts
@@ -29,7 +29,7 @@
   lines.find(line => line.kind === kind)?.fields;
 
 test('the log tells why a request was refused under load', async t => {
-  const fleet = await startFleet(['desk', 'desk'], 200);
+  const fleet = await startFleet(['desk', 'desk'], {workMs: 200});
   t.teardown(fleet.close);
   const [a] = fleet.pairs;
   const answers = await Promise.all(
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -8,6 +8,7 @@
   type InstanceStandin,
   type MetadataStoreStandin,
 } from '../../standin/fleet/index.js';
+import {createInstanceCalls} from '../../platform/calls.js';
 import {createControl} from '../../platform/control.js';
 import {
   CONFIGURATION_KEY,
@@ -15,7 +16,11 @@
 } from '../../platform/configuration.js';
 import {PLATFORM_DIALECT} from '../../platform/dialect.js';
 import {createMetadataStore} from '../../platform/store.js';
-import {createSidecar, type Sidecar} from '../../src/sidecar/index.js';
+import {
+  createSidecar,
+  type GrantWay,
+  type Sidecar,
+} from '../../src/sidecar/index.js';
 import type {EventFields, EventKind} from '../../src/telemetry/index.js';
 
 /** Interval between heartbeats in these tests, in milliseconds. */
@@ -137,13 +142,21 @@
   }
 }
 
+/** How the fleets of a test differ. */
+export interface FleetOptions {
+  /** Time that an instance takes for a request, in milliseconds. */
+  readonly workMs?: number;
+  /** Time until a daemon that is stopped is killed, in seconds. */
+  readonly graceS?: number;
+  readonly grants?: GrantWay;
+}
+
 /** Starts a daemon and the instance beside it. */
 async function startPair(
   store: MetadataStoreStandin,
   service: string,
   index: number,
-  workMs: number,
-  graceS: number,
+  {workMs = 20, graceS = 4, grants = 'heartbeat'}: FleetOptions,
 ): Promise<Pair> {
   const ports = await Promise.all([1, 2, 3, 4].map(() => freePort()));
   const [callers, peers, ready, control] = ports.map(p => `127.0.0.1:${p}`);
@@ -165,6 +178,7 @@
       metrics: '127.0.0.1:1',
       store: store.address,
       heartbeatS: HEARTBEAT_MS / 1000,
+      grants,
       drainS: 1,
       graceS,
       holdLimitS: 2,
@@ -174,6 +188,7 @@
     dialect: PLATFORM_DIALECT,
     configurationKey: CONFIGURATION_KEY,
     readConfiguration,
+    instanceCalls: createInstanceCalls,
     log,
   });
   const server = http.createServer(createControl(sidecar, log));
@@ -188,6 +203,7 @@
     slots: 4,
     workMs,
     keyed: service === 'stock',
+    grants,
     heartbeatMs: HEARTBEAT_MS,
     control,
     port: instancePort,
@@ -211,23 +227,17 @@
  * Starts a fleet and waits until its keys are held.
  *
  * @param services Service of the instance beside each daemon.
- * @param workMs Time that an instance takes for a request.
- * @param graceS Time until a daemon that is stopped is killed.
- *
  * @example
  * const fleet = await startFleet(['stock', 'stock', 'desk']);
  */
 export async function startFleet(
   services: readonly string[],
-  workMs = 20,
-  graceS = 4,
+  options: FleetOptions = {},
 ): Promise<TestFleet> {
   const store = await startMetadataStore();
   store.write('config', 'main', configuration(1));
   const pairs = await Promise.all(
-    services.map((service, index) =>
-      startPair(store, service, index, workMs, graceS),
-    ),
+    services.map((service, index) => startPair(store, service, index, options)),
   );
   const keyed = pairs.filter((_, index) => services[index] === 'stock');
   const registered = (index: number) => {
--- a/test/sidecar/fleet.test.ts
+++ b/test/sidecar/fleet.test.ts
@@ -9,49 +9,60 @@
   until,
 } from './fixture.js';
 
-test('each key is served by its one holder, from every daemon', async t => {
-  const fleet = await startFleet(['stock', 'stock', 'desk']);
-  t.teardown(fleet.close);
-  const [a, b] = fleet.pairs;
-  for (const key of [0, 20_000, 40_000, 65_535]) {
-    const answers = await Promise.all(
-      fleet.pairs.map(pair => ask(pair.callers, 'GET', '/view/x', key)),
-    );
-    t.deepEqual(
-      answers.map(answer => answer.status),
-      [200, 200, 200],
-    );
-    const [atA, atB] = [a, b].map(pair =>
-      pair.instance.runs.some(run => run.key === key),
-    );
-    t.not(atA, atB);
-  }
-});
+/** The ways in which instances get their keys. */
+const WAYS = ['heartbeat', 'call'] as const;
 
-test('keys stay where they are while nothing changes', async t => {
-  const fleet = await startFleet(['stock', 'stock']);
-  t.teardown(fleet.close);
-  const [a] = fleet.pairs;
-  const before = a.instance.holds();
-  const map = JSON.stringify(fleet.store.read('fleet', 'ranges.stock'));
-  await new Promise(resolve => setTimeout(resolve, 900));
-  t.deepEqual(a.instance.holds(), before);
-  t.is(JSON.stringify(fleet.store.read('fleet', 'ranges.stock')), map);
-});
+for (const grants of WAYS) {
+  test(`each key is served by its one holder, from every daemon, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const [a, b] = fleet.pairs;
+    for (const key of [0, 20_000, 40_000, 65_535]) {
+      const answers = await Promise.all(
+        fleet.pairs.map(pair => ask(pair.callers, 'GET', '/view/x', key)),
+      );
+      t.deepEqual(
+        answers.map(answer => answer.status),
+        [200, 200, 200],
+      );
+      const [atA, atB] = [a, b].map(pair =>
+        pair.instance.runs.some(run => run.key === key),
+      );
+      t.not(atA, atB);
+    }
+  });
+}
 
-test('an instance that leaves gives its keys to the others', async t => {
-  const fleet = await startFleet(['stock', 'stock']);
-  t.teardown(fleet.close);
-  const [a, b] = fleet.pairs;
-  t.is(await a.instance.beat('draining'), 200);
-  await until(() => {
-    const held = b.instance.holds();
-    return held.reduce((sum, [from, to]) => sum + to - from + 1, 0) === 65_536;
+for (const grants of WAYS) {
+  test(`keys stay where they are while nothing changes, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock'], {grants});
+    t.teardown(fleet.close);
+    const [a] = fleet.pairs;
+    const before = a.instance.holds();
+    const map = JSON.stringify(fleet.store.read('fleet', 'ranges.stock'));
+    await new Promise(resolve => setTimeout(resolve, 900));
+    t.deepEqual(a.instance.holds(), before);
+    t.is(JSON.stringify(fleet.store.read('fleet', 'ranges.stock')), map);
   });
-  const {status} = await ask(a.callers, 'GET', '/view/x', 10);
-  t.is(status, 200);
-  t.is(b.instance.runs.at(-1)?.key, 10);
-});
+}
+
+for (const grants of WAYS) {
+  test(`an instance that leaves gives its keys to the others, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock'], {grants});
+    t.teardown(fleet.close);
+    const [a, b] = fleet.pairs;
+    t.is(await a.instance.beat('draining'), 200);
+    await until(() => {
+      const held = b.instance.holds();
+      return (
+        held.reduce((sum, [from, to]) => sum + to - from + 1, 0) === 65_536
+      );
+    });
+    const {status} = await ask(a.callers, 'GET', '/view/x', 10);
+    t.is(status, 200);
+    t.is(b.instance.runs.at(-1)?.key, 10);
+  });
+}
 
 test('an answer to another request is never passed on', async t => {
   const fleet = await startFleet(['desk']);
@@ -82,21 +93,23 @@
   t.is((await ask(pair.callers, 'POST', '/book/x')).status, 502);
 });
 
-test('keys outlast an outage of the store that is shorter than a hold', async t => {
-  const fleet = await startFleet(['stock', 'desk']);
-  t.teardown(fleet.close);
-  const [a, b] = fleet.pairs;
-  // By then the daemon that is asked has heard who holds the keys.
-  while ((await ask(b.callers, 'GET', '/view/x', 7)).status !== 200);
-  const before = a.instance.runs.length;
-  fleet.store.faults.down = true;
-  await new Promise(resolve => setTimeout(resolve, 700));
-  t.is((await ask(b.callers, 'GET', '/view/x', 7)).status, 200);
-  fleet.store.faults.down = false;
-  await new Promise(resolve => setTimeout(resolve, 1500));
-  t.is((await ask(b.callers, 'GET', '/view/x', 7)).status, 200);
-  t.is(a.instance.runs.length, before + 2);
-});
+for (const grants of WAYS) {
+  test(`keys outlast an outage of the store that is shorter than a hold, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const [a, b] = fleet.pairs;
+    // By then the daemon that is asked has heard who holds the keys.
+    while ((await ask(b.callers, 'GET', '/view/x', 7)).status !== 200);
+    const before = a.instance.runs.length;
+    fleet.store.faults.down = true;
+    await new Promise(resolve => setTimeout(resolve, 700));
+    t.is((await ask(b.callers, 'GET', '/view/x', 7)).status, 200);
+    fleet.store.faults.down = false;
+    await new Promise(resolve => setTimeout(resolve, 1500));
+    t.is((await ask(b.callers, 'GET', '/view/x', 7)).status, 200);
+    t.is(a.instance.runs.length, before + 2);
+  });
+}
 
 test('a newer configuration is in force, an older one never', async t => {
   const fleet = await startFleet(['desk']);
@@ -189,7 +202,7 @@
 const WORK_MS = 1100;
 
 test('a stopping daemon takes no request that it could not finish', async t => {
-  const fleet = await startFleet(['desk', 'desk'], WORK_MS);
+  const fleet = await startFleet(['desk', 'desk'], {workMs: WORK_MS});
   const [pair] = fleet.pairs;
   t.teardown(fleet.close);
   const stopped = pair.sidecar.stop();
--- a/test/sidecar/keeper.test.ts
+++ b/test/sidecar/keeper.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {EMPTY_VIEW} from '../../src/fleet/index.js';
-import {createKeeper} from '../../src/sidecar/index.js';
+import {createFetchedDelivery, createKeeper} from '../../src/sidecar/index.js';
 import type {ObjectStore} from '../../src/store/index.js';
 
 const HEARTBEAT_MS = 800;
@@ -32,6 +32,7 @@
     holdMs: 5000,
     drainMs: 2000,
     began: () => {},
+    deliver: createFetchedDelivery,
   });
   await keeper.hear({
     id: 'i-1',
--- a/test/sidecar/move.test.ts
+++ b/test/sidecar/move.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {startMoves, termOf, type RangeMap} from '../../src/ranges/index.js';
 import {RELAY_EVENTS} from '../../src/relay/index.js';
+import type {GrantWay} from '../../src/sidecar/index.js';
 import {ask, startFleet, until, type Answer, type Pair} from './fixture.js';
 
 const sleep = (timeMs: number) =>
@@ -8,9 +9,13 @@
 
 const KEY = 10;
 
+/** The ways in which instances get their keys. */
+const WAYS = ['heartbeat', 'call'] as const;
+
 /** A fleet of two holders and a third daemon, and who holds a key. */
-async function startMoving(workMs = 20) {
-  const fleet = await startFleet(['stock', 'stock', 'desk'], workMs);
+async function startMoving(grants: GrantWay) {
+  const services = ['stock', 'stock', 'desk'];
+  const fleet = await startFleet(services, {grants});
   const [a, b, entry] = fleet.pairs;
   const map = () => fleet.store.read('fleet', 'ranges.stock') as RangeMap;
   const holderNode = () => termOf(map(), KEY)?.holder.node;
@@ -33,43 +38,49 @@
 const statuses = (answers: readonly Answer[]) =>
   answers.map(({status}) => status);
 
-test('a move of keys does not send every request to the old holder again and again', async t => {
-  const {fleet, from, to, entry, move, holderNode} = await startMoving();
-  t.teardown(fleet.close);
-  t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
-  from.instance.lettingGoMs = 1500;
-  move();
-  await until(() => !from.sidecar.keeper.holds(KEY));
-  const sent: Promise<Answer>[] = [];
-  while (holderNode() === from.node) {
-    sent.push(ask(entry.callers, 'GET', '/view/x', KEY));
-    await sleep(20);
-  }
-  const answers = await Promise.all(sent);
-  t.true(sent.length > 30);
-  t.true(refusals(from, 'not-owner') <= 5);
-  for (const {status, retryAfter} of answers) {
-    if (status !== 200)
-      t.deepEqual([status, Number(retryAfter) > 0], [503, true]);
-  }
-  t.is(statuses(answers).at(-1), 200);
-  t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
-  t.is(to.instance.runs.at(-1)?.key, KEY);
-});
+for (const grants of WAYS) {
+  test(`a move of keys does not send every request to the old holder again and again, granted by ${grants}`, async t => {
+    const {fleet, from, to, entry, move, holderNode} =
+      await startMoving(grants);
+    t.teardown(fleet.close);
+    t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
+    from.instance.lettingGoMs = 1500;
+    move();
+    await until(() => !from.sidecar.keeper.holds(KEY));
+    const sent: Promise<Answer>[] = [];
+    while (holderNode() === from.node) {
+      sent.push(ask(entry.callers, 'GET', '/view/x', KEY));
+      await sleep(20);
+    }
+    const answers = await Promise.all(sent);
+    t.true(sent.length > 30);
+    t.true(refusals(from, 'not-owner') <= 5);
+    for (const {status, retryAfter} of answers) {
+      if (status !== 200)
+        t.deepEqual([status, Number(retryAfter) > 0], [503, true]);
+    }
+    t.is(statuses(answers).at(-1), 200);
+    t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
+    t.is(to.instance.runs.at(-1)?.key, KEY);
+  });
+}
 
-test('requests for a key do not overtake the grant of the key', async t => {
-  const {fleet, from, to, entry, move, holderNode} = await startMoving();
-  t.teardown(fleet.close);
-  t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
-  to.instance.readingMs = 10;
-  move();
-  await until(() => holderNode() === to.node);
-  const answers = await Promise.all(
-    Array.from({length: 20}, () => ask(entry.callers, 'GET', '/view/x', KEY)),
-  );
-  const refused = [from, to].flatMap(({events}) =>
-    events.filter(([kind]) => kind === RELAY_EVENTS.answerRefused),
-  );
-  t.deepEqual(refused, []);
-  t.deepEqual(statuses(answers), new Array<number>(20).fill(200));
-});
+for (const grants of WAYS) {
+  test(`requests for a key do not overtake the grant of the key, granted by ${grants}`, async t => {
+    const {fleet, from, to, entry, move, holderNode} =
+      await startMoving(grants);
+    t.teardown(fleet.close);
+    t.is((await ask(entry.callers, 'GET', '/view/x', KEY)).status, 200);
+    to.instance.readingMs = 10;
+    move();
+    await until(() => holderNode() === to.node);
+    const answers = await Promise.all(
+      Array.from({length: 20}, () => ask(entry.callers, 'GET', '/view/x', KEY)),
+    );
+    const refused = [from, to].flatMap(({events}) =>
+      events.filter(([kind]) => kind === RELAY_EVENTS.answerRefused),
+    );
+    t.deepEqual(refused, []);
+    t.deepEqual(statuses(answers), new Array<number>(20).fill(200));
+  });
+}
--- a/test/sidecar/offer.test.ts
+++ b/test/sidecar/offer.test.ts
@@ -5,7 +5,7 @@
 const BODY = Buffer.alloc(60_000);
 
 test('a refused upload is refused before its body is sent to the instance', async t => {
-  const fleet = await startFleet(['stock', 'desk', 'desk'], 300);
+  const fleet = await startFleet(['stock', 'desk', 'desk'], {workMs: 300});
   t.teardown(fleet.close);
   const [{callers}] = fleet.pairs;
   // From then on the daemons know how long requests take.
--- a/test/sidecar/stop.test.ts
+++ b/test/sidecar/stop.test.ts
@@ -33,7 +33,7 @@
 
 /** Starts a fleet whose requests of `desk` may take long. */
 async function startPatient(services: readonly string[], graceS: number) {
-  const fleet = await startFleet(services, 20, graceS);
+  const fleet = await startFleet(services, {graceS});
   const patient = configuration(2) as {routes: {rows: unknown[][]}};
   const [, book] = patient.routes.rows;
   [book[4], book[5]] = [PATIENCE_MS / 1000, PATIENCE_MS / 2000];
