Let requests in by turns where a process is behind; keep downloads near

A process that is behind begins requests in turns (src/relay/intake): after one in which a close would have been heard, by rank, no more than a turn has time for; what would not be reached in time is refused at once.

Downloads: the mean length of a route's answers counts like a body in the choice of an instance, so that long answers stay in their failure domain.

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -73,9 +73,10 @@
 const DOMAIN_COST_MS = 20;
 
 /**
- * Added for each kilobyte of a request that would go to another failure domain,
- * as that traffic is charged by volume: a long upload leaves its domain only
- * where it would wait for about as long as it takes.
+ * Added for each kilobyte of a request and its answer that would go between
+ * failure domains, as that traffic is charged by volume: a long upload or
+ * download leaves its domain only where it would wait for about as long as it
+ * takes.
  */
 const DOMAIN_COST_MS_PER_KB = 2;
 
@@ -131,7 +132,7 @@
  * instance.
  *
  * @param isNear The instance is in the own failure domain.
- * @param bodyBytes Length of the request's body.
+ * @param bytes Length of the request's body and of the expected answer.
  *
  * @example
  * estimateMs(load, true, now) < estimateMs(load, false, now); // true
@@ -140,7 +141,7 @@
   load: InstanceLoad,
   isNear: boolean,
   now: number,
-  bodyBytes = 0,
+  bytes = 0,
 ): number {
   const {slots, meanMs, inFlight, inFlightAtReport} = load;
   const age = 2 ** ((load.reportedAt - now) / REPORT_HALF_LIFE_MS);
@@ -150,7 +151,7 @@
   const full = busy / slots;
   const workMs = Math.max(meanMs, 1);
   const failureMs = load.failures * FAILURE_COST_MS;
-  const kilobytes = bodyBytes / BYTES_PER_KB;
+  const kilobytes = bytes / BYTES_PER_KB;
   const farMs = isNear ? 0 : DOMAIN_COST_MS + kilobytes * DOMAIN_COST_MS_PER_KB;
   return workMs * (1 + waiting + FULLNESS * full) + failureMs + farMs;
 }
@@ -178,7 +179,7 @@
 export function chooseInstance<T extends Choice>(
   choices: readonly T[],
   now: number,
-  bodyBytes = 0,
+  bytes = 0,
 ): T | undefined {
   let best: T | undefined;
   let bestMs = Infinity;
@@ -186,7 +187,7 @@
     const {load, isNear} = choice;
     const until = Math.max(load.shunnedUntil, load.suspectedUntil);
     const shunnedMs = Math.max(0, until - now) * SHUN_COST;
-    const ms = estimateMs(load, isNear, now, bodyBytes) + shunnedMs;
+    const ms = estimateMs(load, isNear, now, bytes) + shunnedMs;
     if (ms < bestMs) {
       best = choice;
       bestMs = ms;
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -22,7 +22,7 @@
 } from '../model/index.js';
 import {sameLife, termOf, type RangeTerm} from '../ranges/index.js';
 import type {EventFields} from '../telemetry/index.js';
-import {breakOff} from '../upstream/index.js';
+import {breakOff, type AnswerHead} from '../upstream/index.js';
 import {lengthOf, readBody, type RequestBody} from './body.js';
 import {chooseInstance} from './choose.js';
 import {
@@ -35,12 +35,14 @@
 import {RELAY_EVENTS} from './events.js';
 import {forward, type ForwardContext} from './forward.js';
 import type {Holders} from './holder.js';
+import type {Lengths} from './lengths.js';
 import {isOffered, offer} from './offer.js';
 import {runLocally, type OwnerContext} from './owner.js';
 import type {AttemptMark, Returns} from './returns.js';
 import {
   ENTRY_GRACE_MS,
   holderWaitUntil,
+  letIn,
   stopWhenOver,
   type Course,
   type Flow,
@@ -64,6 +66,7 @@
   readonly service: (route: Route) => string;
   readonly returns: Returns;
   readonly holders: Holders;
+  readonly lengths: Lengths;
   /**
    * Takes one retry to a service from the budget; false when none is left.
    *
@@ -105,6 +108,12 @@
 /** Time for which a caller waits that states no deadline, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
+/**
+ * Rank of the most urgent requests of callers at the intake; those of other
+ * daemons have taken time there already and go before.
+ */
+const FIRST_CALLER_RANK = 1;
+
 /** Lowest status that tells of an error of the upstream. */
 const FIRST_ERROR_STATUS = 500;
 
@@ -297,6 +306,10 @@
 
 async function serve(context: EntryContext, pass: Request): Promise<Attempt> {
   const {state} = pass.flow;
+  const rank = FIRST_CALLER_RANK + pass.route.priority;
+  const leftMs = pass.deadlineAt - context.clock();
+  const refusal = await letIn(context.intake, pass.flow, rank, leftMs);
+  if (refusal) return conclude(pass, refusal);
   for (;;) {
     if (state.stopped) return conclude(pass, state.stopped);
     const target = findTarget(context, pass);
@@ -431,7 +444,8 @@
     load: context.loads(member.node),
     member,
   }));
-  const choice = chooseInstance(choices, context.clock(), lengthOf(pass.body));
+  const bytes = lengthOf(pass.body) + context.lengths.mean(pass.route.name);
+  const choice = chooseInstance(choices, context.clock(), bytes);
   if (!choice) {
     pass.refused.clear();
     return {kind: 'wait', until: context.clock() + OWNER_POLL_MS};
@@ -507,10 +521,13 @@
 ): Promise<Attempt> {
   context.observeLoad(member.node, {kind: 'sent'});
   const work = workOf(context, pass, member);
+  const observe = ({contentLength}: AnswerHead) => {
+    context.lengths.observe(work.route, contentLength);
+  };
   const attempt =
     member.node === context.node
-      ? await runLocally(context, pass.flow, work, () => {})
-      : await sendTo(context, pass.flow, member.node, work);
+      ? await runLocally(context, pass.flow, work, observe)
+      : await sendTo(context, pass.flow, member.node, work, observe);
   const failedThere =
     attempt.kind === 'broken' ||
     (attempt.kind === 'failed' && isFault(attempt.failure)) ||
@@ -526,12 +543,13 @@
   flow: Flow,
   node: string,
   work: Work,
+  extend: (head: AnswerHead) => void,
 ): Promise<Attempt> {
   if (isOffered(work)) {
     const refusal = await offer(context, flow, node, work);
     if (refusal) return refusal;
   }
-  return forward(context, flow, node, work);
+  return forward(context, flow, node, work, extend);
 }
 
 /** The instance or the way to it is at fault, not its load. */
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -55,6 +55,7 @@
  * counts, so that a loop that is always late still decides.
  *
  * @param node Address of the daemon, as `ip:port`.
+ * @param extend Looks at the head of an answer that is passed on.
  *
  * @example
  * const attempt = await forward(context, flow, '10.1.0.8:7620', work);
@@ -64,6 +65,7 @@
   flow: Flow,
   node: string,
   work: Work,
+  extend: (head: AnswerHead) => void = () => {},
 ): Promise<Attempt> {
   const pool = context.peerPools.to(parseAddress(node), PEER_CONNECTIONS);
   const now = context.clock();
@@ -132,7 +134,7 @@
         return true;
       },
       judge: read,
-      extend: () => {},
+      extend,
       unsent: error => {
         if (!silence && !flow.state.stopped) {
           silence = 'unconnected';
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -13,6 +13,8 @@
 export * from './forward.js';
 export * from './holder.js';
 export * from './hop.js';
+export * from './intake.js';
+export * from './lengths.js';
 export * from './offer.js';
 export * from './owner.js';
 export * from './peers.js';
--- /dev/null
+++ b/src/relay/intake.ts
@@ -0,0 +1,174 @@
+/** A request that waits until a busy process turns to it. */
+export interface Arrival {
+  /** Requests of a lower rank go first. */
+  readonly rank: number;
+  readonly arrivedAt: number;
+  /** Longest time that it waits, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** What becomes of waiting requests in one turn. */
+export interface TurnPlan<T extends Arrival> {
+  readonly begun: readonly T[];
+  readonly refused: readonly T[];
+  readonly kept: readonly T[];
+}
+
+/** Time for which one turn begins requests, in milliseconds. */
+const TURN_MS = 25;
+
+/**
+ * Plans a turn: begins as many requests as the turn has time for, by rank and
+ * then in the order of their arrival, and refuses those that would not be reached
+ * in time. The others wait for the next turn.
+ *
+ * Answers more requests than the processor bears, as after a restart with cold
+ * code: work on what nobody waits for any more would keep the process behind.
+ *
+ * @param costMs Time that one request takes of the process, in milliseconds.
+ *
+ * @example
+ * const {begun, refused, kept} = planTurn(waiting, performance.now(), 1.5);
+ */
+export function planTurn<T extends Arrival>(
+  waiting: readonly T[],
+  now: number,
+  costMs: number,
+): TurnPlan<T> {
+  const ordered = [...waiting].sort(
+    (a, b) => a.rank - b.rank || a.arrivedAt - b.arrivedAt,
+  );
+  const count = Math.max(1, Math.floor(TURN_MS / costMs));
+  const begun: T[] = [];
+  const refused: T[] = [];
+  const kept: T[] = [];
+  for (const arrival of ordered) {
+    const {arrivedAt, waitMs} = arrival;
+    const aheadMs = (begun.length + kept.length) * costMs;
+    if (now - arrivedAt + aheadMs > waitMs) refused.push(arrival);
+    else if (begun.length < count) begun.push(arrival);
+    else kept.push(arrival);
+  }
+  return {begun, refused, kept};
+}
+
+/** What lets requests in. */
+export interface Intake {
+  /**
+   * Lets a request in, at once where the process keeps up. Where it does not, a
+   * request waits for a turn after one in which it would have been heard that its
+   * sender has gone.
+   *
+   * @param isOver Tells whether nobody waits for the request any more.
+   * @returns the time after which a refused request may come back, in
+   * milliseconds; undefined for one that is let in.
+   */
+  readonly enter: (
+    rank: number,
+    waitMs: number,
+    isOver: () => boolean,
+  ) => Promise<number | undefined> | undefined;
+  /** Requests that wait. */
+  readonly waiting: () => number;
+}
+
+interface Entry extends Arrival {
+  readonly turn: number;
+  readonly isOver: () => boolean;
+  readonly resolve: (retryAfterMs: number | undefined) => void;
+}
+
+/** Time of one turn from which the process counts as behind, in milliseconds. */
+const BEHIND_MS = 10;
+
+/** Time for which it counts as behind after such a turn, in milliseconds. */
+const BEHIND_FOR_MS = 250;
+
+/** Weight of the newest turn in the mean cost of a request. */
+const COST_WEIGHT = 0.2;
+
+/** Cost of a request before any was measured, in milliseconds. */
+const FIRST_COST_MS = 2;
+
+/** Shortest Retry-After of a request that is refused, in milliseconds. */
+const SHORTEST_RETRY_MS = 300;
+
+/**
+ * Creates an intake.
+ *
+ * @param nextTurn Calls back once the process has read what has arrived.
+ *
+ * @example
+ * const intake = createIntake(() => performance.now(), setImmediate);
+ * const refusedMs = await intake.enter(0, 200, () => response.destroyed);
+ */
+export function createIntake(
+  clock: () => number,
+  nextTurn: (call: () => void) => unknown,
+): Intake {
+  let waiting: Entry[] = [];
+  let turn = 0;
+  let isTurning = false;
+  let turnedAt = 0;
+  let begunInTurn = 0;
+  let costMs = FIRST_COST_MS;
+  let behindUntil = -Infinity;
+
+  const open = (now: number) => {
+    if (isTurning) return;
+    isTurning = true;
+    turnedAt = now;
+    begunInTurn = 0;
+    nextTurn(close);
+  };
+
+  const measure = (now: number) => {
+    const spentMs = now - turnedAt;
+    if (spentMs >= BEHIND_MS) behindUntil = now + BEHIND_FOR_MS;
+    if (begunInTurn === 0) return;
+    const newest = spentMs / begunInTurn;
+    costMs += COST_WEIGHT * (newest - costMs);
+  };
+
+  const close = () => {
+    const now = clock();
+    measure(now);
+    isTurning = false;
+    const over = waiting.filter(entry => entry.isOver());
+    for (const entry of over) entry.resolve(undefined);
+    // What arrived in this turn is not heard to be over before the next.
+    const isReady = (entry: Entry) => entry.turn < turn && !entry.isOver();
+    const ready = waiting.filter(isReady);
+    const fresh = waiting.filter(
+      entry => entry.turn === turn && !entry.isOver(),
+    );
+    const {begun, refused, kept} = planTurn(ready, now, costMs);
+    waiting = [...kept, ...fresh];
+    turn += 1;
+    if (waiting.length > 0 || begun.length > 0) open(now);
+    begunInTurn = begun.length;
+    for (const entry of begun) entry.resolve(undefined);
+    const retryMs = Math.max(SHORTEST_RETRY_MS, waiting.length * costMs);
+    for (const entry of refused) entry.resolve(retryMs);
+  };
+
+  return {
+    enter: (rank, waitMs, isOver) => {
+      const now = clock();
+      open(now);
+      const keepsUp =
+        waiting.length === 0 &&
+        now >= behindUntil &&
+        now - turnedAt < BEHIND_MS;
+      if (keepsUp) {
+        begunInTurn += 1;
+        return undefined;
+      }
+      return new Promise(resolve => {
+        const entry = {rank, waitMs, arrivedAt: now, turn, isOver, resolve};
+        waiting.push(entry);
+      });
+    },
+    waiting: () => waiting.length,
+  };
+}
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -12,6 +12,7 @@
 import type {Dialect, StatedLoad, Verdict} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
+import type {Intake} from './intake.js';
 import type {QueueState} from './queue.js';
 import type {Claim, Grant, Slots} from './slots.js';
 import type {Transfers} from './transfers.js';
@@ -30,6 +31,8 @@
 /** How the daemon beside an instance passes requests on to it. */
 export interface OwnerContext {
   readonly clock: () => number;
+  /** Lets requests of callers and of other daemons in. */
+  readonly intake: Intake;
   readonly dialect: Dialect;
   readonly local: () => LocalInstance | undefined;
   /** The service's requests carry keys. */
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -23,7 +23,13 @@
 } from './owner.js';
 import type {Denied} from './slots.js';
 import type {Transfers} from './transfers.js';
-import {stopWhenOver, type Course, type Flow, type Work} from './work.js';
+import {
+  letIn,
+  stopWhenOver,
+  type Course,
+  type Flow,
+  type Work,
+} from './work.js';
 
 /** How forwarded requests are handled. */
 export interface PeersContext extends OwnerContext {
@@ -77,6 +83,15 @@
     answer(context, response, notRun('bad-request', body.kind), false);
     return;
   }
+  const refusal = await letIn(context.intake, flow, 0, hop.leftMs);
+  if (refusal) {
+    settled();
+    const {outcome, reason, message} = refusal;
+    const names = {request: hop.id, upstream: hop.instance, ...course};
+    context.log(RELAY_EVENTS.ran, {...names, outcome, reason, message});
+    answer(context, response, refusal, false);
+    return;
+  }
   const work = workOf(request, hop, startedAt, caller.headers, body);
   const attempt = await runLocally(context, flow, work, head => {
     head.headers.push(LOAD_HEADER, formatLoad(context.load()));
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -3,6 +3,7 @@
 import {notRun, type Failure} from '../model/index.js';
 import type {RequestBody} from './body.js';
 import type {Task} from './hop.js';
+import type {Intake} from './intake.js';
 
 /** One request that an instance is to run. */
 export interface Work extends Task {
@@ -94,6 +95,38 @@
   return null;
 }
 
+/** Longest wait for a turn of a busy process, in milliseconds. */
+const INTAKE_WAIT_MS = 250;
+
+/** Share of its time for which a request waits for a turn. */
+const INTAKE_WAIT_SHARE = 0.2;
+
+/**
+ * Lets a request in, or tells why not.
+ *
+ * @param leftMs Time until the deadline, in milliseconds.
+ *
+ * @example
+ * const refusal = await letIn(intake, flow, 0, hop.leftMs);
+ */
+export async function letIn(
+  intake: Intake,
+  {state}: Flow,
+  rank: number,
+  leftMs: number,
+): Promise<Failure | undefined> {
+  const waitMs = Math.min(INTAKE_WAIT_MS, leftMs * INTAKE_WAIT_SHARE);
+  const entering = intake.enter(
+    rank,
+    waitMs,
+    () => state.stopped !== undefined,
+  );
+  const retryMs = entering && (await entering);
+  if (state.stopped) return state.stopped;
+  if (retryMs === undefined) return undefined;
+  return notRun('overloaded', 'the daemon has no time for it', retryMs);
+}
+
 /** Share of its time for which a request waits for the holder of its key. */
 const HOLDER_WAIT_SHARE = 0.5;
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -25,6 +25,8 @@
   chooseService,
   connectionsOf,
   createHolders,
+  createIntake,
+  createLengths,
   createReturns,
   createRouteTable,
   createSlots,
@@ -360,6 +362,7 @@
 
   const context: EntryContext = {
     clock,
+    intake: createIntake(clock, setImmediate),
     dialect,
     node,
     domain,
@@ -397,6 +400,7 @@
     }),
     returns: createReturns(),
     holders: createHolders(),
+    lengths: createLengths(),
     retryAllowed: (service, canReturn) => {
       const kept = canReturn ? RETRY_KEPT : 0;
       const left = spendRetry(budgetOf(service), kept);
--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -309,10 +309,23 @@
 
 const ENDLESS_PART = Buffer.alloc(64 * 1024, 'x');
 
-/** Writes bytes that are no answer until the other side closes. */
-export function writeWithoutEnd(response: ServerResponse): void {
+/**
+ * Writes bytes until the other side closes.
+ *
+ * @param wrote Told of the bytes that are written.
+ *
+ * @example
+ * writeWithoutEnd(response, bytes => (written += bytes));
+ */
+export function writeWithoutEnd(
+  response: ServerResponse,
+  wrote: (bytes: number) => void = () => {},
+): void {
   const more = () => {
-    while (!response.destroyed && response.write(ENDLESS_PART));
+    while (!response.destroyed) {
+      wrote(ENDLESS_PART.length);
+      if (!response.write(ENDLESS_PART)) return;
+    }
   };
   response.on('drain', more);
   more();
