--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -45,6 +45,12 @@
     help: 'Requests that run or wait at the instance beside.',
     labels: [],
   },
+  intakeWaiting: {
+    type: 'gauge',
+    name: 'vanillaspool_intake_waiting',
+    help: 'Requests that wait for a turn of the process.',
+    labels: [],
+  },
   loopDelay: {
     type: 'gauge',
     name: 'vanillaspool_loop_delay_seconds',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -670,6 +670,8 @@
       const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
+      const letIn = context.intake.waiting();
+      metrics.gauge(SIDECAR_METRICS.intakeWaiting, {})(letIn);
       const delayS = loopDelayMs / MS_PER_SECOND;
       metrics.gauge(SIDECAR_METRICS.loopDelay, {})(delayS);
     },
