Begin requests by deadline where a process is behind

The cost of beginning a request was measured with the time for reading, so that turns began fewer and fewer. Both are measured apart now; within a rank the nearest deadline goes first, as look-ups fail the requests that wait for them.

--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -109,10 +109,10 @@
 const DEFAULT_DEADLINE_MS = 30_000;
 
 /**
- * Rank of the most urgent requests of callers at the intake; those of other
- * daemons have taken time there already and go before.
+ * Rank of the requests of callers at the intake; those of other daemons, of rank
+ * 0, have taken time there already and go before.
  */
-const FIRST_CALLER_RANK = 1;
+const CALLER_RANK = 1;
 
 /** Lowest status that tells of an error of the upstream. */
 const FIRST_ERROR_STATUS = 500;
@@ -306,9 +306,15 @@
 
 async function serve(context: EntryContext, pass: Request): Promise<Attempt> {
   const {state} = pass.flow;
-  const rank = FIRST_CALLER_RANK + pass.route.priority;
-  const leftMs = pass.deadlineAt - context.clock();
-  const refusal = await letIn(context.intake, pass.flow, rank, leftMs);
+  const {flow, deadlineAt} = pass;
+  const leftMs = deadlineAt - context.clock();
+  const refusal = await letIn(
+    context.intake,
+    flow,
+    CALLER_RANK,
+    deadlineAt,
+    leftMs,
+  );
   if (refusal) return conclude(pass, refusal);
   for (;;) {
     if (state.stopped) return conclude(pass, state.stopped);
--- a/src/relay/intake.ts
+++ b/src/relay/intake.ts
@@ -3,6 +3,8 @@
   /** Requests of a lower rank go first. */
   readonly rank: number;
   readonly arrivedAt: number;
+  /** Deadline; within a rank the nearest one goes first. */
+  readonly dueAt: number;
   /** Longest time that it waits, in milliseconds. */
   readonly waitMs: number;
 }
@@ -14,37 +16,44 @@
   readonly kept: readonly T[];
 }
 
+/** What requests take of a process. */
+export interface Pace {
+  /** Time in which one request is begun, in milliseconds. */
+  readonly beginMs: number;
+  /** Time that passes for each request that is begun, reading included. */
+  readonly passMs: number;
+}
+
 /** Time for which one turn begins requests, in milliseconds. */
 const TURN_MS = 25;
 
 /**
  * Plans a turn: begins as many requests as the turn has time for, by rank and
- * then in the order of their arrival, and refuses those that would not be reached
- * in time. The others wait for the next turn.
+ * then by deadline, and refuses those that would not be reached in time. The
+ * others wait for the next turn.
  *
  * Answers more requests than the processor bears, as after a restart with cold
  * code: work on what nobody waits for any more would keep the process behind.
- *
- * @param costMs Time that one request takes of the process, in milliseconds.
+ * Look-ups, without which the work of others is lost, have the nearest deadlines.
  *
  * @example
- * const {begun, refused, kept} = planTurn(waiting, performance.now(), 1.5);
+ * const {begun, refused, kept} = planTurn(waiting, performance.now(), pace);
  */
 export function planTurn<T extends Arrival>(
   waiting: readonly T[],
   now: number,
-  costMs: number,
+  {beginMs, passMs}: Pace,
 ): TurnPlan<T> {
   const ordered = [...waiting].sort(
-    (a, b) => a.rank - b.rank || a.arrivedAt - b.arrivedAt,
+    (a, b) => a.rank - b.rank || a.dueAt - b.dueAt,
   );
-  const count = Math.max(1, Math.floor(TURN_MS / costMs));
+  const count = Math.max(1, Math.floor(TURN_MS / beginMs));
   const begun: T[] = [];
   const refused: T[] = [];
   const kept: T[] = [];
   for (const arrival of ordered) {
     const {arrivedAt, waitMs} = arrival;
-    const aheadMs = (begun.length + kept.length) * costMs;
+    const aheadMs = (begun.length + kept.length) * passMs;
     if (now - arrivedAt + aheadMs > waitMs) refused.push(arrival);
     else if (begun.length < count) begun.push(arrival);
     else kept.push(arrival);
@@ -65,6 +74,7 @@
    */
   readonly enter: (
     rank: number,
+    dueAt: number,
     waitMs: number,
     isOver: () => boolean,
   ) => Promise<number | undefined> | undefined;
@@ -84,11 +94,17 @@
 /** Time for which it counts as behind after such a turn, in milliseconds. */
 const BEHIND_FOR_MS = 250;
 
-/** Weight of the newest turn in the mean cost of a request. */
-const COST_WEIGHT = 0.2;
+/** Weight of the newest turn in the mean pace. */
+const PACE_WEIGHT = 0.2;
 
-/** Cost of a request before any was measured, in milliseconds. */
-const FIRST_COST_MS = 2;
+/** Pace before any was measured. */
+const FIRST_PACE: Pace = {beginMs: 2, passMs: 2};
+
+/**
+ * Promises that follow each other when a request is begun, until it is sent on;
+ * what they take is its cost.
+ */
+const BEGIN_STEPS = 16;
 
 /** Shortest Retry-After of a request that is refused, in milliseconds. */
 const SHORTEST_RETRY_MS = 300;
@@ -100,7 +116,8 @@
  *
  * @example
  * const intake = createIntake(() => performance.now(), setImmediate);
- * const refusedMs = await intake.enter(0, 200, () => response.destroyed);
+ * const isGone = () => response.destroyed;
+ * const refusedMs = await intake.enter(0, dueAt, 200, isGone);
  */
 export function createIntake(
   clock: () => number,
@@ -111,7 +128,7 @@
   let isTurning = false;
   let turnedAt = 0;
   let begunInTurn = 0;
-  let costMs = FIRST_COST_MS;
+  let pace = FIRST_PACE;
   let behindUntil = -Infinity;
 
   const open = (now: number) => {
@@ -126,8 +143,15 @@
     const spentMs = now - turnedAt;
     if (spentMs >= BEHIND_MS) behindUntil = now + BEHIND_FOR_MS;
     if (begunInTurn === 0) return;
-    const newest = spentMs / begunInTurn;
-    costMs += COST_WEIGHT * (newest - costMs);
+    const passMs = mean(pace.passMs, spentMs / begunInTurn);
+    pace = {...pace, passMs};
+  };
+
+  /** Measures what it takes until the requests of a turn are sent on. */
+  const measureBegin = async (startedAt: number, count: number) => {
+    for (let step = 0; step < BEGIN_STEPS; step++) await undefined;
+    const newest = (clock() - startedAt) / count;
+    pace = {...pace, beginMs: mean(pace.beginMs, newest)};
   };
 
   const close = () => {
@@ -142,18 +166,19 @@
     const fresh = waiting.filter(
       entry => entry.turn === turn && !entry.isOver(),
     );
-    const {begun, refused, kept} = planTurn(ready, now, costMs);
+    const {begun, refused, kept} = planTurn(ready, now, pace);
     waiting = [...kept, ...fresh];
     turn += 1;
     if (waiting.length > 0 || begun.length > 0) open(now);
     begunInTurn = begun.length;
     for (const entry of begun) entry.resolve(undefined);
-    const retryMs = Math.max(SHORTEST_RETRY_MS, waiting.length * costMs);
+    if (begun.length > 0) void measureBegin(now, begun.length);
+    const retryMs = Math.max(SHORTEST_RETRY_MS, waiting.length * pace.passMs);
     for (const entry of refused) entry.resolve(retryMs);
   };
 
   return {
-    enter: (rank, waitMs, isOver) => {
+    enter: (rank, dueAt, waitMs, isOver) => {
       const now = clock();
       open(now);
       const keepsUp =
@@ -165,10 +190,14 @@
         return undefined;
       }
       return new Promise(resolve => {
-        const entry = {rank, waitMs, arrivedAt: now, turn, isOver, resolve};
-        waiting.push(entry);
+        const arrival = {rank, dueAt, waitMs, arrivedAt: now};
+        waiting.push({...arrival, turn, isOver, resolve});
       });
     },
     waiting: () => waiting.length,
   };
 }
+
+function mean(known: number, newest: number): number {
+  return known + PACE_WEIGHT * (newest - known);
+}
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -83,7 +83,9 @@
     answer(context, response, notRun('bad-request', body.kind), false);
     return;
   }
-  const refusal = await letIn(context.intake, flow, 0, hop.leftMs);
+  const {leftMs} = hop;
+  const dueAt = startedAt + leftMs;
+  const refusal = await letIn(context.intake, flow, 0, dueAt, leftMs);
   if (refusal) {
     settled();
     const {outcome, reason, message} = refusal;
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -104,20 +104,23 @@
 /**
  * Lets a request in, or tells why not.
  *
- * @param leftMs Time until the deadline, in milliseconds.
+ * @param dueAt Deadline, in milliseconds of the clock.
+ * @param leftMs Time until then.
  *
  * @example
- * const refusal = await letIn(intake, flow, 0, hop.leftMs);
+ * const refusal = await letIn(intake, flow, 0, dueAt, hop.leftMs);
  */
 export async function letIn(
   intake: Intake,
   {state}: Flow,
   rank: number,
+  dueAt: number,
   leftMs: number,
 ): Promise<Failure | undefined> {
   const waitMs = Math.min(INTAKE_WAIT_MS, leftMs * INTAKE_WAIT_SHARE);
   const entering = intake.enter(
     rank,
+    dueAt,
     waitMs,
     () => state.stopped !== undefined,
   );
--- a/test/relay/intake.test.ts
+++ b/test/relay/intake.test.ts
@@ -67,7 +67,7 @@
     // The close of a connection is heard after the turn that read its request.
     const readAt = now;
     const isOver = () => now > readAt && now > leavesAt(attempt);
-    const entering = intake.enter(1, 200, isOver);
+    const entering = intake.enter(1, leavesAt(attempt), 200, isOver);
     const retryMs = entering && (await entering);
     if (entering && isOver()) return again(attempt, leavesAt(attempt));
     if (retryMs === undefined) return serve(attempt);
@@ -107,32 +107,41 @@
     () => {},
   );
   t.is(
-    intake.enter(1, 200, () => false),
+    intake.enter(1, 1000, 200, () => false),
     undefined,
   );
 });
 
-const arrival = (rank: number, arrivedAt: number, waitMs = 200) => ({
+const arrival = (rank: number, dueAt: number, waitMs = 200) => ({
   rank,
-  arrivedAt,
+  dueAt,
   waitMs,
+  arrivedAt: 100,
 });
 
-test('a turn begins what has taken time elsewhere, then by rank and arrival', t => {
+const PACE = {beginMs: 1, passMs: 1};
+
+test('a turn begins what has taken time elsewhere, then the nearest deadline', t => {
   const [late, early, look, hop] = [
-    arrival(3, 90),
-    arrival(3, 80),
-    arrival(1, 95),
-    arrival(0, 99),
+    arrival(1, 2500),
+    arrival(1, 900),
+    arrival(1, 400),
+    arrival(0, 8000),
   ];
-  const {begun} = planTurn([late, early, look, hop], 100, 1);
+  const {begun} = planTurn([late, early, look, hop], 100, PACE);
   t.deepEqual(begun, [hop, look, early, late]);
 });
 
 test('a request that would not be reached in time is refused at once', t => {
-  const waiting = Array.from({length: 300}, () => arrival(1, 100));
-  const {begun, refused, kept} = planTurn(waiting, 100, 1);
+  const waiting = Array.from({length: 300}, () => arrival(1, 1000));
+  const {begun, refused, kept} = planTurn(waiting, 100, PACE);
   t.is(begun.length, 25);
   t.is(begun.length + kept.length, 201);
   t.is(refused.length, 99);
 });
+
+test('time that goes into reading does not make turns begin less', t => {
+  const waiting = Array.from({length: 30}, () => arrival(1, 1000));
+  const {begun} = planTurn(waiting, 100, {beginMs: 2, passMs: 6});
+  t.is(begun.length, 12);
+});
