Let a daemon that was overloaded recover

Cause: after all processes are killed, a daemon with cold code read only what its callers had given up. 1,024 connections could wait to be accepted, ten seconds of work; most of what was read was refused by another daemon, which took time of both; and a request that was read after many answers passed the intake, as only requests counted as time of a turn.

A body that has arrived counts as arriving until its request is let in.

--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -36,6 +36,7 @@
 import {forward, type ForwardContext} from './forward.js';
 import type {Holders} from './holder.js';
 import type {Lengths} from './lengths.js';
+import type {Pressure} from './pressure.js';
 import {isOffered, offer} from './offer.js';
 import {runLocally, type OwnerContext} from './owner.js';
 import type {AttemptMark, Returns} from './returns.js';
@@ -67,6 +68,7 @@
   readonly returns: Returns;
   readonly holders: Holders;
   readonly lengths: Lengths;
+  readonly pressure: Pressure;
   /**
    * Takes one retry to a service from the budget; false when none is left.
    *
@@ -93,6 +95,9 @@
 /** Time after which an instance that refused is asked again, in milliseconds. */
 const OWNER_POLL_MS = 100;
 
+/** Shortest Retry-After where daemons have no room, in milliseconds. */
+const FULL_RETRY_MS = 200;
+
 /** Retry-After where no instance is known, in milliseconds. */
 const NO_OWNER_RETRY_MS = 500;
 
@@ -331,6 +336,8 @@
     if (attempt.kind !== 'failed') return attempt;
     const {failure} = attempt;
     if (failure.outcome === 'unknown') state.mayHaveRun = true;
+    if (failure.reason === 'overloaded')
+      noteRefusal(context, pass, member, failure);
     if (term && isWithoutKeys(attempt)) {
       context.holders.refused(pass.service, term, context.clock());
     }
@@ -349,6 +356,23 @@
   }
 }
 
+function noteRefusal(
+  context: EntryContext,
+  {route}: Request,
+  {node}: Member,
+  {retryAfterMs = 0}: Failure,
+): void {
+  // The own instance is asked at no cost.
+  if (node === context.node) return;
+  context.pressure.refused(node, route.name, retryAfterMs, context.clock());
+}
+
+/** Refuses a request for which every daemon that may run it has no room. */
+function refuseForRoom(retryAfterMs: number): Target {
+  const message = 'a daemon that was asked just before has no room';
+  return {kind: 'refuse', failure: notRun('overloaded', message, retryAfterMs)};
+}
+
 /**
  * Tells whether the daemon of a holder says that nobody gets the keys there now.
  * What the instance itself refused concerns only one request.
@@ -432,6 +456,8 @@
     const failure = notRun('no-owner', message, verdict.retryAfterMs);
     return {kind: 'refuse', failure};
   }
+  const fullMs = context.pressure.leftMs(member.node, pass.route.name, now);
+  if (fullMs > 0) return refuseForRoom(Math.max(fullMs, FULL_RETRY_MS));
   if (pass.refused.has(member.node)) {
     pass.refused.delete(member.node);
     return {kind: 'wait', until: now + OWNER_POLL_MS};
@@ -444,7 +470,15 @@
   const untried = members.filter(
     ({node, id}) => !pass.refused.has(node) && !pass.offered.has(id),
   );
-  const choices = untried.map(member => ({
+  const now = context.clock();
+  const full = untried.map(({node}) =>
+    context.pressure.leftMs(node, pass.route.name, now),
+  );
+  if (full.length > 0 && full.every(leftMs => leftMs > 0)) {
+    return refuseForRoom(Math.max(Math.min(...full), FULL_RETRY_MS));
+  }
+  const open = untried.filter((_, index) => full[index] === 0);
+  const choices = open.map(member => ({
     node: member.node,
     isNear: member.domain === context.domain,
     load: context.loads(member.node),
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -18,6 +18,7 @@
 export * from './offer.js';
 export * from './owner.js';
 export * from './peers.js';
+export * from './pressure.js';
 export * from './queue.js';
 export * from './returns.js';
 export * from './silence.js';
--- a/src/relay/intake.ts
+++ b/src/relay/intake.ts
@@ -91,6 +91,9 @@
 /** Time of one turn from which the process counts as behind, in milliseconds. */
 const BEHIND_MS = 10;
 
+/** Share of the time without rest from which it counts as behind. */
+const BUSY_SHARE = 0.8;
+
 /** Time for which it counts as behind after such a turn, in milliseconds. */
 const BEHIND_FOR_MS = 250;
 
@@ -113,15 +116,19 @@
  * Creates an intake.
  *
  * @param nextTurn Calls back once the process has read what has arrived.
+ * @param idleMs Returns the time for which the process has waited for something to
+ *     arrive since its start, in milliseconds.
  *
  * @example
- * const intake = createIntake(() => performance.now(), setImmediate);
+ * const idleMs = () => performance.eventLoopUtilization().idle;
+ * const intake = createIntake(() => performance.now(), setImmediate, idleMs);
  * const isGone = () => response.destroyed;
  * const refusedMs = await intake.enter(0, dueAt, 200, isGone);
  */
 export function createIntake(
   clock: () => number,
   nextTurn: (call: () => void) => unknown,
+  idleMs: () => number,
 ): Intake {
   let waiting: Entry[] = [];
   let turn = 0;
@@ -130,6 +137,9 @@
   let begunInTurn = 0;
   let pace = FIRST_PACE;
   let behindUntil = -Infinity;
+  /** End of the last turn, and the time that was idle until then. */
+  let closedAt = clock();
+  let idleAtClose = idleMs();
 
   const open = (now: number) => {
     if (isTurning) return;
@@ -137,6 +147,12 @@
     turnedAt = now;
     begunInTurn = 0;
     nextTurn(close);
+    // What was read before this request has kept it waiting as well.
+    const sinceMs = now - closedAt;
+    const busyMs = sinceMs - (idleMs() - idleAtClose);
+    if (sinceMs >= BEHIND_MS && busyMs >= sinceMs * BUSY_SHARE) {
+      behindUntil = now + BEHIND_FOR_MS;
+    }
   };
 
   const measure = (now: number) => {
@@ -157,6 +173,8 @@
   const close = () => {
     const now = clock();
     measure(now);
+    closedAt = now;
+    idleAtClose = idleMs();
     isTurning = false;
     const over = waiting.filter(entry => entry.isOver());
     for (const entry of over) entry.resolve(undefined);
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -74,18 +74,20 @@
   const caller = context.dialect.readRequest(request.rawHeaders);
   const settled = stopWhenOver(response, stop, hop.leftMs);
   const body = await readBody(request, caller, context.bodyBytes());
-  context.transfers.settle(hop.id, body.kind !== 'broken');
   const bodyMode = body.kind === 'streamed' ? 'streamed' : 'none';
   const course: Course = {bodyMs: Math.round(context.clock() - startedAt)};
   const flow: Flow = {request, response, state, bodyMode, stop, course};
   if (body.kind === 'broken' || body.kind === 'too-large') {
     settled();
+    context.transfers.settle(hop.id, body.kind !== 'broken');
     answer(context, response, notRun('bad-request', body.kind), false);
     return;
   }
   const {leftMs} = hop;
   const dueAt = startedAt + leftMs;
   const refusal = await letIn(context.intake, flow, 0, dueAt, leftMs);
+  // Until it waits for a slot it counts among the bodies that arrive.
+  context.transfers.settle(hop.id, true);
   if (refusal) {
     settled();
     const {outcome, reason, message} = refusal;
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -96,10 +96,10 @@
 }
 
 /** Longest wait for a turn of a busy process, in milliseconds. */
-const INTAKE_WAIT_MS = 250;
+const INTAKE_WAIT_MS = 400;
 
 /** Share of its time for which a request waits for a turn. */
-const INTAKE_WAIT_SHARE = 0.2;
+const INTAKE_WAIT_SHARE = 0.3;
 
 /**
  * Lets a request in, or tells why not.
--- a/src/sidecar/servers.ts
+++ b/src/sidecar/servers.ts
@@ -19,9 +19,19 @@
 /** Interval between checks for slow heads, in milliseconds. */
 const CHECK_INTERVAL_MS = 1000;
 
-/** Connections that wait to be accepted. */
+/** Connections that wait to be accepted, of those that are kept open for long. */
 const BACKLOG = 1024;
 
+/** Connections of other daemons that wait to be accepted. */
+export const PEER_BACKLOG = 128;
+
+/**
+ * Connections of callers that wait to be accepted. A process with cold code takes
+ * some 4 ms for each, and callers wait for a second at most: of a longer queue it
+ * would only ever read what was given up.
+ */
+export const CALLER_BACKLOG = 32;
+
 /**
  * Time for which a connection stays open after an answer of the server's own, so
  * that the answer is not lost to a reset, in milliseconds; several round trips
@@ -149,13 +159,19 @@
 /**
  * Listens at an address.
  *
+ * @param backlog Connections that wait to be accepted, at most.
+ *
  * @throws {Error} with code `EADDRINUSE` when it is taken.
  *
  * @example
  * await listenAt(server, '10.1.0.8:8304');
  */
-export async function listenAt(server: Server, address: string): Promise<void> {
+export async function listenAt(
+  server: Server,
+  address: string,
+  backlog = BACKLOG,
+): Promise<void> {
   const {host, port} = parseAddress(address);
-  server.listen({host, port, backlog: BACKLOG});
+  server.listen({host, port, backlog});
   await once(server, 'listening');
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -27,6 +27,7 @@
   createHolders,
   createIntake,
   createLengths,
+  createPressure,
   createReturns,
   createRouteTable,
   createSlots,
@@ -61,7 +62,13 @@
 import {createMeter} from './meter.js';
 import {SIDECAR_METRICS} from './metrics.js';
 import {createPlanner, type Status} from './planner.js';
-import {PEER_IDLE_MS, createHandlerServer, listenAt} from './servers.js';
+import {
+  CALLER_BACKLOG,
+  PEER_BACKLOG,
+  PEER_IDLE_MS,
+  createHandlerServer,
+  listenAt,
+} from './servers.js';
 import type {SidecarSettings} from './settings.js';
 import {createSignal} from './signal.js';
 import {
@@ -362,7 +369,11 @@
 
   const context: EntryContext = {
     clock,
-    intake: createIntake(clock, setImmediate),
+    intake: createIntake(
+      clock,
+      setImmediate,
+      () => performance.eventLoopUtilization().idle,
+    ),
     dialect,
     node,
     domain,
@@ -401,6 +412,7 @@
     returns: createReturns(),
     holders: createHolders(),
     lengths: createLengths(),
+    pressure: createPressure(),
     retryAllowed: (service, canReturn) => {
       const kept = canReturn ? RETRY_KEPT : 0;
       const left = spendRetry(budgetOf(service), kept);
@@ -676,8 +688,8 @@
       metrics.gauge(SIDECAR_METRICS.loopDelay, {})(delayS);
     },
     start: async () => {
-      await listenAt(peers, settings.peers);
-      await listenAt(callers, settings.callers);
+      await listenAt(peers, settings.peers, PEER_BACKLOG);
+      await listenAt(callers, settings.callers, CALLER_BACKLOG);
       guard(followFleet());
       guard(followConfiguration());
       every(waitForTick, () => keeper.tick(loopDelayMs));
--- a/test/relay/intake.test.ts
+++ b/test/relay/intake.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {CALLER_BACKLOG} from '../../src/sidecar/index.js';
 import {createIntake, planTurn, type Intake} from '../../src/relay/index.js';
 
 /** An intake that lets everything in, as without one. */
@@ -7,12 +8,16 @@
 /** Time that the process spends on a request, in milliseconds. */
 const SERVE_MS = 1.5;
 
-/** The same right after a restart, until as many requests were served. */
+/** The same right after a restart, until as many requests were read. */
 const COLD_SERVE_MS = 6;
-const COLD_REQUESTS = 800;
+const COLD_REQUESTS = 2500;
 
 const REFUSE_MS = 0.3;
 
+/** Time for taking a connection and reading its request, in milliseconds. */
+const READ_MS = 0.5;
+const COLD_READ_MS = 3;
+
 /** Requests of callers in a second, and how long they are waited for. */
 const PER_SECOND = 420;
 const PATIENCE_MS = 900;
@@ -33,18 +38,27 @@
  * Plays a process that reads what has arrived in turns, and callers who give an
  * attempt up after a third of their time and send it again.
  *
+ * @param backlog Connections that wait to be accepted; further ones are not made.
  * @returns the share of the callers of each second who got an answer in time.
  */
 async function play(
-  createOf: (clock: () => number, next: (call: () => void) => void) => Intake,
+  createOf: (
+    clock: () => number,
+    next: (call: () => void) => void,
+    idleMs: () => number,
+  ) => Intake,
   seconds: number,
+  backlog = Infinity,
 ): Promise<readonly number[]> {
   let now = 0;
-  let served = 0;
+  let read = 0;
+  const isCold = () => read < COLD_REQUESTS;
+  let idleMs = 0;
   const afterRead: (() => void)[] = [];
   const intake = createOf(
     () => now,
     call => afterRead.push(call),
+    () => idleMs,
   );
   const answered = new Set<number>();
   let arriving: Arriving[] = [];
@@ -59,7 +73,7 @@
     arriving.push({bornAt, number: number + 1, at});
   };
   const serve = (attempt: Arriving) => {
-    now += served++ < COLD_REQUESTS ? COLD_SERVE_MS : SERVE_MS;
+    now += isCold() ? COLD_SERVE_MS : SERVE_MS;
     if (now <= leavesAt(attempt)) answered.add(attempt.bornAt);
     else again(attempt, leavesAt(attempt));
   };
@@ -75,16 +89,22 @@
     again(attempt, now + retryMs);
   };
   while (now < seconds * 1000) {
-    const read = arriving.filter(({at}) => at <= now);
+    const due = arriving.filter(({at}) => at <= now);
     arriving = arriving.filter(({at}) => at > now);
-    read.sort((a, b) => a.at - b.at);
-    for (const attempt of read) {
+    due.sort((a, b) => a.at - b.at);
+    for (const unmade of due.splice(backlog)) again(unmade, leavesAt(unmade));
+    read += due.length;
+    for (const attempt of due) {
+      now += isCold() ? COLD_READ_MS : READ_MS;
       void handle(attempt);
       await Promise.resolve();
     }
     for (const call of afterRead.splice(0)) call();
     for (let i = 0; i < 200; i++) await Promise.resolve();
-    if (read.length === 0 && intake.waiting() === 0) now += 1;
+    if (due.length === 0 && intake.waiting() === 0) {
+      now += 1;
+      idleMs += 1;
+    }
   }
   const shares = Array.from({length: seconds}, () => 0);
   for (const bornAt of answered) {
@@ -96,20 +116,53 @@
 test('a restart with cold code does not leave a process behind for good', async t => {
   const without = await play(() => OPEN, 20);
   const shares = await play(createIntake, 20);
+  t.log(without.map(x => x.toFixed(2)).join(' '));
+  t.log(shares.map(x => x.toFixed(2)).join(' '));
   // Without turns the process works for callers who have left, for ever.
   t.true(without.slice(10, 18).every(share => share < 0.1));
   t.true(shares.slice(8, 18).every(share => share > 0.95));
 });
 
-test('a process that keeps up lets every request in at once', t => {
+test('a long queue of connections keeps a process behind that a short one does not', async t => {
+  const long = await play(createIntake, 20, 1024);
+  const short = await play(createIntake, 20, CALLER_BACKLOG);
+  t.log(long.map(x => x.toFixed(2)).join(' '));
+  t.log(short.map(x => x.toFixed(2)).join(' '));
+  const sum = (shares: readonly number[]) =>
+    shares.slice(2, 10).reduce((all, share) => all + share, 0);
+  t.true(sum(short) > sum(long) * 1.2, `${sum(short)} and ${sum(long)}`);
+  t.true(short.slice(9, 18).every(share => share > 0.95));
+});
+
+/** An intake at a time and after an idle time that the test sets. */
+function createSet() {
+  const at = {now: 0, idleMs: 0};
+  const turns: (() => void)[] = [];
   const intake = createIntake(
-    () => 0,
-    () => {},
-  );
-  t.is(
-    intake.enter(1, 1000, 200, () => false),
-    undefined,
+    () => at.now,
+    call => turns.push(call),
+    () => at.idleMs,
   );
+  const enter = () => intake.enter(1, at.now + 1000, 200, () => false);
+  const turn = () => turns.splice(0).forEach(call => call());
+  return {at, enter, turn};
+}
+
+test('a process that keeps up lets every request in at once', t => {
+  const {at, enter, turn} = createSet();
+  t.is(enter(), undefined);
+  turn();
+  Object.assign(at, {now: 100, idleMs: 80});
+  t.is(enter(), undefined);
+});
+
+test('a request that is read after a long time without rest waits for a turn', t => {
+  const {at, enter, turn} = createSet();
+  t.is(enter(), undefined);
+  turn();
+  // Answers to others were read meanwhile.
+  Object.assign(at, {now: 100, idleMs: 5});
+  t.truthy(enter());
 });
 
 const arrival = (rank: number, dueAt: number, waitMs = 200) => ({
--- /dev/null
+++ b/test/relay/pressure.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava';
+import {createPressure} from '../../src/relay/index.js';
+
+test('a daemon without room is not asked again for a part of the time that it says', t => {
+  const pressure = createPressure();
+  pressure.refused('a', 'view', 200, 1000);
+  t.is(pressure.leftMs('a', 'view', 1000), 100);
+  t.is(pressure.leftMs('a', 'view', 1100), 0);
+  t.is(pressure.leftMs('a', 'book', 1000), 0);
+  t.is(pressure.leftMs('b', 'view', 1000), 0);
+});
+
+test('a refusal is relied on for a short time, whatever the daemon says', t => {
+  const pressure = createPressure();
+  pressure.refused('a', 'view', 60_000, 1000);
+  t.is(pressure.leftMs('a', 'view', 1150), 0);
+});
+
+/** Slots of an instance, and what it is offered: twice what it can do. */
+const SLOTS = 18;
+const WORK_MS = 120;
+const PER_MS = (2 * SLOTS) / WORK_MS;
+const ENTRIES = 9;
+
+/** Longest wait for a slot; what would wait longer is refused. */
+const QUEUE_MS = 280;
+
+/** Plays an instance that is offered twice its load by daemons. */
+function play(remembers: boolean) {
+  const seconds = 10;
+  const entries = Array.from({length: ENTRIES}, createPressure);
+  const freeAt = Array.from({length: SLOTS}, () => 0);
+  let asked = 0;
+  let served = 0;
+  let offered = 0;
+  for (let now = 0; now < seconds * 1000; now++) {
+    for (; offered < now * PER_MS; offered++) {
+      const entry = entries[offered % ENTRIES];
+      if (remembers && entry.leftMs('a', 'view', now) > 0) continue;
+      asked += 1;
+      const first = freeAt.indexOf(Math.min(...freeAt));
+      const waitMs = Math.max(0, freeAt[first] - now);
+      if (waitMs > QUEUE_MS) {
+        entry.refused('a', 'view', waitMs, now);
+        continue;
+      }
+      freeAt[first] = Math.max(freeAt[first], now) + WORK_MS;
+      served += 1;
+    }
+  }
+  return {asked, served, most: (SLOTS * seconds * 1000) / WORK_MS};
+}
+
+test('refusals that are remembered spare questions and leave no slot idle', t => {
+  const without = play(false);
+  const withMemory = play(true);
+  t.true(withMemory.served >= without.served * 0.98);
+  t.true(withMemory.served >= withMemory.most * 0.98);
+  // Nearly every refusal took a question before.
+  const refused = (played: typeof without) => played.asked - played.served;
+  t.true(refused(withMemory) < refused(without) / 2);
+});
