Bound answers, hints and questions that do not end

An answer that was held back was read for as long as it came, at a connection to the instance and its processor time: it may now have 64 kB and a second. Early hints were passed on without a limit, and answers between daemons kept whole in memory: eight, and 4 MB.

--- a/src/sidecar/ask.ts
+++ b/src/sidecar/ask.ts
@@ -23,6 +23,9 @@
 /** Path, before a service's name, at which a daemon reads a map for another. */
 export const MAP_PATH = '/vanillaspool/map/';
 
+/** Longest answer to a question, in bytes: a map and what stands around it. */
+const ANSWER_BYTES = 4 * 1024 * 1024;
+
 /** How a question ended, with what was answered. */
 export type Answer<T> =
   | Exclude<Reply, {readonly kind: 'answered'}>
@@ -73,7 +76,13 @@
     };
     const call = request({host, port, path, agent: false}, response => {
       const parts: Buffer[] = [];
-      response.on('data', (part: Buffer) => parts.push(part));
+      let total = 0;
+      response.on('data', (part: Buffer) => {
+        parts.push(part);
+        total += part.length;
+        // Another server may have the address.
+        if (total > ANSWER_BYTES) end({kind: 'unanswered'});
+      });
       response.on('error', () => end({kind: 'unanswered'}));
       response.on('end', () => {
         const isWhole = response.complete && response.statusCode === 200;
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -45,6 +45,16 @@
 /** Gives an exchange up and closes its connection. */
 export type Abort = (reason: Error) => void;
 
+/**
+ * Longest body of an answer that is held back, in bytes, and the time in which it
+ * has to end: a longer one is not worth its connection, and may have no end.
+ */
+const HELD_BYTES = 64 * 1024;
+const HELD_MS = 1000;
+
+/** Early hints that are passed on with one answer; they are not paced. */
+const MOST_HINTS = 8;
+
 /** Where an exchange stands. */
 type Stage = 'unsent' | 'sent' | 'passing' | 'over';
 
@@ -76,6 +86,14 @@
   /** Bytes of the body still to come; NaN when its length is not stated. */
   let left = NaN;
   let paused = false;
+  let hints = 0;
+  /** Bytes of an answer held back that may still come. */
+  let heldLeft = HELD_BYTES;
+  let heldTimer: NodeJS.Timeout | undefined;
+
+  const dropHeld = () => {
+    abortRequest?.(new Error('the answer held back does not end'));
+  };
 
   const fail = (error: Error) => {
     if (stage === 'over') return;
@@ -99,6 +117,8 @@
       hooks.ended({kind: 'held', head: received});
       if (hooks.distrusts?.()) {
         abortRequest?.(new Error('the answer belongs to no request'));
+      } else {
+        heldTimer = setTimeout(dropHeld, HELD_MS);
       }
       return;
     }
@@ -136,7 +156,8 @@
     onHeaders(status, raw, resumeAnswer) {
       if (stage !== 'sent') return true;
       if (status < 200) {
-        if (status === 103) passHints(response, readAnswerHead(status, raw));
+        const isPassed = status === 103 && hints++ < MOST_HINTS;
+        if (isPassed) passHints(response, readAnswerHead(status, raw));
         return true;
       }
       resume = resumeAnswer;
@@ -145,16 +166,21 @@
     },
 
     onData(chunk) {
-      return stage === 'passing' ? passOn(chunk, resume) : true;
+      if (stage === 'passing') return passOn(chunk, resume);
+      heldLeft -= chunk.length;
+      if (heldLeft < 0) dropHeld();
+      return true;
     },
 
     onComplete(trailers) {
+      clearTimeout(heldTimer);
       if (stage !== 'passing') return;
       if (trailers?.length) passTrailers(response, head, trailers);
       finish(head?.status ?? 0);
     },
 
     onError(error) {
+      clearTimeout(heldTimer);
       if (paused) response.off('drain', resume);
       fail(error);
     },
--- /dev/null
+++ b/test/platform/control.test.ts
@@ -0,0 +1,59 @@
+import http from 'node:http';
+import net, {type AddressInfo, type Socket} from 'node:net';
+import {once} from 'node:events';
+import test from 'ava';
+import {createControl} from '../../platform/control.js';
+import type {Sidecar} from '../../src/sidecar/index.js';
+
+/** A control server whose keeper is never reached. */
+async function startControl() {
+  const sidecar = {isReady: () => true} as Sidecar;
+  const server = http.createServer(createControl(sidecar, () => {}));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const close = () => {
+    server.closeAllConnections();
+    server.close();
+  };
+  return {port, close};
+}
+
+/** Writes until the other side closes, and returns how much was written. */
+async function writeEndlessly(socket: Socket, part: string): Promise<number> {
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  socket.on('error', () => {});
+  socket.resume();
+  const more = () => {
+    while (!socket.destroyed && socket.write(part));
+  };
+  socket.on('drain', more);
+  more();
+  await closed;
+  return socket.bytesWritten;
+}
+
+const MIB = 1024 * 1024;
+
+for (const [place, head, part] of [
+  [
+    'body',
+    'PUT /-/instances/i-1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n',
+    `1000\r\n${'x'.repeat(4096)}\r\n`,
+  ],
+  [
+    'head',
+    'PUT /-/instances/i-1 HTTP/1.1\r\nHost: a\r\n',
+    `X-Noise: ${'x'.repeat(1000)}\r\n`,
+  ],
+] as const) {
+  test(`a heartbeat with a ${place} without end is cut off, others are heard`, async t => {
+    const {port, close} = await startControl();
+    t.teardown(close);
+    const socket = net.connect(port, '127.0.0.1');
+    socket.write(head);
+    t.true((await writeEndlessly(socket, part)) < 32 * MIB);
+    const ready = await fetch(`http://127.0.0.1:${port}/-/readyz`);
+    t.is(ready.status, 200);
+  });
+}
