--- a/src/ranges/map.ts
+++ b/src/ranges/map.ts
@@ -174,6 +174,34 @@
   );
 }
 
+const STATES: ReadonlySet<unknown> = new Set([
+  'held',
+  'moving',
+  'revoked',
+  'free',
+] satisfies readonly TermState[]);
+
+/** Tells why a value that was read is no term that begins at a key. */
+function problemOf(term: RangeTerm | null, from: number): string | undefined {
+  if (term?.from !== from || !Number.isInteger(term.to) || term.to < from) {
+    return 'terms have a gap';
+  }
+  if (!Number.isInteger(term.fence)) return 'a term has no fencing token';
+  if (!STATES.has(term.state)) return 'the state of a term is not known';
+  if (typeof term.handover !== 'string') return 'a term has no handover';
+  const isMoving = term.state === 'moving' || term.next !== undefined;
+  const named = isMoving ? [term.holder, term.next] : [term.holder];
+  return named.every(isIncarnation) ? undefined : 'a term has no holder';
+}
+
+function isIncarnation(value: Incarnation | undefined): boolean {
+  return (
+    typeof value?.node === 'string' &&
+    typeof value.id === 'string' &&
+    Number.isInteger(value.born)
+  );
+}
+
 /** Why stored text is not a map. */
 export interface MapProblem {
   readonly problem: string;
@@ -199,9 +227,8 @@
   }
   let expected = 0;
   for (const term of map.terms) {
-    if (term.from !== expected || !(term.to >= term.from) || !term.holder) {
-      return {problem: `terms have a gap or no holder at key ${expected}`};
-    }
+    const problem = problemOf(term, expected);
+    if (problem) return {problem: `${problem} at key ${expected}`};
     expected = term.to + 1;
   }
   const isWhole = expected === 0 || expected === LAST_KEY + 1;
