--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -368,7 +368,8 @@
 }
 
 /** Refuses a request for which every daemon that may run it has no room. */
-function refuseForRoom(retryAfterMs: number): Target {
+function refuseForRoom(roomInMs: number): Target {
+  const retryAfterMs = Math.max(roomInMs, FULL_RETRY_MS);
   const message = 'a daemon that was asked just before has no room';
   return {kind: 'refuse', failure: notRun('overloaded', message, retryAfterMs)};
 }
@@ -456,8 +457,9 @@
     const failure = notRun('no-owner', message, verdict.retryAfterMs);
     return {kind: 'refuse', failure};
   }
-  const fullMs = context.pressure.leftMs(member.node, pass.route.name, now);
-  if (fullMs > 0) return refuseForRoom(Math.max(fullMs, FULL_RETRY_MS));
+  const {pressure} = context;
+  const roomInMs = pressure.roomInMs(member.node, pass.route.name, now);
+  if (roomInMs !== undefined) return refuseForRoom(roomInMs);
   if (pass.refused.has(member.node)) {
     pass.refused.delete(member.node);
     return {kind: 'wait', until: now + OWNER_POLL_MS};
@@ -471,13 +473,12 @@
     ({node, id}) => !pass.refused.has(node) && !pass.offered.has(id),
   );
   const now = context.clock();
-  const full = untried.map(({node}) =>
-    context.pressure.leftMs(node, pass.route.name, now),
-  );
-  if (full.length > 0 && full.every(leftMs => leftMs > 0)) {
-    return refuseForRoom(Math.max(Math.min(...full), FULL_RETRY_MS));
+  const roomIn = ({node}: Member) =>
+    context.pressure.roomInMs(node, pass.route.name, now);
+  const open = untried.filter(member => roomIn(member) === undefined);
+  if (untried.length > 0 && open.length === 0) {
+    return refuseForRoom(Math.min(...untried.map(m => roomIn(m) ?? 0)));
   }
-  const open = untried.filter((_, index) => full[index] === 0);
   const choices = open.map(member => ({
     node: member.node,
     isNear: member.domain === context.domain,
--- a/src/relay/pressure.ts
+++ b/src/relay/pressure.ts
@@ -11,10 +11,14 @@
     now: number,
   ) => void;
   /**
-   * Returns the time for which requests of a route are not worth a question at a
-   * daemon, in milliseconds; 0 where they are.
+   * Returns the time after which a daemon expects to have room for requests of a
+   * route, in milliseconds, as long as they are not worth a question there.
    */
-  readonly leftMs: (node: string, route: string, now: number) => number;
+  readonly roomInMs: (
+    node: string,
+    route: string,
+    now: number,
+  ) => number | undefined;
 }
 
 /**
@@ -37,14 +41,24 @@
  * pressure.refused('10.1.0.8:7620', 'view', 300, performance.now());
  */
 export function createPressure(): Pressure {
-  const until = new Map<string, number>();
+  const refusals = new Map<string, Refusal>();
   const nameOf = (node: string, route: string) => `${node} ${route}`;
   return {
     refused: (node, route, retryAfterMs, now) => {
       const trustedMs = Math.min(retryAfterMs * TRUSTED_SHARE, TRUSTED_MS);
-      until.set(nameOf(node, route), now + trustedMs);
+      const refusal = {until: now + trustedMs, roomAt: now + retryAfterMs};
+      refusals.set(nameOf(node, route), refusal);
+    },
+    roomInMs: (node, route, now) => {
+      const refusal = refusals.get(nameOf(node, route));
+      return refusal && now < refusal.until ? refusal.roomAt - now : undefined;
     },
-    leftMs: (node, route, now) =>
-      Math.max(0, (until.get(nameOf(node, route)) ?? 0) - now),
   };
 }
+
+interface Refusal {
+  /** Time until which it is relied on, in milliseconds. */
+  readonly until: number;
+  /** Time at which the daemon expects to have room. */
+  readonly roomAt: number;
+}
--- a/test/relay/pressure.test.ts
+++ b/test/relay/pressure.test.ts
@@ -1,19 +1,20 @@
 import test from 'ava';
 import {createPressure} from '../../src/relay/index.js';
 
-test('a daemon without room is not asked again for a part of the time that it says', t => {
+test('a daemon without room is not asked again for a part of the time that it says; callers are told all of it', t => {
   const pressure = createPressure();
   pressure.refused('a', 'view', 200, 1000);
-  t.is(pressure.leftMs('a', 'view', 1000), 100);
-  t.is(pressure.leftMs('a', 'view', 1100), 0);
-  t.is(pressure.leftMs('a', 'book', 1000), 0);
-  t.is(pressure.leftMs('b', 'view', 1000), 0);
+  t.is(pressure.roomInMs('a', 'view', 1040), 160);
+  t.is(pressure.roomInMs('a', 'view', 1100), undefined);
+  t.is(pressure.roomInMs('a', 'book', 1000), undefined);
+  t.is(pressure.roomInMs('b', 'view', 1000), undefined);
 });
 
 test('a refusal is relied on for a short time, whatever the daemon says', t => {
   const pressure = createPressure();
   pressure.refused('a', 'view', 60_000, 1000);
-  t.is(pressure.leftMs('a', 'view', 1150), 0);
+  t.is(pressure.roomInMs('a', 'view', 1149), 59_851);
+  t.is(pressure.roomInMs('a', 'view', 1150), undefined);
 });
 
 /** Slots of an instance, and what it is offered: twice what it can do. */
@@ -36,7 +37,7 @@
   for (let now = 0; now < seconds * 1000; now++) {
     for (; offered < now * PER_MS; offered++) {
       const entry = entries[offered % ENTRIES];
-      if (remembers && entry.leftMs('a', 'view', now) > 0) continue;
+      if (remembers && entry.roomInMs('a', 'view', now) !== undefined) continue;
       asked += 1;
       const first = freeAt.indexOf(Math.min(...freeAt));
       const waitMs = Math.max(0, freeAt[first] - now);
--- a/test/sidecar/download.test.ts
+++ b/test/sidecar/download.test.ts
@@ -129,17 +129,20 @@
   });
 }
 
+/** Writes bytes past all framing until the other side closes. */
+function writeNoise({socket}: ServerResponse, part: string): void {
+  const more = () => {
+    while (socket && !socket.destroyed && socket.write(part));
+  };
+  socket?.on('drain', more);
+  socket?.on('error', () => {});
+  more();
+}
+
 test('a head without end costs its own request and nothing else', async t => {
   const {fleet, entry, owner} = await startDownloads(response => {
-    const {socket} = response;
-    const line = Buffer.from(`X-Noise: ${'x'.repeat(8000)}\r\n`);
-    socket?.write('HTTP/1.1 200 OK\r\n');
-    const more = () => {
-      while (socket && !socket.destroyed && socket.write(line));
-    };
-    socket?.on('drain', more);
-    socket?.on('error', () => {});
-    more();
+    response.socket?.write('HTTP/1.1 200 OK\r\n');
+    writeNoise(response, `X-Noise: ${'x'.repeat(8000)}\r\n`);
   });
   t.teardown(fleet.close);
   const response = await answerOf(download(entry));
@@ -149,14 +152,8 @@
 });
 
 test('bytes without end in place of an answer end with a failure', async t => {
-  const {fleet, entry} = await startDownloads(({socket}) => {
-    const noise = Buffer.alloc(64 * 1024, 'noise');
-    const more = () => {
-      while (socket && !socket.destroyed && socket.write(noise));
-    };
-    socket?.on('drain', more);
-    socket?.on('error', () => {});
-    more();
+  const {fleet, entry} = await startDownloads(response => {
+    writeNoise(response, 'noise'.repeat(10_000));
   });
   t.teardown(fleet.close);
   const response = await answerOf(download(entry));
