--- a/src/sidecar/called.ts
+++ b/src/sidecar/called.ts
@@ -294,8 +294,8 @@
       look();
     },
     holdLeftMs: () => {
-      if (!hasGranted) return undefined;
       const ends = ledger.held.map(row => row.until);
+      if (ends.length === 0) return undefined;
       return Math.max(0, Math.min(...ends) - clock());
     },
     boundedFrom: () => confirmedAt,
