Take what heartbeats say of keys in their order

Moving the delivery out of the keeper moved the note of a heartbeat behind the wait for its record, up to half a second: the next heartbeat was noted first, and its number then fell back. Noting and answering are apart again. The test fails with the note behind the wait (1, 3, 2), and passes now.

--- a/src/sidecar/called.ts
+++ b/src/sidecar/called.ts
@@ -270,7 +270,8 @@
       unknownUntil = startedAt + holdBoundMs(holdMs);
       look();
     },
-    hear: () => {
+    hear: () => {},
+    answer: () => {
       look();
       return Promise.resolve({holdMs});
     },
--- a/src/sidecar/delivery.ts
+++ b/src/sidecar/delivery.ts
@@ -46,8 +46,10 @@
   readonly begin: () => void;
   /** An earlier process of this daemon may have delivered keys to the instance. */
   readonly resume: () => void;
-  /** Takes what a heartbeat says of keys, and returns what its answer says. */
-  readonly hear: (
+  /** Takes what a heartbeat says of keys, in the order of heartbeats. */
+  readonly hear: (report: HoldReport) => void;
+  /** Returns what the answer to a heartbeat says of keys. */
+  readonly answer: (
     beat: Heartbeat,
     report: HoldReport,
     arrivedAt: number,
--- a/src/sidecar/fetched.ts
+++ b/src/sidecar/fetched.ts
@@ -39,7 +39,7 @@
  *
  * @example
  * const delivery = createFetchedDelivery(context);
- * const answer = await delivery.hear(beat, report, clock());
+ * const answer = await delivery.answer(beat, report, clock());
  */
 export function createFetchedDelivery(context: DeliveryContext): Delivery {
   const {clock, holdMs, recipient} = context;
@@ -97,10 +97,10 @@
       grants = NO_GRANTS;
     },
     resume: () => {},
-    hear: (beat, report, arrivedAt) => {
+    hear: report => {
       grants = hear(grants, report);
-      return answerKeys(beat, report, arrivedAt);
     },
+    answer: answerKeys,
     look: () => {},
     ask: () => Promise.resolve(),
     holds: key => {
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -250,13 +250,14 @@
     if (isNew) delivery.begin();
     const {sequence, holds, freed} = beat;
     const report: HoldReport = {life: own, sequence, holds, freed};
+    delivery.hear(report);
     if (isNew || announced) {
       const written = record().then(() => inherit());
       await Promise.race([written, sleep(RECORD_WAIT_MS)]);
       written.catch(error => logFailure(error));
     }
     if (!context.isKeyed(beat.service)) return {holdMs};
-    return delivery.hear(beat, report, arrivedAt);
+    return delivery.answer(beat, report, arrivedAt);
   };
 
   const logFailure = (error: unknown) =>
--- a/test/sidecar/keeper.test.ts
+++ b/test/sidecar/keeper.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 import {EMPTY_VIEW} from '../../src/fleet/index.js';
-import {createFetchedDelivery, createKeeper} from '../../src/sidecar/index.js';
+import {
+  createFetchedDelivery,
+  createKeeper,
+  type Heartbeat,
+  type KeeperContext,
+} from '../../src/sidecar/index.js';
 import type {ObjectStore} from '../../src/store/index.js';
 
 const HEARTBEAT_MS = 800;
@@ -14,11 +19,28 @@
   watch: async function* () {},
 };
 
+const HEARTBEAT: Heartbeat = {
+  id: 'i-1',
+  born: 1,
+  service: 'desk',
+  address: '10.1.0.8:8301',
+  domain: 'north',
+  slots: 4,
+  coldMs: 0,
+  state: 'ready',
+  sequence: 1,
+  holds: [],
+  freed: [],
+};
+
 /** A keeper that has heard of its instance at time 0. */
-async function createHeard() {
+async function createHeard(
+  store = STORE,
+  deliver: KeeperContext['deliver'] = createFetchedDelivery,
+) {
   let now = 0;
   const keeper = createKeeper({
-    store: STORE,
+    store,
     view: () => EMPTY_VIEW,
     learn: () => {},
     log: () => {},
@@ -32,21 +54,9 @@
     holdMs: 5000,
     drainMs: 2000,
     began: () => {},
-    deliver: createFetchedDelivery,
-  });
-  await keeper.hear({
-    id: 'i-1',
-    born: 1,
-    service: 'desk',
-    address: '10.1.0.8:8301',
-    domain: 'north',
-    slots: 4,
-    coldMs: 0,
-    state: 'ready',
-    sequence: 1,
-    holds: [],
-    freed: [],
+    deliver,
   });
+  await keeper.hear(HEARTBEAT);
   return {
     keeper,
     advance: (timeMs: number) => {
@@ -71,3 +81,26 @@
   await keeper.tick(0);
   t.true(keeper.isSilent());
 });
+
+test('what a heartbeat says of keys is taken before that of the next one', async t => {
+  const heard: number[] = [];
+  let isSlow = false;
+  // The record of an announced end takes longer than the next heartbeat.
+  const slow: ObjectStore = {
+    ...STORE,
+    put: (...args) => (isSlow ? new Promise(() => {}) : STORE.put(...args)),
+  };
+  const {keeper} = await createHeard(slow, context => ({
+    ...createFetchedDelivery(context),
+    hear: ({sequence}) => heard.push(sequence),
+  }));
+  isSlow = true;
+  const announced = keeper.hear({
+    ...HEARTBEAT,
+    sequence: 2,
+    state: 'draining',
+  });
+  await keeper.hear({...HEARTBEAT, sequence: 3, state: 'draining'});
+  await announced;
+  t.deepEqual(heard, [1, 2, 3]);
+});
