Say once what the new code said in several places

No change of behaviour. The ways of granting keys are one list, and the tests write without end by one function.

--- a/src/ranges/change.ts
+++ b/src/ranges/change.ts
@@ -1,6 +1,7 @@
 import {
   LAST_KEY,
   changeTerms,
+  covers,
   sameLife,
   splitAt,
   type Incarnation,
@@ -219,10 +220,6 @@
   });
 }
 
-function covers(range: KeySpan, term: KeySpan): boolean {
-  return range.from <= term.from && term.to <= range.to;
-}
-
 function begin(term: RangeTerm, holder: Incarnation, fence: number): RangeTerm {
   return {...settled(term), holder, fence, state: 'held'};
 }
--- a/src/ranges/holder.ts
+++ b/src/ranges/holder.ts
@@ -1,5 +1,7 @@
 import type {Release} from './change.js';
 import {
+  contains,
+  covers,
   overlaps,
   sameLife,
   type Incarnation,
@@ -156,7 +158,7 @@
   holdMs: number,
 ): boolean {
   if (now > grants.since + holdMs - TRAVEL_MS) return false;
-  return grants.granted.some(range => range.from <= key && key <= range.to);
+  return grants.granted.some(range => contains(range, key));
 }
 
 /**
@@ -196,10 +198,7 @@
   return after.filter(
     range =>
       !before.some(
-        known =>
-          known.fence === range.fence &&
-          known.from <= range.from &&
-          range.to <= known.to,
+        known => known.fence === range.fence && covers(known, range),
       ),
   );
 }
--- a/src/ranges/ledger.ts
+++ b/src/ranges/ledger.ts
@@ -1,5 +1,5 @@
 import type {HeldRange} from './holder.js';
-import {overlaps, type KeySpan} from './map.js';
+import {contains, covers, overlaps, type KeySpan} from './map.js';
 
 /** A range that an instance has said to hold, until it is renewed. */
 export interface CalledRange extends HeldRange {
@@ -128,8 +128,7 @@
   return !ledger.held.some(
     row =>
       row.fence === range.fence &&
-      row.from <= range.from &&
-      range.to <= row.to &&
+      covers(row, range) &&
       row.until - now >= leftMs,
   );
 }
@@ -141,7 +140,5 @@
  * isHeld(ledger, 4711, performance.now());
  */
 export function isHeld(ledger: Ledger, key: number, now: number): boolean {
-  return ledger.held.some(
-    ({from, to, until}) => from <= key && key <= to && now < until,
-  );
+  return ledger.held.some(row => contains(row, key) && now < row.until);
 }
--- a/src/ranges/map.ts
+++ b/src/ranges/map.ts
@@ -57,6 +57,26 @@
   return a.from <= b.to && b.from <= a.to;
 }
 
+/**
+ * Tells whether a range lies in another one.
+ *
+ * @example
+ * covers({from: 0, to: 9}, {from: 3, to: 9}); // true
+ */
+export function covers(range: KeySpan, part: KeySpan): boolean {
+  return range.from <= part.from && part.to <= range.to;
+}
+
+/**
+ * Tells whether a key lies in a range.
+ *
+ * @example
+ * contains({from: 0, to: 9}, 9); // true
+ */
+export function contains({from, to}: KeySpan, key: number): boolean {
+  return from <= key && key <= to;
+}
+
 /** The map of a service of which no key was ever assigned. */
 export const EMPTY_MAP: RangeMap = {fence: 0, terms: []};
 
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -36,9 +36,9 @@
 import {forward, type ForwardContext} from './forward.js';
 import type {Holders} from './holder.js';
 import type {Lengths} from './lengths.js';
-import type {Pressure} from './pressure.js';
 import {isOffered, offer} from './offer.js';
 import {runLocally, type OwnerContext} from './owner.js';
+import type {Pressure} from './pressure.js';
 import type {AttemptMark, Returns} from './returns.js';
 import {
   ENTRY_GRACE_MS,
@@ -310,15 +310,15 @@
 }
 
 async function serve(context: EntryContext, pass: Request): Promise<Attempt> {
-  const {state} = pass.flow;
   const {flow, deadlineAt} = pass;
-  const leftMs = deadlineAt - context.clock();
+  const {state} = flow;
+  const now = context.clock();
   const refusal = await letIn(
     context.intake,
     flow,
     CALLER_RANK,
+    now,
     deadlineAt,
-    leftMs,
   );
   if (refusal) return conclude(pass, refusal);
   for (;;) {
@@ -336,8 +336,9 @@
     if (attempt.kind !== 'failed') return attempt;
     const {failure} = attempt;
     if (failure.outcome === 'unknown') state.mayHaveRun = true;
-    if (failure.reason === 'overloaded')
+    if (failure.reason === 'overloaded') {
       noteRefusal(context, pass, member, failure);
+    }
     if (term && isWithoutKeys(attempt)) {
       context.holders.refused(pass.service, term, context.clock());
     }
@@ -473,11 +474,16 @@
     ({node, id}) => !pass.refused.has(node) && !pass.offered.has(id),
   );
   const now = context.clock();
-  const roomIn = ({node}: Member) =>
-    context.pressure.roomInMs(node, pass.route.name, now);
-  const open = untried.filter(member => roomIn(member) === undefined);
+  const open: Member[] = [];
+  let soonestRoomMs = Infinity;
+  for (const member of untried) {
+    const {node} = member;
+    const roomInMs = context.pressure.roomInMs(node, pass.route.name, now);
+    if (roomInMs === undefined) open.push(member);
+    else soonestRoomMs = Math.min(soonestRoomMs, roomInMs);
+  }
   if (untried.length > 0 && open.length === 0) {
-    return refuseForRoom(Math.min(...untried.map(m => roomIn(m) ?? 0)));
+    return refuseForRoom(soonestRoomMs);
   }
   const choices = open.map(member => ({
     node: member.node,
@@ -486,10 +492,10 @@
     member,
   }));
   const bytes = lengthOf(pass.body) + context.lengths.mean(pass.route.name);
-  const choice = chooseInstance(choices, context.clock(), bytes);
+  const choice = chooseInstance(choices, now, bytes);
   if (!choice) {
     pass.refused.clear();
-    return {kind: 'wait', until: context.clock() + OWNER_POLL_MS};
+    return {kind: 'wait', until: now + OWNER_POLL_MS};
   }
   return {kind: 'member', member: choice.member};
 }
--- a/src/relay/intake.ts
+++ b/src/relay/intake.ts
@@ -176,14 +176,14 @@
     closedAt = now;
     idleAtClose = idleMs();
     isTurning = false;
-    const over = waiting.filter(entry => entry.isOver());
-    for (const entry of over) entry.resolve(undefined);
-    // What arrived in this turn is not heard to be over before the next.
-    const isReady = (entry: Entry) => entry.turn < turn && !entry.isOver();
-    const ready = waiting.filter(isReady);
-    const fresh = waiting.filter(
-      entry => entry.turn === turn && !entry.isOver(),
-    );
+    const ready: Entry[] = [];
+    const fresh: Entry[] = [];
+    for (const entry of waiting) {
+      if (entry.isOver()) entry.resolve(undefined);
+      // What arrived in this turn is not heard to be over before the next.
+      else if (entry.turn === turn) fresh.push(entry);
+      else ready.push(entry);
+    }
     const {begun, refused, kept} = planTurn(ready, now, pace);
     waiting = [...kept, ...fresh];
     turn += 1;
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -83,9 +83,9 @@
     answer(context, response, notRun('bad-request', body.kind), false);
     return;
   }
-  const {leftMs} = hop;
-  const dueAt = startedAt + leftMs;
-  const refusal = await letIn(context.intake, flow, 0, dueAt, leftMs);
+  const work = workOf(request, hop, startedAt, caller.headers, body);
+  const {deadlineAt} = work;
+  const refusal = await letIn(context.intake, flow, 0, startedAt, deadlineAt);
   // Until it waits for a slot it counts among the bodies that arrive.
   context.transfers.settle(hop.id, true);
   if (refusal) {
@@ -96,7 +96,6 @@
     answer(context, response, refusal, false);
     return;
   }
-  const work = workOf(request, hop, startedAt, caller.headers, body);
   const attempt = await runLocally(context, flow, work, head => {
     head.headers.push(LOAD_HEADER, formatLoad(context.load()));
   });
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -104,26 +104,24 @@
 /**
  * Lets a request in, or tells why not.
  *
- * @param dueAt Deadline, in milliseconds of the clock.
- * @param leftMs Time until then.
+ * @param rank Requests of a lower rank go first.
+ * @param from Time from which its share counts, in milliseconds of the clock.
+ * @param deadlineAt Deadline.
  *
  * @example
- * const refusal = await letIn(intake, flow, 0, dueAt, hop.leftMs);
+ * const refusal = await letIn(intake, flow, 0, startedAt, deadlineAt);
  */
 export async function letIn(
   intake: Intake,
   {state}: Flow,
   rank: number,
-  dueAt: number,
-  leftMs: number,
+  from: number,
+  deadlineAt: number,
 ): Promise<Failure | undefined> {
-  const waitMs = Math.min(INTAKE_WAIT_MS, leftMs * INTAKE_WAIT_SHARE);
-  const entering = intake.enter(
-    rank,
-    dueAt,
-    waitMs,
-    () => state.stopped !== undefined,
-  );
+  const shareMs = (deadlineAt - from) * INTAKE_WAIT_SHARE;
+  const waitMs = Math.min(INTAKE_WAIT_MS, shareMs);
+  const isOver = () => state.stopped !== undefined;
+  const entering = intake.enter(rank, deadlineAt, waitMs, isOver);
   const retryMs = entering && (await entering);
   if (state.stopped) return state.stopped;
   if (retryMs === undefined) return undefined;
--- a/src/sidecar/called.ts
+++ b/src/sidecar/called.ts
@@ -1,7 +1,7 @@
-import type {Address} from '../model/index.js';
 import {
   EMPTY_LEDGER,
   beginCall,
+  contains,
   endCall,
   forgetEnded,
   heldBy,
@@ -43,12 +43,6 @@
   readonly message: string;
 }
 
-/** An instance that is called. */
-export interface Callee {
-  readonly id: string;
-  readonly address: Address;
-}
-
 /** The calls by which an instance gets keys and gives them back. */
 export interface InstanceCalls {
   /**
@@ -56,7 +50,7 @@
    * may arrive after the limit.
    */
   readonly grant: (
-    callee: Callee,
+    to: Recipient,
     range: HeldRange,
     handover: string,
     holdMs: number,
@@ -64,7 +58,7 @@
   ) => Promise<GrantOutcome>;
   /** Asks for a range; answered when work on its keys has ended. */
   readonly release: (
-    callee: Callee,
+    to: Recipient,
     range: HeldRange,
     limitMs: number,
   ) => Promise<ReleaseOutcome>;
@@ -130,15 +124,13 @@
     const leftMs = readAt + holdMs - sentAt - GRANT_LIMIT_MS;
     if (leftMs < SHORTEST_HOLD_MS || isReleasing(term)) return;
     const number = ++lastCall;
-    const {from, to: last, fence, handover} = term;
-    const range = {from, to: last, fence};
+    const range = rangeOf(term);
     const endsAt = readAt + holdBoundMs(holdMs);
     ledger = beginCall(ledger, {...range, number, endsAt});
-    const callee = {id: to.life.id, address: to.address};
     const {kind, message} = await calls.grant(
-      callee,
+      to,
       range,
-      handover,
+      term.handover,
       leftMs,
       GRANT_LIMIT_MS,
     );
@@ -189,16 +181,14 @@
       const wanted = map && isCurrent(to) ? wantedOf(to, map.terms) : [];
       return wanted.some(other => overlaps(other, term));
     };
-    const {from, to: last, fence} = term;
-    const range = {from, to: last, fence};
-    const callee = {id: life.id, address: to.address};
+    const range = rangeOf(term);
     ledger = withdraw(ledger, range);
     context.changed();
     let handover: string | undefined;
     while (isWanted()) {
       const limitMs = runsOutAt - clock();
       if (handover === undefined && limitMs > 0) {
-        const outcome = await calls.release(callee, range, limitMs);
+        const outcome = await calls.release(to, range, limitMs);
         const fields = {upstream: life.id, ...range, kind: outcome.kind};
         if (outcome.kind === 'unknown') {
           const {message} = outcome;
@@ -209,6 +199,7 @@
         log(SIDECAR_EVENTS.released, fields);
         ({handover} = outcome);
       }
+      const {from, to: last} = term;
       const released = {from, to: last, handover: handover ?? ''};
       const map = await changeMap(context, service, 'release', m =>
         release(m, life, [released]),
@@ -288,9 +279,7 @@
       }
       deniedAt = now;
       log(SIDECAR_EVENTS.holdDenied, {key});
-      const lost = ledger.held.filter(row =>
-        overlaps(row, {from: key, to: key}),
-      );
+      const lost = ledger.held.filter(row => contains(row, key));
       for (const row of lost) ledger = withdraw(ledger, row);
       look();
     },
@@ -302,3 +291,7 @@
     boundedFrom: () => confirmedAt,
   };
 }
+
+function rangeOf({from, to, fence}: RangeTerm): HeldRange {
+  return {from, to, fence};
+}
--- a/src/sidecar/fetched.ts
+++ b/src/sidecar/fetched.ts
@@ -1,5 +1,6 @@
 import {
   NO_GRANTS,
+  contains,
   findReleases,
   grant,
   hear,
@@ -104,7 +105,7 @@
     look: () => {},
     ask: () => Promise.resolve(),
     holds: key => {
-      const isUnread = unread.some(({from, to}) => from <= key && key <= to);
+      const isUnread = unread.some(range => contains(range, key));
       if (isUnread && clock() < unreadUntil) return false;
       if (grants.grantedAt < 0) return undefined;
       return holdsKey(grants, key, clock(), holdMs);
@@ -116,9 +117,7 @@
   };
 }
 
-type Row = Pick<RangeTerm, 'from' | 'to' | 'fence'>;
-
-function sameRows(a: readonly Row[], b: readonly Row[]): boolean {
+function sameRows(a: readonly HeldRange[], b: readonly HeldRange[]): boolean {
   return (
     a.length === b.length &&
     a.every(({from, to, fence}, i) => {
--- a/src/sidecar/heartbeat.ts
+++ b/src/sidecar/heartbeat.ts
@@ -1,3 +1,4 @@
+import type {Address} from '../model/index.js';
 import type {HeldRange, RangeTerm, Release} from '../ranges/index.js';
 
 /** What an instance says of itself about once a second. */
@@ -8,8 +9,8 @@
   /** Grows with each heartbeat of one life. */
   readonly sequence: number;
   readonly service: string;
-  /** Address at which the daemon reaches the instance, as `ip:port`. */
-  readonly address: string;
+  /** Address at which the daemon reaches the instance. */
+  readonly address: Address;
   readonly domain: string;
   /** Requests that the instance executes at a time. */
   readonly slots: number;
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -16,7 +16,7 @@
   type Incarnation,
   type RangeTerm,
 } from '../ranges/index.js';
-import {parseAddress, type Address} from '../model/index.js';
+import {formatAddress, parseAddress, type Address} from '../model/index.js';
 import {LATE_MS, type LocalInstance} from '../relay/index.js';
 import type {Delivery, DeliveryContext} from './delivery.js';
 import {SIDECAR_EVENTS} from './events.js';
@@ -181,7 +181,8 @@
     (writing ??= write().finally(() => (writing = undefined)));
 
   const begin = (beat: Heartbeat) => {
-    const {id, born, service, slots, address} = beat;
+    const {id, born, service, slots} = beat;
+    const address = formatAddress(beat.address);
     log(SIDECAR_EVENTS.instanceBegan, {id, born, service, address});
     silent = false;
     context.began(slots);
@@ -203,7 +204,7 @@
   };
 
   const update = (beat: Heartbeat, arrivedAt: number) => {
-    const {id, born, service, domain, slots, sequence} = beat;
+    const {id, born, service, domain, slots, address, sequence} = beat;
     const known = sameLife(life(), {node, id, born}) ? instance : undefined;
     const announces = beat.state === 'draining' && known?.state !== 'draining';
     const openMs = context.drainMs * OPEN_SHARE;
@@ -213,7 +214,7 @@
       service,
       domain,
       slots,
-      address: parseAddress(beat.address),
+      address,
       state: known?.state === 'left' ? 'left' : beat.state,
       closesAt: announces ? arrivedAt + openMs : (known?.closesAt ?? Infinity),
       heardAt: arrivedAt,
--- a/src/sidecar/settings.ts
+++ b/src/sidecar/settings.ts
@@ -4,7 +4,8 @@
  * - `heartbeat`: they fetch them with the answers to their heartbeats.
  * - `call`: they are called.
  */
-export type GrantWay = 'heartbeat' | 'call';
+export const GRANT_WAYS = ['heartbeat', 'call'] as const;
+export type GrantWay = (typeof GRANT_WAYS)[number];
 
 /** Settings of a daemon beside one upstream instance. */
 export interface SidecarSettings {
@@ -65,11 +66,6 @@
   'retryShare',
 ] as const;
 
-const GRANT_WAYS: readonly unknown[] = [
-  'heartbeat',
-  'call',
-] satisfies readonly GrantWay[];
-
 /**
  * Checks parsed settings. Findings are collected with their place.
  *
@@ -90,7 +86,7 @@
       findings.push(`${name}: a positive number is required`);
     }
   }
-  if (!GRANT_WAYS.includes(fields.grants)) {
+  if (!GRANT_WAYS.some(way => way === fields.grants)) {
     const found = JSON.stringify(fields.grants);
     findings.push(`grants: ${found} is neither "heartbeat" nor "call"`);
   }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {Dispatcher} from 'undici';
 import {
   createRetryBudget,
   countForwarded,
@@ -48,7 +49,6 @@
   type SplitState,
   type Liveness,
 } from '../relay/index.js';
-import type {Dispatcher} from 'undici';
 import {notRun, unknown, type Address, type Failure} from '../model/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
@@ -682,8 +682,8 @@
       const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
-      const letIn = context.intake.waiting();
-      metrics.gauge(SIDECAR_METRICS.intakeWaiting, {})(letIn);
+      const atIntake = context.intake.waiting();
+      metrics.gauge(SIDECAR_METRICS.intakeWaiting, {})(atIntake);
       const delayS = loopDelayMs / MS_PER_SECOND;
       metrics.gauge(SIDECAR_METRICS.loopDelay, {})(delayS);
     },
--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -1,5 +1,6 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Writable} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listen} from './store.js';
 
@@ -103,12 +104,8 @@
   let announced: 'ready' | 'draining' = 'ready';
 
   const called = createCalledKeys(id);
-  const current = () =>
-    options.grants === 'call'
-      ? called.holds()
-      : Date.now() < heldUntil
-        ? held
-        : [];
+  const fetched = () => (Date.now() < heldUntil ? held : []);
+  const current = options.grants === 'call' ? called.holds : fetched;
   const holdsKey = (key: number) =>
     current().some(([from, to]) => from <= key && key <= to);
 
@@ -307,27 +304,29 @@
   };
 }
 
-const ENDLESS_PART = Buffer.alloc(64 * 1024, 'x');
+const ENDLESS_PART = 'x'.repeat(64 * 1024);
 
 /**
- * Writes bytes until the other side closes.
+ * Writes the same part until the other side closes.
  *
- * @param wrote Told of the bytes that are written.
+ * @param wrote Told of the characters that are written.
  *
  * @example
- * writeWithoutEnd(response, bytes => (written += bytes));
+ * writeWithoutEnd(response, part, length => (written += length));
  */
 export function writeWithoutEnd(
-  response: ServerResponse,
-  wrote: (bytes: number) => void = () => {},
+  target: Writable,
+  part = ENDLESS_PART,
+  wrote: (length: number) => void = () => {},
 ): void {
   const more = () => {
-    while (!response.destroyed) {
-      wrote(ENDLESS_PART.length);
-      if (!response.write(ENDLESS_PART)) return;
+    while (!target.destroyed) {
+      wrote(part.length);
+      if (!target.write(part)) return;
     }
   };
-  response.on('drain', more);
+  target.on('drain', more);
+  target.on('error', () => {});
   more();
 }
 
--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import test from 'ava';
 import {createControl} from '../../platform/control.js';
+import {writeWithoutEnd} from '../../standin/fleet/index.js';
 import type {Sidecar} from '../../src/sidecar/index.js';
 
 /** A control server whose keeper is never reached. */
@@ -22,13 +23,8 @@
 /** Writes until the other side closes, and returns how much was written. */
 async function writeEndlessly(socket: Socket, part: string): Promise<number> {
   const closed = new Promise(resolve => socket.once('close', resolve));
-  socket.on('error', () => {});
   socket.resume();
-  const more = () => {
-    while (!socket.destroyed && socket.write(part));
-  };
-  socket.on('drain', more);
-  more();
+  writeWithoutEnd(socket, part);
   await closed;
   return socket.bytesWritten;
 }
--- a/test/relay/intake.test.ts
+++ b/test/relay/intake.test.ts
@@ -116,8 +116,6 @@
 test('a restart with cold code does not leave a process behind for good', async t => {
   const without = await play(() => OPEN, 20);
   const shares = await play(createIntake, 20);
-  t.log(without.map(x => x.toFixed(2)).join(' '));
-  t.log(shares.map(x => x.toFixed(2)).join(' '));
   // Without turns the process works for callers who have left, for ever.
   t.true(without.slice(10, 18).every(share => share < 0.1));
   t.true(shares.slice(8, 18).every(share => share > 0.95));
@@ -126,8 +124,6 @@
 test('a long queue of connections keeps a process behind that a short one does not', async t => {
   const long = await play(createIntake, 20, 1024);
   const short = await play(createIntake, 20, CALLER_BACKLOG);
-  t.log(long.map(x => x.toFixed(2)).join(' '));
-  t.log(short.map(x => x.toFixed(2)).join(' '));
   const sum = (shares: readonly number[]) =>
     shares.slice(2, 10).reduce((all, share) => all + share, 0);
   t.true(sum(short) > sum(long) * 1.2, `${sum(short)} and ${sum(long)}`);
--- a/test/sidecar/called.test.ts
+++ b/test/sidecar/called.test.ts
@@ -1,12 +1,10 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {startMoves, termOf, type RangeMap} from '../../src/ranges/index.js';
 import {SIDECAR_EVENTS} from '../../src/sidecar/index.js';
 import type {KeyCall} from '../../standin/fleet/index.js';
 import {ask, startFleet, until, type Pair, type TestFleet} from './fixture.js';
 
-const sleep = (timeMs: number) =>
-  new Promise(resolve => setTimeout(resolve, timeMs));
-
 const KEY = 10;
 const MOVED = {from: 0, to: 99};
 
--- a/test/sidecar/download.test.ts
+++ b/test/sidecar/download.test.ts
@@ -1,5 +1,6 @@
 import http, {type ServerResponse} from 'node:http';
 import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {writeWithoutEnd} from '../../standin/fleet/index.js';
 import {
@@ -63,9 +64,6 @@
   return response;
 }
 
-const sleep = (timeMs: number) =>
-  new Promise(resolve => setTimeout(resolve, timeMs));
-
 /** Other requests of the same daemons are served. */
 const isServed = async ({pairs: [entry]}: TestFleet) =>
   (await ask(entry.callers, 'GET', '/view/x', 5)).status === 200;
@@ -73,7 +71,7 @@
 test('an answer without end is read no faster than its caller reads it', async t => {
   let written = 0;
   const {fleet, entry} = await startDownloads(response => {
-    writeWithoutEnd(response, bytes => (written += bytes));
+    writeWithoutEnd(response, undefined, length => (written += length));
   });
   t.teardown(fleet.close);
   const request = download(entry);
@@ -130,14 +128,9 @@
   });
 }
 
-/** Writes bytes past all framing until the other side closes. */
+/** Writes past all framing until the other side closes. */
 function writeNoise({socket}: ServerResponse, part: string): void {
-  const more = () => {
-    while (socket && !socket.destroyed && socket.write(part));
-  };
-  socket?.on('drain', more);
-  socket?.on('error', () => {});
-  more();
+  if (socket) writeWithoutEnd(socket, part);
 }
 
 test('a head without end costs its own request and nothing else', async t => {
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -227,6 +227,7 @@
  * Starts a fleet and waits until its keys are held.
  *
  * @param services Service of the instance beside each daemon.
+ *
  * @example
  * const fleet = await startFleet(['stock', 'stock', 'desk']);
  */
--- a/test/sidecar/fleet.test.ts
+++ b/test/sidecar/fleet.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {EXIT, ranges} from '../../src/cli/index.js';
 import {parseAddress} from '../../src/model/index.js';
+import {GRANT_WAYS} from '../../src/sidecar/index.js';
 import {
   ask,
   configuration,
@@ -9,10 +10,7 @@
   until,
 } from './fixture.js';
 
-/** The ways in which instances get their keys. */
-const WAYS = ['heartbeat', 'call'] as const;
-
-for (const grants of WAYS) {
+for (const grants of GRANT_WAYS) {
   test(`each key is served by its one holder, from every daemon, granted by ${grants}`, async t => {
     const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
     t.teardown(fleet.close);
@@ -33,7 +31,7 @@
   });
 }
 
-for (const grants of WAYS) {
+for (const grants of GRANT_WAYS) {
   test(`keys stay where they are while nothing changes, granted by ${grants}`, async t => {
     const fleet = await startFleet(['stock', 'stock'], {grants});
     t.teardown(fleet.close);
@@ -46,7 +44,7 @@
   });
 }
 
-for (const grants of WAYS) {
+for (const grants of GRANT_WAYS) {
   test(`an instance that leaves gives its keys to the others, granted by ${grants}`, async t => {
     const fleet = await startFleet(['stock', 'stock'], {grants});
     t.teardown(fleet.close);
@@ -93,7 +91,7 @@
   t.is((await ask(pair.callers, 'POST', '/book/x')).status, 502);
 });
 
-for (const grants of WAYS) {
+for (const grants of GRANT_WAYS) {
   test(`keys outlast an outage of the store that is shorter than a hold, granted by ${grants}`, async t => {
     const fleet = await startFleet(['stock', 'desk'], {grants});
     t.teardown(fleet.close);
--- a/test/sidecar/keeper.test.ts
+++ b/test/sidecar/keeper.test.ts
@@ -23,7 +23,7 @@
   id: 'i-1',
   born: 1,
   service: 'desk',
-  address: '10.1.0.8:8301',
+  address: {host: '10.1.0.8', port: 8301},
   domain: 'north',
   slots: 4,
   coldMs: 0,
--- a/test/sidecar/move.test.ts
+++ b/test/sidecar/move.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {startMoves, termOf, type RangeMap} from '../../src/ranges/index.js';
 import {RELAY_EVENTS} from '../../src/relay/index.js';
-import type {GrantWay} from '../../src/sidecar/index.js';
+import {GRANT_WAYS, type GrantWay} from '../../src/sidecar/index.js';
 import {ask, startFleet, until, type Answer, type Pair} from './fixture.js';
 
 const sleep = (timeMs: number) =>
@@ -9,9 +9,6 @@
 
 const KEY = 10;
 
-/** The ways in which instances get their keys. */
-const WAYS = ['heartbeat', 'call'] as const;
-
 /** A fleet of two holders and a third daemon, and who holds a key. */
 async function startMoving(grants: GrantWay) {
   const services = ['stock', 'stock', 'desk'];
@@ -38,7 +35,7 @@
 const statuses = (answers: readonly Answer[]) =>
   answers.map(({status}) => status);
 
-for (const grants of WAYS) {
+for (const grants of GRANT_WAYS) {
   test(`a move of keys does not send every request to the old holder again and again, granted by ${grants}`, async t => {
     const {fleet, from, to, entry, move, holderNode} =
       await startMoving(grants);
@@ -65,7 +62,7 @@
   });
 }
 
-for (const grants of WAYS) {
+for (const grants of GRANT_WAYS) {
   test(`requests for a key do not overtake the grant of the key, granted by ${grants}`, async t => {
     const {fleet, from, to, entry, move, holderNode} =
       await startMoving(grants);
