Log and measure what instances say of themselves in their answers

The adapter now reads both headers, with and without the prefix of the others, from each answer that can be attributed to the instance, refusals and answers to calls for keys included; events 6038, 6039, 6048 and 6049 and a gauge show them. Nothing acts on them yet. Values of headers with the same name are joined, so that two limits are unreadable and not one of them chosen.

--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -1,4 +1,4 @@
-import type {AnswerHead} from '../upstream/index.js';
+import type {AnswerHead, Statement} from '../upstream/index.js';
 
 /** What a caller states of its request. */
 export interface CallerRequest {
@@ -40,11 +40,21 @@
 /** What the head of an upstream's answer means. */
 export type Verdict =
   /** The answer to this request, to be passed on. */
-  | {readonly kind: 'answer'; readonly load?: StatedLoad}
+  | {
+      readonly kind: 'answer';
+      readonly load?: StatedLoad;
+      readonly statement: Statement;
+    }
   /** The upstream did not run the request. */
-  | {readonly kind: 'not-run'; readonly load?: StatedLoad}
-  /** Another instance answers, or the instance does not hold the key. */
-  | {readonly kind: 'not-holder'; readonly sameInstance: boolean}
+  | {
+      readonly kind: 'not-run';
+      readonly load?: StatedLoad;
+      readonly statement: Statement;
+    }
+  /** The instance does not hold the key. */
+  | {readonly kind: 'not-holder'; readonly statement: Statement}
+  /** Another instance has the address. */
+  | {readonly kind: 'other-instance'}
   /** The bytes are no answer to this request. */
   | {readonly kind: 'garbled'; readonly message: string};
 
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -15,6 +15,7 @@
 export * from './hop.js';
 export * from './intake.js';
 export * from './lengths.js';
+export * from './limit.js';
 export * from './offer.js';
 export * from './owner.js';
 export * from './peers.js';
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -13,6 +13,7 @@
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
 import type {Intake} from './intake.js';
+import type {StatedAnswer} from './limit.js';
 import type {QueueState} from './queue.js';
 import type {Claim, Grant, Slots} from './slots.js';
 import type {Transfers} from './transfers.js';
@@ -21,6 +22,8 @@
 /** The upstream instance beside a daemon. */
 export interface LocalInstance {
   readonly id: string;
+  /** Start of the instance, in Unix milliseconds. */
+  readonly born: number;
   readonly service: string;
   readonly address: {readonly host: string; readonly port: number};
   readonly slots: number;
@@ -50,6 +53,11 @@
   readonly pools: Pools;
   /** Told of each request that the instance ran, and how long it took. */
   readonly observed: (work: Work, timeMs: number, load?: StatedLoad) => void;
+  /** Told of what the instance says of itself in an answer. */
+  readonly stated: (
+    instance: Pick<LocalInstance, 'id' | 'born'>,
+    answer: StatedAnswer,
+  ) => void;
   /** Told of each key that is asked for. */
   readonly asked: (key: number) => void;
   readonly log: Log;
@@ -189,7 +197,8 @@
   const startedAt = clock();
   let load: StatedLoad | undefined;
   let answered = false;
-  let garbled = false;
+  let isDistrusted = false;
+  let sentAt = startedAt;
   const leftMs = Math.max(1, Math.floor(work.deadlineAt - startedAt));
   const call = {
     method: work.method,
@@ -202,16 +211,24 @@
     body: sendable(work.body),
   };
   return runExchange(flow, pool, call, {
-    ready: () => context.local()?.id === work.instance,
+    ready: () => {
+      sentAt = clock();
+      return context.local()?.id === work.instance;
+    },
     judge: head => {
       const verdict = dialect.judge(head, work.id, work.instance);
+      if ('statement' in verdict) {
+        const {statement} = verdict;
+        const ran = verdict.kind === 'answer';
+        context.stated(local, {statement, sentAt, ran});
+      }
       if (verdict.kind === 'answer') {
         load = verdict.load;
         answered = true;
         return undefined;
       }
-      garbled = verdict.kind === 'garbled';
-      const isDenial = verdict.kind === 'not-holder' && verdict.sameInstance;
+      isDistrusted = verdict.kind === 'garbled';
+      const isDenial = verdict.kind === 'not-holder';
       if (isDenial && work.key !== undefined) context.denied(work.key);
       context.log(RELAY_EVENTS.answerRefused, {
         request: work.id,
@@ -220,7 +237,7 @@
       });
       return refusalOf(verdict);
     },
-    distrusts: () => garbled,
+    distrusts: () => isDistrusted,
     extend,
     unsent: error => {
       const message = `the instance was not reached: ${error.message}`;
@@ -239,6 +256,7 @@
     case 'not-run':
       return offered(notRun('overloaded', 'the instance refused it', 100));
     case 'not-holder':
+    case 'other-instance':
       return offered(notRun('not-owner', 'the instance does not hold it', 100));
     case 'garbled':
       return alternative(unknown('upstream-reset', verdict.message));
--- a/src/sidecar/called.ts
+++ b/src/sidecar/called.ts
@@ -20,6 +20,7 @@
   type Ledger,
   type RangeTerm,
 } from '../ranges/index.js';
+import type {Statement} from '../upstream/index.js';
 import {
   confirmFor,
   logGranted,
@@ -33,14 +34,24 @@
 
 /** How an instance answered a call to release a range. */
 export type ReleaseOutcome =
-  | {readonly kind: 'released'; readonly handover: string}
+  | {
+      readonly kind: 'released';
+      readonly handover: string;
+      readonly statement: Statement;
+    }
   /** The instance may still hold the range. */
-  | {readonly kind: 'unknown'; readonly message: string};
+  | {
+      readonly kind: 'unknown';
+      readonly message: string;
+      readonly statement: Statement;
+    };
 
 /** How an instance answered a call that grants a range. */
 export interface GrantOutcome {
   readonly kind: CallOutcome;
   readonly message: string;
+  /** What the instance says of itself in the answer. */
+  readonly statement: Statement;
 }
 
 /** The calls by which an instance gets keys and gives them back. */
@@ -127,13 +138,14 @@
     const range = rangeOf(term);
     const endsAt = readAt + holdBoundMs(holdMs);
     ledger = beginCall(ledger, {...range, number, endsAt});
-    const {kind, message} = await calls.grant(
+    const {kind, message, statement} = await calls.grant(
       to,
       range,
       term.handover,
       leftMs,
       GRANT_LIMIT_MS,
     );
+    context.stated(to.life, {statement, sentAt, ran: false});
     if (isCurrent(to)) {
       ledger = endCall(ledger, number, kind, sentAt + leftMs);
     }
@@ -188,7 +200,10 @@
     while (isWanted()) {
       const limitMs = runsOutAt - clock();
       if (handover === undefined && limitMs > 0) {
+        const sentAt = clock();
         const outcome = await calls.release(to, range, limitMs);
+        const {statement} = outcome;
+        context.stated(life, {statement, sentAt, ran: false});
         const fields = {upstream: life.id, ...range, kind: outcome.kind};
         if (outcome.kind === 'unknown') {
           const {message} = outcome;
--- a/src/sidecar/delivery.ts
+++ b/src/sidecar/delivery.ts
@@ -8,6 +8,7 @@
   type RangeMap,
   type RangeTerm,
 } from '../ranges/index.js';
+import type {StatedAnswer} from '../relay/index.js';
 import {SIDECAR_EVENTS} from './events.js';
 import type {Heartbeat, HeartbeatAnswer} from './heartbeat.js';
 import {changeMap, confirmMap, type MapAccess} from './maps.js';
@@ -33,6 +34,8 @@
   readonly recipient: () => Recipient | undefined;
   /** Told when the instance has answered a call, which shows that it lives. */
   readonly answered: (life: Incarnation) => void;
+  /** Told of what the instance says of itself in the answer to a call. */
+  readonly stated: (life: Incarnation, answer: StatedAnswer) => void;
   /** Told when the keys that the instance holds may have changed. */
   readonly changed: () => void;
 }
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -74,6 +74,26 @@
     level: 'info',
     message: 'instance taken up from its record',
   },
+  limitNamed: {
+    number: 6038,
+    level: 'info',
+    message: 'instance names a limit of requests a second',
+  },
+  limitEnded: {
+    number: 6039,
+    level: 'info',
+    message: 'instance names no limit any more',
+  },
+  statementUnreadable: {
+    number: 6048,
+    level: 'warn',
+    message: 'instance states something of itself that can not be read',
+  },
+  leavingStated: {
+    number: 6049,
+    level: 'info',
+    message: 'instance says in an answer that it is leaving',
+  },
   granted: {number: 6040, level: 'info', message: 'granted keys changed'},
   notConfirmed: {
     number: 6041,
--- a/src/sidecar/index.ts
+++ b/src/sidecar/index.ts
@@ -18,3 +18,4 @@
 export * from './servers.js';
 export * from './settings.js';
 export * from './sidecar.js';
+export * from './statements.js';
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -38,6 +38,8 @@
   readonly holdMs: number;
   /** Time after an announced end in which no new request may arrive. */
   readonly drainMs: number;
+  /** Told of what the instance says of itself in the answer to a call. */
+  readonly stated: DeliveryContext['stated'];
   /** Told of the slots of an instance that is heard or taken up. */
   readonly began: (slots: number) => void;
   /** Creates the way in which the instance gets its keys. */
@@ -366,8 +368,9 @@
     holdLeftMs: delivery.holdLeftMs,
     local: () => {
       if (!instance) return undefined;
-      const {id, service, address, slots, closesAt} = instance;
-      return {id, service, address, slots, closed: clock() >= closesAt};
+      const {id, born, service, address, slots, closesAt} = instance;
+      const closed = clock() >= closesAt;
+      return {id, born, service, address, slots, closed};
     },
     holds: key =>
       delivery.holds(key) ?? (clock() <= resumedUntil && holdsByMap(key)),
--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -45,6 +45,12 @@
     help: 'Requests that run or wait at the instance beside.',
     labels: [],
   },
+  instanceLimit: {
+    type: 'gauge',
+    name: 'vanillaspool_instance_limit',
+    help: 'Requests a second that the instance beside takes; -1 without a limit.',
+    labels: [],
+  },
   intakeWaiting: {
     type: 'gauge',
     name: 'vanillaspool_intake_waiting',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -71,6 +71,7 @@
 } from './servers.js';
 import type {SidecarSettings} from './settings.js';
 import {createSignal} from './signal.js';
+import {createStatements} from './statements.js';
 import {
   CALLERS_LEAVE_MS,
   createWithholding,
@@ -314,14 +315,18 @@
     },
     began: count => {
       slots = slotsOf(count);
+      statements.begin();
       meter.reset();
     },
+    stated: (life, answer) => statements.hear(life, answer),
     deliver: context =>
       settings.grants === 'call'
         ? createCalledDelivery(context, options.instanceCalls(poolOf))
         : createFetchedDelivery(context),
   });
 
+  const statements = createStatements({clock, life: keeper.life, log});
+
   const {ask, heard, silence} = createListener<Status>(node);
   const planner = createPlanner({...access, ask, silence});
 
@@ -387,6 +392,7 @@
     pools,
     observed: (_, timeMs) => meter.ran(timeMs),
     asked: meter.asked,
+    stated: statements.hear,
     log,
     callerService: () => settings.service,
     configuration: () => configuration,
@@ -682,6 +688,8 @@
       const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
+      const limit = statements.limit() ?? -1;
+      metrics.gauge(SIDECAR_METRICS.instanceLimit, {})(limit);
       const atIntake = context.intake.waiting();
       metrics.gauge(SIDECAR_METRICS.intakeWaiting, {})(atIntake);
       const delayS = loopDelayMs / MS_PER_SECOND;
--- a/src/upstream/answer.ts
+++ b/src/upstream/answer.ts
@@ -19,7 +19,10 @@
   readonly status: number;
   /** Name and value of each header in turn that may be passed on. */
   readonly headers: string[];
-  /** Values of vanillaspool's own headers by their name in lower case. */
+  /**
+   * Values of vanillaspool's own headers by their name in lower case; those of
+   * headers with the same name are joined by commas.
+   */
   readonly own: ReadonlyMap<string, string>;
   readonly retryAfter?: string;
   /** Length of the body in bytes; NaN when it is not stated. */
@@ -57,7 +60,8 @@
       if (lower === 'transfer-encoding') chunked = true;
     } else if (lower.startsWith(OWN_HEADER_PREFIX)) {
       own ??= new Map();
-      own.set(lower, value);
+      const before = own.get(lower);
+      own.set(lower, before === undefined ? value : `${before}, ${value}`);
     } else {
       if (lower === 'retry-after') retryAfter = value;
       if (lower === 'content-length') contentLength = Number(value);
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -8,3 +8,4 @@
 export * from './exchange.js';
 export * from './info.js';
 export * from './pools.js';
+export * from './statement.js';
--- a/test/ranges/calls.ts
+++ b/test/ranges/calls.ts
@@ -31,6 +31,7 @@
   type ReleaseOutcome,
 } from '../../src/sidecar/index.js';
 import type {ObjectStore, StoredObject} from '../../src/store/index.js';
+import {NO_STATEMENT} from '../../src/upstream/index.js';
 import {SafetyError} from './fleet.js';
 
 /** Length of a hold in the model, in milliseconds. */
@@ -191,14 +192,15 @@
   };
 
   const unanswered = (call: Pending): GrantOutcome | ReleaseOutcome => {
+    const statement = NO_STATEMENT;
     const message = 'no answer';
     if (call.holdMs !== undefined) {
       const isTrusted = broken === 'trust-silence';
-      return {kind: isTrusted ? 'refused' : 'unanswered', message};
+      return {kind: isTrusted ? 'refused' : 'unanswered', message, statement};
     }
     return broken === 'trust-lost-release'
-      ? {kind: 'released', handover: ''}
-      : {kind: 'unknown', message};
+      ? {kind: 'released', handover: '', statement}
+      : {kind: 'unknown', message, statement};
   };
 
   const takeOut = (node: Node, range: KeySpan) => {
@@ -237,10 +239,9 @@
     }
     if (holdMs === undefined) {
       takeOut(node, range);
-      const isAnswered = fate === 'answered';
-      return call.answer(
-        isAnswered ? {kind: 'released', handover: 'token'} : unanswered(call),
-      );
+      if (fate !== 'answered') return call.answer(unanswered(call));
+      const released = {kind: 'released', handover: 'token'} as const;
+      return call.answer({...released, statement: NO_STATEMENT});
     }
     const row = {...range, until: now + holdMs * SLOWEST_CLOCK};
     if (fate === 'late') {
@@ -248,7 +249,8 @@
       return call.answer(unanswered(call));
     }
     const kind = apply(node, row) ? 'granted' : 'outranked';
-    call.answer(fate === 'lost' ? unanswered(call) : {kind, message: ''});
+    const answered = {kind, message: '', statement: NO_STATEMENT} as const;
+    call.answer(fate === 'lost' ? unanswered(call) : answered);
   };
 
   const createDelivery = (index: number) =>
@@ -268,6 +270,7 @@
             waiting.push({at: now + ms, resolve});
           }),
         holdMs: HOLD_MS,
+        stated: () => {},
         recipient: () => {
           const {life, isDraining} = nodes[index];
           const address = {host: '127.0.0.1', port: 1};
--- a/test/sidecar/keeper.test.ts
+++ b/test/sidecar/keeper.test.ts
@@ -54,6 +54,7 @@
     holdMs: 5000,
     drainMs: 2000,
     began: () => {},
+    stated: () => {},
     deliver,
   });
   await keeper.hear(HEARTBEAT);
