--- a/standin/fleet/instance.ts
+++ b/standin/fleet/instance.ts
@@ -51,6 +51,14 @@
  */
 export type CallFault = 'none' | 'lost' | 'late' | 'endless';
 
+/** What an instance says of itself, as the texts of the headers. */
+export interface Sayings {
+  /** Requests a second that it takes from all daemons together. */
+  readonly limit?: string;
+  /** It is about to end. */
+  readonly leaving?: string;
+}
+
 /** A stand-in for an upstream instance that owns keys. */
 export interface InstanceStandin {
   readonly address: string;
@@ -60,6 +68,8 @@
   /** Sends one heartbeat and applies the answer. */
   readonly beat: (state?: 'ready' | 'draining') => Promise<number>;
   readonly leave: () => Promise<number>;
+  /** What it says of itself in each answer. */
+  says: Sayings;
   /** Replaces the next answers: the function may write anything. */
   spoil?: (response: ServerResponse, id: string) => boolean;
   /** Calls for its keys in the order of their arrival. */
@@ -112,6 +122,7 @@
   const standin: {-readonly [K in keyof InstanceStandin]: InstanceStandin[K]} =
     {
       address: '',
+      says: {},
       lettingGoMs: 0,
       readingMs: 0,
       lateMs: 0,
@@ -130,6 +141,9 @@
     };
 
   const server = http.createServer((request, response) => {
+    const {limit, leaving} = standin.says;
+    if (limit !== undefined) response.setHeader('Server-Limit', limit);
+    if (leaving !== undefined) response.setHeader('Server-Leaving', leaving);
     if (request.url === '/-/grant' || request.url === '/-/release') {
       const kind = request.url === '/-/grant' ? 'grant' : 'release';
       void called.handle(kind, request, response, standin);
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -20,6 +20,7 @@
   createSidecar,
   type GrantWay,
   type Sidecar,
+  type SidecarSettings,
 } from '../../src/sidecar/index.js';
 import type {EventFields, EventKind} from '../../src/telemetry/index.js';
 
@@ -34,6 +35,8 @@
   /** Address of the daemon for other daemons. */
   readonly node: string;
   readonly events: readonly (readonly [EventKind, EventFields])[];
+  /** Stops the daemon and starts another process of it; the instance lives on. */
+  readonly restart: () => Promise<void>;
   readonly close: () => Promise<void>;
 }
 
@@ -165,33 +168,38 @@
   const log = (kind: EventKind, fields: EventFields = {}) => {
     events.push([kind, fields]);
   };
-  const sidecar = createSidecar({
-    settings: {
-      name: `daemon-${index}`,
-      domain: `zone-${index % 2}`,
-      service,
-      instance: `127.0.0.1:${instancePort}`,
-      callers,
-      peers,
-      ready,
-      control,
-      metrics: '127.0.0.1:1',
-      store: store.address,
-      heartbeatS: HEARTBEAT_MS / 1000,
-      grants,
-      drainS: 1,
-      graceS,
-      holdLimitS: 2,
-      retryShare: 0.2,
-    },
-    store: createMetadataStore(store.address),
-    dialect: PLATFORM_DIALECT,
-    configurationKey: CONFIGURATION_KEY,
-    readConfiguration,
-    instanceCalls: createInstanceCalls,
-    log,
-  });
-  const server = http.createServer(createControl(sidecar, log));
+  const settings: SidecarSettings = {
+    name: `daemon-${index}`,
+    domain: `zone-${index % 2}`,
+    service,
+    instance: `127.0.0.1:${instancePort}`,
+    callers,
+    peers,
+    ready,
+    control,
+    metrics: '127.0.0.1:1',
+    store: store.address,
+    heartbeatS: HEARTBEAT_MS / 1000,
+    grants,
+    drainS: 1,
+    graceS,
+    holdLimitS: 2,
+    retryShare: 0.2,
+  };
+  const createDaemon = () =>
+    createSidecar({
+      settings,
+      store: createMetadataStore(store.address),
+      dialect: PLATFORM_DIALECT,
+      configurationKey: CONFIGURATION_KEY,
+      readConfiguration,
+      instanceCalls: createInstanceCalls,
+      log,
+    });
+  let sidecar = createDaemon();
+  const server = http.createServer((request, response) =>
+    createControl(sidecar, log)(request, response),
+  );
   server.listen(Number(control.split(':')[1]), '127.0.0.1');
   await once(server, 'listening');
   await sidecar.start();
@@ -209,11 +217,19 @@
     port: instancePort,
   });
   return {
-    sidecar,
+    get sidecar() {
+      return sidecar;
+    },
     instance,
     callers,
     node: peers,
     events,
+    restart: async () => {
+      await sidecar.stop();
+      sidecar = createDaemon();
+      await sidecar.start();
+      await until(sidecar.isReady);
+    },
     close: async () => {
       instance.crash();
       await sidecar.stop();
--- a/test/sidecar/peer.ts
+++ b/test/sidecar/peer.ts
@@ -9,6 +9,8 @@
   readonly questionMs?: number;
   /** Time before a request is answered, in milliseconds. */
   readonly requestMs?: number;
+  /** Headers of its answers to requests. */
+  readonly headers?: Readonly<Record<string, string>>;
   /** Answers nothing, on any connection. */
   readonly isMute?: boolean;
   /** Takes no connection: its queue of new ones is full. */
@@ -35,6 +37,9 @@
   const waitMs = (isQuestion ? manner.questionMs : manner.requestMs) ?? 0;
   request.resume();
   response.setHeader('vanillaspool-load', '1,4,20');
+  for (const [name, value] of Object.entries(manner.headers ?? {})) {
+    response.setHeader(name, value);
+  }
   setTimeout(() => response.end(isQuestion ? status : 'answer'), waitMs);
 });
 server.listen({port: 0, host: '127.0.0.1', backlog: manner.isDark ? 1 : 511}, () => {
--- /dev/null
+++ b/test/sidecar/statement.test.ts
@@ -0,0 +1,183 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {GRANT_WAYS} from '../../src/sidecar/index.js';
+import type {InstanceStandin} from '../../standin/fleet/index.js';
+import {ask, startFleet, until, type Answer, type Pair} from './fixture.js';
+import {startPeer} from './peer.js';
+
+const KEY = 10;
+
+/** Requests a second that instances of these tests name. */
+const LIMIT = 10;
+
+/** Length of the spans in which requests are counted, in milliseconds. */
+const SPAN_MS = 2000;
+
+/** Requests in such a span beyond the limit: a small burst. */
+const BURST = 3;
+
+const MOST = (LIMIT * SPAN_MS) / 1000 + BURST;
+
+/** Answers to requests that were sent at a steady rate, with their times. */
+type Timed = Answer & {readonly tookMs: number};
+
+/** Sends requests through some daemons in turn, 60 a second, for a time. */
+async function press(
+  pairs: readonly Pair[],
+  forMs: number,
+  send: (callers: string) => Promise<Answer>,
+): Promise<readonly Timed[]> {
+  const sent: Promise<Timed>[] = [];
+  const end = Date.now() + forMs;
+  while (Date.now() < end) {
+    const {callers} = pairs[sent.length % pairs.length];
+    const at = Date.now();
+    const timed = send(callers).then(answer => {
+      return {...answer, tookMs: Date.now() - at};
+    });
+    sent.push(timed);
+    await sleep(1000 / 60);
+  }
+  return Promise.all(sent);
+}
+
+const view = (callers: string) => ask(callers, 'GET', '/view/x', KEY);
+const book = (callers: string) => ask(callers, 'POST', '/book/x');
+
+/** Most requests that an instance began in any span, from a time on. */
+function mostRuns({runs}: InstanceStandin, from: number): number {
+  const times = runs.map(({at}) => at).filter(at => at >= from);
+  const inSpan = (first: number) =>
+    times.filter(at => at >= first && at < first + SPAN_MS).length;
+  return Math.max(0, ...times.map(inSpan));
+}
+
+const isServed = ({status}: Answer) => status === 200;
+
+for (const grants of GRANT_WAYS) {
+  test(`the holder of a key gets more requests from all daemons together than it names, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'desk', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const [{instance}] = fleet.pairs;
+    instance.says = {limit: String(LIMIT)};
+    await press(fleet.pairs, 500, view);
+    const from = Date.now();
+    const answers = await press(fleet.pairs, 4000, view);
+    t.true(mostRuns(instance, from) <= MOST, `${mostRuns(instance, from)} ran`);
+    t.true(answers.filter(isServed).length >= LIMIT * 4 * 0.8);
+    for (const {status, retryAfter, tookMs} of answers) {
+      if (status === 200) continue;
+      t.deepEqual([status, Number(retryAfter) > 0], [503, true]);
+      t.true(tookMs < 700, `refused after ${tookMs} ms`);
+    }
+  });
+}
+
+test('an instance without keys gets what it does not take, though another has room', async t => {
+  const fleet = await startFleet(['desk', 'desk', 'stock']);
+  t.teardown(fleet.close);
+  const [{instance}, other] = fleet.pairs;
+  instance.says = {limit: String(LIMIT)};
+  await press(fleet.pairs, 500, book);
+  const from = Date.now();
+  const answers = await press(fleet.pairs, 4000, book);
+  t.true(mostRuns(instance, from) <= MOST, `${mostRuns(instance, from)} ran`);
+  t.true(mostRuns(other.instance, from) > MOST);
+  t.true(answers.every(isServed));
+});
+
+test('an instance that names a limit of zero gets all requests, or none ever after', async t => {
+  const fleet = await startFleet(['desk']);
+  t.teardown(fleet.close);
+  const [{instance}] = fleet.pairs;
+  instance.says = {limit: '0'};
+  await press(fleet.pairs, 500, book);
+  const from = Date.now();
+  const refused = await press(fleet.pairs, 3000, book);
+  t.true(mostRuns(instance, from) <= BURST, `${mostRuns(instance, from)} ran`);
+  t.true(refused.filter(isServed).length <= BURST);
+  instance.says = {};
+  await press(fleet.pairs, 3000, book);
+  const answers = await press(fleet.pairs, 500, book);
+  t.true(answers.every(isServed));
+});
+
+test('a limit outlasts the answers that name it', async t => {
+  const fleet = await startFleet(['desk', 'stock']);
+  t.teardown(fleet.close);
+  const [{instance}] = fleet.pairs;
+  instance.says = {limit: String(LIMIT)};
+  await press(fleet.pairs, 500, book);
+  const from = Date.now();
+  await press(fleet.pairs, 2500, book);
+  t.true(mostRuns(instance, from) <= MOST, `${mostRuns(instance, from)} ran`);
+  instance.says = {};
+  await press(fleet.pairs, 500, book);
+  const answers = await press(fleet.pairs, 1000, book);
+  t.true(answers.every(isServed));
+});
+
+test('a daemon that is restarted sends its instance more than other daemons know it to take', async t => {
+  const fleet = await startFleet(['stock', 'desk']);
+  t.teardown(fleet.close);
+  const [holder, entry] = fleet.pairs;
+  holder.instance.says = {limit: String(LIMIT)};
+  await press([entry], 500, view);
+  await holder.restart();
+  await until(() => holder.instance.holds().length > 0);
+  const from = Date.now();
+  await press([entry], 2500, view);
+  const {instance} = holder;
+  t.true(mostRuns(instance, from) > 0);
+  t.true(mostRuns(instance, from) <= MOST, `${mostRuns(instance, from)} ran`);
+});
+
+test('an instance gets new requests after it has said in an answer that it leaves', async t => {
+  const fleet = await startFleet(['desk', 'desk', 'stock']);
+  t.teardown(fleet.close);
+  const [{instance}] = fleet.pairs;
+  instance.says = {leaving: '1'};
+  await press(fleet.pairs, 500, book);
+  await sleep(600);
+  const from = Date.now();
+  const answers = await press(fleet.pairs, 1000, book);
+  t.is(mostRuns(instance, from), 0);
+  t.true(answers.every(isServed));
+});
+
+for (const grants of GRANT_WAYS) {
+  test(`a holder that says in an answer that it leaves keeps its keys, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const [a, b, entry] = fleet.pairs;
+    t.is((await view(entry.callers)).status, 200);
+    const [from, to] = a.instance.runs.length > 0 ? [a, b] : [b, a];
+    from.instance.says = {leaving: '1'};
+    t.is((await view(entry.callers)).status, 200);
+    await until(() => from.instance.holds().length === 0);
+    await until(() => to.sidecar.keeper.holds(KEY));
+    t.is((await view(entry.callers)).status, 200);
+    t.is(to.instance.runs.length, 1);
+  });
+}
+
+test('a daemon that passed on that an instance leaves sends it requests once its record says otherwise', async t => {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const [entry] = fleet.pairs;
+  const headers = {'Server-Leaving': '1'};
+  const peer = await startPeer(fleet.store, 'desk', {headers});
+  t.teardown(peer.close);
+  await until(() => entry.sidecar.isReady());
+  t.is((await book(entry.callers)).status, 200);
+  await sleep(1000);
+  const member = `member.${peer.node}`;
+  const record = fleet.store.read('fleet', member) as object;
+  fleet.store.write('fleet', member, {...record, state: 'draining'});
+  fleet.store.write('fleet', member, record);
+  const answers = await press([entry], 500, book);
+  t.true(answers.every(({status}) => status === 503));
+  fleet.store.write('fleet', member, {...record, born: 8});
+  await sleep(200);
+  t.is((await book(entry.callers)).status, 200);
+});
