Keep to the limit of requests a second that an instance names

Callers saw instances in need overrun: 280 requests in 4 s at one that named 13 a second, 83 allowed.

Cause: nothing read the header, so that no decision knew of it. The class of fault: what an instance says of itself in an answer was passed on and not heard.

All requests reach an instance through the daemon beside it, so that one place holds the sum over all machines. There the queue of the instance now has an allowance that grows at the limit and holds a tenth of a second of it at most: requests start by the same order as before, at that rate, and what could not start in time for its objective is refused on arrival with the time at which the limit allows it. Daemons are told with each load when the limit allows one more, and prefer others; the planner takes the limit as a bound on the capacity. Any answer names a limit; only an answer to a later request that ran ends it.

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -5,6 +5,10 @@
   readonly slots: number;
   /** Mean time that a request takes there, in milliseconds. */
   readonly meanMs: number;
+  /** Time at which its limit allows one more request, in milliseconds. */
+  readonly limitedUntil: number;
+  /** Time between two requests that its limit allows; 0 without a limit. */
+  readonly intervalMs: number;
   /** Requests sent there and not ended yet. */
   readonly inFlight: number;
   /** Requests that were in flight when the report was made. */
@@ -26,6 +30,8 @@
   reported: 0,
   slots: 1,
   meanMs: 0,
+  limitedUntil: 0,
+  intervalMs: 0,
   inFlight: 0,
   inFlightAtReport: 0,
   reportedAt: 0,
@@ -44,6 +50,8 @@
       readonly busy: number;
       readonly slots: number;
       readonly meanMs: number;
+      readonly limitedMs: number;
+      readonly intervalMs: number;
     }
   /** The daemon is lost. */
   | {readonly kind: 'unreachable'}
@@ -102,12 +110,14 @@
       return {...load, failures, inFlight: Math.max(0, load.inFlight - 1)};
     }
     case 'reported': {
-      const {busy, slots, meanMs} = event;
+      const {busy, slots, meanMs, limitedMs, intervalMs} = event;
       return {
         ...load,
         reported: busy,
         slots,
         meanMs,
+        limitedUntil: now + limitedMs,
+        intervalMs,
         inFlightAtReport: load.inFlight,
         reportedAt: now,
         ...REACHABLE,
@@ -153,7 +163,23 @@
   const failureMs = load.failures * FAILURE_COST_MS;
   const kilobytes = bytes / BYTES_PER_KB;
   const farMs = isNear ? 0 : DOMAIN_COST_MS + kilobytes * DOMAIN_COST_MS_PER_KB;
-  return workMs * (1 + waiting + FULLNESS * full) + failureMs + farMs;
+  // Another daemon is taken to have sent one since the report.
+  const limitMs = untilAllowedMs(load, now) + load.intervalMs;
+  return workMs * (1 + waiting + FULLNESS * full) + limitMs + failureMs + farMs;
+}
+
+/**
+ * Returns the time until the limit of an instance allows one more request, in
+ * milliseconds; what was sent there since it was told comes before.
+ *
+ * @example
+ * untilAllowedMs(UNKNOWN_LOAD, performance.now()); // 0
+ */
+export function untilAllowedMs(load: InstanceLoad, now: number): number {
+  const {limitedUntil, intervalMs, inFlight, inFlightAtReport} = load;
+  if (intervalMs === 0) return 0;
+  const since = Math.max(0, inFlight - inFlightAtReport);
+  return Math.max(0, limitedUntil - now) + since * intervalMs;
 }
 
 /** Weight of a fuller instance while neither has to queue. */
@@ -170,8 +196,8 @@
  * Chooses the instance with the lowest estimate among those that are not
  * passed over; if all are, the one whose pause ends first.
  *
- * Answers services without keys, whose instances differ in speed, fill up and
- * fail one by one.
+ * Answers services without keys, whose instances differ in speed, fill up, name
+ * limits and fail one by one.
  *
  * @example
  * chooseInstance(choices, performance.now())?.node;
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -24,7 +24,7 @@
 import type {EventFields} from '../telemetry/index.js';
 import {breakOff, type AnswerHead} from '../upstream/index.js';
 import {lengthOf, readBody, type RequestBody} from './body.js';
-import {chooseInstance} from './choose.js';
+import {chooseInstance, untilAllowedMs} from './choose.js';
 import {
   findRoute,
   type Route,
@@ -554,9 +554,12 @@
 
 /** Tells whether an instance that was not asked yet seems to have room. */
 function hasRoom(context: EntryContext, pass: Request): boolean {
+  const now = context.clock();
   return membersOf(context.view(), pass.service).some(member => {
     if (!isOpen(member) || pass.refused.has(member.node)) return false;
-    const {reported, inFlight, slots} = context.loads(member.node);
+    const load = context.loads(member.node);
+    if (untilAllowedMs(load, now) > 0) return false;
+    const {reported, inFlight, slots} = load;
     return Math.max(reported, inFlight) < Math.max(slots, member.slots);
   });
 }
--- a/src/relay/hop.ts
+++ b/src/relay/hop.ts
@@ -169,16 +169,27 @@
   readonly slots: number;
   /** Mean time that a request takes, in milliseconds. */
   readonly meanMs: number;
+  /** Time until the instance's limit allows one more, in milliseconds. */
+  readonly limitedMs: number;
+  /** Time between two requests that its limit allows; 0 without a limit. */
+  readonly intervalMs: number;
 }
 
 /**
  * Writes a load as a header value.
  *
  * @example
- * formatLoad({busy: 14, slots: 12, meanMs: 118.4}); // '14,12,118'
+ * const times = {meanMs: 118.4, limitedMs: 0, intervalMs: 0};
+ * formatLoad({busy: 14, slots: 12, ...times}); // '14,12,118,0,0'
  */
-export function formatLoad({busy, slots, meanMs}: ReportedLoad): string {
-  return `${busy},${slots},${Math.round(meanMs)}`;
+export function formatLoad(load: ReportedLoad): string {
+  const {busy, slots, ...times} = load;
+  const {meanMs, limitedMs, intervalMs} = times;
+  return [
+    busy,
+    slots,
+    ...[meanMs, limitedMs, intervalMs].map(Math.round),
+  ].join();
 }
 
 /**
@@ -188,8 +199,10 @@
  * const load = readLoad(head);
  */
 export function readLoad(head: AnswerHead): ReportedLoad | undefined {
-  const [busy, slots, meanMs] = (head.own.get(LOAD_HEADER) ?? '')
+  const [busy, slots, meanMs, limitedMs = 0, intervalMs = 0] = (
+    head.own.get(LOAD_HEADER) ?? ''
+  )
     .split(',')
     .map(Number);
-  return slots > 0 ? {busy, slots, meanMs} : undefined;
+  return slots > 0 ? {busy, slots, meanMs, limitedMs, intervalMs} : undefined;
 }
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './allowance.js';
 export * from './body.js';
 export * from './choose.js';
 export * from './configuration.js';
@@ -18,6 +19,7 @@
 export * from './limit.js';
 export * from './offer.js';
 export * from './owner.js';
+
 export * from './peers.js';
 export * from './pressure.js';
 export * from './queue.js';
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -14,7 +14,7 @@
 import type {ReportedLoad} from './hop.js';
 import type {Intake} from './intake.js';
 import type {StatedAnswer} from './limit.js';
-import type {QueueState} from './queue.js';
+import {limitedMs, type QueueState} from './queue.js';
 import type {Claim, Grant, Slots} from './slots.js';
 import type {Transfers} from './transfers.js';
 import {holderWaitUntil, sendable, type Flow, type Work} from './work.js';
@@ -286,18 +286,25 @@
  * instances. Requests whose bodies are to arrive count like those that wait.
  *
  * @example
- * head.headers.push(LOAD_HEADER, formatLoad(loadOf(slots, transfers, 118)));
+ * const load = loadOf(slots, transfers, 118, performance.now());
+ * head.headers.push(LOAD_HEADER, formatLoad(load));
  */
 export function loadOf(
   slots: Pick<Slots, 'state'>,
   transfers: Pick<Transfers, 'state'>,
   meanMs: number,
+  now: number,
 ): ReportedLoad {
   const here = slots.state();
   const busy = countOf(here) + countOf(transfers.state());
-  return {busy, slots: here.slots, meanMs};
+  const {allowance} = here;
+  const intervalMs = allowance ? MS_PER_SECOND / allowance.perSecond : 0;
+  const times = {meanMs, limitedMs: limitedMs(here, now), intervalMs};
+  return {busy, slots: here.slots, ...times};
 }
 
+const MS_PER_SECOND = 1000;
+
 function countOf({running, waiting}: QueueState): number {
   return running.length + waiting.length;
 }
--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -5,6 +5,13 @@
   type Estimate,
 } from '../admission/index.js';
 import type {FailureReason} from '../model/index.js';
+import {
+  allowanceOf,
+  maySend,
+  sendOne,
+  sendableAt,
+  type Allowance,
+} from './allowance.js';
 
 /** A request that asks for a slot of an instance. Times are in milliseconds. */
 export interface SlotRequest {
@@ -45,6 +52,8 @@
   readonly waiting: readonly Waiting[];
   readonly estimates: readonly Estimate[];
   readonly busy: BusyTime;
+  /** Requests that may start now where the instance names a limit. */
+  readonly allowance?: Allowance;
 }
 
 /**
@@ -62,6 +71,8 @@
   /** @param ran The instance ran it whole, so that its time tells something. */
   | {readonly kind: 'finish'; readonly id: number; readonly ran: boolean}
   | {readonly kind: 'cancel'; readonly id: number}
+  /** @param perSecond Requests that the instance takes; undefined: any number. */
+  | {readonly kind: 'limit'; readonly perSecond?: number}
   | {readonly kind: 'tick'};
 
 /** What becomes of a request. */
@@ -152,7 +163,9 @@
  * counts in full up to its deadline.
  *
  * Answers an instance that is asked for more than it can run: what it runs is
- * mostly answered by its objective, instead of all of it late.
+ * mostly answered by its objective, instead of all of it late. Answers one that
+ * names a limit in the same way: requests start at that rate, and those that
+ * would not start in time are refused on arrival.
  *
  * @param now Time in milliseconds, of the clock of all times in the state.
  *
@@ -176,6 +189,11 @@
       );
       return {state: {...state, waiting}, verdicts: []};
     }
+    case 'limit': {
+      const {perSecond} = event;
+      const allowance = allowanceOf(state.allowance, perSecond, now);
+      return settle({...state, allowance}, now);
+    }
     case 'tick':
       return settle(state, now);
   }
@@ -224,11 +242,34 @@
  * nextQueueTickAt(createQueue(12)); // Infinity
  */
 export function nextQueueTickAt(state: QueueState): number {
-  let at = Infinity;
-  for (const {giveUpAt} of state.waiting) at = Math.min(at, giveUpAt);
+  const {waiting, running, slots, allowance} = state;
+  if (waiting.length === 0) return Infinity;
+  const isLimited = allowance !== undefined && running.length < slots;
+  let at = isLimited ? sendableAt(allowance, 0) : Infinity;
+  for (const {giveUpAt} of waiting) at = Math.min(at, giveUpAt);
   return at;
 }
 
+/**
+ * Returns the time until the limit of the instance allows one more request, in
+ * milliseconds; 0 without a limit.
+ *
+ * @example
+ * limitedMs(slots.state(), performance.now());
+ */
+export function limitedMs(
+  {allowance, waiting}: Pick<QueueState, 'allowance' | 'waiting'>,
+  now: number,
+): number {
+  if (!allowance) return 0;
+  return Math.max(0, sendableAt(allowance, waiting.length) - now);
+}
+
+function mayStart(state: QueueState, now: number): boolean {
+  const {running, slots, allowance} = state;
+  return running.length < slots && maySend(allowance, now);
+}
+
 function arrive(
   state: QueueState,
   request: SlotRequest,
@@ -238,22 +279,27 @@
     return {state, verdicts: [refuse(request, 'deadline', 0)]};
   }
   const settled = settle(state, now);
-  const entry = waitingOf(settled.state, request, now);
-  const {running, slots, waiting} = settled.state;
-  if (running.length < slots) {
-    const next = start(settled.state, entry, now);
+  const usual = waitingOf(settled.state, request, now);
+  const {slots, waiting, allowance} = settled.state;
+  if (mayStart(settled.state, now)) {
+    const next = start(settled.state, usual, now);
     return {
       state: next,
       verdicts: [...settled.verdicts, {kind: 'start', id: request.id}],
     };
   }
   const verdicts = [...settled.verdicts];
-  const startsAt = now + waitMs(settled.state, entry, now);
+  const ahead = waiting.filter(other => compare(other, usual, now) <= 0);
+  const limitMs = limitedMs({allowance, waiting: ahead}, now);
+  const slotMs = untilSlotMs(settled.state, ahead);
+  const entry = limitMs > slotMs ? withoutLateness(usual) : usual;
+  const startsAt = now + Math.max(limitMs, slotMs);
   const inTime = isInTime(entry, now) && startsAt <= entry.objectiveStartAt;
   const late = waiting.filter(other => !isInTime(other, now));
   const hasRoom = late.length < slots * LATE_PER_SLOT;
   if (!inTime && (!hasRoom || startsAt > entry.giveUpAt)) {
-    verdicts.push(refuse(request, 'overloaded', retryMs(settled.state)));
+    const afterMs = retryMs(settled.state, now);
+    verdicts.push(refuse(request, 'overloaded', afterMs));
     return {state: settled.state, verdicts};
   }
   return {
@@ -307,18 +353,22 @@
   return a.giveUpAt - b.giveUpAt;
 }
 
-/** Expected time until a slot is free for a request that waits. */
-function waitMs(state: QueueState, entry: Waiting, now: number): number {
-  const ahead = state.waiting.filter(other => compare(other, entry, now) <= 0);
-  return startedMs(state, ahead);
-}
-
 /** Expected time until some that wait have started and a slot is free again. */
-function startedMs(state: QueueState, waiting: readonly Waiting[]): number {
+function untilSlotMs(state: QueueState, waiting: readonly Waiting[]): number {
   const workMs = waiting.reduce((sum, {expectedMs}) => sum + expectedMs, 0);
   return nextFinishMs(state) + workMs / Math.max(1, state.slots);
 }
 
+/**
+ * Lets a request wait only as long as it can meet its objective. Where a limit
+ * decides what starts, one that is late would wait behind all that are in time.
+ */
+function withoutLateness(entry: Waiting): Waiting {
+  const {objectiveStartAt, giveUpAt} = entry;
+  if (objectiveStartAt === -Infinity) return entry;
+  return {...entry, giveUpAt: Math.min(giveUpAt, objectiveStartAt)};
+}
+
 /** Mean time to the first of several independent finishes. */
 function nextFinishMs({running, slots}: QueueState): number {
   if (running.length < slots) return 0;
@@ -328,14 +378,16 @@
 }
 
 /** Time until what waits has started: then a repeat may find room. */
-function retryMs(state: QueueState): number {
-  return Math.max(RETRY_MIN_MS, startedMs(state, state.waiting));
+function retryMs(state: QueueState, now: number): number {
+  const slotMs = untilSlotMs(state, state.waiting);
+  return Math.max(RETRY_MIN_MS, slotMs, limitedMs(state, now));
 }
 
 function start(state: QueueState, entry: Waiting, now: number): QueueState {
   const {request, expectedMs} = entry;
   const running = [...state.running, {request, expectedMs, startedAt: now}];
-  return {...state, running};
+  const allowance = state.allowance && sendOne(state.allowance, now);
+  return {...state, running, allowance};
 }
 
 function finish(
@@ -367,13 +419,13 @@
   const kept = waiting.filter(({giveUpAt}) => now < giveUpAt);
   let next: QueueState = {...state, waiting: kept};
   if (kept.length < waiting.length) {
-    const afterMs = retryMs(next);
+    const afterMs = retryMs(next, now);
     for (const {request, giveUpAt} of waiting) {
       if (now < giveUpAt) continue;
       verdicts.push(refuse(request, 'overloaded', afterMs));
     }
   }
-  while (next.waiting.length > 0 && next.running.length < next.slots) {
+  while (next.waiting.length > 0 && mayStart(next, now)) {
     const first = next.waiting.reduce((best, other) =>
       compare(other, best, now) < 0 ? other : best,
     );
--- a/src/relay/slots.ts
+++ b/src/relay/slots.ts
@@ -57,6 +57,11 @@
    * @param ahead Requests of its kind that are to arrive before it.
    */
   readonly refusal: (claim: Claim, ahead: number) => Denied | undefined;
+  /**
+   * Takes the limit that the instance names, in requests a second; undefined
+   * where it names none.
+   */
+  readonly limit: (perSecond: number | undefined) => void;
   /** The state as of the last event. */
   readonly state: () => QueueState;
 }
@@ -138,6 +143,7 @@
       const verdict = refusalOf(state, asked, ahead, now);
       return verdict && {kind: 'denied', ...verdict};
     },
+    limit: perSecond => apply({kind: 'limit', perSecond}),
     state: () => state,
   };
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -294,6 +294,7 @@
     withholding.wrap(createSlots({slots: count, clock}));
   let slots = slotsOf(1);
   const transfers = createTransfers({clock});
+  const ownLoad = () => loadOf(slots, transfers, meter.meanMs(), clock());
 
   const pools = createPools({
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -325,7 +326,12 @@
         : createFetchedDelivery(context),
   });
 
-  const statements = createStatements({clock, life: keeper.life, log});
+  const statements = createStatements({
+    clock,
+    life: keeper.life,
+    limited: perSecond => slots.limit(perSecond),
+    log,
+  });
 
   const {ask, heard, silence} = createListener<Status>(node);
   const planner = createPlanner({...access, ask, silence});
@@ -407,8 +413,7 @@
     loads: peer => {
       const known = loads.get(peer) ?? UNKNOWN_LOAD;
       if (peer !== node) return known;
-      const own = loadOf(slots, transfers, meter.meanMs());
-      return applyLoadEvent(known, {kind: 'reported', ...own}, clock());
+      return applyLoadEvent(known, {kind: 'reported', ...ownLoad()}, clock());
     },
     observeLoad,
     peerPools: createPools({
@@ -434,7 +439,7 @@
   };
   const peersContext = {
     ...context,
-    load: () => loadOf(slots, transfers, meter.meanMs()),
+    load: ownLoad,
     transfers,
     bodyBytes: () => configuration?.limits.bodyBytes ?? Infinity,
   };
@@ -470,10 +475,7 @@
   const answerStopping = (response: ServerResponse, failure: Failure) => {
     if (response.destroyed || response.headersSent) return;
     const headers = failureHeaders(failure, false);
-    headers.push(
-      LOAD_HEADER,
-      formatLoad(loadOf(slots, transfers, meter.meanMs())),
-    );
+    headers.push(LOAD_HEADER, formatLoad(ownLoad()));
     if (failure.retryAfterMs !== undefined) {
       const retryS = failure.retryAfterMs / MS_PER_SECOND;
       headers.push('Retry-After', String(retryS));
@@ -540,7 +542,9 @@
     const life = keeper.life();
     if (!life) return undefined;
     const count = slots.state().slots;
-    const capacity = (count * MS_PER_SECOND) / Math.max(1, meter.meanMs());
+    const byWork = (count * MS_PER_SECOND) / Math.max(1, meter.meanMs());
+    const byLimit = slots.state().allowance?.perSecond ?? Infinity;
+    const capacity = Math.min(byWork, byLimit);
     const {id, born} = life;
     return {
       id,
--- a/src/sidecar/statements.ts
+++ b/src/sidecar/statements.ts
@@ -16,6 +16,8 @@
   readonly clock: () => number;
   /** The instance beside; undefined while none is known. */
   readonly life: () => Life | undefined;
+  /** Told of each change of the limit; undefined where there is none. */
+  readonly limited: (perSecond: number | undefined) => void;
   readonly log: Log;
 }
 
@@ -33,11 +35,12 @@
  * Creates the memory of what the instance beside a daemon says of itself.
  *
  * @example
- * const statements = createStatements({clock, life: keeper.life, log});
+ * const limited = perSecond => slots.limit(perSecond);
+ * const statements = createStatements({clock, life, limited, log});
  * statements.hear(local, {statement, sentAt, ran: true});
  */
 export function createStatements(context: StatementsContext): Statements {
-  const {clock, life, log} = context;
+  const {clock, life, limited, log} = context;
   let limit: NamedLimit = NO_LIMIT;
   let isLeaving = false;
   let problem = '';
@@ -47,6 +50,7 @@
     const isChanged = perSecond !== limit.perSecond;
     limit = next;
     if (!isChanged) return;
+    limited(perSecond);
     if (perSecond === undefined) log(SIDECAR_EVENTS.limitEnded, {upstream});
     else log(SIDECAR_EVENTS.limitNamed, {upstream, perSecond});
   };
--- a/src/sidecar/stopping.ts
+++ b/src/sidecar/stopping.ts
@@ -86,6 +86,7 @@
   return {
     wrap: inner => ({
       state: inner.state,
+      limit: inner.limit,
       refusal: (claim, ahead) =>
         isRefused(claim.deadlineAt) ? denied : inner.refusal(claim, ahead),
       take: (request, signal) => {
--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -22,6 +22,8 @@
   busy,
   slots: 4,
   meanMs,
+  limitedMs: 0,
+  intervalMs: 0,
 });
 
 const choice = (node: string, load: InstanceLoad): Choice => ({
--- /dev/null
+++ b/test/relay/limit.test.ts
@@ -0,0 +1,278 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {createRandom} from '../../src/load/random.js';
+import {
+  NO_LIMIT,
+  UNKNOWN_LOAD,
+  allowanceOf,
+  applyAnswer,
+  applyLoadEvent,
+  applyQueueEvent,
+  chooseInstance,
+  createQueue,
+  createSlots,
+  limitedMs,
+  maySend,
+  nextQueueTickAt,
+  sendOne,
+  type InstanceLoad,
+  type QueueEvent,
+} from '../../src/relay/index.js';
+import {NO_STATEMENT} from '../../src/upstream/index.js';
+import {createVirtualTime} from './virtual.js';
+
+const named = (limit: number, sentAt: number, ran = true) => ({
+  statement: {...NO_STATEMENT, limit},
+  sentAt,
+  ran,
+});
+
+const unnamed = (sentAt: number, ran = true) => ({
+  statement: NO_STATEMENT,
+  sentAt,
+  ran,
+});
+
+test('a limit holds until a later request is answered without one', t => {
+  const known = applyAnswer(NO_LIMIT, named(18.1, 900), 1000);
+  t.is(known.perSecond, 18.1);
+  t.is(applyAnswer(known, unnamed(990), 1010).perSecond, 18.1);
+  t.is(applyAnswer(known, unnamed(1005, false), 1020).perSecond, 18.1);
+  t.is(applyAnswer(known, unnamed(1005), 1030).perSecond, undefined);
+  t.is(applyAnswer(known, named(0, 1005, false), 1030).perSecond, 0);
+});
+
+test('a limit that can not be read changes nothing', t => {
+  const known = applyAnswer(NO_LIMIT, named(5, 900), 1000);
+  const problems = ['server-limit: NaN'];
+  const statement = {...NO_STATEMENT, problems};
+  const answer = {statement, sentAt: 1100, ran: true};
+  t.is(applyAnswer(known, answer, 1200).perSecond, 5);
+});
+
+test('a limit is kept in every span of time, whatever its changes', t => {
+  const step = fc.record({
+    afterMs: fc.nat(400),
+    perSecond: fc.option(fc.double({min: 1, max: 40, noNaN: true})),
+  });
+  const steps = fc.array(step, {minLength: 1, maxLength: 40});
+  fc.assert(
+    fc.property(steps, list => {
+      let now = 0;
+      let allowance = allowanceOf(undefined, 40, now);
+      const sent: number[] = [];
+      for (const {afterMs, perSecond} of list) {
+        for (const end = now + afterMs; now < end; now++) {
+          if (!allowance || !maySend(allowance, now)) continue;
+          allowance = sendOne(allowance, now);
+          sent.push(now);
+        }
+        // Without a change the limit stays.
+        if (perSecond !== null) {
+          allowance = allowanceOf(allowance, perSecond, now);
+        }
+      }
+      const inSecond = (first: number) =>
+        sent.filter(at => at >= first && at < first + 1000).length;
+      // 40 a second and the burst of a tenth of a second.
+      return sent.every(at => inSecond(at) <= 40 + 4 + 1);
+    }),
+    {seed: 20261204, numRuns: 300},
+  );
+  t.pass();
+});
+
+const request = (id: number, now: number) => ({
+  id,
+  kind: 'view',
+  priority: 1,
+  arrivedAt: now,
+  objectiveAt: now + 400,
+  deadlineAt: now + 1200,
+});
+
+test('what is refused for a limit is told when the limit allows it', t => {
+  let state = createQueue(12);
+  const apply = (event: QueueEvent, now: number) => {
+    const step = applyQueueEvent(state, event, now);
+    state = step.state;
+    return step.verdicts;
+  };
+  apply({kind: 'limit', perSecond: 5}, 0);
+  const verdicts = Array.from({length: 6}, (_, id) =>
+    apply({kind: 'arrive', request: request(id, 0)}, 0),
+  ).flat();
+  // The first waits 200 ms, and no other can meet its objective.
+  t.is(state.waiting.length, 1);
+  t.is(verdicts.length, 5);
+  for (const verdict of verdicts) {
+    t.like(verdict, {kind: 'refuse', retryAfterMs: 400});
+  }
+  t.is(nextQueueTickAt(state), 200);
+  t.like(apply({kind: 'tick'}, 200), [{kind: 'start', id: 0}]);
+});
+
+test('what waits starts at once when a limit ends', t => {
+  const step = (state: ReturnType<typeof createQueue>, event: QueueEvent) =>
+    applyQueueEvent(state, event, 0);
+  const limited = step(createQueue(12), {kind: 'limit', perSecond: 8}).state;
+  const first = {kind: 'arrive', request: request(1, 0)} as const;
+  const waiting = step(limited, first).state;
+  t.is(waiting.waiting.length, 1);
+  const {state, verdicts} = step(waiting, {kind: 'limit'});
+  t.deepEqual(verdicts, [{kind: 'start', id: 1}]);
+  t.is(limitedMs(state, 0), 0);
+});
+
+/** Slots, rate and work of the instances of a play. */
+const SLOTS = 12;
+const PER_SECOND = 13;
+const WORK_MS = 120;
+const LENGTH_MS = 20_000;
+
+/** Plays requests that come at random to an instance that names a limit. */
+async function press(perSecond: number) {
+  const random = createRandom(7);
+  const {after, advance, now} = createVirtualTime();
+  const slots = createSlots({slots: SLOTS, clock: now, schedule: after});
+  slots.limit(PER_SECOND);
+  const startedAt: number[] = [];
+  const refusedMs: number[] = [];
+  let asked = 0;
+  let inTime = 0;
+  const arrive = async () => {
+    const at = now();
+    const {objectiveAt, ...claim} = request(0, at);
+    const signal = () => new AbortController().signal;
+    const grant = await slots.take({...claim, objectiveAt}, signal);
+    if (grant.kind === 'denied') {
+      refusedMs.push(now() - at);
+      return;
+    }
+    startedAt.push(now());
+    after(WORK_MS, () => {
+      grant.release(true);
+      if (now() <= objectiveAt) inTime += 1;
+    });
+  };
+  while (now() < LENGTH_MS) {
+    await advance(1);
+    if (random() >= perSecond / 1000) continue;
+    asked += 1;
+    void arrive();
+  }
+  return {asked, inTime, startedAt, refusedMs};
+}
+
+test('a holder that is asked for six times its limit answers up to the limit in time', async t => {
+  const {asked, inTime, startedAt, refusedMs} = await press(6 * PER_SECOND);
+  const allowed = (LENGTH_MS / 1000) * PER_SECOND;
+  t.true(asked > 5 * allowed);
+  t.true(startedAt.length <= allowed + 2);
+  t.true(inTime >= 0.95 * allowed, `${inTime} of ${allowed} in time`);
+  const sum = refusedMs.reduce((all, ms) => all + ms, 0);
+  t.true(sum / refusedMs.length < 20);
+  t.true(Math.max(...refusedMs) <= 400);
+});
+
+test('a holder that is asked for less than its limit refuses hardly any', async t => {
+  const {asked, inTime} = await press(0.7 * PER_SECOND);
+  t.true(inTime >= 0.95 * asked, `${inTime} of ${asked} in time`);
+});
+
+/**
+ * Plays a service without keys of four instances, one of which names a limit.
+ *
+ * @param entries Daemons at which requests begin; each knows what it was told.
+ * @param tells Whether daemons are told of the limit with the load.
+ */
+async function spread(entries: number, tells: boolean, perSecond = 150) {
+  const random = createRandom(11);
+  const {after, advance, now} = createVirtualTime();
+  const instances = Array.from({length: 4}, (_, index) => ({
+    node: `n${index}`,
+    slots: createSlots({slots: SLOTS, clock: now, schedule: after}),
+    starts: 0,
+  }));
+  instances[0].slots.limit(PER_SECOND);
+  const known = Array.from(
+    {length: entries},
+    () => new Map<string, InstanceLoad>(),
+  );
+  let asked = 0;
+  let refusals = 0;
+  let served = 0;
+  const arrive = async (loads: Map<string, InstanceLoad>) => {
+    const at = now();
+    const tried = new Set<string>();
+    for (;;) {
+      const choices = instances
+        .filter(({node}) => !tried.has(node))
+        .map(({node}) => ({
+          node,
+          isNear: true,
+          load: loads.get(node) ?? UNKNOWN_LOAD,
+        }));
+      const choice = chooseInstance(choices, now());
+      const instance = instances.find(({node}) => node === choice?.node);
+      if (!instance) return;
+      const {node, slots} = instance;
+      const before = loads.get(node) ?? UNKNOWN_LOAD;
+      loads.set(node, applyLoadEvent(before, {kind: 'sent'}, now()));
+      const signal = () => new AbortController().signal;
+      const grant = await slots.take(request(0, at), signal);
+      if (grant.kind === 'granted') {
+        instance.starts += 1;
+        await new Promise<void>(resolve => after(WORK_MS, resolve));
+        grant.release(true);
+      }
+      const {running, waiting, allowance} = slots.state();
+      const limit = {
+        limitedMs: limitedMs(slots.state(), now()),
+        intervalMs: allowance ? 1000 / allowance.perSecond : 0,
+      };
+      const load = {
+        kind: 'reported' as const,
+        busy: running.length + waiting.length,
+        slots: SLOTS,
+        meanMs: WORK_MS,
+        ...(tells ? limit : {limitedMs: 0, intervalMs: 0}),
+      };
+      const sent = loads.get(node) ?? UNKNOWN_LOAD;
+      const ended = applyLoadEvent(sent, {kind: 'ended', failed: false}, now());
+      loads.set(node, applyLoadEvent(ended, load, now()));
+      if (grant.kind === 'granted') {
+        served += 1;
+        return;
+      }
+      refusals += 1;
+      tried.add(node);
+    }
+  };
+  while (now() < LENGTH_MS) {
+    await advance(1);
+    if (random() >= perSecond / 1000) continue;
+    asked += 1;
+    void arrive(known[Math.floor(random() * entries)]);
+  }
+  for (let timeMs = 0; timeMs < 1000; timeMs++) await advance(1);
+  return {asked, served, refusals, starts: instances[0].starts};
+}
+
+for (const entries of [18, 194]) {
+  test(`${entries} daemons serve all that one limited instance of four does not take`, async t => {
+    const {asked, served, refusals, starts} = await spread(entries, true);
+    t.is(served, asked);
+    t.true(starts <= (LENGTH_MS / 1000 + 1) * PER_SECOND + 2);
+    const untold = await spread(entries, false);
+    t.true(
+      refusals < untold.refusals,
+      `${refusals} of ${asked} refused once, ${untold.refusals} untold`,
+    );
+  });
+}
+
+test('an overloaded service uses what a limited instance takes', async t => {
+  const {starts} = await spread(18, true, 400);
+  t.true(starts >= (LENGTH_MS / 1000) * PER_SECOND * 0.9, `${starts} started`);
+});
