Let an instance leave that says so in an answer

Until its heartbeats said so it got new requests, and it kept its keys.

The daemon beside it now takes such an answer, to a request or to a call for keys, for what a heartbeat that drains means: it closes after two fifths of the drain time, is recorded as draining, and its keys move. Each daemon that passes such an answer on remembers it for the life of the instance, so that it sends nothing there though the store or the daemon beside have no record of it. A later heartbeat takes neither back, and a second announcement does not extend the time in which the instance is open.

--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -71,4 +71,6 @@
     requestId: string,
     instance: string,
   ) => Verdict;
+  /** Reads what an instance says of itself in an answer that is passed on. */
+  readonly statement: (head: AnswerHead) => Statement;
 }
--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -34,6 +34,7 @@
 import type {CallerRequest} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import {forward, type ForwardContext} from './forward.js';
+import type {Heard} from './heard.js';
 import type {Holders} from './holder.js';
 import type {Lengths} from './lengths.js';
 import {isOffered, offer} from './offer.js';
@@ -66,6 +67,7 @@
   readonly viewChanged: () => Promise<unknown>;
   readonly service: (route: Route) => string;
   readonly returns: Returns;
+  readonly heard: Heard;
   readonly holders: Holders;
   readonly lengths: Lengths;
   readonly pressure: Pressure;
@@ -442,9 +444,10 @@
   if (!term || term.state === 'free') return untilChanged;
   const member = view.members.get(term.holder.node)?.value;
   if (!member || !sameLife(lifeOf(member), term.holder)) return untilChanged;
-  if (member.state === 'left') return untilChanged;
-  const load = context.loads(member.node);
   const now = context.clock();
+  const hasLeft = context.heard.hasLeft(lifeOf(member), now);
+  if (member.state === 'left' || hasLeft) return untilChanged;
+  const load = context.loads(member.node);
   if (load.shunnedUntil > now) {
     const message = 'the holder of the key is unreachable';
     const retryMs = Math.max(NO_OWNER_RETRY_MS, load.shunnedUntil - now);
@@ -468,12 +471,23 @@
   return {kind: 'member', member, term};
 }
 
+/** Returns the members of a service that take new requests. */
+function openMembers(
+  {view, heard}: EntryContext,
+  service: string,
+  now: number,
+): readonly Member[] {
+  return membersOf(view(), service).filter(
+    member => isOpen(member) && !heard.hasLeft(lifeOf(member), now),
+  );
+}
+
 function findInstance(context: EntryContext, pass: Request): Target {
-  const members = membersOf(context.view(), pass.service).filter(isOpen);
+  const now = context.clock();
+  const members = openMembers(context, pass.service, now);
   const untried = members.filter(
     ({node, id}) => !pass.refused.has(node) && !pass.offered.has(id),
   );
-  const now = context.clock();
   const open: Member[] = [];
   let soonestRoomMs = Infinity;
   for (const member of untried) {
@@ -555,8 +569,8 @@
 /** Tells whether an instance that was not asked yet seems to have room. */
 function hasRoom(context: EntryContext, pass: Request): boolean {
   const now = context.clock();
-  return membersOf(context.view(), pass.service).some(member => {
-    if (!isOpen(member) || pass.refused.has(member.node)) return false;
+  return openMembers(context, pass.service, now).some(member => {
+    if (pass.refused.has(member.node)) return false;
     const load = context.loads(member.node);
     if (untilAllowedMs(load, now) > 0) return false;
     const {reported, inFlight, slots} = load;
@@ -571,8 +585,15 @@
 ): Promise<Attempt> {
   context.observeLoad(member.node, {kind: 'sent'});
   const work = workOf(context, pass, member);
-  const observe = ({contentLength}: AnswerHead) => {
-    context.lengths.observe(work.route, contentLength);
+  const sentAt = context.clock();
+  const observe = (head: AnswerHead) => {
+    context.lengths.observe(work.route, head.contentLength);
+    const answer = {
+      statement: context.dialect.statement(head),
+      sentAt,
+      ran: true,
+    };
+    context.heard.hear(lifeOf(member), answer, context.clock());
   };
   const attempt =
     member.node === context.node
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -12,6 +12,7 @@
 export * from './entry.js';
 export * from './events.js';
 export * from './forward.js';
+export * from './heard.js';
 export * from './holder.js';
 export * from './hop.js';
 export * from './intake.js';
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -56,6 +56,8 @@
   readonly hear: (beat: Heartbeat) => Promise<HeartbeatAnswer | undefined>;
   /** Takes the announcement that the instance is about to end. */
   readonly leave: (id: string) => Promise<boolean>;
+  /** The instance says in an answer that it is about to end. */
+  readonly leavingStated: () => void;
   readonly local: () => LocalInstance | undefined;
   readonly life: () => Incarnation | undefined;
   /** The instance has sent no heartbeat for a while. */
@@ -101,6 +103,8 @@
   readonly heardAt: number;
   /** Number of its last heartbeat; -1 before the first. */
   readonly sequence: number;
+  /** State that its last heartbeat told. */
+  readonly toldState?: Heartbeat['state'];
 }
 
 /** Heartbeats that may be missed before an instance counts as silent. */
@@ -112,6 +116,26 @@
 /** Share of the drain time in which an instance that leaves takes requests. */
 const OPEN_SHARE = 0.4;
 
+/**
+ * Returns the time for which an instance that leaves still takes new requests,
+ * in milliseconds.
+ *
+ * @param drainMs Time after which no new request may arrive there.
+ *
+ * @example
+ * openMsOf(2000); // 800
+ */
+export function openMsOf(drainMs: number): number {
+  return drainMs * OPEN_SHARE;
+}
+
+/** The states of an instance in the order in which it passes through them. */
+const STATE_ORDER: readonly MemberState[] = ['ready', 'draining', 'left'];
+
+function laterOf(a: MemberState, b: MemberState): MemberState {
+  return STATE_ORDER.indexOf(a) > STATE_ORDER.indexOf(b) ? a : b;
+}
+
 /** Longest time that an announcement waits for its record, in milliseconds. */
 const RECORD_WAIT_MS = 500;
 
@@ -205,25 +229,32 @@
     }
   };
 
+  /** Returns an instance in a state, unless it is in a later one already. */
+  const passTo = (known: Instance, state: MemberState): Instance => {
+    if (laterOf(known.state, state) === known.state) return known;
+    const {id} = known;
+    log(SIDECAR_EVENTS.instanceLeaving, {id, state});
+    const openUntil = clock() + openMsOf(context.drainMs);
+    return {...known, state, closesAt: Math.min(known.closesAt, openUntil)};
+  };
+
   const update = (beat: Heartbeat, arrivedAt: number) => {
     const {id, born, service, domain, slots, address, sequence} = beat;
     const known = sameLife(life(), {node, id, born}) ? instance : undefined;
-    const announces = beat.state === 'draining' && known?.state !== 'draining';
-    const openMs = context.drainMs * OPEN_SHARE;
-    instance = {
+    const heard = {
       id,
       born,
       service,
       domain,
       slots,
       address,
-      state: known?.state === 'left' ? 'left' : beat.state,
-      closesAt: announces ? arrivedAt + openMs : (known?.closesAt ?? Infinity),
       heardAt: arrivedAt,
       sequence,
+      toldState: beat.state,
     };
-    if (announces) log(SIDECAR_EVENTS.instanceLeaving, {id, state: beat.state});
-    return announces;
+    const {state = 'ready', closesAt = Infinity} = known ?? {};
+    instance = passTo({...heard, state, closesAt}, beat.state);
+    return beat.state !== 'ready' && known?.toldState !== beat.state;
   };
 
   const isStale = (beat: Heartbeat): boolean => {
@@ -310,16 +341,19 @@
   const leave = async (id: string) => {
     if (!instance || instance.id !== id) return false;
     if (instance.state === 'left') return true;
-    const openUntil = clock() + context.drainMs * OPEN_SHARE;
-    const closesAt = Math.min(instance.closesAt, openUntil);
-    instance = {...instance, state: 'left', closesAt};
-    log(SIDECAR_EVENTS.instanceLeaving, {id, state: 'left'});
+    instance = passTo(instance, 'left');
     const written = record().then(() => revokeOwn('left'));
     written.catch(error => logFailure(error));
     await Promise.race([written, sleep(RECORD_WAIT_MS)]);
     return true;
   };
 
+  const leavingStated = () => {
+    if (instance?.state !== 'ready') return;
+    instance = passTo(instance, 'draining');
+    record().catch(error => logFailure(error));
+  };
+
   const resume = () => {
     const known = recorded()?.value;
     if (!known || (instance && !sameLife(life(), lifeOf(known)))) return;
@@ -363,6 +397,7 @@
     resume,
     hear: hearBeat,
     leave,
+    leavingStated,
     life,
     isSilent: () => silent,
     holdLeftMs: delivery.holdLeftMs,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -25,6 +25,7 @@
   applyLoadEvent,
   chooseService,
   connectionsOf,
+  createHeard,
   createHolders,
   createIntake,
   createLengths,
@@ -57,7 +58,7 @@
 import {createCalledDelivery, type InstanceCalls} from './called.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {createFetchedDelivery} from './fetched.js';
-import {createKeeper, type Keeper} from './keeper.js';
+import {createKeeper, openMsOf, type Keeper} from './keeper.js';
 import {readOwnMap} from './maps.js';
 import {createMeter} from './meter.js';
 import {SIDECAR_METRICS} from './metrics.js';
@@ -330,6 +331,7 @@
     clock,
     life: keeper.life,
     limited: perSecond => slots.limit(perSecond),
+    leaving: () => keeper.leavingStated(),
     log,
   });
 
@@ -421,6 +423,7 @@
       keepAliveMs: PEER_IDLE_MS / 2,
     }),
     returns: createReturns(),
+    heard: createHeard(() => openMsOf(settings.drainS * MS_PER_SECOND)),
     holders: createHolders(),
     lengths: createLengths(),
     pressure: createPressure(),
--- a/src/sidecar/statements.ts
+++ b/src/sidecar/statements.ts
@@ -18,6 +18,8 @@
   readonly life: () => Life | undefined;
   /** Told of each change of the limit; undefined where there is none. */
   readonly limited: (perSecond: number | undefined) => void;
+  /** Told once that the instance is about to end. */
+  readonly leaving: () => void;
   readonly log: Log;
 }
 
@@ -35,12 +37,11 @@
  * Creates the memory of what the instance beside a daemon says of itself.
  *
  * @example
- * const limited = perSecond => slots.limit(perSecond);
- * const statements = createStatements({clock, life, limited, log});
+ * const statements = createStatements(context);
  * statements.hear(local, {statement, sentAt, ran: true});
  */
 export function createStatements(context: StatementsContext): Statements {
-  const {clock, life, limited, log} = context;
+  const {clock, life, limited, leaving, log} = context;
   let limit: NamedLimit = NO_LIMIT;
   let isLeaving = false;
   let problem = '';
@@ -75,6 +76,7 @@
       if (!statement.isLeaving || isLeaving) return;
       isLeaving = true;
       log(SIDECAR_EVENTS.leavingStated, {upstream});
+      leaving();
     },
     begin: () => {
       limit = NO_LIMIT;
--- a/test/sidecar/keeper.test.ts
+++ b/test/sidecar/keeper.test.ts
@@ -105,3 +105,20 @@
   await announced;
   t.deepEqual(heard, [1, 2, 3]);
 });
+
+test('an instance that has left does not come back with a late heartbeat', async t => {
+  const {keeper, advance} = await createHeard();
+  keeper.leavingStated();
+  advance(1000);
+  t.true(keeper.local()?.closed);
+  for (const [sequence, state] of [
+    [10, 'ready'],
+    [11, 'draining'],
+  ] as const) {
+    await keeper.hear({...HEARTBEAT, sequence, state});
+    t.true(keeper.local()?.closed, state);
+  }
+  t.true(await keeper.leave(HEARTBEAT.id));
+  await keeper.hear({...HEARTBEAT, sequence: 12, state: 'draining'});
+  t.true(keeper.local()?.closed);
+});
--- a/test/sidecar/statement.test.ts
+++ b/test/sidecar/statement.test.ts
@@ -132,6 +132,20 @@
   t.true(mostRuns(instance, from) <= MOST, `${mostRuns(instance, from)} ran`);
 });
 
+test('a daemon that is restarted fills all slots of an instance that takes one request a second', async t => {
+  const fleet = await startFleet(['desk', 'stock'], {workMs: 400});
+  t.teardown(fleet.close);
+  const [limited, entry] = fleet.pairs;
+  limited.instance.says = {limit: '1'};
+  t.is((await book(entry.callers)).status, 200);
+  await limited.restart();
+  await sleep(1000);
+  const from = Date.now();
+  await Promise.all(Array.from({length: 8}, () => book(entry.callers)));
+  const ran = limited.instance.runs.filter(({at}) => at >= from).length;
+  t.true(ran > 0 && ran <= 2, `${ran} ran`);
+});
+
 test('an instance gets new requests after it has said in an answer that it leaves', async t => {
   const fleet = await startFleet(['desk', 'desk', 'stock']);
   t.teardown(fleet.close);
