Tell a restarted daemon of the limit that its instance has named

A daemon that is restarted has heard no answer of its instance yet. 4 of 8 requests that other daemons sent started at once at an instance that takes one a second, as many as it has slots.

Daemons that passed the limit on state it in a header of what they forward; a process that has heard no answer of this life takes the lowest of these limits. It needs no message of its own, and a daemon whose requests count under the limit always brings the knowledge of it along.

--- a/src/relay/entry.ts
+++ b/src/relay/entry.ts
@@ -641,6 +641,7 @@
     deadlineAt,
     key: caller.key,
     callerService: context.callerService(),
+    knownLimit: context.heard.limit(lifeOf(member)),
     method,
     target,
     headers: caller.headers,
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -5,14 +5,7 @@
 import {lengthOf} from './body.js';
 import type {InstanceLoad, LoadEvent} from './choose.js';
 import {RELAY_EVENTS} from './events.js';
-import {
-  HOP_HEADER,
-  LOAD_HEADER,
-  formatHop,
-  hopOf,
-  readFailure,
-  readLoad,
-} from './hop.js';
+import {LOAD_HEADER, readFailure, readLoad} from './hop.js';
 import {alternative} from './owner.js';
 import {
   LATE_MS,
@@ -20,7 +13,7 @@
   type Liveness,
   type Silence,
 } from './silence.js';
-import {sendable, type Flow, type Work} from './work.js';
+import {hopHeaders, sendable, type Flow, type Work} from './work.js';
 
 /** How requests are forwarded to other daemons. */
 export interface ForwardContext {
@@ -69,7 +62,6 @@
 ): Promise<Attempt> {
   const pool = context.peerPools.to(parseAddress(node), PEER_CONNECTIONS);
   const now = context.clock();
-  const hop = formatHop(hopOf(work, now));
   if (work.body.kind === 'streamed') flow.state.consumed = true;
   let heard = false;
   let isSent = false;
@@ -125,7 +117,7 @@
     {
       method: work.method,
       path: work.target,
-      headers: [...work.headers, HOP_HEADER, hop],
+      headers: [...work.headers, ...hopHeaders(work, now)],
       body: sendable(work.body),
     },
     {
--- a/src/relay/hop.ts
+++ b/src/relay/hop.ts
@@ -8,6 +8,12 @@
 /** Header of a forwarded answer that states the load of the instance. */
 export const LOAD_HEADER = 'vanillaspool-load';
 
+/**
+ * Header of a forwarded request that states the limit which its instance last
+ * named to the sender, in requests a second.
+ */
+export const KNOWN_LIMIT_HEADER = 'vanillaspool-known-limit';
+
 /** Header of a question whether a request's body of this length may be sent. */
 export const OFFER_HEADER = 'vanillaspool-offer';
 
--- a/src/relay/offer.ts
+++ b/src/relay/offer.ts
@@ -7,17 +7,10 @@
 } from '../upstream/index.js';
 import {lengthOf} from './body.js';
 import {PEER_CONNECTIONS, type ForwardContext} from './forward.js';
-import {
-  HOP_HEADER,
-  OFFER_HEADER,
-  formatHop,
-  hopOf,
-  readFailure,
-  readLoad,
-} from './hop.js';
+import {OFFER_HEADER, readFailure, readLoad} from './hop.js';
 import {alternative} from './owner.js';
 import {TURN_WAIT_MS} from './transfers.js';
-import type {Flow, Work} from './work.js';
+import {hopHeaders, type Flow, type Work} from './work.js';
 
 /**
  * Length from which a body is offered before it is sent, in bytes: what a link of
@@ -59,9 +52,8 @@
 ): Promise<FailedTry | undefined> {
   const {clock, peerPools, observeLoad} = context;
   const pool = peerPools.to(parseAddress(node), PEER_CONNECTIONS);
-  const hop = formatHop(hopOf(work, clock()));
   const length = String(lengthOf(work.body));
-  const headers = [HOP_HEADER, hop, OFFER_HEADER, length];
+  const headers = [...hopHeaders(work, clock()), OFFER_HEADER, length];
   const call = {method: 'GET', path: '/', headers, body: null};
   let answer: AnswerHead | undefined;
   let timer: NodeJS.Timeout | undefined;
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -7,6 +7,7 @@
 import {RELAY_EVENTS} from './events.js';
 import {
   HOP_HEADER,
+  KNOWN_LIMIT_HEADER,
   LOAD_HEADER,
   OFFER_HEADER,
   failureHeaders,
@@ -37,6 +38,11 @@
   readonly load: () => ReportedLoad;
   /** Long bodies that travel to the instance beside. */
   readonly transfers: Transfers;
+  /**
+   * Told of the limit that an instance has named to another daemon, in requests
+   * a second.
+   */
+  readonly limitKnown: (instance: string, perSecond: number) => void;
   /** Longest body that is accepted, in bytes. */
   readonly bodyBytes: () => number;
 }
@@ -61,6 +67,10 @@
     answer(context, response, notRun('bad-request', 'no hop header'), false);
     return;
   }
+  const knownLimit = request.headers[KNOWN_LIMIT_HEADER];
+  if (knownLimit !== undefined) {
+    context.limitKnown(hop.instance, Number(knownLimit));
+  }
   const state: PassState = {mayHaveRun: false, consumed: false};
   const stop = stopper(state);
   if (request.headers[OFFER_HEADER] !== undefined) {
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -2,7 +2,13 @@
 import type {PassState} from '../gateway/index.js';
 import {notRun, type Failure} from '../model/index.js';
 import type {RequestBody} from './body.js';
-import type {Task} from './hop.js';
+import {
+  HOP_HEADER,
+  KNOWN_LIMIT_HEADER,
+  formatHop,
+  hopOf,
+  type Task,
+} from './hop.js';
 import type {Intake} from './intake.js';
 
 /** One request that an instance is to run. */
@@ -12,6 +18,8 @@
   /** Time of the latency objective, in milliseconds of the clock. */
   readonly objectiveAt: number;
   readonly method: string;
+  /** Limit that the instance last named to this daemon, in requests a second. */
+  readonly knownLimit?: number;
   /** Path with its query. */
   readonly target: string;
   /** Name and value of each header in turn. */
@@ -95,6 +103,20 @@
   return null;
 }
 
+/**
+ * Returns what tells the daemon beside an instance of a request that is
+ * forwarded now.
+ *
+ * @example
+ * const headers = [...work.headers, ...hopHeaders(work, performance.now())];
+ */
+export function hopHeaders(work: Work, now: number): string[] {
+  const headers = [HOP_HEADER, formatHop(hopOf(work, now))];
+  const {knownLimit} = work;
+  if (knownLimit === undefined) return headers;
+  return [...headers, KNOWN_LIMIT_HEADER, String(knownLimit)];
+}
+
 /** Longest wait for a turn of a busy process, in milliseconds. */
 const INTAKE_WAIT_MS = 400;
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -443,6 +443,7 @@
   const peersContext = {
     ...context,
     load: ownLoad,
+    limitKnown: statements.assume,
     transfers,
     bodyBytes: () => configuration?.limits.bodyBytes ?? Infinity,
   };
--- a/src/sidecar/statements.ts
+++ b/src/sidecar/statements.ts
@@ -27,6 +27,11 @@
 export interface Statements {
   /** Takes what an answer says; one of another life is passed over. */
   readonly hear: (from: Life, answer: StatedAnswer) => void;
+  /**
+   * Takes a limit that the instance has named to another daemon, as long as this
+   * process has had no answer from it.
+   */
+  readonly assume: (upstream: string, perSecond: number) => void;
   /** Forgets an earlier life. */
   readonly begin: () => void;
   /** Requests a second that the instance takes; undefined without a limit. */
@@ -44,6 +49,7 @@
   const {clock, life, limited, leaving, log} = context;
   let limit: NamedLimit = NO_LIMIT;
   let isLeaving = false;
+  let hasHeard = false;
   let problem = '';
 
   const changeLimit = (upstream: string, next: NamedLimit) => {
@@ -67,6 +73,7 @@
     hear: (from, answer) => {
       const own = life();
       if (own?.id !== from.id || own.born !== from.born) return;
+      hasHeard = true;
       const {statement} = answer;
       const upstream = from.id;
       if (statement.problems.length > 0) {
@@ -78,7 +85,13 @@
       log(SIDECAR_EVENTS.leavingStated, {upstream});
       leaving();
     },
+    assume: (upstream, perSecond) => {
+      if (hasHeard || life()?.id !== upstream || !(perSecond >= 0)) return;
+      const lowest = Math.min(perSecond, limit.perSecond ?? Infinity);
+      changeLimit(upstream, {perSecond: lowest, namedAt: clock()});
+    },
     begin: () => {
+      hasHeard = false;
       limit = NO_LIMIT;
       isLeaving = false;
       problem = '';
