Share what is heard of an instance between both request paths

The memory of statements, the choice between several answers and the allowance move to src/upstream and src/admission, where the other path can use them; one copy of each.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -5,6 +5,7 @@
  */
 
 export * from './admission.js';
+export * from './allowance.js';
 export * from './budget.js';
 export * from './decide.js';
 export {meanMs, observeTime, spreadMs, type Estimate} from './estimate.js';
--- a/src/relay/heard.ts
+++ b/src/relay/heard.ts
@@ -4,7 +4,7 @@
   applyAnswer,
   type NamedLimit,
   type StatedAnswer,
-} from './limit.js';
+} from '../upstream/index.js';
 
 /** What answers that this daemon passed on have said of their instances. */
 export interface Heard {
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-export * from './allowance.js';
 export * from './body.js';
 export * from './choose.js';
 export * from './configuration.js';
@@ -17,7 +16,6 @@
 export * from './hop.js';
 export * from './intake.js';
 export * from './lengths.js';
-export * from './limit.js';
 export * from './offer.js';
 export * from './owner.js';
 
--- a/src/relay/owner.ts
+++ b/src/relay/owner.ts
@@ -8,12 +8,11 @@
 } from '../gateway/index.js';
 import {notRun, unknown, type Failure} from '../model/index.js';
 import type {Log} from '../telemetry/index.js';
-import type {AnswerHead, Pools} from '../upstream/index.js';
+import type {AnswerHead, Pools, StatedAnswer} from '../upstream/index.js';
 import type {Dialect, StatedLoad, Verdict} from './dialect.js';
 import {RELAY_EVENTS} from './events.js';
 import type {ReportedLoad} from './hop.js';
 import type {Intake} from './intake.js';
-import type {StatedAnswer} from './limit.js';
 import {limitedMs, type QueueState} from './queue.js';
 import type {Claim, Grant, Slots} from './slots.js';
 import type {Transfers} from './transfers.js';
--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -1,17 +1,15 @@
 import {
+  allowanceOf,
+  maySend,
   meanMs,
   observeTime,
+  sendOne,
+  sendableAt,
   spreadMs,
+  type Allowance,
   type Estimate,
 } from '../admission/index.js';
 import type {FailureReason} from '../model/index.js';
-import {
-  allowanceOf,
-  maySend,
-  sendOne,
-  sendableAt,
-  type Allowance,
-} from './allowance.js';
 
 /** A request that asks for a slot of an instance. Times are in milliseconds. */
 export interface SlotRequest {
--- a/src/sidecar/delivery.ts
+++ b/src/sidecar/delivery.ts
@@ -8,7 +8,7 @@
   type RangeMap,
   type RangeTerm,
 } from '../ranges/index.js';
-import type {StatedAnswer} from '../relay/index.js';
+import type {StatedAnswer} from '../upstream/index.js';
 import {SIDECAR_EVENTS} from './events.js';
 import type {Heartbeat, HeartbeatAnswer} from './heartbeat.js';
 import {changeMap, confirmMap, type MapAccess} from './maps.js';
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -72,7 +72,7 @@
 } from './servers.js';
 import type {SidecarSettings} from './settings.js';
 import {createSignal} from './signal.js';
-import {createStatements} from './statements.js';
+import {createOwnStatements} from './statements.js';
 import {
   CALLERS_LEAVE_MS,
   createWithholding,
@@ -316,8 +316,8 @@
       return settings.drainS * MS_PER_SECOND;
     },
     began: count => {
-      slots = slotsOf(count);
       statements.begin();
+      slots = slotsOf(count);
       meter.reset();
     },
     stated: (life, answer) => statements.hear(life, answer),
@@ -327,7 +327,7 @@
         : createFetchedDelivery(context),
   });
 
-  const statements = createStatements({
+  const statements = createOwnStatements({
     clock,
     life: keeper.life,
     limited: perSecond => slots.limit(perSecond),
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -7,5 +7,7 @@
 export * from './answer.js';
 export * from './exchange.js';
 export * from './info.js';
+export * from './limit.js';
 export * from './pools.js';
 export * from './statement.js';
+export * from './statements.js';
--- a/src/relay/limit.ts
+++ b/src/upstream/limit.ts
@@ -1,4 +1,4 @@
-import type {Statement} from '../upstream/index.js';
+import type {Statement} from './statement.js';
 
 /** The limit that an instance names, as far as its answers tell. */
 export interface NamedLimit {
--- a/test/relay/limit.test.ts
+++ b/test/relay/limit.test.ts
@@ -1,24 +1,20 @@
 import test from 'ava';
 import fc from 'fast-check';
+import {allowanceOf, maySend, sendOne} from '../../src/admission/index.js';
 import {createRandom} from '../../src/load/random.js';
 import {
-  NO_LIMIT,
   UNKNOWN_LOAD,
-  allowanceOf,
-  applyAnswer,
   applyLoadEvent,
   applyQueueEvent,
   chooseInstance,
   createQueue,
   createSlots,
   limitedMs,
-  maySend,
   nextQueueTickAt,
-  sendOne,
   type InstanceLoad,
   type QueueEvent,
 } from '../../src/relay/index.js';
-import {NO_STATEMENT} from '../../src/upstream/index.js';
+import {NO_LIMIT, NO_STATEMENT, applyAnswer} from '../../src/upstream/index.js';
 import {createVirtualTime} from './virtual.js';
 
 const named = (limit: number, sentAt: number, ran = true) => ({
