Keep to what upstreams say of themselves on the lease path as well

vanillaspool-limit and vanillaspool-leaving mean on this path what the users' headers mean on theirs. The admission has the same allowance: requests start at the limit, and what the forecast says can not start in time is refused at once. A leaving upstream keeps serving what it owns until a successor stands behind it, begins no new term, and is used for requests without a key only where no other instance is there; it ends with the loss of the upstream or a new one.

The new tests of the gateway, the admission and the fleet fail without the change, as nothing reads the headers.

Found on the way: a refusal that belongs to another request was told to a caller as not run (503); it is unknown now (502).

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -84,6 +84,11 @@
   /** Reports that the upstream has just started. */
   readonly observeRestart: () => void;
   readonly setSlots: (slots: number) => void;
+  /**
+   * Takes the limit that the upstream names, in requests a second; undefined
+   * where it names none.
+   */
+  readonly setLimit: (perSecond: number | undefined) => void;
   /** Sets the most requests that wait and the share of retries. */
   readonly setLimits: (queue: number, retryShare: number) => void;
   /** The state as of the last event. */
@@ -221,6 +226,7 @@
       dispatchAndSettle({kind: 'slots', slots});
       options.log?.(ADMISSION_EVENTS.slotsChanged, {slots});
     },
+    setLimit: perSecond => dispatchAndSettle({kind: 'limit', perSecond}),
     setLimits: (queueLimit, share) => {
       dispatchAndSettle({kind: 'queue', queueLimit});
       budget = withShare(budget, share);
--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -1,6 +1,7 @@
 import {observeDemand} from './demand.js';
 import {meanMs} from './estimate.js';
-import {coldRamp, limitAt, nextRiseAt} from './limit.js';
+import {allowanceOf, sendableAt} from './allowance.js';
+import {coldRamp, limitAt, mayStart, nextRiseAt} from './limit.js';
 import {refuseFrom, wait} from './queue.js';
 import {fill, finish, start} from './slots.js';
 import {
@@ -44,6 +45,10 @@
       return shed(state, event.retryAfterMs, now);
     case 'slots':
       return setSlots(state, event.slots, now);
+    case 'limit': {
+      const allowance = allowanceOf(state.allowance, event.perSecond, now);
+      return reconsider({...state, allowance}, now);
+    }
     case 'queue':
       return {state: withQueue(state, event.queueLimit), verdicts: []};
     case 'restart':
@@ -62,18 +67,22 @@
  */
 export function nextTickAt(state: AdmissionState, now: number): number {
   if (state.waiting.length === 0) return Infinity;
+  const {allowance, running} = state;
   let at = nextRiseAt(state, now);
+  if (allowance && running.length < limitAt(state, now)) {
+    at = Math.min(at, sendableAt(allowance, 0));
+  }
   for (const entry of state.waiting) at = Math.min(at, entry.latestStartAt);
   return at;
 }
 
 function arrive(state: AdmissionState, work: Work, now: number): Step {
-  const {running, waiting, estimates} = state;
+  const {waiting, estimates} = state;
   const expectedMs = meanMs(estimates, work.service, now);
   if (isHopeless(state, work, expectedMs, now)) {
     return {state, verdicts: [refuse(work, 'deadline', 0)]};
   }
-  if (waiting.length === 0 && running.length < limitAt(state, now)) {
+  if (waiting.length === 0 && mayStart(state, now)) {
     return start(state, work, expectedMs, now);
   }
   const demand = observeDemand(state.demand, work.priority, expectedMs, now);
--- a/src/admission/forecast.ts
+++ b/src/admission/forecast.ts
@@ -1,6 +1,6 @@
 import {demandAbove} from './demand.js';
 import {cautiousMs} from './estimate.js';
-import {limitAfterPause} from './limit.js';
+import {limitAfterPause, untilAllowedMs} from './limit.js';
 import {countCallers, virtualTimeOf} from './order.js';
 import type {AdmissionState, Waiting} from './state.js';
 
@@ -17,6 +17,8 @@
   /** Share of the slots that the arrivals of higher classes leave. */
   readonly shareLeft: number;
   readonly virtualTime: number;
+  /** Time until the upstream's limit allows one more behind others. */
+  readonly untilAllowedMs: (ahead: number) => number;
   /** Counts the callers that wait in the class. */
   readonly callers: () => number;
 }
@@ -53,7 +55,16 @@
   let counted: number | undefined;
   const callers = () => (counted ??= countCallers(state.waiting, priority));
   const free = limit - busy;
-  return {pauseMs, free, firstMs, limit, shareLeft, virtualTime, callers};
+  return {
+    pauseMs,
+    free,
+    firstMs,
+    limit,
+    shareLeft,
+    virtualTime,
+    untilAllowedMs: ahead => untilAllowedMs(state, ahead, now),
+    callers,
+  };
 }
 
 /**
@@ -69,11 +80,21 @@
   ahead: Ahead,
   entry: Waiting,
 ): number {
-  const {pauseMs, free, firstMs, limit, shareLeft} = expected;
-  if (limit === 0) return Infinity;
   const rounds = entry.round - expected.virtualTime;
   const passing = rounds > 0 ? rounds * expected.callers() : 0;
   const before = Math.max(ahead.count, passing);
+  const slotMs = untilSlotMs(expected, ahead, before, entry);
+  return Math.max(slotMs, expected.untilAllowedMs(before));
+}
+
+function untilSlotMs(
+  expected: Forecast,
+  ahead: Ahead,
+  before: number,
+  entry: Waiting,
+): number {
+  const {pauseMs, free, firstMs, limit, shareLeft} = expected;
+  if (limit === 0) return Infinity;
   const finishes = before + 1 - free;
   if (finishes <= 0) return pauseMs;
   if (shareLeft === 0) return Infinity;
--- a/src/admission/limit.ts
+++ b/src/admission/limit.ts
@@ -1,3 +1,4 @@
+import {maySend, sendableAt} from './allowance.js';
 import type {AdmissionState, Ramp} from './state.js';
 
 /**
@@ -12,6 +13,34 @@
   return rampedAt(state, now);
 }
 
+/**
+ * Tells whether one more request may start now.
+ *
+ * @example
+ * mayStart(createState(12, parameters), now); // true
+ */
+export function mayStart(state: AdmissionState, now: number): boolean {
+  const {running, allowance} = state;
+  return running.length < limitAt(state, now) && maySend(allowance, now);
+}
+
+/**
+ * Returns the time until the upstream's limit of requests a second allows one
+ * more behind others, in milliseconds; 0 without such a limit.
+ *
+ * @param ahead Requests that are to start before it.
+ *
+ * @example
+ * untilAllowedMs(createState(12, parameters), 3, now); // 0
+ */
+export function untilAllowedMs(
+  {allowance}: AdmissionState,
+  ahead: number,
+  now: number,
+): number {
+  return allowance ? Math.max(0, sendableAt(allowance, ahead) - now) : 0;
+}
+
 /**
  * Returns the time of the next rise of the limit, or infinity.
  *
--- a/src/admission/slots.ts
+++ b/src/admission/slots.ts
@@ -1,6 +1,7 @@
 import {observeTime} from './estimate.js';
 import {forecast} from './forecast.js';
-import {limitAt} from './limit.js';
+import {sendOne} from './allowance.js';
+import {limitAt, mayStart} from './limit.js';
 import {advance, countCallers} from './order.js';
 import {
   replaceFinished,
@@ -29,12 +30,18 @@
 ): Step {
   const running = [...state.running, {work, startedAt: now, expectedMs}];
   const {waiting, progress} = state;
+  const next = replaceRequests(state, running, waiting, progress);
   return {
-    state: replaceRequests(state, running, waiting, progress),
+    state: countStart(next, now),
     verdicts: [{kind: 'admitted', work}],
   };
 }
 
+function countStart(state: AdmissionState, now: number): AdmissionState {
+  const {allowance} = state;
+  return allowance ? {...state, allowance: sendOne(allowance, now)} : state;
+}
+
 /**
  * Takes the slot of a request that has ended and gives it to the next.
  *
@@ -70,7 +77,7 @@
   const limit = limitAt(before, now);
   const verdicts: Verdict[] = [];
   let state = before;
-  while (state.waiting.length > 0 && state.running.length < limit) {
+  while (state.waiting.length > 0 && mayStart(state, now)) {
     const step = takeNext(state, limit, now);
     verdicts.push(...step.verdicts);
     state = step.state;
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -1,4 +1,5 @@
 import type {FailureReason} from '../model/index.js';
+import type {Allowance} from './allowance.js';
 import type {Demand} from './demand.js';
 import type {Estimate} from './estimate.js';
 
@@ -73,6 +74,8 @@
   /** Time before which the upstream asked for no further request. */
   readonly pausedUntil: number;
   readonly lastFinishAt: number;
+  /** Requests that may start now where the upstream names a limit. */
+  readonly allowance: Allowance | undefined;
 }
 
 /** How a request that held a slot ended. Only `ran` says how long one takes. */
@@ -89,6 +92,8 @@
   | {readonly kind: 'cancel'; readonly id: number}
   | {readonly kind: 'shed'; readonly retryAfterMs: number}
   | {readonly kind: 'slots'; readonly slots: number}
+  /** @param perSecond Requests that the upstream takes; undefined: any number. */
+  | {readonly kind: 'limit'; readonly perSecond: number | undefined}
   /** Applies to requests that arrive from now on. */
   | {readonly kind: 'queue'; readonly queueLimit: number}
   | {readonly kind: 'restart'}
@@ -150,6 +155,7 @@
     ramp: {from: slots, startedAt: -Infinity},
     pausedUntil: -Infinity,
     lastFinishAt: -Infinity,
+    allowance: undefined,
   };
 }
 
@@ -177,6 +183,7 @@
     ramp: state.ramp,
     pausedUntil: state.pausedUntil,
     lastFinishAt: state.lastFinishAt,
+    allowance: state.allowance,
   };
 }
 
@@ -203,6 +210,7 @@
     ramp: state.ramp,
     pausedUntil: state.pausedUntil,
     lastFinishAt: now,
+    allowance: state.allowance,
   };
 }
 
--- a/src/daemon/create.ts
+++ b/src/daemon/create.ts
@@ -11,6 +11,7 @@
 import type {Settings} from '../settings/index.js';
 import {createMetrics, METRICS} from '../telemetry/index.js';
 import type {Log} from '../telemetry/index.js';
+import {createStatements} from '../upstream/index.js';
 import {createBalancer} from './balancer.js';
 import {createSiteConfiguration} from './configuration.js';
 import type {ControlOptions} from './control.js';
@@ -18,6 +19,7 @@
 import {explainKey} from './explain.js';
 import {createInbox} from './inbox.js';
 import {createLoop} from './loop.js';
+import {DAEMON_EVENTS} from './events.js';
 import {DAEMON_METRICS} from './metrics.js';
 import {createRequestView} from './ownership.js';
 import type {RequestView} from './ownership.js';
@@ -89,6 +91,16 @@
     log,
     metrics,
   });
+  const statements = createStatements({
+    clock,
+    limited: perSecond => {
+      admission.setLimit(perSecond);
+      const {limitEnded, limitNamed} = DAEMON_EVENTS;
+      log(perSecond === undefined ? limitEnded : limitNamed, {perSecond});
+    },
+    leaving: upstream.leave,
+    unreadable: message => log(DAEMON_EVENTS.statementUnreadable, {message}),
+  });
   const signer = createSigner(settings.secrets);
   const objects = createObjects(entry => objectChanged(parts, entry));
   const feed = {isDirect: false};
@@ -121,6 +133,7 @@
       metrics.histogram(METRICS.requestSeconds, {service, sender})(seconds);
     },
     countForwarded: admission.countForwarded,
+    stated: statements.hear,
     shed: (_service, retryAfterMs) => admission.observeShed(retryAfterMs),
   });
   const servers = createServers({
@@ -142,6 +155,7 @@
     closePlatform: client.close,
     configuration,
     upstream,
+    statements,
     admission,
     metrics,
     trace,
--- a/src/daemon/events.ts
+++ b/src/daemon/events.ts
@@ -33,6 +33,26 @@
     level: 'info',
     message: 'upstream answers again',
   },
+  upstreamLeaving: {
+    number: 1013,
+    level: 'info',
+    message: 'upstream says that it is leaving',
+  },
+  limitNamed: {
+    number: 1014,
+    level: 'info',
+    message: 'upstream names a limit of requests a second',
+  },
+  limitEnded: {
+    number: 1015,
+    level: 'info',
+    message: 'upstream names no limit any more',
+  },
+  statementUnreadable: {
+    number: 1016,
+    level: 'warn',
+    message: 'upstream states something of itself that can not be read',
+  },
   platformLost: {
     number: 1020,
     level: 'warn',
--- a/src/daemon/reactions.ts
+++ b/src/daemon/reactions.ts
@@ -43,25 +43,28 @@
 export function upstreamChanged(parts: Parts, change: UpstreamChange): void {
   const kinds = {
     announced: DAEMON_EVENTS.upstreamAnnounced,
+    leaving: DAEMON_EVENTS.upstreamLeaving,
     lost: DAEMON_EVENTS.upstreamLost,
     recovered: DAEMON_EVENTS.upstreamRecovered,
   };
   const service = parts.upstream.upstream()?.service;
   parts.log(kinds[change], {service});
-  if (change !== 'lost') parts.admission.observeRestart();
+  if (change === 'announced') parts.statements.begin();
+  const hasBegun = change === 'announced' || change === 'recovered';
+  if (hasBegun) parts.admission.observeRestart();
   tellUpstream(parts);
 }
 
 /**
  * Returns the upstream for requests that come from now on. A daemon that is
- * leaving runs no request that another instance can run.
+ * leaving, or whose upstream is, runs no request that another instance can run.
  */
 export function usableUpstream(parts: Parts): Upstream | undefined {
   const {upstream, loop, configuration, self} = parts;
   const announced = upstream.upstream();
   if (!announced || !upstream.healthy()) return undefined;
   const state = loop.state();
-  if (!state.draining) return announced;
+  if (!state.draining && !upstream.isLeaving()) return announced;
   const isKeyed = configuration.service(announced.service)?.key !== undefined;
   const others = liveMembers(state, announced.service).filter(
     member => member.instance !== self.instance,
@@ -78,10 +81,11 @@
   const {slots, connections} = announced;
   const {name, fencing} = service;
   const healthy = upstream.healthy();
+  const isLeaving = upstream.isLeaving();
   admission.setSlots(slots);
   inbox.dispatch({
     kind: 'upstream',
-    upstream: {service: name, slots, connections, fencing, healthy},
+    upstream: {service: name, slots, connections, fencing, healthy, isLeaving},
   });
 }
 
--- a/src/daemon/upstreamlink.ts
+++ b/src/daemon/upstreamlink.ts
@@ -17,6 +17,10 @@
 export interface UpstreamLink {
   readonly upstream: () => Upstream | undefined;
   readonly healthy: () => boolean;
+  /** The upstream has said that it is about to end. */
+  readonly isLeaving: () => boolean;
+  /** Takes that the upstream says that it is about to end. */
+  readonly leave: () => void;
   /** Takes an announcement of the upstream. */
   readonly announce: (upstream: Upstream) => void;
   /** Sends a grant; resolves with the upstream's clock, in milliseconds. */
@@ -25,7 +29,7 @@
 }
 
 /** What happened to the upstream. */
-export type UpstreamChange = 'announced' | 'lost' | 'recovered';
+export type UpstreamChange = 'announced' | 'leaving' | 'lost' | 'recovered';
 
 /**
  * Watches the upstream beside the daemon. Only whether it answers counts, not
@@ -41,6 +45,7 @@
   let upstream: Upstream | undefined;
   let failures = 0;
   let healthy = false;
+  let isLeaving = false;
   const settle = (ok: boolean, certain: boolean) => {
     failures = ok ? 0 : failures + 1;
     const lost = certain || failures >= CHECKS_TO_FAIL;
@@ -49,6 +54,8 @@
       changed('recovered');
     } else if (!ok && lost && healthy) {
       healthy = false;
+      // What answers at this address from now on is another life.
+      isLeaving = false;
       changed('lost');
     }
   };
@@ -61,11 +68,18 @@
   return {
     upstream: () => upstream,
     healthy: () => healthy,
+    isLeaving: () => isLeaving,
+    leave: () => {
+      if (isLeaving) return;
+      isLeaving = true;
+      changed('leaving');
+    },
     announce: announced => {
       const isNew = !upstream || !sameUpstream(upstream, announced);
       upstream = announced;
       failures = 0;
       if (isNew) healthy = true;
+      if (isNew) isLeaving = false;
       if (isNew) changed('announced');
     },
     grant: (process, grant) => sendGrant(agent, upstream, process, grant),
--- a/src/gateway/local.ts
+++ b/src/gateway/local.ts
@@ -1,5 +1,9 @@
 import {notRun, unknown} from '../model/index.js';
-import type {AnswerHead, Upstream} from '../upstream/index.js';
+import {
+  readStatement,
+  type AnswerHead,
+  type Upstream,
+} from '../upstream/index.js';
 import type {Admitted} from './admission.js';
 import {failed, runExchange, type Attempt, type FailedTry} from './attempt.js';
 import type {Context} from './context.js';
@@ -15,6 +19,12 @@
 /** Header that carries an epoch of the slice of a request. */
 export const EPOCH_HEADER = 'vanillaspool-epoch';
 
+/** Headers in which an upstream says something of itself. */
+const STATEMENT_HEADERS = {
+  limit: 'vanillaspool-limit',
+  leaving: 'vanillaspool-leaving',
+};
+
 /** Takes a copy of an answer while it is passed on. */
 export interface AnswerCopy {
   readonly head: (head: AnswerHead) => void;
@@ -104,12 +114,14 @@
   };
   const holds = () => slice < 0 || ownership.holds(service.name, slice, epoch);
   let lapsed = false;
+  let sentAt = context.clock();
   return runExchange(pass, pool, call, {
     ready: () => {
+      sentAt = context.clock();
       lapsed = !holds();
       return !lapsed;
     },
-    judge: head => judge(context, pass, head, holds),
+    judge: head => judge(context, pass, head, holds, sentAt),
     extend: head => {
       addOwner(context, pass, head);
       copy?.head(head);
@@ -157,18 +169,19 @@
   pass: Pass,
   head: AnswerHead,
   holds: () => boolean,
+  sentAt: number,
 ): FailedTry | undefined {
   const {own, status} = head;
-  if (status === 409 && own.get('vanillaspool-fenced') === 'true') {
-    return fenced();
-  }
-  if (status === 503 && own.get('vanillaspool-shed') === 'true') {
-    return shed(context, pass, head.retryAfter);
-  }
   const echoed = own.get(REQUEST_HEADER);
   if (echoed !== undefined && echoed !== pass.id) {
     return failed(unknown('upstream-reset', 'answer to another request'));
   }
+  const isFenced = status === 409 && own.get('vanillaspool-fenced') === 'true';
+  const isShed = status === 503 && own.get('vanillaspool-shed') === 'true';
+  const statement = readStatement(own, STATEMENT_HEADERS);
+  context.stated?.({statement, sentAt, ran: !isFenced && !isShed});
+  if (isFenced) return fenced();
+  if (isShed) return shed(context, pass, head.retryAfter);
   const {fencing} = pass.service;
   if (fencing === 'ignored' && !holds()) {
     return answerTooLate(pass);
--- a/src/ownership/route.ts
+++ b/src/ownership/route.ts
@@ -85,5 +85,8 @@
 }
 
 function leaving(state: State): boolean {
-  return state.draining || state.upstream?.healthy === false;
+  const {draining, upstream} = state;
+  return (
+    draining || upstream?.healthy === false || upstream?.isLeaving === true
+  );
 }
--- a/src/ownership/state.ts
+++ b/src/ownership/state.ts
@@ -33,6 +33,8 @@
   readonly connections: number;
   readonly fencing: Fencing;
   readonly healthy: boolean;
+  /** It says that it is about to end; what it holds goes to successors. */
+  readonly isLeaving?: boolean;
 }
 
 /** The part of this daemon in one slice. */
--- a/src/ownership/tenure.ts
+++ b/src/ownership/tenure.ts
@@ -188,7 +188,7 @@
   if (!isWanted && holding.epoch < record.wantedFrom) {
     return record.wantedFrom - 1;
   }
-  const leaving = state.draining || state.upstream?.healthy !== true;
+  const leaving = isLeaving(state) || state.upstream?.healthy !== true;
   const hasSuccessor = live.some(
     term => !sameLease(term.lease, state.holder.lease),
   );
@@ -218,7 +218,7 @@
   now: number,
 ): Holding {
   const retired = releaseUnwanted(state, record, holding, now);
-  const term = state.draining
+  const term = isLeaving(state)
     ? undefined
     : termToBegin(state, record, retired.releasedUpTo);
   if (!term || !mayServe(state, now)) return retired;
@@ -227,6 +227,11 @@
   return isGranted(state, begun) ? move(begun, 'GRANTED') : begun;
 }
 
+/** The daemon or its upstream gives away what it owns and takes nothing new. */
+function isLeaving({draining, upstream}: State): boolean {
+  return draining || upstream?.isLeaving === true;
+}
+
 function releaseUnwanted(
   state: State,
   record: SliceRecord,
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -89,11 +89,6 @@
     level: 'warn',
     message: 'instance states something of itself that can not be read',
   },
-  leavingStated: {
-    number: 6049,
-    level: 'info',
-    message: 'instance says in an answer that it is leaving',
-  },
   granted: {number: 6040, level: 'info', message: 'granted keys changed'},
   notConfirmed: {
     number: 6041,
--- a/src/sidecar/keeper.ts
+++ b/src/sidecar/keeper.ts
@@ -230,10 +230,14 @@
   };
 
   /** Returns an instance in a state, unless it is in a later one already. */
-  const passTo = (known: Instance, state: MemberState): Instance => {
+  const passTo = (
+    known: Instance,
+    state: MemberState,
+    source: 'heartbeat' | 'announcement' | 'answer',
+  ): Instance => {
     if (laterOf(known.state, state) === known.state) return known;
     const {id} = known;
-    log(SIDECAR_EVENTS.instanceLeaving, {id, state});
+    log(SIDECAR_EVENTS.instanceLeaving, {id, state, source});
     const openUntil = clock() + openMsOf(context.drainMs);
     return {...known, state, closesAt: Math.min(known.closesAt, openUntil)};
   };
@@ -253,7 +257,7 @@
       toldState: beat.state,
     };
     const {state = 'ready', closesAt = Infinity} = known ?? {};
-    instance = passTo({...heard, state, closesAt}, beat.state);
+    instance = passTo({...heard, state, closesAt}, beat.state, 'heartbeat');
     return beat.state !== 'ready' && known?.toldState !== beat.state;
   };
 
@@ -341,7 +345,7 @@
   const leave = async (id: string) => {
     if (!instance || instance.id !== id) return false;
     if (instance.state === 'left') return true;
-    instance = passTo(instance, 'left');
+    instance = passTo(instance, 'left', 'announcement');
     const written = record().then(() => revokeOwn('left'));
     written.catch(error => logFailure(error));
     await Promise.race([written, sleep(RECORD_WAIT_MS)]);
@@ -350,7 +354,7 @@
 
   const leavingStated = () => {
     if (instance?.state !== 'ready') return;
-    instance = passTo(instance, 'draining');
+    instance = passTo(instance, 'draining', 'answer');
     record().catch(error => logFailure(error));
   };
 
--- a/src/sidecar/statements.ts
+++ b/src/sidecar/statements.ts
@@ -17,7 +17,7 @@
   readonly life: () => Life | undefined;
   /** Told of each change of the limit; undefined where there is none. */
   readonly limited: (perSecond: number | undefined) => void;
-  /** Told once that the instance is about to end. */
+  /** Told each time that the instance says that it is about to end. */
   readonly leaving: () => void;
   readonly log: Log;
 }
@@ -50,10 +50,7 @@
       const {limitEnded, limitNamed} = SIDECAR_EVENTS;
       log(perSecond === undefined ? limitEnded : limitNamed, fields);
     },
-    leaving: () => {
-      log(SIDECAR_EVENTS.leavingStated, {upstream: upstream()});
-      leaving();
-    },
+    leaving,
     unreadable: message => {
       const fields = {upstream: upstream(), message};
       log(SIDECAR_EVENTS.statementUnreadable, fields);
--- a/src/upstream/statements.ts
+++ b/src/upstream/statements.ts
@@ -11,7 +11,7 @@
   readonly clock: () => number;
   /** Told of each change of the limit; undefined where there is none. */
   readonly limited: (perSecond: number | undefined) => void;
-  /** Told once that the instance is about to end. */
+  /** Told each time that the instance says that it is about to end. */
   readonly leaving: () => void;
   /** Told of values that can't be read, once for each. */
   readonly unreadable: (message: string) => void;
@@ -41,7 +41,6 @@
 export function createStatements(context: StatementsContext): Statements {
   const {clock, limited, leaving, unreadable} = context;
   let limit: NamedLimit = NO_LIMIT;
-  let isLeaving = false;
   let hasHeard = false;
   let problem = '';
 
@@ -64,9 +63,7 @@
       hasHeard = true;
       if (statement.problems.length > 0) reportProblems(statement.problems);
       take(applyAnswer(limit, answer, clock()));
-      if (!statement.isLeaving || isLeaving) return;
-      isLeaving = true;
-      leaving();
+      if (statement.isLeaving) leaving();
     },
     assume: perSecond => {
       if (hasHeard || !(perSecond >= 0)) return;
@@ -75,7 +72,6 @@
     },
     begin: () => {
       take(NO_LIMIT);
-      isLeaving = false;
       hasHeard = false;
       problem = '';
     },
--- a/test/admission/decide.property.test.ts
+++ b/test/admission/decide.property.test.ts
@@ -1,7 +1,7 @@
 import {fc, testProp} from '@fast-check/ava';
 import type {ExecutionContext} from 'ava';
 import type {AdmissionState, Work} from '../../src/admission/index.js';
-import {limitAt} from '../../src/admission/limit.js';
+import {limitAt, mayStart} from '../../src/admission/limit.js';
 import {bench, parameters, work, type Applied, type Bench} from './fixtures.js';
 
 const RUNS = {seed: 20261203, numRuns: 400} as const;
@@ -21,6 +21,7 @@
   | {readonly kind: 'shed'; readonly retryAfterMs: number}
   | {readonly kind: 'slots'; readonly slots: number}
   | {readonly kind: 'restart'}
+  | {readonly kind: 'limit'; readonly perSecond: number | undefined}
   | {readonly kind: 'advance'; readonly ms: number};
 
 const arrival = fc.record({
@@ -67,6 +68,13 @@
     }),
   },
   {weight: 1, arbitrary: fc.record({kind: fc.constant('restart' as const)})},
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('limit' as const),
+      perSecond: fc.option(fc.nat(30), {nil: undefined}),
+    }),
+  },
 );
 
 function keyOf(number: number): string | undefined {
@@ -108,10 +116,11 @@
 }
 
 function checkState(t: ExecutionContext, state: AdmissionState, now: number) {
-  const {running, waiting, progress} = state;
+  const {waiting, progress} = state;
   const keys = waiting.flatMap(other => other.key ?? []);
-  const isFull = running.length >= limitAt(state, now);
-  if (!isFull) t.is(waiting.length, 0, 'a slot is free while a request waits');
+  if (mayStart(state, now)) {
+    t.is(waiting.length, 0, 'a slot is free while a request waits');
+  }
   t.true(waiting.length <= SETTINGS.queueLimit);
   t.true(keys.every(key => countKey(waiting, key) <= KEY_QUEUE_LIMIT));
   t.true(progress.length <= (waiting.length === 0 ? 0 : 3));
--- a/test/admission/decide.test.ts
+++ b/test/admission/decide.test.ts
@@ -242,3 +242,40 @@
   );
   t.deepEqual(limits, [2, 3, 5, 8]);
 });
+
+test('requests start no faster than the upstream says that it takes them', t => {
+  const started: number[] = [];
+  const target = bench(4, parameters(), ({verdicts}) =>
+    started.push(...admittedIds(verdicts)),
+  );
+  target.apply({kind: 'limit', perSecond: 10});
+  for (let id = 0; id < 400; id++) {
+    const deadlineAt = target.now() + 250;
+    target.apply({kind: 'arrive', work: work(id, {deadlineAt})});
+    target.advance(10);
+    for (const {work: running} of target.state().running) {
+      target.apply({kind: 'finish', id: running.id, completion: 'ran'});
+    }
+  }
+  // 4 s at 10 a second, of 100 requests a second that arrive.
+  t.true(started.length <= 41, `${started.length} started`);
+  t.true(started.length >= 36, `${started.length} started`);
+});
+
+test('what the limit of the upstream does not allow in time is refused at once', t => {
+  const target = bench(4, parameters());
+  target.apply({kind: 'limit', perSecond: 5});
+  const arrive = (id: number) => {
+    const deadlineAt = target.now() + 450;
+    return target.apply({kind: 'arrive', work: work(id, {deadlineAt})});
+  };
+  t.deepEqual(arrive(1), []);
+  t.deepEqual(arrive(2), []);
+  const [refused] = arrive(3);
+  t.like(refused, {kind: 'refused', reason: 'overloaded'});
+  t.true(refused.kind === 'refused' && refused.retryAfterMs >= 500);
+  t.deepEqual(
+    admittedIds(target.apply({kind: 'limit', perSecond: undefined})),
+    [1, 2],
+  );
+});
--- a/test/ownership/commands.ts
+++ b/test/ownership/commands.ts
@@ -32,9 +32,16 @@
 }
 
 /** Generates sequences of faults for a fleet of the given size. */
-export function faultCommands(size: number) {
+export function faultCommands(size: number, upstreamsLeave = false) {
   const index = fc.nat(size - 1);
   const wait = fc.integer({min: 0, max: 2000});
+  const leaving = fc
+    .tuple(index, fc.boolean(), wait)
+    .map(([i, leaves, ms]) =>
+      command(`upstream ${leaves ? 'leaves' : 'comes'} ${i}`, ms, f =>
+        f.leave(i, leaves),
+      ),
+    );
   const pauseMs = fc.integer({min: 20, max: 3000});
   const group = fc.subarray(
     Array.from({length: size}, (_, i) => i),
@@ -96,6 +103,7 @@
       fc
         .tuple(index, wait)
         .map(([i, ms]) => command(`drain ${i}`, ms, f => f.drain(i))),
+      ...(upstreamsLeave ? [leaving] : []),
     ],
     {maxCommands: 30},
   );
@@ -109,6 +117,8 @@
   readonly fencing?: 'enforced' | 'ignored';
   readonly decide?: Decide;
   readonly plan?: Plan;
+  /** Upstreams say that they are about to end, and others come. */
+  readonly upstreamsLeave?: boolean;
 }
 
 /**
@@ -116,13 +126,13 @@
  * smallest counter-example found.
  */
 export function explore(exploration: Exploration): void {
-  const {seed, runs, sizes = [3, 4, 5, 7]} = exploration;
+  const {seed, runs, sizes = [3, 4, 5, 7], upstreamsLeave} = exploration;
   const property = fc.property(
     fc.constantFrom(...sizes).chain(size =>
       fc.record({
         size: fc.constant(size),
         fleetSeed: fc.nat(),
-        commands: faultCommands(size),
+        commands: faultCommands(size, upstreamsLeave),
       }),
     ),
     ({size, fleetSeed, commands}) => {
@@ -160,6 +170,7 @@
   for (const node of fleet.nodes) {
     node.platformCut = false;
     node.upstream.frozenUntil = 0;
+    fleet.leave(node.index, false);
     if (!node.alive || node.state.draining) fleet.restart(node.index);
   }
   const end = fleet.now() + RECOVERY_MS;
--- a/test/ownership/fleet.test.ts
+++ b/test/ownership/fleet.test.ts
@@ -40,6 +40,17 @@
   t.false(left.some(({state}) => state === 'serving'));
 });
 
+test('an upstream that says that it leaves keeps its slices', t => {
+  const fleet = newFleet({size: 5, seed: 6});
+  fleet.run(START_MS);
+  const served = () => [...fleet.nodes[2].state.holdings.values()];
+  t.true(served().some(({state}) => state === 'serving'));
+  fleet.leave(2);
+  fleet.run(SERVED_AGAIN_MS);
+  t.deepEqual(fleet.unserved(), []);
+  t.false(served().some(({state}) => state === 'serving'));
+});
+
 test('a fleet that restarts at once is served again', t => {
   const fleet = newFleet({size: 5, seed: 5});
   fleet.run(START_MS);
--- a/test/ownership/fleet.ts
+++ b/test/ownership/fleet.ts
@@ -94,6 +94,8 @@
   readonly cut: (group: readonly number[]) => void;
   readonly heal: () => void;
   readonly drain: (index: number) => void;
+  /** The upstream of an instance says that it ends, or another has come. */
+  readonly leave: (index: number, isLeaving?: boolean) => void;
   /** Slices that nobody serves now. */
   readonly unserved: () => readonly number[];
 }
@@ -556,6 +558,12 @@
       cutGroup = new Set();
     },
     drain: index => give(nodes[index], {kind: 'drain'}),
+    leave: (index, isLeaving = true) => {
+      const node = nodes[index];
+      const {upstream} = node.state;
+      if (!upstream) return;
+      give(node, {kind: 'upstream', upstream: {...upstream, isLeaving}});
+    },
     unserved: () =>
       Array.from({length: slices}, (_, slice) => slice).filter(
         slice =>
