Keep a limit that others know until an answer that could end it

An answer to a call for keys, which need not name the limit, made a restarted daemon deaf to what other daemons know of it. Only an answer to a request that ran, or one that names a limit, counts now.

--- a/src/upstream/statements.ts
+++ b/src/upstream/statements.ts
@@ -21,8 +21,8 @@
 export interface Statements {
   readonly hear: (answer: StatedAnswer) => void;
   /**
-   * Takes a limit that the instance has named to another daemon, as long as this
-   * process has had no answer from it.
+   * Takes a limit that the instance has named to another daemon, as long as no
+   * answer to this process has named one or could have ended it.
    */
   readonly assume: (perSecond: number) => void;
   /** Forgets an earlier life, and that it named a limit. */
@@ -59,8 +59,8 @@
 
   return {
     hear: answer => {
-      const {statement} = answer;
-      hasHeard = true;
+      const {statement, ran} = answer;
+      hasHeard ||= ran || statement.limit !== undefined;
       if (statement.problems.length > 0) reportProblems(statement.problems);
       take(applyAnswer(limit, answer, clock()));
       if (statement.isLeaving) leaving();
