--- a/test/upstream/broken.test.ts
+++ b/test/upstream/broken.test.ts
@@ -1,4 +1,5 @@
 import net, {type AddressInfo, type Socket} from 'node:net';
+import {Worker} from 'node:worker_threads';
 import http from 'node:http';
 import {once} from 'node:events';
 import test from 'ava';
@@ -72,6 +73,33 @@
   server.close();
 });
 
+/** Runs in a worker, so that it goes on while the process here is busy. */
+const RESETTING = `
+const net = require('node:net');
+const {parentPort} = require('node:worker_threads');
+const server = net.createServer(socket => {
+  socket.on('error', () => {});
+  socket.once('data', () => {
+    socket.write('HTTP/1.1 200 OK\\r\\n\\r\\npart');
+    setTimeout(() => socket.write('more', () => socket.resetAndDestroy()), 50);
+  });
+});
+server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+
+test('an answer without a length that is reset while the process is busy is broken', async t => {
+  const worker = new Worker(RESETTING, {eval: true});
+  t.teardown(() => worker.terminate());
+  const [port] = (await once(worker, 'message')) as [number];
+  setTimeout(() => {
+    const end = Date.now() + 300;
+    while (Date.now() < end);
+  }, 30);
+  const {kind, ended} = await pass(port);
+  t.is(kind, 'broken');
+  t.false(ended);
+});
+
 test('an answer without a length ends with its connection', async t => {
   const {server, port} = await startBreaking(`${HEAD}\r\nwhole`, socket => {
     socket.end();
