--- a/test/upstream/broken.test.ts
+++ b/test/upstream/broken.test.ts
@@ -54,6 +54,9 @@
   let isReset = false;
   caller.on('data', part => (text += part.toString()));
   caller.on('error', () => (isReset = true));
+  // A reset that is read together with the last bytes is told as an end, but
+  // leaves the connection without a peer address.
+  caller.on('end', () => (isReset ||= caller.remoteAddress === undefined));
   caller.write('GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
   const closed = new Promise(resolve => caller.once('close', resolve));
   const [result] = await Promise.all([ended, closed]);
