--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -11,6 +11,7 @@
 export * from './configuration.js';
 export * from './dialect.js';
 export * from './ingress.js';
+export * from './routed.js';
 export * from './events.js';
 export * from './forward.js';
 export * from './notices.js';
--- /dev/null
+++ b/src/relay/target.ts
@@ -0,0 +1,199 @@
+import {
+  isAcceptingRequests,
+  incarnationOf,
+  membersOf,
+  type Member,
+} from '../fleet/index.js';
+import {notRun, type Failure} from '../model/index.js';
+import {isSameIncarnation, findTerm, type RangeTerm} from '../ranges/index.js';
+import {lengthOf} from './body.js';
+import {chooseInstance, limitDelayMs} from './choose.js';
+import {
+  NO_HOLDER_RETRY_MS,
+  type IngressContext,
+  type RoutedRequest,
+} from './routed.js';
+
+/**
+ * Time after which a request is sent again to an instance that refused it, in
+ * milliseconds.
+ */
+const REFUSED_RETRY_INTERVAL_MS = 100;
+
+/** Shortest Retry-After if no daemon has free capacity, in milliseconds. */
+const MIN_OVERLOAD_RETRY_MS = 200;
+
+/** Decision on where the next attempt of a request is made. */
+export type Target =
+  | {
+      readonly kind: 'member';
+      readonly member: Member;
+      /** The term by which the member holds the key. */
+      readonly term?: RangeTerm;
+    }
+  /** The request waits for a change of the view, at most until a time. */
+  | {readonly kind: 'wait'; readonly until: number}
+  | {readonly kind: 'refuse'; readonly failure: Failure};
+
+/**
+ * Finds the daemon for the next attempt of a request: the one beside the holder
+ * of its key or, for a service without keys, beside the instance with the
+ * lowest estimate.
+ *
+ * @example
+ * const target = findTarget(context, routed);
+ * if (target.kind === 'refuse') return target.failure;
+ */
+export function findTarget(
+  context: IngressContext,
+  routed: RoutedRequest,
+): Target {
+  const keyed = context.isKeyed(routed.service);
+  const target = keyed
+    ? findHolder(context, routed)
+    : findInstance(context, routed);
+  if (target.kind !== 'wait' || context.clock() < routed.waitUntil)
+    return target;
+  const message = 'no instance accepted the request in time';
+  return {
+    kind: 'refuse',
+    failure: notRun('no-owner', message, NO_HOLDER_RETRY_MS),
+  };
+}
+
+function findHolder(context: IngressContext, routed: RoutedRequest): Target {
+  const {service, waitUntil} = routed;
+  const {key} = routed.caller;
+  if (key === undefined) {
+    return {
+      kind: 'refuse',
+      failure: notRun(
+        'bad-key',
+        'the service requires a key, but the request has none',
+      ),
+    };
+  }
+  const untilChanged = {kind: 'wait', until: waitUntil} as const;
+  const view = context.view();
+  const map = view.maps.get(service)?.value;
+  const term = map && findTerm(map, key);
+  if (!term || term.state === 'free') return untilChanged;
+  const member = view.members.get(term.holder.node)?.value;
+  if (!member || !isSameIncarnation(incarnationOf(member), term.holder))
+    return untilChanged;
+  const now = context.clock();
+  const hasLeft = context.instanceNotices.hasLeft(incarnationOf(member), now);
+  if (member.state === 'left' || hasLeft) return untilChanged;
+  const load = context.loads(member.node);
+  if (load.avoidedUntil > now) {
+    const message = 'the daemon of the holder of the key has failed';
+    const retryMs = Math.max(NO_HOLDER_RETRY_MS, load.avoidedUntil - now);
+    return {kind: 'refuse', failure: notRun('no-owner', message, retryMs)};
+  }
+  const {holderRefusals} = context;
+  const verdict = holderRefusals.decide(
+    service,
+    map,
+    term,
+    key,
+    waitUntil,
+    now,
+  );
+  if (verdict.kind === 'wait') return verdict;
+  if (verdict.kind === 'refuse') {
+    const message =
+      'the key is moving to another instance, longer than the request can wait';
+    const failure = notRun('no-owner', message, verdict.retryAfterMs);
+    return {kind: 'refuse', failure};
+  }
+  const {overloadRefusals} = context;
+  const retryDelayMs = overloadRefusals.retryDelayMs(
+    member.node,
+    routed.route.name,
+    now,
+  );
+  if (retryDelayMs !== undefined) return refuseOverloaded(retryDelayMs);
+  if (routed.refusedBy.has(member.node)) {
+    routed.refusedBy.delete(member.node);
+    return {kind: 'wait', until: now + REFUSED_RETRY_INTERVAL_MS};
+  }
+  return {kind: 'member', member, term};
+}
+
+/** Returns the members of a service that accept new requests. */
+function openMembers(
+  {view, instanceNotices}: IngressContext,
+  service: string,
+  now: number,
+): readonly Member[] {
+  return membersOf(view(), service).filter(
+    member =>
+      isAcceptingRequests(member) &&
+      !instanceNotices.hasLeft(incarnationOf(member), now),
+  );
+}
+
+function findInstance(context: IngressContext, routed: RoutedRequest): Target {
+  const now = context.clock();
+  const members = openMembers(context, routed.service, now);
+  const untried = members.filter(
+    ({node, id}) => !routed.refusedBy.has(node) && !routed.sentTo.has(id),
+  );
+  const open: Member[] = [];
+  let minRetryDelayMs = Infinity;
+  for (const member of untried) {
+    const {node} = member;
+    const retryDelayMs = context.overloadRefusals.retryDelayMs(
+      node,
+      routed.route.name,
+      now,
+    );
+    if (retryDelayMs === undefined) open.push(member);
+    else minRetryDelayMs = Math.min(minRetryDelayMs, retryDelayMs);
+  }
+  if (untried.length > 0 && open.length === 0) {
+    return refuseOverloaded(minRetryDelayMs);
+  }
+  const candidates = open.map(member => ({
+    node: member.node,
+    isSameDomain: member.domain === context.domain,
+    load: context.loads(member.node),
+    member,
+  }));
+  const bytes =
+    lengthOf(routed.body) + context.answerLengths.mean(routed.route.name);
+  const choice = chooseInstance(candidates, now, bytes);
+  if (!choice) {
+    routed.refusedBy.clear();
+    return {kind: 'wait', until: now + REFUSED_RETRY_INTERVAL_MS};
+  }
+  return {kind: 'member', member: choice.member};
+}
+
+/** Refuses a request for which no daemon that may run it has free capacity. */
+function refuseOverloaded(retryDelayMs: number): Target {
+  const retryAfterMs = Math.max(retryDelayMs, MIN_OVERLOAD_RETRY_MS);
+  const message = 'every daemon for the request recently had no capacity';
+  return {kind: 'refuse', failure: notRun('overloaded', message, retryAfterMs)};
+}
+
+/**
+ * Tells whether an instance that has not refused the request appears to have
+ * free capacity.
+ *
+ * @example
+ * return !context.isKeyed(service) && hasFreeInstance(context, routed);
+ */
+export function hasFreeInstance(
+  context: IngressContext,
+  routed: RoutedRequest,
+): boolean {
+  const now = context.clock();
+  return openMembers(context, routed.service, now).some(member => {
+    if (routed.refusedBy.has(member.node)) return false;
+    const load = context.loads(member.node);
+    if (limitDelayMs(load, now) > 0) return false;
+    const {reportedBusy, inFlight, slots} = load;
+    return Math.max(reportedBusy, inFlight) < Math.max(slots, member.slots);
+  });
+}
