Account for the time of the slots of each instance

Cause: logs and metrics did not tell whether an instance that refuses requests is busy with answers in time, with late ones, or idle. Change: the daemon beside an instance logs once a second what the time of its slots was used for and what it refused (5012), daemons of callers what became of each route's requests (5013), both only when something was late or refused; counters with the same figures; 'vanillaspoolctl capacity' adds them up by second and service. These lines are exempt from the limit on lines a second, as a timer bounds them.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,5 +1,6 @@
 import sade, {type Sade} from 'sade';
 import {textOption, wholeNumber, type Options} from './arguments.js';
+import {capacity} from './capacity.js';
 import {
   apply,
   check,
@@ -57,7 +58,7 @@
   addHistoryCommands(program, environment);
   addFleetCommands(program, environment);
   addRangesCommand(program, environment);
-  addTraceCommand(program, environment);
+  addLogCommands(program, environment);
   addVersionCommand(program, environment);
   return program;
 }
@@ -163,7 +164,14 @@
     );
 }
 
-function addTraceCommand(program: Sade, {readText}: Environment): void {
+function addLogCommands(program: Sade, {readText}: Environment): void {
+  program
+    .command('capacity [file]')
+    .describe('Account for the time of the slots; - reads standard input.')
+    .example('capacity fleet.log')
+    .action((file: string | undefined) =>
+      capacity(readText(file && file !== '-' ? file : STANDARD_INPUT)),
+    );
   program
     .command('trace <request> [file]')
     .describe('Print the log lines of a request; - reads standard input.')
--- a/src/relay/events.ts
+++ b/src/relay/events.ts
@@ -58,4 +58,16 @@
     level: 'info',
     message: 'offer of a long request body refused',
   },
+  slotsUsed: {
+    number: 5012,
+    level: 'info',
+    message: 'use of the slots of the instance',
+    isPeriodic: true,
+  },
+  routeResults: {
+    number: 5013,
+    level: 'info',
+    message: 'requests of a route that ended',
+    isPeriodic: true,
+  },
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -30,4 +30,5 @@
 export * from './slots.js';
 export * from './split.js';
 export * from './transfers.js';
+export * from './usage.js';
 export * from './work.js';
--- a/src/relay/local.ts
+++ b/src/relay/local.ts
@@ -20,6 +20,7 @@
 import {limitDelayMsOf, type QueueState} from './queue.js';
 import type {Claim, Grant, Slots} from './slots.js';
 import type {Transfers} from './transfers.js';
+import type {SlotMeter, SlotUse} from './usage.js';
 import {holderWaitUntil, bodyToSend, type Flow, type Work} from './work.js';
 
 /** The upstream instance beside a daemon. */
@@ -53,6 +54,8 @@
   readonly heldKeysChanged: () => Promise<unknown>;
   /** Slots of the local instance. */
   readonly slots: () => Slots;
+  /** Measures the use of these slots. */
+  readonly slotMeter: SlotMeter;
   readonly pools: Pools;
   /** Called after each request that the instance ran, with its duration. */
   readonly requestCompleted: (
@@ -115,11 +118,15 @@
   const arrivedAt = context.clock();
   const refusal =
     checkInstance(context, work) ?? (await awaitKey(context, flow, work));
-  if (refusal) return refusal;
+  if (refusal) {
+    context.slotMeter.recordRefusal(refusal.failure.reason);
+    return refusal;
+  }
   const grant = await takeSlot(context, flow, work);
   flow.course.waitMs = Math.round(context.clock() - arrivedAt);
   if (grant.kind === 'denied') {
     const {reason, retryAfterMs} = grant;
+    context.slotMeter.recordRefusal(reason);
     return failedWithFreeRetry(
       notRun(
         reason,
@@ -135,6 +142,7 @@
     grant.release(false);
     return lateRefusal;
   }
+  context.slotMeter.recordStart(flow.course.waitMs);
   return send(context, flow, work, grant.release, onHead);
 }
 
@@ -275,12 +283,24 @@
     },
     onEnd: () => {
       release(hasAnswer);
-      flow.course.runMs = Math.round(clock() - startedAt);
+      const endedAt = clock();
+      flow.course.runMs = Math.round(endedAt - startedAt);
+      const isInTime = endedAt <= work.objectiveAt;
+      context.slotMeter.recordEnd(
+        useOf(flow, hasAnswer, isInTime),
+        endedAt - startedAt,
+      );
       if (hasAnswer) context.requestCompleted(work, clock() - startedAt, load);
     },
   });
 }
 
+function useOf(flow: Flow, hasAnswer: boolean, isInTime: boolean): SlotUse {
+  if (flow.state.stopReason) return 'abandoned';
+  if (!hasAnswer) return 'failed';
+  return isInTime ? 'inTime' : 'late';
+}
+
 function refusalOf(verdict: Verdict): AttemptFailure {
   switch (verdict.kind) {
     case 'not-run':
--- a/src/relay/report.ts
+++ b/src/relay/report.ts
@@ -25,6 +25,9 @@
   const {flow, route, service, caller, startedAt} = routed;
   const timeMs = Math.round(context.clock() - startedAt);
   const fields = {service, route: route.name, timeMs};
+  const isInTime =
+    context.clock() <= routed.firstAt + route.objectiveMs &&
+    result.kind === 'answered';
   const spent = {bodyBytes: lengthOf(routed.body), asked: routed.forwardCount};
   const isSuccess =
     result.kind === 'answered' && result.status < FIRST_ERROR_STATUS;
@@ -32,7 +35,8 @@
     context.callerRetries.recordFailure(routed.identity, routed.firstAt);
   if (result.kind === 'answered') {
     const {status} = result;
-    context.requestEnded({...fields, outcome: 'answered', reason: ''});
+    const answered = {outcome: 'answered', reason: '', isInTime} as const;
+    context.requestEnded({...fields, ...answered});
     const request = caller.id;
     context.log(RELAY_EVENTS.served, {
       request,
@@ -45,7 +49,8 @@
   }
   if (result.kind === 'broken') {
     const {message} = result.error;
-    context.requestEnded({...fields, outcome: 'broken', reason: ''});
+    const broken = {outcome: 'broken', reason: '', isInTime} as const;
+    context.requestEnded({...fields, ...broken});
     context.log(RELAY_EVENTS.broken, {request: caller.id, message, ...fields});
     abortResponse(flow.response);
     return;
@@ -80,11 +85,12 @@
   const version = context.configuration()?.version;
   const fields = {service, route, timeMs};
   if (reason === 'cancelled') {
-    context.requestEnded({...fields, outcome: 'cancelled', reason});
+    const cancelled = {outcome: 'cancelled', reason, isInTime: false} as const;
+    context.requestEnded({...fields, ...cancelled});
     context.log(RELAY_EVENTS.cancelled, {request, ...fields, ...spent});
     return;
   }
-  context.requestEnded({...fields, outcome, reason});
+  context.requestEnded({...fields, outcome, reason, isInTime: false});
   const result = {outcome, reason, message, status, retryAfterMs, version};
   context.log(RELAY_EVENTS.failed, {
     request,
--- a/src/relay/routed.ts
+++ b/src/relay/routed.ts
@@ -53,6 +53,8 @@
   readonly outcome: 'answered' | 'not-run' | 'unknown' | 'broken' | 'cancelled';
   readonly reason: string;
   readonly timeMs: number;
+  /** Answered by the latency objective, counted from the first attempt. */
+  readonly isInTime: boolean;
 }
 
 /**
--- a/src/relay/slots.ts
+++ b/src/relay/slots.ts
@@ -40,6 +40,8 @@
   /** Monotonic time in milliseconds. */
   readonly clock: () => number;
   readonly schedule?: Schedule;
+  /** Called after each event with the state that it led to. */
+  readonly onChange?: (state: QueueState) => void;
 }
 
 /** Slots of the local instance. */
@@ -77,7 +79,7 @@
  * if (grant.kind === 'granted') grant.release(true);
  */
 export function createSlots(options: SlotsOptions): Slots {
-  const {clock, schedule = scheduleTimeout} = options;
+  const {clock, schedule = scheduleTimeout, onChange} = options;
   const pending = new Map<number, (grant: Grant) => void>();
   let state = createQueue(options.slots);
   let nextId = 1;
@@ -87,6 +89,7 @@
   const apply = (event: QueueEvent) => {
     const step = applyQueueEvent(state, event, clock());
     state = step.state;
+    onChange?.(state);
     step.verdicts.forEach(settle);
     arm();
   };
--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -1,4 +1,4 @@
-import type {RequestResult} from '../relay/index.js';
+import type {RequestResult, SlotUsage} from '../relay/index.js';
 import type {CallKind, CallResult} from '../store/index.js';
 import {
   METRICS,
@@ -21,6 +21,18 @@
     help: 'Calls to the store, by kind and result.',
     labels: ['kind', 'result'],
   },
+  slotSeconds: {
+    type: 'counter',
+    name: 'vanillaspool_slot_seconds_total',
+    help: 'Time of the slots of the local instance, by use (inTime, late, failed, abandoned, idle).',
+    labels: ['use'],
+  },
+  instanceRefusals: {
+    type: 'counter',
+    name: 'vanillaspool_instance_refusals_total',
+    help: 'Requests refused by the daemon beside the instance that was to run them, by reason.',
+    labels: ['reason'],
+  },
   configurationVersion: {
     type: 'gauge',
     name: 'vanillaspool_configuration_version',
@@ -67,9 +79,10 @@
   Record<string, CounterDefinition | GaugeDefinition>
 >;
 
-/** Records the requests and store calls of a daemon. */
+/** Records the requests, slot usage and store calls of a daemon. */
 export interface MetricsRecorder {
   readonly recordRequest: (request: RequestResult) => void;
+  readonly recordSlotUsage: (usage: SlotUsage) => void;
   readonly recordStoreCall: (kind: CallKind, result: CallResult) => void;
 }
 
@@ -85,7 +98,7 @@
 } as const;
 
 /**
- * Creates a recorder of requests and store calls.
+ * Creates a recorder of requests, slot usage and store calls.
  *
  * @example
  * const recorder = createMetricsRecorder(createMetrics());
@@ -101,6 +114,15 @@
       if (!reason) return;
       metrics.counter(SIDECAR_METRICS.refusals, {service, reason})();
     },
+    recordSlotUsage: ({usedMs, idleMs, refused}) => {
+      for (const [use, ms] of Object.entries({...usedMs, idle: idleMs})) {
+        const seconds = ms / MS_PER_SECOND;
+        metrics.counter(SIDECAR_METRICS.slotSeconds, {use})(seconds);
+      }
+      for (const [reason, count] of refused) {
+        metrics.counter(SIDECAR_METRICS.instanceRefusals, {reason})(count);
+      }
+    },
     recordStoreCall: (kind, result) => {
       metrics.counter(SIDECAR_METRICS.storeCalls, {kind, result})();
     },
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -29,6 +29,10 @@
   createOverloadRefusals,
   createCallerRetries,
   createSlots,
+  createSlotMeter,
+  createResultMeter,
+  RELAY_EVENTS,
+  type SlotUsage,
   createTransfers,
   handleCaller,
   handleForwarded,
@@ -80,6 +84,7 @@
 } from './servers.js';
 import type {SidecarSettings} from './settings.js';
 import {createChangeSignal} from './changesignal.js';
+import {needsReport, resultFields, usageFields} from './usagelog.js';
 import {createInstanceStatements} from './statements.js';
 import {
   READINESS_PROPAGATION_MS,
@@ -104,6 +109,8 @@
   readonly log: Log;
   /** Called with each request of a caller that has ended. */
   readonly onRequestEnd?: (request: RequestResult) => void;
+  /** Called about once a second with the use of the slots since then. */
+  readonly onSlotUsage?: (usage: SlotUsage) => void;
 }
 
 /** A daemon that runs next to an instance. */
@@ -132,6 +139,9 @@
 const INSTANCE_TICK_INTERVAL_MS = 500;
 const PLANNER_INTERVAL_MS = 1000;
 
+/** Interval over which the use of the slots is logged, in milliseconds. */
+const USAGE_INTERVAL_MS = 1000;
+
 /** Event loop delay from which it is logged. */
 const LOOP_DELAY_LOG_THRESHOLD_MS = 250;
 
@@ -192,6 +202,8 @@
   const viewChanges = createChangeSignal();
   const controller = new AbortController();
   const meter = createLoadMeter(clock);
+  const slotMeter = createSlotMeter(clock);
+  const resultMeter = createResultMeter();
   let view: FleetView = EMPTY_VIEW;
   let isFleetListed = false;
   let shutdownPlan: ShutdownPlan | undefined;
@@ -266,7 +278,14 @@
   };
 
   const slotsOf = (count: number) =>
-    slotGate.wrap(createSlots({slots: count, clock}));
+    slotGate.wrap(
+      createSlots({
+        slots: count,
+        clock,
+        onChange: ({slots: all, running}) =>
+          slotMeter.recordOccupancy(all, running.length),
+      }),
+    );
   let slots = slotsOf(1);
   const transfers = createTransfers({clock});
   const ownLoad = () => loadOf(slots, transfers, meter.meanMs(), clock());
@@ -300,6 +319,7 @@
     onInstanceStart: count => {
       statements.begin();
       slots = slotsOf(count);
+      slotMeter.recordOccupancy(count, 0);
       meter.reset();
     },
     onStatement: (life, answer) => statements.record(life, answer),
@@ -363,6 +383,7 @@
     heldKeysChanged: () =>
       Promise.race([instanceManager.nextChange(), viewChanges.nextChange()]),
     slots: () => slots,
+    slotMeter,
     pools,
     requestCompleted: (_, timeMs) => meter.recordDuration(timeMs),
     keyRequested: meter.recordRequest,
@@ -406,7 +427,12 @@
     },
     probe: loads.probe,
     peerStatus: peerState,
-    requestEnded: request => options.onRequestEnd?.(request),
+    requestEnded: request => {
+      const {service, route, outcome, reason, isInTime} = request;
+      const failure = outcome === 'answered' ? undefined : reason || outcome;
+      if (route) resultMeter.record(service, route, isInTime, failure);
+      options.onRequestEnd?.(request);
+    },
   };
   const peersContext = {
     ...context,
@@ -527,6 +553,19 @@
     log(SIDECAR_EVENTS.loopDelayed, {delayMs, open: responses.count()});
   };
 
+  const logUsage = () => {
+    const usage = slotMeter.take();
+    options.onSlotUsage?.(usage);
+    const {service} = instanceManager.local() ?? {service: settings.service};
+    if (needsReport(usage)) {
+      log(RELAY_EVENTS.slotsUsed, {service, ...usageFields(usage)});
+    }
+    for (const results of resultMeter.take()) {
+      if (results.late === 0 && results.failed.size === 0) continue;
+      log(RELAY_EVENTS.routeResults, resultFields(results));
+    }
+  };
+
   const followFleet = () =>
     watchPrefix(
       store,
@@ -594,6 +633,10 @@
       runInBackground(followFleet());
       runInBackground(followConfiguration());
       repeat(waitForTick, () => instanceManager.tick(loopDelayMs));
+      repeat(
+        () => sleep(USAGE_INTERVAL_MS),
+        async () => logUsage(),
+      );
       repeat(
         () => sleep(PLANNER_INTERVAL_MS),
         async () => {
--- a/src/telemetry/bounded.ts
+++ b/src/telemetry/bounded.ts
@@ -93,6 +93,7 @@
       droppedLines = 0;
     }
     if (bufferedBytes > bounds.bufferedBytes) return true;
+    if (kind.isPeriodic) return false;
     if (kind.level === 'debug') {
       debugLines += 1;
       return debugLines > bounds.debugPerSecond;
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -8,6 +8,8 @@
   readonly number: number;
   readonly level: Level;
   readonly message: string;
+  /** Its rate is bounded by a timer, so that no line of it is dropped for it. */
+  readonly isPeriodic?: boolean;
 }
 
 /** Values that describe one occurrence of an event. */
