Keep refusals of retries from refusing first attempts

Hypothesis: a daemon that remembers a refusal (at most 150 ms) refuses all requests of the route.

Change: the record tells retries from first attempts; a refused retry applies to retries only.

--- a/src/relay/ingress.ts
+++ b/src/relay/ingress.ts
@@ -27,7 +27,7 @@
   type IngressContext,
   type RoutedRequest,
 } from './routed.js';
-import {findTarget, hasFreeInstance} from './target.js';
+import {findTarget, hasFreeInstance, refusableRequest} from './target.js';
 import {
   INGRESS_GRACE_MS,
   holderWaitUntil,
@@ -202,18 +202,14 @@
 
 function recordOverload(
   context: IngressContext,
-  {route}: RoutedRequest,
+  routed: RoutedRequest,
   {node}: Member,
   {retryAfterMs = 0}: Failure,
 ): void {
   // An attempt at the local instance needs no other daemon.
   if (node === context.node) return;
-  context.overloadRefusals.record(
-    node,
-    route.name,
-    retryAfterMs,
-    context.clock(),
-  );
+  const request = refusableRequest(routed, node);
+  context.overloadRefusals.record(request, retryAfterMs, context.clock());
 }
 
 /**
--- a/src/relay/overload.ts
+++ b/src/relay/overload.ts
@@ -1,23 +1,27 @@
+/** A request of a route at a daemon, for the record of refusals. */
+export interface RefusableRequest {
+  readonly node: string;
+  readonly route: string;
+  /** The caller sends the request again after a failure. */
+  readonly isRetry: boolean;
+}
+
 /** Recent refusals of other daemons for lack of capacity. */
 export interface OverloadRefusals {
   /**
-   * Records that a daemon refused a request of a route, and when it expects
-   * free capacity.
+   * Records that a daemon refused a request, and when it expects free capacity.
    */
   readonly record: (
-    node: string,
-    route: string,
+    request: RefusableRequest,
     retryAfterMs: number,
     now: number,
   ) => void;
   /**
-   * Returns the time after which a daemon expects free capacity for requests of
-   * a route, in milliseconds; undefined if a request may be forwarded to it
-   * now.
+   * Returns the time after which a daemon expects free capacity for a request,
+   * in milliseconds; undefined if it may be forwarded now.
    */
   readonly retryDelayMs: (
-    node: string,
-    route: string,
+    request: RefusableRequest,
     now: number,
   ) => number | undefined;
 }
@@ -37,27 +41,37 @@
  * During an overload, each refusal costs time at two daemons. Requests that the
  * other daemon would refuse are refused locally instead.
  *
+ * A retry has hardly any time left until its latency objective, and is refused
+ * while a first attempt would still be started. Its refusal therefore applies
+ * to retries only.
+ *
  * @example
  * const refusals = createOverloadRefusals();
- * refusals.record('10.1.0.8:7620', 'view', 300, performance.now());
+ * const request = {node: '10.1.0.8:7620', route: 'view', isRetry: false};
+ * refusals.record(request, 300, performance.now());
  */
 export function createOverloadRefusals(): OverloadRefusals {
   const refusals = new Map<string, OverloadRefusal>();
-  const keyOf = (node: string, route: string) => `${node} ${route}`;
+  const keyOf = ({node, route, isRetry}: RefusableRequest) =>
+    `${node} ${isRetry ? 'retry' : 'first'} ${route}`;
+  const validRefusal = (request: RefusableRequest, now: number) => {
+    const refusal = refusals.get(keyOf(request));
+    return refusal && now < refusal.validUntil ? refusal : undefined;
+  };
   return {
-    record: (node, route, retryAfterMs, now) => {
+    record: (request, retryAfterMs, now) => {
       const validMs = Math.min(
         retryAfterMs * REFUSAL_VALID_SHARE,
         MAX_REFUSAL_VALID_MS,
       );
       const refusal = {validUntil: now + validMs, retryAt: now + retryAfterMs};
-      refusals.set(keyOf(node, route), refusal);
+      refusals.set(keyOf(request), refusal);
     },
-    retryDelayMs: (node, route, now) => {
-      const refusal = refusals.get(keyOf(node, route));
-      return refusal && now < refusal.validUntil
-        ? refusal.retryAt - now
-        : undefined;
+    retryDelayMs: (request, now) => {
+      const refusal =
+        validRefusal({...request, isRetry: false}, now) ??
+        (request.isRetry ? validRefusal(request, now) : undefined);
+      return refusal && refusal.retryAt - now;
     },
   };
 }
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -8,6 +8,7 @@
 import {isSameIncarnation, findTerm, type RangeTerm} from '../ranges/index.js';
 import {lengthOf} from './body.js';
 import {chooseInstance, limitDelayMs} from './choose.js';
+import type {RefusableRequest} from './overload.js';
 import {
   NO_HOLDER_RETRY_MS,
   type IngressContext,
@@ -108,8 +109,7 @@
   }
   const {overloadRefusals} = context;
   const retryDelayMs = overloadRefusals.retryDelayMs(
-    member.node,
-    routed.route.name,
+    refusableRequest(routed, member.node),
     now,
   );
   if (retryDelayMs !== undefined) return refuseOverloaded(retryDelayMs);
@@ -144,8 +144,7 @@
   for (const member of untried) {
     const {node} = member;
     const retryDelayMs = context.overloadRefusals.retryDelayMs(
-      node,
-      routed.route.name,
+      refusableRequest(routed, node),
       now,
     );
     if (retryDelayMs === undefined) open.push(member);
@@ -170,6 +169,19 @@
   return {kind: 'member', member: choice.member};
 }
 
+/**
+ * Describes a request for the record of refusals.
+ *
+ * @example
+ * overloadRefusals.record(refusableRequest(routed, node), 300, now);
+ */
+export function refusableRequest(
+  {route, firstAt, startedAt}: RoutedRequest,
+  node: string,
+): RefusableRequest {
+  return {node, route: route.name, isRetry: firstAt < startedAt};
+}
+
 /** Refuses a request for which no daemon that may run it has free capacity. */
 function refuseOverloaded(retryDelayMs: number): Target {
   const retryAfterMs = Math.max(retryDelayMs, MIN_OVERLOAD_RETRY_MS);
