Tell short work by the durations of kinds, not of requests

Cause: work counted as short when its mean was below half of the mean duration of what occupies a slot at a random time. With uneven durations of one kind, as when look-ups of a request time out, that mean is far above the kind's own, so that all requests counted as short.

Change: the kind that occupies a slot is weighted by its expected duration.

The new test of test/relay/load failed before: fewer than four of five answers by the objective where nine of ten can be.

--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -55,12 +55,13 @@
 }
 
 /**
- * Moving sums over completed requests; their quotient is the mean duration of
- * the request that occupies a slot at a random time.
+ * Moving sums over completed requests; their quotient is the expected duration
+ * of the kind of request that occupies a slot at a random time.
  */
 export interface ServiceTimes {
   readonly sumMs: number;
-  readonly sumOfSquares: number;
+  /** Sum of durations, each multiplied by the expected duration of its kind. */
+  readonly sumOfProducts: number;
 }
 
 /** An event that changes the queue. */
@@ -147,7 +148,7 @@
  * createQueue(12).waiting.length; // 0
  */
 export function createQueue(slots: number): QueueState {
-  const serviceTimes = {sumMs: 0, sumOfSquares: 0};
+  const serviceTimes = {sumMs: 0, sumOfProducts: 0};
   return {slots, running: [], waiting: [], estimates: [], serviceTimes};
 }
 
@@ -317,8 +318,8 @@
 ): WaitingRequest {
   const {arrivedAt, deadlineAt} = request;
   const expectedMs = expectedMsOf(state, request.kind, now);
-  const {sumMs, sumOfSquares} = state.serviceTimes;
-  const isShort = expectedMs * sumMs < SHORT_SHARE * sumOfSquares;
+  const {sumMs, sumOfProducts} = state.serviceTimes;
+  const isShort = expectedMs * sumMs < SHORT_SHARE * sumOfProducts;
   const objectiveAt = isShort ? deadlineAt : request.objectiveAt;
   const deviationMs = meanDeviationMs(state.estimates, request.kind, now);
   const cautiousMs = expectedMs + MARGIN_DEVIATIONS * deviationMs;
@@ -426,10 +427,11 @@
   const tookMs = now - startedAt;
   if (!ran) return {...state, running};
   const estimates = recordDuration(state.estimates, request.kind, tookMs, now);
-  const {sumMs, sumOfSquares} = state.serviceTimes;
+  const {sumMs, sumOfProducts} = state.serviceTimes;
+  const product = tookMs * meanMs(estimates, request.kind, now);
   const serviceTimes = {
     sumMs: sumMs * SERVICE_TIME_DECAY + tookMs,
-    sumOfSquares: sumOfSquares * SERVICE_TIME_DECAY + tookMs * tookMs,
+    sumOfProducts: sumOfProducts * SERVICE_TIME_DECAY + product,
   };
   return {...state, running, estimates, serviceTimes};
 }
--- a/test/relay/load.test.ts
+++ b/test/relay/load.test.ts
@@ -244,6 +244,20 @@
   );
 });
 
+test('requests of one kind with uneven durations are answered by their objective under overload', async t => {
+  // One in ten takes a second, as when a call that it makes times out.
+  const uneven = (random: () => number) =>
+    random() < 0.1 ? 1000 : around(100)(random);
+  const tallies = await simulate(6, [
+    {...VIEWS, perSecond: 64, workMs: uneven},
+  ]);
+  const inTime = shareOf(tallies, VIEW, 'inTime');
+  const served = shareOf(tallies, VIEW, 'served');
+  // Nine in ten of those that run can meet it.
+  t.true(inTime >= served * 0.8);
+  t.true(inTime >= 0.25);
+});
+
 test('a route with a short time limit is served at least a quarter as often', async t => {
   const short: Route = {...VIEW, name: 'short', timeoutMs: 290};
   const streams: Stream[] = [
