--- a/src/relay/intake.ts
+++ b/src/relay/intake.ts
@@ -168,8 +168,9 @@
     // Input that was read before this request in the same turn has delayed it
     // too.
     const sinceMs = now - turnEndedAt;
+    if (sinceMs < LONG_TURN_MS) return;
     const busyMs = sinceMs - (idleMs() - idleMsAtTurnEnd);
-    if (sinceMs >= LONG_TURN_MS && busyMs >= sinceMs * BUSY_SHARE) {
+    if (busyMs >= sinceMs * BUSY_SHARE) {
       overloadedUntil = now + OVERLOADED_FOR_MS;
     }
   };
--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -104,15 +104,20 @@
  * const recorder = createMetricsRecorder(createMetrics());
  */
 export function createMetricsRecorder(metrics: Metrics): MetricsRecorder {
+  const requests = memoize((service, outcome) =>
+    metrics.counter(METRICS.requests, {service, outcome}),
+  );
+  const durations = memoize(service =>
+    metrics.histogram(METRICS.requestSeconds, {service, sender: 'caller'}),
+  );
+  const refusals = memoize((service, reason) =>
+    metrics.counter(SIDECAR_METRICS.refusals, {service, reason}),
+  );
   return {
     recordRequest: ({service, outcome, reason, timeMs}) => {
-      const labels = {service, outcome: OUTCOME_LABELS[outcome]};
-      metrics.counter(METRICS.requests, labels)();
-      const senderLabels = {service, sender: 'caller'};
-      const seconds = timeMs / MS_PER_SECOND;
-      metrics.histogram(METRICS.requestSeconds, senderLabels)(seconds);
-      if (!reason) return;
-      metrics.counter(SIDECAR_METRICS.refusals, {service, reason})();
+      requests(service, OUTCOME_LABELS[outcome])();
+      durations(service, '')(timeMs / MS_PER_SECOND);
+      if (reason) refusals(service, reason)();
     },
     recordSlotUsage: ({usedMs, idleMs, refused}) => {
       for (const [use, ms] of Object.entries({...usedMs, idle: idleMs})) {
@@ -128,3 +133,20 @@
     },
   };
 }
+
+/** Keeps the result for each pair of labels, so that it is looked up once. */
+function memoize<T>(
+  create: (first: string, second: string) => T,
+): (first: string, second: string) => T {
+  const known = new Map<string, Map<string, T>>();
+  return (first, second) => {
+    let bySecond = known.get(first);
+    if (!bySecond) known.set(first, (bySecond = new Map()));
+    let result = bySecond.get(second);
+    if (result === undefined) {
+      result = create(first, second);
+      bySecond.set(second, result);
+    }
+    return result;
+  };
+}
