Close channels that are idle or whose client has vanished

Cause: a channel was never closed, so that daemons at the size to design for, and those whose peers lost power, would keep descriptors without a use. Change: clients close a channel after 30 s without a request, servers after 60 s without a frame. Both have a test in test/channel; without the change these fail.

--- a/src/channel/client.ts
+++ b/src/channel/client.ts
@@ -23,6 +23,8 @@
 /** Options of the channels to other daemons. */
 export interface ChannelOptions {
   readonly connectTimeoutMs: number;
+  /** Time without a request after which a channel is closed. */
+  readonly idleTimeoutMs: number;
   /** Monotonic time in milliseconds. */
   readonly clock: () => number;
   /**
@@ -91,11 +93,16 @@
  * fallback.
  *
  * @example
- * const channels = createChannels({connectTimeoutMs: 500, clock, fallback});
+ * const channels = createChannels({
+ *   connectTimeoutMs: 500, idleTimeoutMs: 30_000, clock, fallback});
  * exchange(channels.to(address), call, response, hooks);
  */
 export function createChannels(options: ChannelOptions): Channels {
   const peers = new Map<string, Peer>();
+  const sweep = setInterval(() => {
+    for (const peer of peers.values()) peer.closeIdle();
+  }, options.idleTimeoutMs / 2);
+  sweep.unref();
   return {
     to: address => {
       const name = formatAddress(address);
@@ -104,6 +111,7 @@
       return peer;
     },
     close: () => {
+      clearInterval(sweep);
       for (const peer of peers.values()) peer.close();
       peers.clear();
     },
@@ -111,6 +119,8 @@
 }
 
 interface Peer extends Transport {
+  /** Closes the channels that had no request for the idle timeout. */
+  readonly closeIdle: () => void;
   readonly close: () => void;
 }
 
@@ -158,6 +168,13 @@
       best.send(call as Call, handler);
       return true;
     },
+    closeIdle: () => {
+      const since = clock() - options.idleTimeoutMs;
+      for (const channel of channels) {
+        const isIdle = channel.streamCount() === 0;
+        if (isIdle && channel.usedAt() <= since) channel.close();
+      }
+    },
     close: () => {
       isClosed = true;
       channels.forEach(channel => channel.close());
@@ -210,6 +227,8 @@
   readonly isUsable: () => boolean;
   /** Number of open requests. */
   readonly streamCount: () => number;
+  /** Time of the last request, in milliseconds. */
+  readonly usedAt: () => number;
   readonly close: () => void;
 }
 
@@ -222,6 +241,7 @@
   const streams = new Map<number, Stream>();
   let nextStream = 1;
   let receivedAt = clock();
+  let usedAt = receivedAt;
   let pingedAt: number | undefined;
   let isLeaving = false;
   let failure: Error | undefined;
@@ -358,6 +378,7 @@
       return false;
     },
     streamCount: () => streams.size,
+    usedAt: () => usedAt,
     send: (call, handler) => {
       const number = nextStream;
       let isAborted = false;
@@ -371,6 +392,7 @@
       });
       if (isAborted) return;
       nextStream += 1;
+      usedAt = clock();
       const {method, path, headers, body} = call;
       const stream = {handler, held: [], isPaused: false, passedBytes: 0};
       streams.set(number, stream);
--- a/src/channel/server.ts
+++ b/src/channel/server.ts
@@ -39,6 +39,12 @@
 /** Options of a channel server. */
 export interface ChannelServerOptions {
   readonly handle: ChannelHandler;
+  /**
+   * Time without any frame after which a channel is closed, in milliseconds;
+   * its client may have lost power. Must be longer than the idle timeout of
+   * clients.
+   */
+  readonly idleTimeoutMs: number;
   /** Called with the reason when a client breaks the protocol. */
   readonly onProtocolError: (message: string, peer: string | undefined) => void;
 }
@@ -48,7 +54,8 @@
  * protocol turns its connection into one. Other upgrades are refused.
  *
  * @example
- * const channels = serveChannels(server, {handle, onProtocolError});
+ * const channels = serveChannels(
+ *   server, {handle, idleTimeoutMs: 60_000, onProtocolError});
  * channels.close();
  */
 export function serveChannels(
@@ -86,7 +93,7 @@
 
 function acceptChannel(
   socket: Socket,
-  {handle, onProtocolError}: ChannelServerOptions,
+  {handle, idleTimeoutMs, onProtocolError}: ChannelServerOptions,
 ): Connection {
   const write = createFrameWriter(socket);
   const answers = new Map<number, ChannelResponse>();
@@ -122,7 +129,7 @@
   const read = createFrameReader(receive);
 
   socket.setNoDelay(true);
-  socket.setTimeout(0);
+  socket.setTimeout(idleTimeoutMs, () => socket.destroy());
   socket.on('data', (bytes: Buffer) => {
     try {
       read(bytes);
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -380,6 +380,7 @@
   });
   const channels = createChannels({
     connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
+    idleTimeoutMs: PEER_IDLE_TIMEOUT_MS / 2,
     clock,
     fallback: address => peerPools.get(address, PEER_CONNECTIONS),
   });
@@ -550,6 +551,7 @@
 
   const peerChannels = serveChannels(peers, {
     handle: handlePeer,
+    idleTimeoutMs: PEER_IDLE_TIMEOUT_MS,
     onProtocolError: (message, peer) =>
       log(SIDECAR_EVENTS.channelBroken, {peer, message}),
   });
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -258,6 +258,36 @@
   server.close();
 });
 
+test('a channel without requests is closed, one with an open request is not', async t => {
+  const server = await startServer((request, response) => {
+    const delayMs = request.url === '/slow' ? 600 : 0;
+    setTimeout(() => echo(request, response), delayMs);
+  });
+  const {transport, fellBack, close} = await openChannel(server.address, 200);
+  const before = fellBack.length;
+  t.is((await send(transport, {path: '/slow'}).received).body, '/slow');
+  await pause(400);
+  await send(transport, {path: '/idle'}).received;
+  t.deepEqual(fellBack.slice(before), ['/idle']);
+  close();
+  server.close();
+});
+
+test('a server closes a channel whose client has vanished', async t => {
+  const server = await startServer(echo, 200);
+  const proxy = await startProxy(server.address);
+  const {close} = await openChannel(proxy.address);
+  proxy.silence();
+  const openSockets = () =>
+    new Promise(resolve => server.server.getConnections((_, n) => resolve(n)));
+  t.is(await openSockets(), 1);
+  await pause(400);
+  t.is(await openSockets(), 0);
+  close();
+  proxy.close();
+  server.close();
+});
+
 test('a daemon without the protocol is asked for a channel once', async t => {
   let requests = 0;
   const server = http.createServer((_, response) => {
--- a/test/channel/fixture.ts
+++ b/test/channel/fixture.ts
@@ -30,11 +30,18 @@
  * @example
  * const {address} = await startServer((_, response) => response.end('done'));
  */
-export async function startServer(handle: ChannelHandler): Promise<TestServer> {
+export async function startServer(
+  handle: ChannelHandler,
+  idleTimeoutMs = 10_000,
+): Promise<TestServer> {
   const server = http.createServer((_, response) => response.end());
   const problems: string[] = [];
   const onProtocolError = (message: string) => problems.push(message);
-  const channels = serveChannels(server, {handle, onProtocolError});
+  const channels = serveChannels(server, {
+    handle,
+    idleTimeoutMs,
+    onProtocolError,
+  });
   return {
     address: await listen(server),
     server,
@@ -70,7 +77,7 @@
  * @example
  * const {to, fellBack} = createClient();
  */
-export function createClient(): TestClient {
+export function createClient(idleTimeoutMs = 10_000): TestClient {
   const fellBack: string[] = [];
   const fallback: Transport = {
     dispatch: ({path}, handler) => {
@@ -82,6 +89,7 @@
   };
   const channels = createChannels({
     connectTimeoutMs: 300,
+    idleTimeoutMs,
     clock: () => performance.now(),
     fallback: () => fallback,
   });
@@ -96,8 +104,9 @@
  */
 export async function openChannel(
   address: Address,
+  idleTimeoutMs?: number,
 ): Promise<TestClient & {readonly transport: Transport}> {
-  const client = createClient();
+  const client = createClient(idleTimeoutMs);
   const transport = client.to(address);
   for (;;) {
     const count = client.fellBack.length;
