Pass on an answer that has arrived though its channel has ended

Cause: an answer held for a slow receiver failed when its channel closed, though its last frame had arrived. Change: only answers without their end are broken off. A channel that falls silent is logged (6053). The new test fails without the change.

--- a/src/channel/client.ts
+++ b/src/channel/client.ts
@@ -33,6 +33,8 @@
    * protocol.
    */
   readonly fallback: (address: Address) => Transport;
+  /** Called when a channel to a daemon has fallen silent. */
+  readonly onSilent: (address: Address) => void;
 }
 
 /** Channels to other daemons, opened when they are first needed. */
@@ -94,7 +96,7 @@
  *
  * @example
  * const channels = createChannels({
- *   connectTimeoutMs: 500, idleTimeoutMs: 30_000, clock, fallback});
+ *   connectTimeoutMs: 500, idleTimeoutMs: 30_000, clock, fallback, onSilent});
  * exchange(channels.to(address), call, response, hooks);
  */
 export function createChannels(options: ChannelOptions): Channels {
@@ -133,9 +135,14 @@
   let connectFrom = -Infinity;
 
   const addChannel = (socket: Socket) => {
-    const channel = createChannel(socket, clock, () => {
-      channels = channels.filter(other => other !== channel);
-    });
+    const channel = createChannel(
+      socket,
+      clock,
+      () => {
+        channels = channels.filter(other => other !== channel);
+      },
+      () => options.onSilent(address),
+    );
     channels = [...channels, channel];
   };
 
@@ -236,6 +243,7 @@
   socket: Socket,
   clock: () => number,
   onClose: () => void,
+  onSilent: () => void,
 ): Channel {
   const write = createFrameWriter(socket);
   const streams = new Map<number, Stream>();
@@ -243,6 +251,7 @@
   let receivedAt = clock();
   let usedAt = receivedAt;
   let pingedAt: number | undefined;
+  let isSilenceReported = false;
   let isLeaving = false;
   let failure: Error | undefined;
 
@@ -352,6 +361,7 @@
   socket.on('data', (bytes: Buffer) => {
     receivedAt = clock();
     pingedAt = undefined;
+    isSilenceReported = false;
     try {
       read(bytes);
     } catch (error) {
@@ -364,11 +374,18 @@
   socket.on('end', () => close(new Error('the daemon closed the channel')));
   socket.on('close', () => {
     onClose();
-    failAll(failure ?? new Error('the channel was closed'), () => true);
+    const error = failure ?? new Error('the channel was closed');
+    // An answer that has arrived whole is still passed on.
+    failAll(error, number => !streams.get(number)?.ending);
   });
 
-  const isSilent = () =>
-    pingedAt !== undefined && clock() - pingedAt >= SILENT_AFTER_MS;
+  const isSilent = () => {
+    if (pingedAt === undefined) return false;
+    if (clock() - pingedAt < SILENT_AFTER_MS) return false;
+    if (!isSilenceReported) onSilent();
+    isSilenceReported = true;
+    return true;
+  };
 
   return {
     isUsable: () => {
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -139,6 +139,12 @@
     level: 'warn',
     message: 'instance does not hold keys that were granted to it',
   },
+  channelSilent: {
+    number: 6053,
+    level: 'info',
+    message:
+      'channel to another daemon is silent; requests take HTTP or a new one',
+  },
   channelBroken: {
     number: 6049,
     level: 'warn',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -45,7 +45,7 @@
   type IngressContext,
   type SplitState,
 } from '../relay/index.js';
-import {parseAddress, type Address} from '../model/index.js';
+import {formatAddress, parseAddress, type Address} from '../model/index.js';
 import {createChannels, serveChannels} from '../channel/index.js';
 import type {ObjectStore, StoredObject} from '../store/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
@@ -383,6 +383,8 @@
     idleTimeoutMs: PEER_IDLE_TIMEOUT_MS / 2,
     clock,
     fallback: address => peerPools.get(address, PEER_CONNECTIONS),
+    onSilent: address =>
+      log(SIDECAR_EVENTS.channelSilent, {peer: formatAddress(address)}),
   });
   const answerLengths = createAnswerLengths();
 
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -153,6 +153,28 @@
   server.close();
 });
 
+test('an answer that has arrived is passed on though its channel has ended', async t => {
+  const server = await startServer((request, response) => {
+    if (request.url === '/open') return echo(request, response);
+    response.writeHead(200, []);
+    response.write(Buffer.from('first '));
+    response.end('last');
+  });
+  const {transport, close} = await openChannel(server.address);
+  let isPaused = true;
+  const exchange = send(transport, {path: '/'}, {isPaused: () => isPaused});
+  while (exchange.bytes() === 0) await pause(5);
+  server.channels.close();
+  await pause(50);
+  isPaused = false;
+  exchange.resume();
+  const {kind, body} = await exchange.received;
+  t.is(kind, 'complete');
+  t.is(body, 'first last');
+  close();
+  server.close();
+});
+
 test('a cancelled request closes its response at the server', async t => {
   let closed: ((writer: ResponseWriter) => void) | undefined;
   const response = new Promise<ResponseWriter>(resolve => (closed = resolve));
@@ -217,7 +239,9 @@
 test('a channel that falls silent is left, and a new one is opened', async t => {
   const server = await startServer(echo);
   const proxy = await startProxy(server.address);
-  const {transport, fellBack, close} = await openChannel(proxy.address);
+  const {transport, fellBack, silences, close} = await openChannel(
+    proxy.address,
+  );
   const before = fellBack.length;
   await pause(300);
   proxy.silence();
@@ -229,6 +253,7 @@
   const answer = await send(transport, {path: '/later'}).received;
   t.is(answer.body, '/later');
   t.is(proxy.accepted(), 2);
+  t.is(silences(), 1);
   close();
   t.is((await stuck.received).kind, 'error');
   proxy.close();
--- a/test/channel/fixture.ts
+++ b/test/channel/fixture.ts
@@ -69,6 +69,8 @@
   readonly close: () => void;
   /** Paths of the requests that took the fallback. */
   readonly fellBack: readonly string[];
+  /** How often a channel was reported as silent. */
+  readonly silences: () => number;
 }
 
 /**
@@ -79,6 +81,7 @@
  */
 export function createClient(idleTimeoutMs = 10_000): TestClient {
   const fellBack: string[] = [];
+  let silences = 0;
   const fallback: Transport = {
     dispatch: ({path}, handler) => {
       fellBack.push(path);
@@ -92,8 +95,9 @@
     idleTimeoutMs,
     clock: () => performance.now(),
     fallback: () => fallback,
+    onSilent: () => (silences += 1),
   });
-  return {...channels, fellBack};
+  return {...channels, fellBack, silences: () => silences};
 }
 
 /**
