Give the answers on a channel and the forms of messages their own files

No change of behaviour: ChannelResponse moves from server.ts to response.ts, the parts of requests and responses that handlers use from exchange.ts to message.ts.

--- a/src/channel/server.ts
+++ b/src/channel/server.ts
@@ -1,4 +1,3 @@
-import {EventEmitter} from 'node:events';
 import type {IncomingHttpHeaders, IncomingMessage, Server} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -8,12 +7,11 @@
   createFrameReader,
   decodeHead,
   encodeFrame,
-  encodeHead,
   type Frame,
   type RequestHead,
 } from './frame.js';
-import {WINDOW_BYTES} from './window.js';
-import {createFrameWriter, type FrameWriter} from './writer.js';
+import {ChannelResponse} from './response.js';
+import {createFrameWriter} from './writer.js';
 
 /** Protocol name in the `Upgrade` header that opens a channel. */
 export const CHANNEL_PROTOCOL = 'vanillaspool-channel-1';
@@ -177,107 +175,3 @@
 async function* iterate(parts: readonly Buffer[]): AsyncGenerator<Buffer> {
   yield* parts;
 }
-
-/** The answer to a request on a channel, written as by a `ServerResponse`. */
-class ChannelResponse extends EventEmitter implements ResponseWriter {
-  headersSent = false;
-  writableEnded = false;
-  writableFinished = false;
-  destroyed = false;
-  useChunkedEncodingByDefault = true;
-  shouldKeepAlive = true;
-  readonly socket = {resetAndDestroy: () => this.destroy()};
-  readonly #stream: number;
-  readonly #connection: Socket;
-  readonly #write: FrameWriter;
-  #credit = WINDOW_BYTES;
-  #isWaiting = false;
-  #trailers: string[] = [];
-
-  constructor(stream: number, connection: Socket, write: FrameWriter) {
-    super();
-    this.#stream = stream;
-    this.#connection = connection;
-    this.#write = write;
-  }
-
-  writeHead(status: number, headers: readonly string[]): void {
-    if (this.#isOver()) return;
-    this.headersSent = true;
-    const isChunked = this.useChunkedEncodingByDefault && !hasLength(headers);
-    const framing = isChunked ? ['Transfer-Encoding', 'chunked'] : [];
-    const head = encodeHead([status, [...headers, ...framing]]);
-    this.#write(encodeFrame(FRAME.head, this.#stream, head));
-  }
-
-  writeEarlyHints({link}: {readonly link: readonly string[]}): void {
-    if (this.#isOver()) return;
-    const headers = link.flatMap(value => ['Link', value]);
-    const head = encodeHead([EARLY_HINTS_STATUS, headers]);
-    this.#write(encodeFrame(FRAME.head, this.#stream, head));
-  }
-
-  addTrailers(trailers: readonly [string, string][]): void {
-    this.#trailers = trailers.flatMap(([name, value]) => [name, value]);
-  }
-
-  write(part: Buffer): boolean {
-    if (this.#isOver()) return true;
-    this.#write(encodeFrame(FRAME.data, this.#stream, part));
-    this.#credit -= part.length;
-    this.#isWaiting = this.#credit <= 0 || this.#connection.writableNeedDrain;
-    return !this.#isWaiting;
-  }
-
-  end(part: Buffer | string = ''): void {
-    if (this.#isOver()) return;
-    this.writableEnded = true;
-    const head = encodeHead([0, this.#trailers]);
-    this.#write(encodeFrame(FRAME.end, this.#stream, head, Buffer.from(part)));
-    this.writableFinished = true;
-    this.#close();
-  }
-
-  /** Breaks the answer off, so that it does not appear complete. */
-  destroy(): void {
-    if (this.#isOver()) return;
-    this.#write(encodeFrame(FRAME.reset, this.#stream));
-    this.#close();
-  }
-
-  /** Ends the answer without a frame, as its client does not want it. */
-  cancel(): void {
-    if (!this.#isOver()) this.#close();
-  }
-
-  addCredit(bytes: number): void {
-    this.#credit += bytes;
-    this.resume();
-  }
-
-  /** Emits `drain` if the writer waits and may go on. */
-  resume(): void {
-    if (!this.#isWaiting || this.#credit <= 0) return;
-    if (this.#connection.writableNeedDrain) return;
-    this.#isWaiting = false;
-    this.emit('drain');
-  }
-
-  #isOver(): boolean {
-    return this.destroyed || this.writableEnded;
-  }
-
-  #close(): void {
-    this.destroyed = true;
-    process.nextTick(() => this.emit('close'));
-  }
-}
-
-const EARLY_HINTS_STATUS = 103;
-
-function hasLength(headers: readonly string[]): boolean {
-  for (let i = 0; i < headers.length; i += 2) {
-    if (headers[i].toLowerCase() === 'content-length') return true;
-  }
-  return false;
-}
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -1,6 +1,6 @@
-import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import {parseResponseHead, type ResponseHead} from './head.js';
+import type {ResponseWriter} from './message.js';
 
 /** A request to one upstream or daemon. */
 export interface Call {
@@ -20,46 +20,6 @@
 /** Error of a request that was sent, but that its receiver never read. */
 export class UnprocessedError extends Error {}
 
-/**
- * A request as a server received it; the part of `IncomingMessage` that
- * handlers use.
- */
-export interface ReceivedRequest {
-  readonly method?: string;
-  readonly url?: string;
-  readonly headers: IncomingHttpHeaders;
-  /** Alternating names and values. */
-  readonly rawHeaders: string[];
-  /** The whole request has arrived. */
-  readonly complete: boolean;
-  readonly socket: {readonly remoteAddress?: string};
-  /** Iterates over the body; can be called once. */
-  readonly iterator: (options?: {
-    readonly destroyOnReturn?: boolean;
-  }) => AsyncIterator<Buffer>;
-}
-
-/** Writes a response; the part of `ServerResponse` that handlers use. */
-export interface ResponseWriter {
-  useChunkedEncodingByDefault: boolean;
-  shouldKeepAlive: boolean;
-  readonly headersSent: boolean;
-  readonly writableEnded: boolean;
-  /** The whole response was passed to the connection. */
-  readonly writableFinished: boolean;
-  readonly destroyed: boolean;
-  readonly socket: {readonly resetAndDestroy: () => unknown} | null;
-  writeHead(status: number, headers: string[]): unknown;
-  writeEarlyHints(hints: {readonly link: string[]}): void;
-  addTrailers(trailers: readonly [string, string][]): void;
-  /** Returns false if the next part should wait for `drain`. */
-  write(part: Buffer): boolean;
-  end(part?: Buffer | string): unknown;
-  destroy(): unknown;
-  once(event: 'close' | 'drain', listener: () => void): unknown;
-  off(event: 'drain', listener: () => void): unknown;
-}
-
 /** The outcome of an exchange. */
 export type ExchangeResult =
   /** The complete response was forwarded. */
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -10,6 +10,7 @@
 export * from './exchange.js';
 export * from './upstream.js';
 export * from './limit.js';
+export * from './message.js';
 export * from './pools.js';
 export * from './statement.js';
 export * from './tracker.js';
