Hand over the last answers on channels before a daemon exits

Cause: an answer on a channel counts as ended once it is written to the socket, and the process exited 20 ms after its channels were closed; what a slow link had not taken by then was lost, so that a stop cut answers off. Change: closing the channels resolves when all that was written is handed over; the stop waits for it, 300 ms at most.

--- a/src/channel/server.ts
+++ b/src/channel/server.ts
@@ -29,9 +29,10 @@
 export interface ChannelServer {
   /**
    * Tells the clients that no further requests are read, and closes the
-   * channels. Open answers are broken off.
+   * channels. Open answers are broken off. Resolves when all that was written
+   * has been handed over to the network.
    */
-  readonly close: () => void;
+  readonly close: () => Promise<void>;
 }
 
 /** Options of a channel server. */
@@ -77,16 +78,17 @@
     socket.once('close', () => connections.delete(connection));
   });
   return {
-    close: () => {
-      for (const connection of connections) connection.close();
+    close: async () => {
+      const open = [...connections];
       connections.clear();
+      await Promise.all(open.map(connection => connection.close()));
     },
   };
 }
 
 /** One channel. */
 interface Connection {
-  readonly close: () => void;
+  readonly close: () => Promise<void>;
 }
 
 function acceptChannel(
@@ -146,7 +148,10 @@
       isClosed = true;
       answers.forEach(answer => answer.destroy());
       write(encodeFrame(FRAME.goAway, lastStream));
-      setImmediate(() => socket.end());
+      return new Promise(resolve => {
+        socket.once('close', resolve);
+        setImmediate(() => socket.end(resolve));
+      });
     },
   };
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -197,8 +197,8 @@
  */
 const MAX_CHANNEL_BYTES = 16 * 1024;
 
-/** Time in which other daemons learn that the channels are closed. */
-const CHANNEL_CLOSE_MS = 20;
+/** Longest wait until the last answers on channels are handed over. */
+const CHANNEL_CLOSE_MS = 300;
 
 /** Time for which the daemon waits until its last responses are sent. */
 const FINAL_FLUSH_MS = 100;
@@ -719,8 +719,7 @@
         await sleep(FINAL_FLUSH_MS);
       }
       controller.abort();
-      peerChannels.close();
-      await sleep(CHANNEL_CLOSE_MS);
+      await Promise.race([peerChannels.close(), sleep(CHANNEL_CLOSE_MS)]);
       for (const server of [callers, peers]) {
         server.close();
         server.closeAllConnections();
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -92,7 +92,7 @@
     response.writeHead(200, []);
     response.write(Buffer.from('part'));
     if (request.url === '/reset') response.socket?.resetAndDestroy();
-    else setTimeout(() => server.channels.close(), 20);
+    else setTimeout(() => void server.channels.close(), 20);
   });
   for (const path of ['/reset', '/closed']) {
     const {transport, close} = await openChannel(server.address);
@@ -164,7 +164,7 @@
   let isPaused = true;
   const exchange = send(transport, {path: '/'}, {isPaused: () => isPaused});
   while (exchange.bytes() === 0) await pause(5);
-  server.channels.close();
+  await server.channels.close();
   await pause(50);
   isPaused = false;
   exchange.resume();
@@ -175,6 +175,31 @@
   server.close();
 });
 
+test('a server that closes hands over the answers that it has written', async t => {
+  const part = Buffer.alloc(60 * 1024, 'x');
+  const count = 100;
+  let answered = 0;
+  const server = await startServer((request, response) => {
+    if (request.url === '/open') return echo(request, response);
+    response.writeHead(200, []);
+    response.end(part);
+    answered += 1;
+  });
+  const {transport, close} = await openChannel(server.address);
+  const exchanges = Array.from({length: count}, () => send(transport));
+  while (answered < count) await pause(1);
+  await server.channels.close();
+  server.server.closeAllConnections();
+  const answers = await Promise.all(exchanges.map(({received}) => received));
+  t.true(
+    answers.every(({kind, body}) => {
+      return kind === 'complete' && body.length === part.length;
+    }),
+  );
+  close();
+  server.close();
+});
+
 test('a cancelled request closes its response at the server', async t => {
   let closed: ((writer: ResponseWriter) => void) | undefined;
   const response = new Promise<ResponseWriter>(resolve => (closed = resolve));
--- a/test/channel/fixture.ts
+++ b/test/channel/fixture.ts
@@ -48,7 +48,7 @@
     channels,
     problems,
     close: () => {
-      channels.close();
+      void channels.close();
       server.closeAllConnections();
       server.close();
     },
