Take heartbeats only from the instance that the settings name

The keys of the real instance, which was up and held them, went to the other two about a second later under a higher token; its own heartbeats got 409.

Cause: a heartbeat's service and address were believed as sent. A new id with a later `born` is taken for the life that follows at the machine, whatever it says that it is. The settings of the daemon name the service and the address of the one instance beside it. They were compared with nothing.

Ruled out: that a comparison with the configuration would do. It may not be there yet, and a service that is removed or renamed there still has instances.

Change: a heartbeat of another service or address is logged (event 6060), answered 409, and changes nothing, under any id; a daemon that starts again does not restore a registered instance of another service.

--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -74,6 +74,12 @@
     level: 'warn',
     message: 'malformed heartbeat rejected',
   },
+  heartbeatForeign: {
+    number: 6060,
+    level: 'warn',
+    message:
+      'heartbeat names another service or address than the settings; ignoring it',
+  },
   instanceSilent: {
     number: 6034,
     level: 'warn',
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -14,7 +14,12 @@
   type Incarnation,
   type RangeTerm,
 } from '../ranges/index.js';
-import {formatAddress, parseAddress, type Address} from '../model/index.js';
+import {
+  formatAddress,
+  parseAddress,
+  sameAddress,
+  type Address,
+} from '../model/index.js';
 import {LATE_TIMER_MS, type LocalInstance} from '../relay/index.js';
 import type {GrantDelivery, DeliveryContext} from './delivery.js';
 import {SIDECAR_EVENTS} from './events.js';
@@ -41,10 +46,9 @@
 export interface InstanceManagerContext extends MapAccess {
   readonly node: string;
   readonly domain: string;
-  /**
-   * Address, as `ip:port`, of a restored instance until its first heartbeat
-   * states it.
-   */
+  /** Service that runs beside this daemon, by its settings. */
+  readonly service: string;
+  /** Address of the local instance by the settings, as `ip:port`. */
   readonly instance: string;
   readonly clock: () => number;
   readonly wallClock: DeliveryContext['wallClock'];
@@ -72,7 +76,8 @@
   /**
    * Processes a heartbeat and returns the grants for its response.
    *
-   * @returns undefined when the heartbeat is stale.
+   * @returns undefined when the heartbeat is stale or not from the instance that
+   *     the settings name.
    */
   readonly handleHeartbeat: (
     beat: Heartbeat,
@@ -428,9 +433,20 @@
     };
   };
 
+  /** Returns whether a heartbeat is from the instance that the settings name. */
+  const isFromLocalInstance = ({service, address}: Heartbeat) =>
+    service === context.service &&
+    sameAddress(address, parseAddress(context.instance));
+
   const handleHeartbeat = async (beat: Heartbeat) => {
     const arrivedAt = clock();
     const {leaseMs} = context;
+    if (!isFromLocalInstance(beat)) {
+      const {id, born, service} = beat;
+      const address = formatAddress(beat.address);
+      log(SIDECAR_EVENTS.heartbeatForeign, {id, born, service, address});
+      return undefined;
+    }
     const own = admit(beat, arrivedAt);
     if (!own) {
       const {id, born, sequence} = beat;
@@ -551,6 +567,7 @@
     const known = registration.recorded();
     if (
       !known ||
+      known.service !== context.service ||
       (instance && !isSameIncarnation(incarnation(), incarnationOf(known)))
     )
       return;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -337,7 +337,12 @@
     ...access,
     wallClock: Date.now,
     domain,
-    instance: settings.instance,
+    get service() {
+      return settings.service;
+    },
+    get instance() {
+      return settings.instance;
+    },
     isKeyed,
     get heartbeatMs() {
       return settings.heartbeatS * MS_PER_SECOND;
--- a/test/sidecar/contexts.ts
+++ b/test/sidecar/contexts.ts
@@ -34,6 +34,7 @@
     readThroughPeer: () => Promise.resolve(undefined),
     node: '10.1.0.8:7620',
     domain: 'north',
+    service: 'desk',
     instance: '10.1.0.8:8301',
     wallClock: context.clock,
     isKeyed: () => true,
--- a/test/sidecar/latechanges.ts
+++ b/test/sidecar/latechanges.ts
@@ -27,12 +27,14 @@
   type StoredObject,
   type WriteResult,
 } from '../../src/store/index.js';
+import {parseAddress} from '../../src/model/index.js';
 import {createManagerContext} from './contexts.js';
 
 const SERVICE = 'stock';
 
 /** The daemon under test and another one, which is only named in the map. */
 export const NODE = '10.1.0.1:7620';
+const INSTANCE = '10.1.0.1:8301';
 export const OTHER_LIFE: Incarnation = {
   node: '10.1.0.2:7620',
   id: 'i-other',
@@ -186,7 +188,11 @@
   const manager = createInstanceManager(
     createManagerContext(
       {store, view: () => view, observeChange, clock: () => now},
-      {node: NODE, leaseMs: LEASE_MS, heartbeatMs: 870, ...options},
+      {
+        ...{node: NODE, service: SERVICE, instance: INSTANCE},
+        ...{leaseMs: LEASE_MS, heartbeatMs: 870},
+        ...options,
+      },
     ),
   );
   return {
@@ -226,7 +232,7 @@
     born,
     sequence,
     service: SERVICE,
-    address: {host: '10.1.0.1', port: 8301},
+    address: parseAddress(INSTANCE),
     domain: 'north',
     slots: 4,
     state: 'ready',
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -476,6 +476,7 @@
       ...access,
       wallClock: () => timeOfDay(machine),
       domain: 'north',
+      service: SERVICE,
       instance: '10.1.0.1:8301',
       isKeyed: () => true,
       heartbeatMs: HEARTBEAT_MS,
