Revoke keys of another service's instance instead of freeing them

Callers could see two instances serve a key: the first heartbeat of an instance at a machine that had run another service freed the keys of that service at once, or gave them to their next holder. The instance that held them may still be up until its lease ends; nothing but that one message said that it had ended.

Cause: a takeover treated the change of service as proof that all leases of the earlier life were over. Of the same service that is right, since the new life itself gets the keys under a new token; of another service the keys go to an instance elsewhere.

Change: such keys are revoked, and pass on when the lease has certainly expired, as those of any instance that is lost. Two tests of test/sidecar/foreign.test.ts (keys held, keys on the move) fail on the code before: the keys are free or at their next holder at once.

--- a/src/ranges/change.ts
+++ b/src/ranges/change.ts
@@ -112,11 +112,18 @@
  * revoke(map, incarnation);
  */
 export function revoke(map: RangeMap, holder: Incarnation): RangeMap {
+  return revokeTerms(map, term => isSameIncarnation(term.holder, holder));
+}
+
+function revokeTerms(
+  map: RangeMap,
+  selects: (term: RangeTerm) => boolean,
+): RangeMap {
   const revocation = map.fence + 1;
   const next = changeTerms(map, term => {
-    if (!isSameIncarnation(term.holder, holder)) return term;
     const isActive = term.state === 'held' || term.state === 'moving';
-    return isActive ? {...term, state: 'revoked', revocation} : term;
+    if (!isActive || !selects(term)) return term;
+    return {...term, state: 'revoked', revocation};
   });
   return next === map ? map : {...next, fence: revocation};
 }
@@ -204,8 +211,9 @@
  * Ends the terms of all earlier incarnations at a daemon, which are known to
  * have ended. A new incarnation of the same service takes the keys over under a
  * new fencing token; keys that were moving to another daemon continue to. Keys
- * of another service go to their next holder or become free. Terms of the
- * incarnation itself get its position.
+ * of another service are revoked: one heartbeat does not prove that the instance
+ * of that service holds none of them any more. Terms of the incarnation itself
+ * get its position.
  *
  * @param current The incarnation that is known to run.
  * @param isSameService Whether it runs the service of the map.
@@ -218,16 +226,15 @@
   current: Incarnation,
   isSameService: boolean,
 ): RangeMap {
+  if (!isSameService) {
+    return revokeTerms(map, term => isHeldByPredecessor(term, current));
+  }
   const fence = map.fence + 1;
   return changeTerms(map, term => {
     if (isOrderedEarlier(term, current)) return {...term, holder: current};
     if (!isHeldByPredecessor(term, current)) return term;
     const {next} = term;
     const isMovingAway = next !== undefined && next.node !== current.node;
-    if (!isSameService) {
-      if (isMovingAway) return endTerm({...term, handover: ''}, fence);
-      return {...withoutTransition(term), state: 'free', handover: ''};
-    }
     const taken = startTerm({...term, handover: ''}, current, fence);
     // The first heartbeat of an ended life may be late, so that the keys are
     // still held: the next holder waits for the release.
--- a/test/sidecar/foreign.test.ts
+++ b/test/sidecar/foreign.test.ts
@@ -1,9 +1,17 @@
 import test from 'ava';
 import type {Member} from '../../src/fleet/index.js';
-import {ALL_KEYS, createMap} from '../../src/ranges/index.js';
+import {
+  ALL_KEYS,
+  createMap,
+  expire,
+  findTerm,
+  startMoves,
+  type RangeMap,
+} from '../../src/ranges/index.js';
 import type {Heartbeat} from '../../src/sidecar/index.js';
 import {
   MEMBER_KEY,
+  OTHER_LIFE,
   createHeldStore,
   heartbeatOf,
   lifeOf,
@@ -73,3 +81,30 @@
   manager.resume();
   t.is(manager.local(), undefined);
 });
+
+// Guards against a machine that is given to another service, whose first
+// heartbeat ends the hold of an instance that may still be up (OWNER).
+for (const [name, change] of [
+  ['held', (map: RangeMap) => map],
+  [
+    'on the move',
+    (map: RangeMap) => startMoves(map, [{...ALL_KEYS, holder: OTHER_LIFE}]),
+  ],
+] as const) {
+  test(`keys ${name} wait for the end of their lease when another service has the machine`, async t => {
+    const store = createHeldStore();
+    store.changeMap(() => createMap([{...ALL_KEYS, holder: lifeOf(1)}]));
+    store.changeMap(change);
+    const {manager, observeStore} = startDaemon(store, {service: 'desk'});
+    observeStore();
+    const beat = heartbeatOf(lifeOf(2), 1, {service: 'desk'});
+    t.truthy(await manager.handleHeartbeat(beat));
+    await manager.tick(0);
+    const {state, holder, revocation} = store.termAt(0);
+    t.is(state, 'revoked');
+    t.is(holder.id, lifeOf(1).id);
+    const expired = expire(store.map(), lifeOf(1), revocation);
+    const next = findTerm(expired, 0);
+    t.is(next?.state, name === 'held' ? 'free' : 'held');
+  });
+}
