Reject heartbeats with fields that are missing or of another type

Cause: `slots` was compared with a number, which converts a text; `version` was not read; tokens and `cold_left_s` were converted; ranges were not held against the key space.

Change: each field of the protocol's page is checked for its type, and rows of keys for their bounds.

--- a/test/platform/heartbeat.test.ts
+++ b/test/platform/heartbeat.test.ts
@@ -26,16 +26,29 @@
   t.true('heartbeat' in read && read.heartbeat.holds.length === 0);
 });
 
-for (const [name, value] of [
-  ['address', 'nowhere'],
-  ['holds', [['x', 1, 1]]],
-  ['freed', 'all'],
-  ['state', 'lost'],
+// Guards against a report of another writer that is taken for one of the
+// instance, whose requests are then not served (OWNER).
+for (const [name, ...values] of [
+  ['service', 7, null, undefined],
+  ['address', 'nowhere', 7, undefined],
+  ['zone', 7, null, undefined],
+  ['version', 1, null, undefined],
+  ['slots', '12', 0, -1, 1.5, 1e300, null, undefined],
+  ['state', 'lost', 1, undefined],
+  ['cold_left_s', '0', null, undefined],
+  ['seq', '5', 1.5, undefined],
+  ['born', '1000', 1.5, undefined],
+  ['holds', [['x', 1, 1]], [[0, 99, '7']], [[0, 99]], [[99, 0, 7]], 'all'],
+  ['freed', [[0, 65_536, 'token']], [[0, 99, 7]], [[0, 99]], 'all', null],
 ] as const) {
-  test(`a heartbeat with a malformed ${name} is rejected`, t => {
-    const text = JSON.stringify({...createWireHeartbeat(), [name]: value});
-    t.true('problem' in readHeartbeat('i-1', text));
-  });
+  for (const value of values) {
+    const found = JSON.stringify(value) ?? 'nothing';
+    test(`a heartbeat with ${found} as its ${name} is rejected`, t => {
+      const text = JSON.stringify({...createWireHeartbeat(), [name]: value});
+      const read = readHeartbeat('i-1', text);
+      t.true('problem' in read && read.problem.includes(name));
+    });
+  }
 }
 
 test('replacing any field is accepted or rejected without an exception', t => {
