Keep the known registration if an object of another writer is malformed

Cause: a registration with `slots` in a text, an address that cannot be connected to, or the address of another daemon entered the view. It named an instance to use, at a place where none is, in place of the registered one.

Three of the five cases in test/fleet/view.test.ts fail on the code before. The fixtures of two tests get real addresses in place of letters and out-of-range numbers.

--- a/src/fleet/member.ts
+++ b/src/fleet/member.ts
@@ -1,3 +1,4 @@
+import {parseAddress} from '../model/index.js';
 import type {Incarnation} from '../ranges/index.js';
 
 /**
@@ -89,13 +90,18 @@
         problem: `expected a string in field ${name} of the registration`,
       };
   }
+  if (!isAddress(node as string))
+    return {
+      problem:
+        'expected an IP address and port in field node of the registration',
+    };
   if (!Number.isInteger(born))
     return {problem: 'expected an integer in field born of the registration'};
   if (order !== undefined && !Number.isInteger(order))
     return {problem: 'expected an integer in field order of the registration'};
-  if (!((slots as number) > 0))
+  if (!Number.isSafeInteger(slots) || (slots as number) < 1)
     return {
-      problem: 'expected a positive number in field slots of the registration',
+      problem: 'expected a positive integer in field slots of the registration',
     };
   if (!MEMBER_STATES.has(state as string))
     return {
@@ -104,3 +110,12 @@
     };
   return {...(value as Member), stopping: value?.stopping === true};
 }
+
+function isAddress(text: string): boolean {
+  try {
+    parseAddress(text);
+    return true;
+  } catch {
+    return false; // The caller reports the problem.
+  }
+}
--- a/src/fleet/view.ts
+++ b/src/fleet/view.ts
@@ -97,6 +97,8 @@
     }
     const member = parseMember(value);
     if ('problem' in member) return {view, problem: member.problem};
+    if (member.node !== node)
+      return {view, problem: `expected the registration of ${node}`};
     members.set(node, {value: member, version});
     return {view: {...view, members}};
   }
--- a/test/fleet/view.test.ts
+++ b/test/fleet/view.test.ts
@@ -22,14 +22,34 @@
 const nodesOf = (view: FleetView, service: string) =>
   membersOf(view, service).map(({node}) => node);
 
+const [A, B, C] = ['10.1.0.1:7620', '10.1.0.2:7620', '10.1.0.3:7620'];
+
 test('each view returns its own members of a service', t => {
-  const one = register(EMPTY_VIEW, 'a', 'stock', 1);
-  t.deepEqual(nodesOf(one, 'stock'), ['a']);
-  const two = register(register(one, 'b', 'stock', 2), 'c', 'desk', 3);
-  t.deepEqual(nodesOf(two, 'stock'), ['a', 'b']);
-  t.deepEqual(nodesOf(two, 'desk'), ['c']);
-  t.deepEqual(nodesOf(one, 'stock'), ['a']);
-  const moved = register(two, 'a', 'desk', 4);
-  t.deepEqual(nodesOf(moved, 'stock'), ['b']);
+  const one = register(EMPTY_VIEW, A, 'stock', 1);
+  t.deepEqual(nodesOf(one, 'stock'), [A]);
+  const two = register(register(one, B, 'stock', 2), C, 'desk', 3);
+  t.deepEqual(nodesOf(two, 'stock'), [A, B]);
+  t.deepEqual(nodesOf(two, 'desk'), [C]);
+  t.deepEqual(nodesOf(one, 'stock'), [A]);
+  const moved = register(two, A, 'desk', 4);
+  t.deepEqual(nodesOf(moved, 'stock'), [B]);
   t.deepEqual(nodesOf(moved, 'none'), []);
 });
+
+// Guards against an object of another writer that names an instance to use.
+for (const [name, fields] of [
+  ['slots in a text', {slots: '4'}],
+  ['no service', {service: undefined}],
+  ['another key', {node: B}],
+  ['no address', {node: 'nowhere'}],
+  ['an unknown state', {state: 'lost'}],
+] as const) {
+  test(`a registration with ${name} leaves the known one in force`, t => {
+    const view = register(EMPTY_VIEW, A, 'stock', 1);
+    const known = view.members.get(A)?.value;
+    const value = JSON.stringify({...known, ...fields});
+    const step = applyChange(view, {key: memberKey(A), value, version: 2});
+    t.truthy(step.problem);
+    t.deepEqual(step.view.members.get(A)?.value, known);
+  });
+}
--- a/test/sidecar/plannerfleet.ts
+++ b/test/sidecar/plannerfleet.ts
@@ -89,7 +89,7 @@
   random: () => number,
 ): Promise<PlannerFleet> {
   const all: SimulatedDaemon[] = daemons.map(([service, domain], index) => ({
-    node: `10.1.0.${100 + index}:7620`,
+    node: `10.1.${(100 + index) >> 8}.${(100 + index) & 255}:7620`,
     service,
     domain,
     isUp: true,
