Order versions of the store by its era, then by the revision

Cause, first half: a revision was taken for the order of all states of the store. After such a return revisions are given out again: a conditional write that expects one meets another's change by chance, a watch goes on as if nothing had been lost, and a late answer of before counts.

Change: a version is the era (`Store-Era`) and the revision in one number, so that what compares versions compares eras first. A store without the header has era 0 and works as before.

--- a/src/store/counts.ts
+++ b/src/store/counts.ts
@@ -30,6 +30,7 @@
     }
   };
   return {
+    ...(platform.era && {era: platform.era}),
     get: key => report('get', platform.get(key)),
     list: prefix => report('list', platform.list(prefix)),
     put: (key, value, expected) =>
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -15,3 +15,4 @@
 export * from './store.js';
 export * from './put.js';
 export * from './update.js';
+export * from './version.js';
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -3,7 +3,10 @@
   readonly key: string;
   /** JSON text of the value. */
   readonly value: string;
-  /** Revision of the store at which the object last changed. */
+  /**
+   * Version of the store at which the object last changed: its era and its revision
+   * (`versionOf`).
+   */
   readonly version: number;
 }
 
@@ -14,7 +17,7 @@
   readonly version: number;
 }
 
-/** All objects under a prefix, as of one revision of the store. */
+/** All objects under a prefix, as of one version of the store. */
 export interface Listing {
   readonly revision: number;
   readonly objects: readonly StoredObject[];
@@ -31,6 +34,11 @@
  * taken effect.
  */
 export interface ObjectStore {
+  /**
+   * Returns the known era of the store, which rises when it comes back from an
+   * older copy. Missing if the store never does.
+   */
+  readonly era?: () => number;
   readonly get: (key: string) => Promise<StoredObject | undefined>;
   readonly list: (prefix: string) => Promise<Listing>;
   /** Writes if the version of the object is `expected`; 0 if it must not exist. */
--- a/standin/fleet/store.ts
+++ b/standin/fleet/store.ts
@@ -30,6 +30,13 @@
   delayMs: number;
 }
 
+/** State of the store at a moment. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, StoredItem>;
+  readonly events: readonly Event[];
+  readonly revision: number;
+}
+
 /** An in-memory stand-in for the platform's metadata store. */
 export interface MetadataStoreStandin {
   readonly address: string;
@@ -39,6 +46,12 @@
   /** Writes an object unconditionally, as the operator does. */
   readonly write: (kind: string, name: string, spec: unknown) => void;
   readonly read: (kind: string, name: string) => unknown;
+  readonly takeCopy: () => StoreCopy;
+  /**
+   * Replaces the whole state by a copy, so that revisions are given out again, and
+   * raises the era in the header of the responses.
+   */
+  readonly restore: (copy: StoreCopy) => void;
   readonly close: () => void;
 }
 
@@ -52,8 +65,9 @@
 export async function startMetadataStore(
   port = 0,
 ): Promise<MetadataStoreStandin> {
-  const items = new Map<string, StoredItem>();
-  const events: Event[] = [];
+  let items = new Map<string, StoredItem>();
+  let events: Event[] = [];
+  let era = 1;
   const faults: StoreFaults = {
     isUnavailable: false,
     isUnresponsive: false,
@@ -95,7 +109,8 @@
   const watch = async (kind: string, from: number, waitMs: number) => {
     const until = Date.now() + waitMs;
     for (;;) {
-      if (from < faults.compactedAt) return {status: 410, body: {}};
+      const isUnknown = from < faults.compactedAt || from > revision;
+      if (isUnknown) return {status: 410, body: {}};
       const found = events.filter(
         event => event.kind === kind && event.object.metadata.revision > from,
       );
@@ -159,7 +174,7 @@
     calls += 1;
     if (faults.isUnresponsive) return;
     if (faults.isUnavailable) {
-      response.writeHead(503).end('{}');
+      response.writeHead(503, {'store-era': String(era)}).end('{}');
       return;
     }
     void handleRequest(request).then(async ({status, body}) => {
@@ -170,7 +185,10 @@
         request.socket.destroy();
         return;
       }
-      response.writeHead(status, {'content-type': 'application/json'});
+      response.writeHead(status, {
+        'content-type': 'application/json',
+        'store-era': String(era),
+      });
       response.end(JSON.stringify(body));
     });
   });
@@ -182,6 +200,18 @@
     calls: () => calls,
     write: (kind, name, spec) => void writeObject(kind, name, spec),
     read: (kind, name) => items.get(`${kind}/${name}`)?.spec,
+    takeCopy: () => ({
+      items: new Map(items),
+      events: [...events],
+      revision,
+    }),
+    restore: copy => {
+      items = new Map(copy.items);
+      events = [...copy.events];
+      ({revision} = copy);
+      era += 1;
+      server.closeAllConnections();
+    },
     close: () => {
       server.closeAllConnections();
       server.close();
