Put range maps in force again after the store came back from a copy

Cause: the copy's map was the base of the next ones, though grants had been made on changes that it lacks. Nothing told which era a map is from, and nobody who knew more said so.

Change: a map names its era; one of an earlier era, or with lower tokens than the known one, is not in force. Whoever finds it writes the latest known map, with tokens above all that were given. Until a lease has passed its keys change hands only to an instance with a lease of them. Later states of an instance stay known to daemons that were up, and its daemon writes them again.

--- a/src/fleet/member.ts
+++ b/src/fleet/member.ts
@@ -10,6 +10,19 @@
  */
 export type MemberState = 'ready' | 'draining' | 'left';
 
+/** The states of an instance, in the order in which it passes through them. */
+const STATE_ORDER: readonly MemberState[] = ['ready', 'draining', 'left'];
+
+/**
+ * Returns the later of two states of an instance.
+ *
+ * @example
+ * laterState('ready', 'left'); // 'left'
+ */
+export function laterState(a: MemberState, b: MemberState): MemberState {
+  return STATE_ORDER.indexOf(a) > STATE_ORDER.indexOf(b) ? a : b;
+}
+
 /** Registration of an upstream instance, written by its daemon. */
 export interface Member {
   /** Address at which other daemons reach the daemon, as `ip:port`. */
--- a/src/fleet/view.ts
+++ b/src/fleet/view.ts
@@ -1,6 +1,14 @@
 import {parseQuarantine, type StoredQuarantine} from '../quarantine/index.js';
-import {EMPTY_MAP, parseMap, type RangeMap} from '../ranges/index.js';
-import {parseMember, type Member} from './member.js';
+import {
+  EMPTY_MAP,
+  isOutdated,
+  isSameIncarnation,
+  laterMap,
+  parseMap,
+  type RangeMap,
+} from '../ranges/index.js';
+import {eraOf, versionOf, type Listing} from '../store/index.js';
+import {incarnationOf, laterState, parseMember, type Member} from './member.js';
 
 /** Key prefix of all fleet objects in the store. */
 export const FLEET_PREFIX = 'fleet/';
@@ -42,8 +50,13 @@
 /** A value with its version in the store. */
 export interface Versioned<T> {
   readonly value: T;
-  /** Revision of the last change; 0 if the object does not exist. */
+  /** Version of the last change; 0 if the object does not exist. */
   readonly version: number;
+  /**
+   * Whether the store has an earlier value than this one at that version, since it
+   * came back from an older copy.
+   */
+  readonly isUndone?: true;
 }
 
 /** Copy of the fleet objects of the store. */
@@ -99,7 +112,7 @@
     if ('problem' in member) return {view, problem: member.problem};
     if (member.node !== node)
       return {view, problem: `expected the registration of ${node}`};
-    members.set(node, {value: member, version});
+    members.set(node, withKnownState(known?.value, {value: member, version}));
     return {view: {...view, members}};
   }
   if (key.startsWith(QUARANTINE_PREFIX)) return applyQuarantine(view, change);
@@ -109,10 +122,38 @@
   if (known && known.version >= version) return {view};
   const map = value === undefined ? EMPTY_MAP : parseMap(value);
   if ('problem' in map) return {view, problem: map.problem};
-  const maps = new Map(view.maps).set(service, {value: map, version});
+  const maps = new Map(view.maps).set(
+    service,
+    withKnownMap(known?.value, {value: map, version}),
+  );
   return {view: {...view, maps}};
 }
 
+/** Returns a registration whose instance is in no earlier state than is known. */
+function withKnownState(
+  known: Member | undefined,
+  stored: Versioned<Member>,
+): Versioned<Member> {
+  const {value, version} = stored;
+  if (!known || !isSameIncarnation(incarnationOf(known), incarnationOf(value)))
+    return stored;
+  const state = laterState(known.state, value.state);
+  if (state === value.state) return stored;
+  return {value: {...value, state}, version, isUndone: true};
+}
+
+/** Returns a map, or the known one if the stored one is from before it. */
+function withKnownMap(
+  known: RangeMap | undefined,
+  stored: Versioned<RangeMap>,
+): Versioned<RangeMap> {
+  const {value, version} = stored;
+  const latest = laterMap(value, known);
+  return latest === value && !isOutdated(value, eraOf(version))
+    ? stored
+    : {value: latest, version, isUndone: true};
+}
+
 function applyQuarantine(
   view: FleetView,
   {key, value, version}: StoredChange,
@@ -131,20 +172,25 @@
 
 /**
  * Applies a complete listing of the fleet objects. Members without an object in
- * it are removed.
+ * it are removed; maps that the store has lost stay known.
  *
  * @example
  * applyListing(view, await store.list(FLEET_PREFIX));
  */
 export function applyListing(
   view: FleetView,
-  objects: readonly StoredChange[],
+  {objects, revision}: Listing,
 ): {readonly view: FleetView; readonly problems: readonly string[]} {
   const listed = new Set(objects.map(object => object.key));
   const kept = [...view.members].filter(([node]) =>
     listed.has(memberKey(node)),
   );
   let next: FleetView = {...view, members: new Map(kept)};
+  const lost = versionOf(eraOf(revision), 0);
+  for (const service of view.maps.keys()) {
+    const key = rangesKey(service);
+    if (!listed.has(key)) next = applyChange(next, {key, version: lost}).view;
+  }
   const problems: string[] = [];
   for (const object of objects) {
     const update = applyChange(next, object);
--- a/src/fleet/watch.ts
+++ b/src/fleet/watch.ts
@@ -3,8 +3,8 @@
   RevisionGoneError,
   UnavailableError,
   type Change,
+  type Listing,
   type ObjectStore,
-  type StoredObject,
 } from '../store/index.js';
 
 /** Delay before the next attempt after the store was unavailable. */
@@ -13,7 +13,7 @@
 /** Callbacks of a watch of the objects under a prefix. */
 export interface PrefixListener {
   /** Receives all objects under the prefix, after each listing. */
-  readonly listed: (objects: readonly StoredObject[]) => void;
+  readonly listed: (listing: Listing) => void;
   /** Receives a change that follows the listing. */
   readonly changed: (change: Change) => void;
   /** Receives whether the store is reachable and, if it is not, the reason. */
@@ -40,7 +40,7 @@
     try {
       if (revision === undefined) {
         const listing = await store.list(prefix);
-        listener.listed(listing.objects);
+        listener.listed(listing);
         revision = checkRevision(listing.revision);
       }
       listener.reachabilityChanged(true, '');
--- a/src/ranges/change.ts
+++ b/src/ranges/change.ts
@@ -1,4 +1,5 @@
 import {
+  EMPTY_MAP,
   LAST_KEY,
   changeTerms,
   covers,
@@ -25,20 +26,25 @@
  * Creates the first map of a service, with all keys held.
  *
  * @param placements Ranges in key order that cover the key space.
+ * @param empty Map without terms, whose tokens are not used again.
  *
  * @example
  * createMap([{from: 0, to: LAST_KEY, holder: incarnation}]);
  */
-export function createMap(placements: readonly Placement[]): RangeMap {
+export function createMap(
+  placements: readonly Placement[],
+  empty: RangeMap = EMPTY_MAP,
+): RangeMap {
+  const fence = empty.fence + 1;
   const terms = placements.map(({from, to, holder}): RangeTerm => ({
     from,
     to,
-    fence: 1,
+    fence,
     holder,
     state: 'held',
     handover: '',
   }));
-  return {fence: 1, terms};
+  return {...empty, fence, terms};
 }
 
 /**
@@ -52,6 +58,7 @@
   map: RangeMap,
   placements: readonly Placement[],
 ): RangeMap {
+  if (map.isRecovering) return map;
   const fence = map.fence + 1;
   const split = placements.reduce((m, p) => splitAt(m, p.from, p.to), map);
   return changeTerms(split, term => {
@@ -72,6 +79,7 @@
   map: RangeMap,
   moves: readonly Placement[],
 ): RangeMap {
+  if (map.isRecovering) return map;
   const split = moves.reduce((m, move) => splitAt(m, move.from, move.to), map);
   return changeTerms(split, term => {
     if (term.state !== 'held') return term;
@@ -93,6 +101,7 @@
   holder: Incarnation,
   released: readonly Release[],
 ): RangeMap {
+  if (map.isRecovering) return map;
   const fence = map.fence + 1;
   const split = released.reduce((m, r) => splitAt(m, r.from, r.to), map);
   return changeTerms(split, term => {
@@ -160,6 +169,7 @@
   holder: Incarnation,
   revocation?: number,
 ): RangeMap {
+  if (map.isRecovering) return map;
   const fence = map.fence + 1;
   return changeTerms(map, term => {
     if (term.state !== 'revoked' || !isSameIncarnation(term.holder, holder))
@@ -226,6 +236,7 @@
   current: Incarnation,
   isSameService: boolean,
 ): RangeMap {
+  if (map.isRecovering) return map;
   if (!isSameService) {
     return revokeTerms(map, term => isHeldByPredecessor(term, current));
   }
@@ -254,6 +265,7 @@
   holder: Incarnation,
   range: KeyRange,
 ): RangeMap {
+  if (map.isRecovering) return map;
   const fence = map.fence + 1;
   return changeTerms(map, term => {
     const isOwn =
--- a/src/ranges/grants.ts
+++ b/src/ranges/grants.ts
@@ -256,8 +256,8 @@
   return true;
 }
 
-/** Maximum transit time of a heartbeat that is answered. */
-const MAX_TRANSIT_MS = 1000;
+/** Maximum transit time of a heartbeat that is answered, in milliseconds. */
+export const MAX_TRANSIT_MS = 1000;
 
 /**
  * Returns the terms that an incarnation must release: those that are moving or
--- a/src/ranges/index.ts
+++ b/src/ranges/index.ts
@@ -10,3 +10,4 @@
 export * from './calls.js';
 export * from './map.js';
 export * from './plan.js';
+export * from './recover.js';
--- a/src/ranges/map.ts
+++ b/src/ranges/map.ts
@@ -51,6 +51,15 @@
   /** Highest fencing token or revocation number used so far. */
   readonly fence: number;
   readonly terms: readonly RangeTerm[];
+  /** Era of the store in which the map was written; 0 if missing. */
+  readonly era?: number;
+  /**
+   * Token up to which changes that the store lost may have granted keys; missing
+   * if it has lost none.
+   */
+  readonly floor?: number;
+  /** Whether leases of such grants may still last. */
+  readonly isRecovering?: true;
 }
 
 /**
@@ -204,7 +213,7 @@
       terms.push(next);
     }
   }
-  return hasChanged ? {fence, terms} : map;
+  return hasChanged ? {...map, fence, terms} : map;
 }
 
 /** Returns whether two terms are adjacent and equal except for their keys. */
@@ -284,6 +293,13 @@
       problem: 'expected an integer `fence` and an array `terms` in the map',
     };
   }
+  const {era = 0, floor = 0, isRecovering = true} = map;
+  if (![era, floor].every(Number.isInteger) || isRecovering !== true) {
+    return {
+      problem:
+        'expected integers in `era` and `floor` and true in `isRecovering`',
+    };
+  }
   let nextKey = 0;
   for (const term of map.terms) {
     const problem = findTermProblem(term, nextKey);
--- a/src/sidecar/calldelivery.ts
+++ b/src/sidecar/calldelivery.ts
@@ -4,7 +4,7 @@
   contains,
   recordOutcome,
   dropEndedCalls,
-  heldBy,
+  confirmTerms,
   isGrantDue,
   holdsByCall,
   pendingUntil,
@@ -18,11 +18,12 @@
   type HeldRange,
   type KeyRange,
   type CallGrants,
+  type RangeMap,
   type RangeTerm,
 } from '../ranges/index.js';
 import type {Statement} from '../upstream/index.js';
 import {
-  readMapForGrant,
+  readGrantableKeys,
   logGrants,
   type GrantDelivery,
   type DeliveryContext,
@@ -180,16 +181,19 @@
       term => !isReleasing(term) && isGrantDue(ledger, term, clock(), leftMs),
     );
 
+  /** Returns the granted ranges whose leases have not expired. */
+  const leasedRanges = (): readonly HeldRange[] =>
+    ledger.held.filter(row => clock() < row.until);
+
   /** @param leftMs Leases with at least this much time left are not renewed. */
   const renewGrants = async (to: Recipient, leftMs: number) => {
     const readAt = clock();
     readingSince = readAt;
-    const read = await readMapForGrant(context, to);
+    const read = await readGrantableKeys(context, to, leasedRanges);
     readingSince = -Infinity;
     if (!read || !isCurrent(to)) return;
     confirmedAt = readAt;
-    const {value: map, version} = read;
-    const terms = heldBy(map, to.incarnation);
+    const {version, terms} = read;
     const isNew = terms.some(term =>
       isGrantDue(ledger, term, clock(), -Infinity),
     );
@@ -276,7 +280,7 @@
       runInBackground(task);
     }
     if (renewal || to.isSilent || to.state === 'left') return;
-    if (!needsRenewal(to, map.terms)) return;
+    if (!needsRenewal(to, map)) return;
     void startRenewal(to, renewalLeftMs);
   };
 
@@ -286,8 +290,13 @@
     return renewal;
   };
 
-  const needsRenewal = (to: Recipient, terms: readonly RangeTerm[]) => {
-    const ownTerms = terms.filter(term =>
+  const needsRenewal = (to: Recipient, map: RangeMap) => {
+    if (
+      map.isRecovering &&
+      confirmTerms(map, to.incarnation, leasedRanges()) !== map
+    )
+      return true;
+    const ownTerms = map.terms.filter(term =>
       isSameIncarnation(term.holder, to.incarnation),
     );
     const isRestorable = to.state === 'ready';
--- a/src/sidecar/delivery.ts
+++ b/src/sidecar/delivery.ts
@@ -1,8 +1,12 @@
 import type {Address} from '../model/index.js';
-import type {MemberState, Versioned} from '../fleet/index.js';
+import type {MemberState} from '../fleet/index.js';
 import {
+  confirmTerms,
+  grantableTerms,
+  heldBy,
   restore,
   isSameIncarnation,
+  type HeldRange,
   type HoldReport,
   type Incarnation,
   type RangeMap,
@@ -94,29 +98,53 @@
   readonly lastConfirmedAt: () => number;
 }
 
+/** Keys that an instance may be granted, by the latest map. */
+export interface GrantableKeys {
+  readonly map: RangeMap;
+  /** Version of the map. */
+  readonly version: number;
+  readonly terms: readonly RangeTerm[];
+  /** Whether the map gives the instance more keys than may be granted now. */
+  readonly isPartial: boolean;
+}
+
 /**
  * Reads the latest map before keys are granted, and restores keys that were
- * revoked from an instance that has proved to be alive.
+ * revoked from an instance that has proved to be alive. After the store came back
+ * from a copy, keys of the instance are confirmed in the map.
  *
+ * @param leased Returns the ranges of leases that have not expired.
  * @returns undefined when no keys may be granted now.
  *
  * @example
- * const read = await readMapForGrant(context, recipient);
- * if (read) grantAll(heldBy(read.value, recipient.incarnation));
+ * const read = await readGrantableKeys(context, recipient, () => rows);
+ * if (read) grantAll(read.terms);
  */
-export async function readMapForGrant(
+export async function readGrantableKeys(
   context: DeliveryContext,
   {incarnation, service}: Recipient,
-): Promise<Versioned<RangeMap> | undefined> {
-  const read = await readLatestMap(context, service);
+  leased: () => readonly HeldRange[],
+): Promise<GrantableKeys | undefined> {
+  let read = await readLatestMap(context, service);
+  if (read?.isUndone) {
+    read = await changeMap(context, service, 'recovery', m => m);
+  }
   const current = context.recipient();
   if (!read || !current || !isSameIncarnation(current.incarnation, incarnation))
     return undefined;
-  const isRevoked = (term: RangeTerm) =>
-    term.state === 'revoked' && isSameIncarnation(term.holder, incarnation);
-  if (current.state !== 'ready' || !read.value.terms.some(isRevoked))
-    return read;
-  return changeMap(context, service, 'restore', m => restore(m, incarnation));
+  // Computed again after a conflict, when a lease may have expired.
+  const prepare = (m: RangeMap) => {
+    const restored = current.state === 'ready' ? restore(m, incarnation) : m;
+    return confirmTerms(restored, incarnation, leased());
+  };
+  if (prepare(read.value) !== read.value) {
+    read = await changeMap(context, service, 'restore', prepare);
+  }
+  if (!read || read.isUndone) return undefined;
+  const {value: map, version} = read;
+  const held = heldBy(map, incarnation);
+  const terms = grantableTerms(map, held, leased());
+  return {map, version, terms, isPartial: terms.length < held.length};
 }
 
 /** What a grant of keys is based on. */
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -132,6 +132,22 @@
     message: 'range map could not be read from the store',
   },
   mapChanged: {number: 6042, level: 'info', message: 'range map written'},
+  mapRecovered: {
+    number: 6061,
+    level: 'warn',
+    message:
+      'range map put in force again after the store came back from a copy',
+  },
+  mapSettled: {
+    number: 6062,
+    level: 'info',
+    message: 'recovery of a range map ended',
+  },
+  storeRestored: {
+    number: 6063,
+    level: 'warn',
+    message: 'store came back from a copy; reading all objects again',
+  },
   memberLost: {
     number: 6043,
     level: 'warn',
--- a/src/sidecar/fleetwrite.ts
+++ b/src/sidecar/fleetwrite.ts
@@ -2,6 +2,8 @@
 import {
   AnswerLostError,
   UnavailableError,
+  revisionOf,
+  update,
   updateFrom,
   type UpdateResult,
   type ValueChange,
@@ -33,17 +35,20 @@
   change: ValueChange,
   isOwn: (value: string) => boolean,
 ): Promise<UpdateResult | undefined> {
-  // Version 0 means that the object was never written.
-  const current = known?.version
-    ? {key, value: JSON.stringify(known.value), version: known.version}
-    : undefined;
+  // Revision 0 means that the object does not exist.
+  const current =
+    known && revisionOf(known.version) > 0
+      ? {key, value: JSON.stringify(known.value), version: known.version}
+      : undefined;
   const changeObserved: ValueChange = object => {
     // After a conflict, nothing may be granted from an older object any more.
     if (object) observeChange(object);
     return change(object);
   };
   try {
-    const result = await updateFrom(store, key, current, changeObserved, isOwn);
+    const result = known?.isUndone
+      ? await update(store, key, changeObserved, isOwn)
+      : await updateFrom(store, key, current, changeObserved, isOwn);
     if (result.object) observeChange(result.object);
     return result;
   } catch (error) {
--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -7,6 +7,7 @@
   heldBy,
   holdsByHeartbeat,
   newlyGranted,
+  MAX_TRANSIT_MS,
   reportsRange,
   release,
   isSameIncarnation,
@@ -18,7 +19,7 @@
   type RangeTerm,
 } from '../ranges/index.js';
 import {
-  readMapForGrant,
+  readGrantableKeys,
   logGrants,
   type GrantDelivery,
   type DeliveryContext,
@@ -77,6 +78,10 @@
     sequence === grants.sequence &&
     isSameIncarnation(grants.incarnation, incarnation);
 
+  /** Returns the ranges of the last grant while its lease has not expired. */
+  const leasedRanges = (): readonly HeldRange[] =>
+    clock() < grants.arrivedAt + leaseMs - MAX_TRANSIT_MS ? grants.granted : [];
+
   const renewGrants = async (
     report: HoldReport,
     arrivedAt: number,
@@ -84,9 +89,11 @@
     const to = recipient();
     if (!to || !isSameIncarnation(to.incarnation, report.incarnation))
       return undefined;
-    const read = await readMapForGrant(context, to);
+    const read = await readGrantableKeys(context, to, leasedRanges);
     if (!read) return undefined;
-    const {value: map, version} = read;
+    const {map, version, terms: rows, isPartial} = read;
+    // Leaving keys out would end leases of an earlier process of this daemon.
+    if (isPartial && grants.grantedSequence < 0) return undefined;
     const {sequence} = report;
     const ageMs = Math.max(clock() - arrivedAt, wallClock() - latestReceivedAt);
     if (!isLatest(report) || ageMs >= RESPONSE_LIMIT_MS) {
@@ -99,7 +106,6 @@
       });
       return undefined;
     }
-    const rows = heldBy(map, report.incarnation);
     if (!sameRanges(rows, grants.granted))
       logGrants(context, to, rows, {version, ageMs, sequence});
     unreadRanges = newlyGranted(grants.granted, rows);
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -1,5 +1,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {incarnationOf, type Member, type MemberState} from '../fleet/index.js';
+import {
+  incarnationOf,
+  laterState,
+  type Member,
+  type MemberState,
+} from '../fleet/index.js';
 import {
   expire,
   isGrantable,
@@ -190,13 +195,6 @@
   return drainMs * OPEN_DRAIN_FRACTION;
 }
 
-/** The states of an instance, in the order in which it passes through them. */
-const STATE_ORDER: readonly MemberState[] = ['ready', 'draining', 'left'];
-
-function laterState(a: MemberState, b: MemberState): MemberState {
-  return STATE_ORDER.indexOf(a) > STATE_ORDER.indexOf(b) ? a : b;
-}
-
 /**
  * Longest time for which a response waits until the registration is written.
  */
--- a/src/sidecar/maps.ts
+++ b/src/sidecar/maps.ts
@@ -4,9 +4,17 @@
   type StoredChange,
   type Versioned,
 } from '../fleet/index.js';
-import {EMPTY_MAP, parseMap, type RangeMap} from '../ranges/index.js';
+import {
+  EMPTY_MAP,
+  isWritten,
+  parseMap,
+  recoverMap,
+  type RangeMap,
+} from '../ranges/index.js';
 import {
   UnavailableError,
+  eraOf,
+  versionOf,
   type ObjectStore,
   type StoredObject,
 } from '../store/index.js';
@@ -53,7 +61,10 @@
   if (!object) return undefined;
   access.observeChange(object);
   const known = access.view().maps.get(service);
-  return known && known.version > object.version ? known : decodeMap(object);
+  if (known && known.version > object.version) return known;
+  const read = decodeMap(object);
+  // The view tells whether the store has undone a map of this version.
+  return read && known?.version === read.version ? known : read;
 }
 
 /** Returns the map in a stored object, or undefined when it is malformed. */
@@ -65,6 +76,9 @@
   return 'problem' in map ? undefined : {value: map, version};
 }
 
+/** Highest era of a store that has not come back from a copy yet. */
+const FIRST_ERA = 1;
+
 /** Reads from the store, hedged by a read through another daemon. */
 async function readMapHedged(
   access: MapAccess,
@@ -103,7 +117,8 @@
 ): Promise<StoredObject> {
   const key = rangesKey(service);
   const object = await access.store.get(key);
-  return object ?? {key, value: JSON.stringify(EMPTY_MAP), version: 0};
+  const version = versionOf(access.store.era?.() ?? 0, 0);
+  return object ?? {key, value: JSON.stringify(EMPTY_MAP), version};
 }
 
 function firstDefined<T>(
@@ -122,7 +137,8 @@
 
 /**
  * Changes a map with a conditional write, which fails if the map has changed in
- * the meantime.
+ * the meantime. If the store came back from a copy, the map is put in force again
+ * instead, and is not changed otherwise.
  *
  * @param change Computes the next map; returning the same map writes nothing.
  * @returns the map as stored, or undefined when the result of the write is not
@@ -142,8 +158,22 @@
     attempts += 1;
     const map = object ? decodeMap(object)?.value : EMPTY_MAP;
     if (!map) return undefined;
+    const era = object ? eraOf(object.version) : (access.store.era?.() ?? 0);
+    const known = access.view().maps.get(service);
+    if (known?.isUndone && isWritten(known.value)) {
+      const recovered = recoverMap(known.value, map, era);
+      const {floor} = recovered;
+      access.log(SIDECAR_EVENTS.mapRecovered, {service, era, floor});
+      return JSON.stringify(recovered);
+    }
     const changed = change(map);
-    return changed === map ? undefined : JSON.stringify(changed);
+    const isEmpty = changed.terms.length === 0 && map.terms.length === 0;
+    if (changed === map || isEmpty) return undefined;
+    if (!isWritten(map) && era > FIRST_ERA) {
+      // The copy may be older than a map by which keys were granted.
+      return JSON.stringify(recoverMap({...changed, era: 0}, map, era));
+    }
+    return JSON.stringify(era > 0 ? {...changed, era} : changed);
   };
   const result = await writeFromView(
     access,
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -9,6 +9,8 @@
   cancelMoves,
   divide,
   expire,
+  isWritten,
+  settleMap,
   createMap,
   placeFree,
   planBalance,
@@ -128,6 +130,8 @@
   const statuses = new Map<string, InstanceStatus>();
   /** Time at which this process first saw each revocation. */
   const revocationSeenAt = new Map<string, number>();
+  /** Maps in recovery, by service, and when this process first saw them. */
+  const recoveries = new Map<string, {floor: number; since: number}>();
   let revocations = NO_REVOCATIONS;
   /** Holders that this daemon does not reach, and others do. */
   let reachedByOthers: ReadonlySet<string> = new Set();
@@ -317,13 +321,30 @@
     return clock() - settledAt >= MEMBERSHIP_SETTLE_MS;
   };
 
+  /**
+   * Ends the recovery of a map once all leases have expired that were granted
+   * before this process saw it.
+   */
+  const settleWhenDue = async (service: string, {floor = 0}: RangeMap) => {
+    const known = recoveries.get(service);
+    const since = known?.floor === floor ? known.since : clock();
+    recoveries.set(service, {floor, since});
+    if (clock() < since + leaseBoundMs(context.leaseMs)) return;
+    const settled = await changeMap(context, service, 'settle', m =>
+      m.floor === floor ? settleMap(m) : m,
+    );
+    if (!settled || settled.value.isRecovering) return;
+    const seconds = Math.round((clock() - since) / 1000);
+    log(SIDECAR_EVENTS.mapSettled, {service, floor, seconds});
+  };
+
   const assignInitialMap = async (service: string, heat: RequestRates) => {
     const {from, to} = ALL_KEYS;
     await changeMap(context, service, 'first assignment', map => {
       if (map.terms.length > 0) return map;
       const candidates = candidatesOf(membersOf(context.view(), service));
       if (candidates.length === 0) return map;
-      return createMap(divide(heat, from, to, candidates));
+      return createMap(divide(heat, from, to, candidates), map);
     });
   };
 
@@ -355,6 +376,7 @@
       next,
       term => !isCandidate(term.next) && isCancelled(term),
     );
+    if (next.isRecovering) return next;
     for (const {holder, revocation} of due) {
       next = expire(next, holder, revocation);
     }
@@ -385,9 +407,16 @@
     const candidates = candidatesOf(members);
     if (candidates.length === 0) return;
     const heat = sumHeat(others.map(m => statuses.get(m.node)?.heat ?? []));
-    const map = context.view().maps.get(service)?.value ?? EMPTY_MAP;
+    const known = context.view().maps.get(service);
+    if (known?.isUndone && isWritten(known.value)) {
+      await changeMap(context, service, 'recovery', m => m);
+      return;
+    }
+    const map = known?.value ?? EMPTY_MAP;
+    if (map.isRecovering) await settleWhenDue(service, map);
     if (map.terms.length === 0) {
       if (!isSettled(members) || reach !== 'connected') return;
+      if (map.isRecovering) return;
       await assignInitialMap(service, heat);
       return;
     }
@@ -418,7 +447,7 @@
     if (!isStable(map) || !isBalanceDue) return;
     balancedAt = clock();
     await changeMap(context, service, 'balance', m => {
-      if (!isStable(m)) return m;
+      if (!isStable(m) || m.isRecovering) return m;
       const able = candidatesOf(membersOf(context.view(), service));
       return startMoves(m, planBalance(m, heat, able, BALANCE_OPTIONS));
     });
--- a/src/sidecar/registration.ts
+++ b/src/sidecar/registration.ts
@@ -44,7 +44,8 @@
   const writeMember = async () => {
     const member = dueMember();
     const known = recordedObject();
-    if (!member || (known && sameMember(known.value, member))) return;
+    const isRecorded = known && !known.isUndone;
+    if (!member || (isRecorded && sameMember(known.value, member))) return;
     const value = JSON.stringify(member);
     const result = await writeFromView(
       context,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -49,7 +49,7 @@
 import {formatAddress, parseAddress, type Address} from '../model/index.js';
 import {createChannels, serveChannels} from '../channel/index.js';
 import {createInstanceRuns, type InFlight} from '../quarantine/index.js';
-import type {ObjectStore, StoredObject} from '../store/index.js';
+import {eraOf, type ObjectStore, type StoredObject} from '../store/index.js';
 import type {Log, Metrics} from '../telemetry/index.js';
 import {
   createPools,
@@ -233,6 +233,8 @@
   const resultMeter = createResultMeter();
   let view: FleetView = EMPTY_VIEW;
   let isFleetListed = false;
+  /** Era of the store at the last listing of the fleet. */
+  let storeEra = 0;
   let shutdownPlan: ShutdownPlan | undefined;
   let loopDelayMs = 0;
   const slotGate = createSlotGate(SHUTDOWN_RETRY_AFTER_MS);
@@ -690,8 +692,13 @@
       FLEET_PREFIX,
       followerOf(
         'fleet',
-        objects => {
-          const step = applyListing(view, objects);
+        listing => {
+          const era = eraOf(listing.revision);
+          if (isFleetListed && era !== storeEra) {
+            log(SIDECAR_EVENTS.storeRestored, {era, before: storeEra});
+          }
+          storeEra = era;
+          const step = applyListing(view, listing);
           view = step.view;
           isFleetListed = true;
           fleetQuarantine.applyView(view);
@@ -712,7 +719,7 @@
       options.configurationKey.replace(/[^/]*$/, ''),
       followerOf(
         'configuration',
-        objects => objects.forEach(configuration.apply),
+        ({objects}) => objects.forEach(configuration.apply),
         configuration.apply,
       ),
       controller.signal,
--- a/test/fleet/watch.test.ts
+++ b/test/fleet/watch.test.ts
@@ -39,7 +39,7 @@
   const reasons: string[] = [];
   const seen: string[] = [];
   const listener = {
-    listed: ({length}: Listing['objects']) => void length,
+    listed: ({objects}: Listing) => void objects.length,
     changed: ({key}: Change) => {
       seen.push(key.toLowerCase());
       if (key === 'last') controller.abort();
--- a/test/sidecar/latechanges.test.ts
+++ b/test/sidecar/latechanges.test.ts
@@ -228,10 +228,14 @@
   const next = manager.handleHeartbeat(heartbeatOf(lifeOf(2), 1));
   await takeover.made;
   move(store);
-  const {version} = store.objects().find(({key}) => key === MAP_KEY) ?? {};
+  const {version} =
+    store.listing().objects.find(({key}) => key === MAP_KEY) ?? {};
   write.release();
   await departed;
-  t.is(store.objects().find(({key}) => key === MAP_KEY)?.version, version);
+  t.is(
+    store.listing().objects.find(({key}) => key === MAP_KEY)?.version,
+    version,
+  );
   takeover.release();
   await next;
   t.is(store.termAt(REST.from).holder.id, lifeOf(2).id);
--- a/test/sidecar/latechanges.ts
+++ b/test/sidecar/latechanges.ts
@@ -23,6 +23,7 @@
 } from '../../src/sidecar/index.js';
 import {
   UnavailableError,
+  type Listing,
   type ObjectStore,
   type StoredObject,
   type WriteResult,
@@ -60,7 +61,7 @@
   readonly holdAnswer: (key: string) => HeldCall;
   /** Refuses all writes of an object from now on. */
   readonly refuseWrites: (key: string) => void;
-  readonly objects: () => readonly StoredObject[];
+  readonly listing: () => Listing;
   readonly map: () => RangeMap;
   /** Changes the map as another daemon would. */
   readonly changeMap: (change: (map: RangeMap) => RangeMap) => void;
@@ -141,7 +142,7 @@
       return hold;
     },
     refuseWrites: key => refused.add(key),
-    objects: () => [...objects.values()],
+    listing: () => ({revision, objects: [...objects.values()]}),
     map,
     changeMap: change => {
       const key = rangesKey(SERVICE);
@@ -198,7 +199,7 @@
   return {
     manager,
     observeStore: () => {
-      ({view} = applyListing(view, store.objects()));
+      ({view} = applyListing(view, store.listing()));
     },
     advance: timeMs => {
       now += timeMs;
--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -95,6 +95,16 @@
   count: fc.integer({min: 1, max: 8}),
 });
 
+/** The store may be away for a moment, and lose its last seconds. */
+const drill = fc.record({
+  ...early,
+  // All keys are assigned by then.
+  atMs: fc.integer({min: 9000, max: CLOCK_LENGTH_MS}),
+  kind: kind('drill'),
+  ageMs: fc.integer({min: 100, max: 6000}),
+  awayMs: fc.integer({min: 0, max: 2500}),
+});
+
 interface Play {
   readonly seed: number;
   readonly disturbances: readonly Disturbance[];
@@ -148,6 +158,20 @@
   40,
 );
 
+/** A store that comes back from copies, while keys move and instances end. */
+const drills = playOf(
+  fc.oneof(
+    {weight: 2, arbitrary: drill},
+    {weight: 3, arbitrary: endEarly(crash)},
+    {weight: 6, arbitrary: endEarly(move)},
+    {weight: 1, arbitrary: endEarly(drain)},
+    {weight: 1, arbitrary: endEarly(restart)},
+    {weight: 1, arbitrary: endEarly(outage)},
+    {weight: 1, arbitrary: endEarly(cutLink)},
+  ),
+  40,
+);
+
 /** Conditions of the network and the store. */
 const CONDITIONS = {
   good: {slowShare: 0.02, lostShare: 0.005, heldUpShare: 0.02},
@@ -161,6 +185,9 @@
   {name: 'all disturbances, a bad store', plays: allDisturbances, on: 'bad'},
   {name: 'jumping clocks, a good store', plays: jumpingClocks, on: 'good'},
   {name: 'jumping clocks, a bad store', plays: jumpingClocks, on: 'bad'},
+  // Guards against keys with two holders after the store came back from a copy.
+  {name: 'copies, a good store', plays: drills, on: 'good'},
+  {name: 'copies, a bad store', plays: drills, on: 'bad'},
 ] as const;
 
 /** Plays that broke a rule when an exploration found them. */
@@ -175,6 +202,9 @@
   ],
 };
 
+/** Plays whose last seconds are without disturbances. */
+const ENDING_EARLY: ReadonlySet<unknown> = new Set([jumpingClocks, drills]);
+
 /** Explores plays one after another, since they replace the timers. */
 for (const overlapping of [false, true]) {
   for (const {name, plays, on} of EXPLORATIONS) {
@@ -184,7 +214,7 @@
         const broken = await playLives({
           ...CONDITIONS[on],
           machines: MACHINES,
-          lengthMs: plays === jumpingClocks ? CLOCK_PLAY_MS : LENGTH_MS,
+          lengthMs: ENDING_EARLY.has(plays) ? CLOCK_PLAY_MS : LENGTH_MS,
           seed,
           disturbances,
           overlapping,
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -34,6 +34,9 @@
 import {
   AnswerLostError,
   UnavailableError,
+  eraOf,
+  revisionOf,
+  versionOf,
   type ObjectStore,
   type StoredObject,
   type WriteResult,
@@ -54,6 +57,8 @@
   | {readonly kind: 'cut-link'; readonly to: number; readonly ms: number}
   | {readonly kind: 'drain'; readonly announces: boolean}
   | {readonly kind: 'move'; readonly from: number; readonly to: number}
+  /** The store is away, and comes back from a copy of an earlier state. */
+  | {readonly kind: 'drill'; readonly ageMs: number; readonly awayMs: number}
   /** The time of day jumps, and jumps back after a time. */
   | {readonly kind: 'clock'; readonly byMs: number; readonly backMs: number}
   /** The last heartbeats of an earlier life arrive again, or late. */
@@ -164,6 +169,7 @@
 interface Daemon extends Process {
   readonly manager: InstanceManager;
   readonly view: () => FleetView;
+  readonly read: ObjectStore['get'];
   readonly move: (moved: KeyRange, to: Incarnation) => Promise<unknown>;
 }
 
@@ -186,6 +192,13 @@
   answeredAt: number;
 }
 
+/** State of the store from a time on. */
+interface StoreState {
+  readonly at: number;
+  readonly revision: number;
+  readonly objects: ReadonlyMap<string, StoredObject>;
+}
+
 interface Event {
   readonly at: number;
   readonly order: number;
@@ -271,22 +284,45 @@
     new Promise<void>(resolve => virtualSetTimeout(resolve, ms));
 
   // The store.
-  const objects = new Map<string, StoredObject>();
-  const history: StoredObject[] = [];
-  let revision = 10;
+  let stored: StoreState = {at: 0, revision: 10, objects: new Map()};
+  const copies: StoreState[] = [stored];
+  let history: readonly StoredObject[] = [];
+  let era = 1;
+  let awayUntil = -Infinity;
 
+  /** Objects have the store's own revisions in it, which may repeat. */
   const applyPut = (key: string, value: string, expected: number) => {
-    const known = objects.get(key);
-    if ((known?.version ?? 0) !== expected)
+    const known = stored.objects.get(key);
+    if (revisionOf(known?.version ?? 0) !== expected)
       return {kind: 'conflict', current: known} satisfies WriteResult;
     if (known?.value === value)
       return {kind: 'stored', version: known.version} satisfies WriteResult;
-    revision += 1;
-    const object = {key, value, version: revision};
-    objects.set(key, object);
-    history.push(object);
+    const revision = stored.revision + 1;
+    const version = versionOf(era, revision);
+    const object = {key, value, version};
+    const objects = new Map(stored.objects).set(key, object);
+    stored = {at: now, revision, objects};
+    copies.push(stored);
+    history = [...history, object];
     if (key === rangesKey(SERVICE)) traceMap(object);
-    return {kind: 'stored', version: revision} satisfies WriteResult;
+    return {kind: 'stored', version} satisfies WriteResult;
+  };
+
+  /** Replaces the state of the store by the one that it had at a time. */
+  const restoreCopy = (at: number) => {
+    const copy = copies.findLast(state => state.at <= at) ?? copies[0];
+    era += 1;
+    const objects = [...copy.objects.values()].map(
+      ({key, value, version}) =>
+        [
+          key,
+          {key, value, version: versionOf(era, revisionOf(version))},
+        ] as const,
+    );
+    stored = {...copy, at: now, objects: new Map(objects)};
+    copies.push(stored);
+    history = [];
+    trace(`store back from a copy of ${at / 1000}, era ${era}`);
   };
 
   const traceMap = ({value, version}: StoredObject) => {
@@ -322,7 +358,7 @@
             : new UnavailableError(message),
         );
       };
-      if (now < machine.refusedUntil) {
+      if (now < machine.refusedUntil || now < awayUntil) {
         const refuse = () => reject(new UnavailableError('refused'));
         schedule(now + wayMs(), process, refuse);
         return;
@@ -343,18 +379,44 @@
       });
     });
 
-  const storeOf = (process: Process): ObjectStore => ({
-    get: key => callStore(process, false, () => objects.get(key)),
-    list: prefix =>
-      callStore(process, false, () => ({
-        revision,
-        objects: [...objects.values()].filter(o => o.key.startsWith(prefix)),
-      })),
-    put: (key, value, expected) =>
-      callStore(process, true, () => applyPut(key, value, expected)),
-    delete: () => Promise.reject(new UnavailableError('not simulated')),
-    watch: async function* () {},
-  });
+  /** The client of a process, which knows the era of the store by its answers. */
+  const clientOf = (process: Process) => {
+    let known = 0;
+    const call = async <T>(isWrite: boolean, apply: () => T): Promise<T> => {
+      const answer = await callStore(process, isWrite, () => ({
+        era,
+        result: apply(),
+      }));
+      if (answer.era < known) {
+        throw isWrite
+          ? new AnswerLostError('earlier era')
+          : new UnavailableError('earlier era');
+      }
+      known = answer.era;
+      return answer.result;
+    };
+    const get = (key: string) => call(false, () => stored.objects.get(key));
+    const store: ObjectStore = {
+      era: () => known,
+      get,
+      list: prefix =>
+        call(false, () => ({
+          revision: versionOf(era, stored.revision),
+          objects: [...stored.objects.values()].filter(o =>
+            o.key.startsWith(prefix),
+          ),
+        })),
+      put: async (key, value, expected) => {
+        if (expected !== 0 && eraOf(expected) !== known)
+          return {kind: 'conflict', current: await get(key)};
+        const revision = revisionOf(expected);
+        return call(true, () => applyPut(key, value, revision));
+      },
+      delete: () => Promise.reject(new UnavailableError('not simulated')),
+      watch: async function* () {},
+    };
+    return {store, call};
+  };
 
   // The machines.
   const machines: Machine[] = Array.from(
@@ -431,7 +493,7 @@
     const clock = () =>
       now - startedAt - (machine.suspendedMs - suspendedBefore) + 100;
     let view = EMPTY_VIEW;
-    const store = storeOf(process);
+    const {store, call} = clientOf(process);
     const observeChange = (change: StoredChange) => {
       const step = applyChange(view, change);
       if (step.view === view) return;
@@ -463,9 +525,7 @@
           const peer = peers[Math.floor(random() * peers.length)];
           schedule(now + 300, process, () => resolve(undefined), true);
           if (!peer?.daemon || now < machine.cutUntil) return;
-          const read = callStore(peer.daemon, false, () =>
-            objects.get(rangesKey(SERVICE)),
-          );
+          const read = peer.daemon.read(rangesKey(SERVICE));
           read.then(
             object => schedule(now + 3, process, () => resolve(object)),
             () => undefined,
@@ -519,6 +579,7 @@
     });
     const daemon: Daemon = Object.assign(process, {
       manager,
+      read: store.get,
       view: () => view,
       move: (moved: KeyRange, to: Incarnation) =>
         changeMap(access, SERVICE, 'balance', map =>
@@ -534,17 +595,17 @@
         try {
           if (at < 0) {
             const listing = await store.list('fleet/');
-            view = applyListing(view, listing.objects).view;
+            view = applyListing(view, listing).view;
             at = listing.revision;
             isListed = true;
             manager.resume();
           }
-          const page = await callStore(process, false, () => ({
+          const page = await call(false, () => ({
             changes: history.filter(object => object.version > at),
-            at: revision,
+            at: versionOf(era, stored.revision),
           }));
-          page.changes.forEach(observeChange);
-          ({at} = page);
+          if (eraOf(page.at) === eraOf(at)) page.changes.forEach(observeChange);
+          at = eraOf(page.at) === eraOf(at) ? page.at : -1;
         } catch (error) {
           if (!(error instanceof UnavailableError)) throw error;
         }
@@ -805,7 +866,7 @@
   const checkKeys = () => {
     const lastAt = Math.max(...options.disturbances.map(({atMs}) => atMs));
     if (options.lengthMs - lastAt < QUIET_MS) return;
-    const object = objects.get(rangesKey(SERVICE));
+    const object = stored.objects.get(rangesKey(SERVICE));
     const {terms} = JSON.parse(object?.value ?? '{"terms":[]}') as RangeMap;
     for (const {from, to, state, holder} of terms) {
       const instance = machineOf(holder.node)?.instance;
@@ -966,6 +1027,12 @@
         return;
       case 'repeat':
         return repeat(machine, step.lives, step.count);
+      case 'drill':
+        awayUntil = now + step.awayMs;
+        schedule(awayUntil, undefined, () =>
+          restoreCopy(now - step.awayMs - step.ageMs),
+        );
+        return;
       case 'move': {
         const {daemon} = machine;
         const life = machines[step.to % machines.length].instance;
--- /dev/null
+++ b/test/sidecar/storecopy.test.ts
@@ -0,0 +1,154 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {findTerm, startMoves, type RangeMap} from '../../src/ranges/index.js';
+import {GRANT_METHODS, SIDECAR_EVENTS} from '../../src/sidecar/index.js';
+import {
+  configuration,
+  sendRequest,
+  startFleet,
+  waitUntil,
+  type Pair,
+  type TestFleet,
+} from './fixture.js';
+
+const KEY = 10;
+const MOVED = {from: 0, to: 99};
+
+/** Time for which a fleet is observed, above several leases of 2 s. */
+const OBSERVED_MS = 8000;
+const SAMPLE_MS = 20;
+
+/** Longest time for which two instances may hold a key. */
+const MAX_SHARED_MS = 500;
+
+/** Time within which a key with a known holder is served again. */
+const MAX_UNSERVED_MS = 1000;
+
+const mapOf = ({store}: TestFleet) =>
+  store.read('fleet', 'ranges.stock') as RangeMap;
+
+const fenceAt = ({instance}: Pair) =>
+  instance.holds().find(([from, to]) => from <= KEY && KEY <= to)?.[2];
+
+/** Moves the keys around `KEY`, and returns the copy of the store before that. */
+async function moveAfterCopy(fleet: TestFleet) {
+  const [a, b] = fleet.pairs;
+  const holder = findTerm(mapOf(fleet), KEY)?.holder.node;
+  const [from, to] = holder === a.node ? [a, b] : [b, a];
+  const copy = fleet.store.takeCopy();
+  const next = to.sidecar.instanceManager.incarnation();
+  if (!next) throw new Error('the instance is not known');
+  const moves = [{...MOVED, holder: next}];
+  fleet.store.write('fleet', 'ranges.stock', startMoves(mapOf(fleet), moves));
+  await waitUntil(() => fenceAt(to) !== undefined);
+  return {copy, from, to};
+}
+
+/** Samples which instance holds `KEY`, under which token, and for how long. */
+async function observeHolders(pairs: readonly Pair[]) {
+  const taken: {readonly node: string; readonly fence: number}[] = [];
+  let sharedMs = 0;
+  let longestSharedMs = 0;
+  const until = Date.now() + OBSERVED_MS;
+  while (Date.now() < until) {
+    const holders = pairs.flatMap(pair => {
+      const fence = fenceAt(pair);
+      return fence === undefined ? [] : [{node: pair.node, fence}];
+    });
+    sharedMs = holders.length > 1 ? sharedMs + SAMPLE_MS : 0;
+    longestSharedMs = Math.max(longestSharedMs, sharedMs);
+    for (const {node, fence} of holders) {
+      const last = taken.filter(other => other.node === node).at(-1);
+      if (last?.fence !== fence) taken.push({node, fence});
+    }
+    await sleep(SAMPLE_MS);
+  }
+  return {taken, longestSharedMs};
+}
+
+/** Sends requests for `KEY`; returns the longest time without a served one. */
+async function observeService({callers}: Pair) {
+  let servedAt = Date.now();
+  let longestMs = 0;
+  const until = servedAt + OBSERVED_MS;
+  while (Date.now() < until) {
+    const {status} = await sendRequest(callers, 'GET', '/view/x', KEY);
+    if (status === 200) {
+      longestMs = Math.max(longestMs, Date.now() - servedAt);
+      servedAt = Date.now();
+    }
+    await sleep(SAMPLE_MS);
+  }
+  return Math.max(longestMs, Date.now() - servedAt);
+}
+
+for (const grants of GRANT_METHODS) {
+  // Guards against keys that are granted again, under old tokens, to whom the copy
+  // of the store names (OWNER).
+  test(`keys that moved stay with their holder after the store came back from a copy, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const {copy, to} = await moveAfterCopy(fleet);
+    const fence = fenceAt(to) ?? NaN;
+    fleet.store.restore(copy);
+    // The revisions that are given out again pass those that were known.
+    let version = 1;
+    const writing = setInterval(
+      () => fleet.store.write('config', 'main', configuration(++version)),
+      200,
+    );
+    t.teardown(() => clearInterval(writing));
+    const [{taken, longestSharedMs}, unservedMs] = await Promise.all([
+      observeHolders(fleet.pairs.slice(0, 2)),
+      observeService(fleet.pairs[2]),
+    ]);
+    t.true(longestSharedMs <= MAX_SHARED_MS, `${longestSharedMs} ms`);
+    t.deepEqual(new Set(taken.map(({node}) => node)), new Set([to.node]));
+    t.is(taken[0].fence, fence);
+    t.true(unservedMs <= MAX_UNSERVED_MS, `${unservedMs} ms`);
+    t.is(findTerm(mapOf(fleet), KEY)?.holder.node, to.node);
+    const kinds = fleet.pairs.flatMap(({events}) => events.map(([k]) => k));
+    t.true(kinds.includes(SIDECAR_EVENTS.mapSettled));
+  });
+
+  // Guards against keys that the copy gives to an instance which lost them, when
+  // no daemon remembers their holder (OWNER).
+  test(`keys rest for a lease if all daemons forget their holder with the store, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const {copy, to} = await moveAfterCopy(fleet);
+    const fence = fenceAt(to) ?? NaN;
+    fleet.store.restore(copy);
+    const observed = observeHolders(fleet.pairs.slice(0, 2));
+    await Promise.all(fleet.pairs.map(pair => pair.restart()));
+    const {taken, longestSharedMs} = await observed;
+    t.true(longestSharedMs <= MAX_SHARED_MS, `${longestSharedMs} ms`);
+    const others = taken.filter(({node}) => node !== to.node);
+    t.true(others.every(other => other.fence > fence));
+    await waitUntil(() => fleet.pairs.slice(0, 2).some(p => fenceAt(p)));
+  });
+
+  // Guards against an instance that left and is sent requests again (DRAIN).
+  test(`a departure outlasts the return of the store from a copy, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const [leaving, , entry] = fleet.pairs;
+    const copy = fleet.store.takeCopy();
+    await leaving.instance.sendDeparture();
+    const stateOf = () =>
+      (
+        fleet.store.read('fleet', `member.${leaving.node}`) as {
+          readonly state: string;
+        }
+      ).state;
+    await waitUntil(() => stateOf() === 'left');
+    await sleep(1000);
+    const runs = leaving.instance.runs.length;
+    fleet.store.restore(copy);
+    for (let key = 0; key < 65_000; key += 1000) {
+      await sendRequest(entry.callers, 'GET', '/view/x', key);
+    }
+    await waitUntil(() => stateOf() === 'left');
+    t.is(leaving.instance.runs.length, runs);
+  });
+}
