Grant by the latest known map after a change that changed nothing

Callers could see a key at two instances: a grant was made by the copy's map, under an old token, though the daemon itself had put the map in force again meanwhile.

Cause: a change of an undone map reads it first; a slow answer was older than the view by then, and `changeMap`, which had nothing to change, returned what it had read.

Change: the later of the read map and the view's is returned.

--- a/src/sidecar/maps.ts
+++ b/src/sidecar/maps.ts
@@ -60,10 +60,21 @@
   const object = await readMapHedged(access, service);
   if (!object) return undefined;
   access.observeChange(object);
+  return latestOf(access, service, object);
+}
+
+/**
+ * Returns the cached map if it is of a later version than a stored one, or tells
+ * that the store has undone it; otherwise the stored one.
+ */
+function latestOf(
+  access: Pick<MapAccess, 'view'>,
+  service: string,
+  object: StoredObject,
+): Versioned<RangeMap> | undefined {
   const known = access.view().maps.get(service);
   if (known && known.version > object.version) return known;
   const read = decodeMap(object);
-  // The view tells whether the store has undone a map of this version.
   return read && known?.version === read.version ? known : read;
 }
 
@@ -189,7 +200,6 @@
     const fields = {service, purpose, version, attempts};
     access.log(SIDECAR_EVENTS.mapChanged, fields);
   }
-  return result.object
-    ? decodeMap(result.object)
-    : {value: EMPTY_MAP, version: 0};
+  if (result.object) return latestOf(access, service, result.object);
+  return access.view().maps.get(service) ?? {value: EMPTY_MAP, version: 0};
 }
--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -200,6 +200,8 @@
   'frequent ends, a bad store, overlapping heartbeats': [
     {seed: 103, path: '96'},
   ],
+  // A grant by a map that was read before the recovery of the map was written.
+  'copies, a bad store, overlapping heartbeats': [{seed: 4402, path: '175'}],
 };
 
 /** Plays whose last seconds are without disturbances. */
