End what was found of an earlier process when the next one accepts

Cause: a daemon that ends refuses connections, so that the others find it `refused`. That stayed until an answer of its next process, which is busy in its first second; a request that was sent on a connection that the next process had accepted was given up at its first check, 200 ms later, for refusals that are older than it.

A probe that began before the connection and found no process is ignored. Two refusals still prove an end, and the time since the first failure is kept, so that no bound is wider.

Evidence: test/sidecar/silence.test.ts states the order of events with real processes; both tests answer 502 on the code before and 200 now.

The keys that silence.test.ts shares with a stand-in are written with the other fields of the map, as its daemons write them: a map without the era is one from before the store came back.

--- a/src/channel/client.ts
+++ b/src/channel/client.ts
@@ -35,6 +35,8 @@
   readonly fallback: (address: Address) => Transport;
   /** Called when a channel to a daemon has fallen silent. */
   readonly onSilent: (address: Address) => void;
+  /** Called when a daemon has accepted a connection for a channel. */
+  readonly onConnect?: (address: Address) => void;
 }
 
 /** Channels to other daemons, opened when they are first needed. */
@@ -152,6 +154,7 @@
     isConnecting = true;
     openChannel(address, options.connectTimeoutMs, result => {
       isConnecting = false;
+      if (result.kind !== 'failed') options.onConnect?.(address);
       if (result.kind === 'open' && isClosed) result.socket.destroy();
       else if (result.kind === 'open') addChannel(result.socket);
       else connectFrom = clock() + RETRY_MS[result.kind];
--- a/src/relay/detector.ts
+++ b/src/relay/detector.ts
@@ -37,6 +37,11 @@
 export interface PeerState {
   /** Time of the last answer to any request, in milliseconds. */
   readonly lastReceivedAt: number;
+  /**
+   * Time at which the machine last accepted a connection after it had accepted
+   * none, in milliseconds.
+   */
+  readonly acceptedAt: number;
   /** Start of the last probe, in milliseconds. */
   readonly probedAt: number;
   /** The last probe is in progress. */
@@ -59,6 +64,7 @@
 /** State of a daemon that was never probed. */
 export const NEVER_PROBED: PeerState = {
   lastReceivedAt: -Infinity,
+  acceptedAt: -Infinity,
   probedAt: -Infinity,
   isProbing: false,
   failureCount: 0,
@@ -93,6 +99,8 @@
   | {readonly kind: 'probe-started'}
   /** An answer to any request arrived. */
   | {readonly kind: 'answer-received'}
+  /** A new connection was accepted, of a probe or of a request. */
+  | {readonly kind: 'connection-accepted'}
   | {
       readonly kind: 'probe-ended';
       readonly reply: ProbeResult;
@@ -113,7 +121,10 @@
 
 /**
  * Applies an observation to the state of a daemon. A failed probe is ignored if
- * an answer has arrived since it started. Two equal failures in a row, of those
+ * an answer has arrived since it started, and one that found no process or no
+ * machine also if a connection was accepted since. Such a failure is one of an
+ * earlier process, or of a path that works again, once a connection is accepted:
+ * the daemon is only suspected until it answers. Two equal failures in a row, of those
  * that count, prove a failure. A timeout counts only if the observer is
  * reliable: its timers are on time, at least as many other daemons answered
  * since the probe as are still to answer, and at least one answered, unless
@@ -138,6 +149,8 @@
       return {...state, probedAt: now, isProbing: true};
     case 'answer-received':
       return markAlive(state, now);
+    case 'connection-accepted':
+      return markAccepting(state, now);
     case 'probe-ended': {
       const {reply, observer} = observation;
       const ended = {...state, isProbing: false};
@@ -146,6 +159,8 @@
         return {...markAlive(ended, now), roundTrip};
       }
       if (state.lastReceivedAt > state.probedAt) return ended;
+      const isAcceptedSince = state.acceptedAt > state.probedAt;
+      if (isAcceptedSince && reply.kind !== 'unanswered') return ended;
       if (reply.kind !== 'refused' && !isReliable(observer)) {
         return discountTime(ended, now);
       }
@@ -159,6 +174,23 @@
   return {...NEVER_PROBED, lastReceivedAt: now, probedAt, isProbing, roundTrip};
 }
 
+/** Failures of a daemon that accepts no connections. */
+const UNACCEPTED: ReadonlySet<PeerState['lastFailure']> = new Set([
+  'refused',
+  'unconnected',
+]);
+
+function markAccepting(state: PeerState, now: number): PeerState {
+  if (!UNACCEPTED.has(state.lastFailure)) return state;
+  return {
+    ...state,
+    acceptedAt: now,
+    liveness: 'suspect',
+    lastFailure: undefined,
+    failureCount: 0,
+  };
+}
+
 function isReliable({heard, waiting, isAlone, lateMs}: Observer): boolean {
   const hasReference = heard > 0 || isAlone;
   return lateMs < LATE_TIMER_MS && hasReference && heard >= waiting;
--- a/src/sidecar/probe.ts
+++ b/src/sidecar/probe.ts
@@ -66,6 +66,7 @@
   node: string,
   path: string,
   limits: ProbeTimeouts,
+  onConnect: () => void = () => {},
 ): Promise<TimedProbeOutcome<T>> {
   const {host, port} = parseAddress(node);
   const startedAt = performance.now();
@@ -116,6 +117,7 @@
     clientRequest.on('socket', socket => {
       socket.once('connect', () => {
         isConnected = true;
+        onConnect();
         clearTimeout(timer);
         const fromMs = isExtended ? performance.now() : startedAt;
         setDeadline(fromMs + limits.answerMs);
@@ -208,6 +210,8 @@
   ) => Promise<T | undefined>;
   /** Records that a daemon has answered a request. */
   readonly recordAnswer: (node: string) => void;
+  /** Records that a daemon has accepted a connection. */
+  readonly recordConnection: (node: string) => void;
   /** Returns the current state of a daemon. */
   readonly stateOf: (node: string) => PeerStatus;
 }
@@ -277,7 +281,12 @@
       performance.now(),
     );
     observe(peer, {kind: 'probe-started'});
-    const {outcome, lateMs} = await probePeer<T>(peer, STATUS_PATH, limits);
+    const {outcome, lateMs} = await probePeer<T>(
+      peer,
+      STATUS_PATH,
+      limits,
+      () => observe(peer, {kind: 'connection-accepted'}),
+    );
     const hasNoAnswer =
       outcome.kind !== 'answered' && outcome.kind !== 'refused';
     const observer = {
@@ -308,6 +317,7 @@
       return probe;
     },
     recordAnswer: peer => observe(peer, {kind: 'answer-received'}),
+    recordConnection: peer => observe(peer, {kind: 'connection-accepted'}),
     stateOf: peer => peerStatusOf(historyOf(peer), performance.now()),
   };
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -402,6 +402,7 @@
   const {
     probe: probeStatus,
     recordAnswer,
+    recordConnection,
     stateOf: peerState,
   } = createFailureDetector<InstanceStatus>(node);
   const planner = createPlanner({
@@ -426,9 +427,12 @@
     runInBackground,
   });
 
+  const onConnect = (address: Address) =>
+    recordConnection(formatAddress(address));
   const peerPools = createPools({
     connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
     keepAliveMs: PEER_IDLE_TIMEOUT_MS / 2,
+    onConnect,
   });
   const channels = createChannels({
     connectTimeoutMs: PEER_CONNECT_TIMEOUT_MS,
@@ -437,6 +441,7 @@
     fallback: address => peerPools.get(address, PEER_CONNECTIONS),
     onSilent: address =>
       log(SIDECAR_EVENTS.channelSilent, {peer: formatAddress(address)}),
+    onConnect,
   });
   const answerLengths = createAnswerLengths();
 
--- a/src/upstream/pools.ts
+++ b/src/upstream/pools.ts
@@ -8,6 +8,8 @@
   readonly connectTimeoutMs: number;
   /** Idle timeout; must be shorter than the idle timeout of the server. */
   readonly keepAliveMs: number;
+  /** Called with the address of each connection that was accepted. */
+  readonly onConnect?: (address: Address) => void;
 }
 
 /** The connection pools of a daemon, one per address. */
@@ -45,6 +47,7 @@
       if (entry?.limit === limit) return entry.pool;
       void entry?.pool.close();
       const pool = createPool(name, {limit, ...options});
+      pool.on('connect', () => options.onConnect?.(address));
       entries.set(name, {limit, pool});
       return pool;
     },
--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -90,6 +90,53 @@
   t.is(back.liveness, 'suspect');
 });
 
+// Guards against requests that are given up for failures of an earlier process
+// (LOST).
+test('an accepted connection ends what was found of the process before', t => {
+  for (const kind of ['refused', 'unconnected'] as const) {
+    const {state, now} = probeAll([kind, kind]);
+    const accepted = applyObservation(
+      state,
+      {kind: 'connection-accepted'},
+      now + 10,
+    );
+    t.is(accepted.liveness, 'suspect');
+    const status = peerStatusOf(accepted, now + 900);
+    t.is(decidePending(status, {...PENDING, pendingMs: 200}).kind, 'wait');
+    t.is(decidePending(status, PENDING).kind, 'probe');
+    t.false(isLost(peerStatusOf(accepted, now + 60_000)));
+    // A process that ends again is found as soon as the first.
+    const first = probeOnce(accepted, kind, now + 20);
+    t.is(first.state.liveness, 'suspect');
+    const again = probeOnce(first.state, kind, first.now);
+    t.is(again.state.liveness, state.liveness);
+    t.is(again.state.failingSince, state.failingSince);
+  }
+});
+
+test('a probe that found no process is ignored if a connection was accepted since', t => {
+  const {state, now} = probeAll(['refused', 'refused']);
+  const probing = applyObservation(state, {kind: 'probe-started'}, now + 1);
+  const accepted = applyObservation(
+    probing,
+    {kind: 'connection-accepted'},
+    now + 2,
+  );
+  const ended = applyObservation(
+    accepted,
+    {kind: 'probe-ended', reply: {kind: 'refused'}, observer: GOOD},
+    now + 3,
+  );
+  t.is(ended.liveness, 'suspect');
+  t.is(ended.failureCount, 0);
+});
+
+test('an accepted connection does not clear a process that does not answer', t => {
+  const {state, now} = probeAll(['unanswered', 'unanswered']);
+  const observation = {kind: 'connection-accepted'} as const;
+  t.is(applyObservation(state, observation, now), state);
+});
+
 test('an unreliable observer counts no timeout as a failure', t => {
   const observers = [
     {heard: 0, waiting: 2, isAlone: false, lateMs: 0},
--- a/test/sidecar/peer.ts
+++ b/test/sidecar/peer.ts
@@ -15,6 +15,8 @@
   readonly isUnresponsive?: boolean;
   /** Accepts no connections: its accept queue is full. */
   readonly isUnreachable?: boolean;
+  /** Port that it listens on; a free one if missing. */
+  readonly port?: number;
 }
 
 /** A stand-in of a daemon, with its own event loop. */
@@ -45,7 +47,7 @@
   }
   setTimeout(() => response.end(isProbe ? status : 'answer'), waitMs);
 });
-server.listen({port: 0, host: '127.0.0.1', backlog: behaviour.isUnreachable ? 1 : 511}, () => {
+server.listen({port: behaviour.port ?? 0, host: '127.0.0.1', backlog: behaviour.isUnreachable ? 1 : 511}, () => {
   parentPort.postMessage(server.address().port);
   if (behaviour.isUnreachable) Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
 });
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -56,6 +56,35 @@
   t.is((await sendRequest(callers, 'GET', '/book/x')).status, 200);
 });
 
+for (const [kind, send] of [
+  ['runs once', 'POST'],
+  ['may be repeated', 'GET'],
+] as const) {
+  // Guards against a request that is given up for refusals of the process before
+  // the one that has read it (LOST).
+  test(`a request that ${kind} is answered by a daemon that starts again and is late`, async t => {
+    const fleet = await startFleet(['stock']);
+    t.teardown(fleet.close);
+    if (send === 'GET')
+      fleet.store.write('config', 'main', makeIdempotent(configuration(2)));
+    const ended = await startPeer(fleet.store, 'desk', {});
+    await pause(PROPAGATION_MS);
+    await ended.close();
+    const [{callers}] = fleet.pairs;
+    // Its port refuses connections, which is noticed by probes.
+    for (let request = 0; request < 6; request++) {
+      t.not((await sendRequest(callers, send, '/book/x')).status, 200);
+      await pause(50);
+    }
+    const port = Number(ended.node.split(':')[1]);
+    const late = {port, probeDelayMs: 5000, requestDelayMs: 900};
+    const peer = await startPeer(fleet.store, 'desk', late);
+    t.teardown(peer.close);
+    const {status} = await sendRequest(callers, send, '/book/x');
+    t.is(status, 200);
+  });
+}
+
 /** Assigns the upper half of the keys of `stock` to a peer. */
 function shareKeys(fleet: TestFleet, peer: {node: string; id: string}): void {
   const map = fleet.store.read('fleet', 'ranges.stock') as {
@@ -68,6 +97,7 @@
   const holder = {node: peer.node, id: peer.id, born: 7};
   const term = {from: middle + 1, to: last.to, fence, holder};
   fleet.store.write('fleet', 'ranges.stock', {
+    ...map,
     fence,
     terms: [
       ...map.terms.slice(0, -1),
