Never end an answer by the end of its connection

Cause: the framing made the end of the process the end of the answer, for clients and for other daemons. The comment there named the opposite danger, a truncated answer with a proper end.

Change: an answer that ends with its connection is passed on with its length, if it is whole within a second and 64 KiB, and in chunks otherwise; to a client of HTTP/1.0 with its length only, up to 1 MiB, which holds for chunked answers too. A truncated one is reset, as before. The connection is closed after it, as before.

--- a/src/channel/response.ts
+++ b/src/channel/response.ts
@@ -11,7 +11,7 @@
   writableEnded = false;
   writableFinished = false;
   destroyed = false;
-  useChunkedEncodingByDefault = true;
+  readonly useChunkedEncodingByDefault = true;
   shouldKeepAlive = true;
   readonly socket = {resetAndDestroy: () => this.destroy()};
   readonly #stream: number;
@@ -31,8 +31,7 @@
   writeHead(status: number, headers: readonly string[]): void {
     if (this.#isOver()) return;
     this.headersSent = true;
-    const isChunked = this.useChunkedEncodingByDefault && !hasLength(headers);
-    const framing = isChunked ? ['Transfer-Encoding', 'chunked'] : [];
+    const framing = hasLength(headers) ? [] : ['Transfer-Encoding', 'chunked'];
     const head = [status, [...headers, ...framing]] as const;
     this.#write(encodeHeadFrame(FRAME.head, this.#stream, head));
   }
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -62,9 +62,31 @@
 const MAX_WITHHELD_BODY_BYTES = 64 * 1024;
 const WITHHELD_TIMEOUT_MS = 1000;
 
+/**
+ * Size and time up to which a body that ends with its connection is held, so that
+ * it is passed on with its length. A longer or slower one is sent in chunks.
+ */
+const HOLD_BYTES = 64 * 1024;
+const HOLD_MS = 1000;
+
+/**
+ * Largest body without a length that is passed on to a client of HTTP/1.0, which
+ * takes no chunks.
+ */
+const MAX_UNCHUNKED_BYTES = 1024 * 1024;
+
 /** Maximum number of early hints per response; they have no backpressure. */
 const MAX_EARLY_HINTS = 8;
 
+/** A response whose head and body are held. */
+interface HeldResponse {
+  readonly headers: string[];
+  readonly parts: Buffer[];
+  bytes: number;
+  /** Ends the hold; missing if the client takes no chunks. */
+  readonly timer?: NodeJS.Timeout;
+}
+
 /** State of an exchange. */
 type Stage = 'queued' | 'sent' | 'forwarding' | 'ended';
 
@@ -74,6 +96,10 @@
  * has arrived. Leaves it open if the upstream response is truncated; the caller of
  * this function must then destroy it.
  *
+ * No response ends with its connection, even if that of the upstream does: the
+ * system closes the connections of a process that is killed, and a part of the
+ * body would look whole. It is sent with its length once that is known, or in chunks.
+ *
  * @example
  * const abort = exchange(pool, call, response, {
  *   beforeSend: () => true,
@@ -95,6 +121,7 @@
   let head: ResponseHead | undefined;
   /** Bytes of the body not yet received; NaN if its length is unknown. */
   let remainingBytes = NaN;
+  let held: HeldResponse | undefined;
   let isPaused = false;
   let hintCount = 0;
   /** Bytes of a withheld response that may still be received. */
@@ -111,6 +138,7 @@
 
   const fail = (error: Error) => {
     if (stage === 'ended') return;
+    clearTimeout(held?.timer);
     const isForwarding = stage === 'forwarding';
     const sent = stage !== 'queued' && !(error instanceof UnprocessedError);
     stage = 'ended';
@@ -120,7 +148,14 @@
 
   const finish = (status: number, last?: Buffer) => {
     stage = 'ended';
-    response.end(last);
+    if (held) {
+      const {headers, parts, bytes, timer} = held;
+      clearTimeout(timer);
+      response.writeHead(status, [...headers, 'Content-Length', `${bytes}`]);
+      response.end(Buffer.concat(parts));
+    } else {
+      response.end(last);
+    }
     hooks.onEnd({kind: 'answered', status});
   };
 
@@ -138,25 +173,65 @@
     }
     const {status} = received;
     remainingBytes = received.contentLength;
-    if (!received.isChunked && Number.isNaN(remainingBytes))
-      delimitByClose(response);
-    response.writeHead(status, headers);
+    const isEmpty = hasNoBody(call.method, status) || remainingBytes === 0;
+    const endsWithConnection =
+      !isEmpty && !received.isChunked && Number.isNaN(remainingBytes);
+    const takesChunks = response.useChunkedEncodingByDefault;
+    const isUnchunkable = received.isChunked && !takesChunks;
+    // Clients may read to the end of the connection, as the upstream ends it.
+    if (endsWithConnection) response.shouldKeepAlive = false;
     stage = 'forwarding';
     head = received;
-    if (hasNoBody(call.method, status) || remainingBytes === 0) finish(status);
+    if (endsWithConnection || (isUnchunkable && !isEmpty)) {
+      const timer = takesChunks ? setTimeout(release, HOLD_MS) : undefined;
+      held = {headers, parts: [], bytes: 0, timer};
+      return;
+    }
+    response.writeHead(status, headers);
+    if (isEmpty) finish(status);
+  };
+
+  /** Starts to send a held response in chunks; returns false to wait. */
+  const release = (): boolean => {
+    if (!held) return true;
+    const {headers, parts, timer} = held;
+    held = undefined;
+    clearTimeout(timer);
+    response.writeHead(head?.status ?? 0, headers);
+    return parts.length === 0 || response.write(Buffer.concat(parts));
+  };
+
+  const hold = (
+    unsent: HeldResponse,
+    chunk: Buffer,
+    resume: () => void,
+  ): boolean => {
+    unsent.parts.push(chunk);
+    unsent.bytes += chunk.length;
+    if (unsent.timer === undefined) {
+      if (unsent.bytes <= MAX_UNCHUNKED_BYTES) return true;
+      const message = `a body without a length is longer than ${MAX_UNCHUNKED_BYTES} bytes, for a client that takes no chunks`;
+      abortRequest?.(new Error(message));
+      return false;
+    }
+    return unsent.bytes <= HOLD_BYTES || release() || waitForDrain(resume);
+  };
+
+  const waitForDrain = (resume: () => void): false => {
+    isPaused = true;
+    response.once('drain', resume);
+    return false;
   };
 
   const forwardPart = (chunk: Buffer, resume: () => void): boolean => {
     remainingBytes -= chunk.length;
     hooks.onBodyPart?.(chunk);
+    if (held) return hold(held, chunk, resume);
     if (remainingBytes === 0) {
       finish(head?.status ?? 0, chunk);
       return true;
     }
-    if (response.write(chunk)) return true;
-    isPaused = true;
-    response.once('drain', resume);
-    return false;
+    return response.write(chunk) || waitForDrain(resume);
   };
 
   let resume = () => {};
@@ -222,17 +297,8 @@
 }
 
 /**
- * Delimits a response by the close of its connection, like the upstream response
- * that has no length. Any other framing could mark a truncated body as complete.
- */
-function delimitByClose(response: ResponseWriter): void {
-  response.useChunkedEncodingByDefault = false;
-  response.shouldKeepAlive = false;
-}
-
-/**
- * Aborts a response so that it cannot be mistaken for a complete one. Resets the
- * connection, as its regular end would complete a response without a length.
+ * Aborts a response so that it cannot be mistaken for a complete one: resets the
+ * connection.
  *
  * @example
  * if (result.kind === 'broken') abortResponse(response);
--- a/src/upstream/message.ts
+++ b/src/upstream/message.ts
@@ -21,7 +21,11 @@
 
 /** Writes a response; the part of `ServerResponse` that handlers use. */
 export interface ResponseWriter {
-  useChunkedEncodingByDefault: boolean;
+  /**
+   * Whether a body without a length is sent in chunks; not to a client of HTTP/1.0,
+   * which would take the end of the connection for the end of the body.
+   */
+  readonly useChunkedEncodingByDefault: boolean;
   shouldKeepAlive: boolean;
   readonly headersSent: boolean;
   readonly writableEnded: boolean;
--- a/test/upstream/broken.test.ts
+++ b/test/upstream/broken.test.ts
@@ -67,13 +67,17 @@
 
 const HEAD = 'HTTP/1.1 200 OK\r\n';
 
+/** Marks the body of a response in chunks as whole. */
+const LAST_CHUNK = /\r\n0\r\n/;
+
 test('a response without a length is broken if its connection is reset', async t => {
   const {server, port} = await startServer(`${HEAD}\r\npart`, socket => {
     setTimeout(() => socket.resetAndDestroy(), 50);
   });
-  const {kind, ended} = await proxyResponse(port);
+  const {kind, ended, text} = await proxyResponse(port);
   t.is(kind, 'broken');
   t.false(ended);
+  t.notRegex(text, LAST_CHUNK);
   server.close();
 });
 
@@ -115,9 +119,10 @@
     const end = Date.now() + 300;
     while (Date.now() < end);
   }, 30);
-  const {kind, ended} = await proxyResponse(port);
+  const {kind, ended, text} = await proxyResponse(port);
   t.is(kind, 'broken');
   t.false(ended);
+  t.notRegex(text, LAST_CHUNK);
 });
 
 test('a response without a length is complete when its connection is closed', async t => {
@@ -127,6 +132,7 @@
   const {kind, ended, text} = await proxyResponse(port);
   t.is(kind, 'answered');
   t.true(ended);
+  t.regex(text, /content-length: 5\r\n/i);
   t.regex(text, /\r\n\r\nwhole$/);
   t.notRegex(text, /chunked/i);
   server.close();
@@ -150,6 +156,7 @@
 function createSlowResponse() {
   const parts: string[] = [];
   const response = Object.assign(new EventEmitter(), {
+    useChunkedEncodingByDefault: true,
     writeHead: () => {},
     write: (part: Buffer) => {
       parts.push(part.toString());
