Take no answer to a request for the answer to a call for keys

Cause: calls for keys were sent on the connections of requests, and any 200 counted as their answer. A late copy of the answer to an earlier request, which an instance sends when the next request comes on the connection, was taken for the release of a range.

Change: calls have connections of their own, a release a new one.

--- a/src/sidecar/calldelivery.ts
+++ b/src/sidecar/calldelivery.ts
@@ -21,7 +21,9 @@
   type RangeMap,
   type RangeTerm,
 } from '../ranges/index.js';
-import type {Statement} from '../upstream/index.js';
+import type {Dispatcher} from 'undici';
+import type {Address} from '../model/index.js';
+import type {Pools, Statement} from '../upstream/index.js';
 import {
   readGrantableKeys,
   logGrants,
@@ -57,6 +59,17 @@
   readonly statement: Statement;
 }
 
+/**
+ * Connections for calls to an instance. Requests are never sent on them, so that
+ * no copy of the answer to one can come in place of the answer to a call.
+ */
+export interface CallConnections {
+  /** Returns the connections that calls share. */
+  readonly shared: (address: Address) => Pick<Dispatcher, 'dispatch'>;
+  /** Returns a connection for one call, on which nothing was sent before. */
+  readonly open: Pools['open'];
+}
+
 /** Calls to an instance that grant keys and release them. */
 export interface InstanceCalls {
   /**
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,6 +1,5 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Dispatcher} from 'undici';
 import {
   createRetryBudget,
   countForwarded,
@@ -23,7 +22,6 @@
   lengthOf,
   applyLoadEvent,
   chooseService,
-  maxConnections,
   createInstanceNotices,
   createHolderRefusals,
   createIntake,
@@ -67,7 +65,11 @@
   createConfigurationInForce,
   type ConfigurationOptions,
 } from './activeconfiguration.js';
-import {createCallDelivery, type InstanceCalls} from './calldelivery.js';
+import {
+  createCallDelivery,
+  type CallConnections,
+  type InstanceCalls,
+} from './calldelivery.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {createHeartbeatDelivery} from './heartbeatdelivery.js';
 import {
@@ -118,9 +120,7 @@
   readonly store: ObjectStore;
   readonly dialect: Dialect;
   /** Creates the calls to an instance whose keys are granted by call. */
-  readonly instanceCalls: (
-    poolOf: (address: Address) => Dispatcher,
-  ) => InstanceCalls;
+  readonly instanceCalls: (connections: CallConnections) => InstanceCalls;
   readonly log: Log;
   /** Called with each request of a caller that has ended. */
   readonly onRequestEnd?: (request: RequestResult) => void;
@@ -163,6 +163,9 @@
 /** Event loop delay from which it is logged. */
 const LOOP_DELAY_LOG_THRESHOLD_MS = 250;
 
+/** Connections to the local instance for calls that grant keys. */
+const CALL_CONNECTIONS = 8;
+
 /** Time limit for connecting to the local instance. */
 const CONNECT_TIMEOUT_MS = 300;
 
@@ -324,8 +327,14 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     keepAliveMs: INSTANCE_IDLE_TIMEOUT_MS,
   });
-  const poolOf = (address: Address) =>
-    pools.get(address, maxConnections(instanceManager.local()?.slots ?? 1));
+  const callPools = createPools({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    keepAliveMs: INSTANCE_IDLE_TIMEOUT_MS,
+  });
+  const callConnections: CallConnections = {
+    shared: address => callPools.get(address, CALL_CONNECTIONS),
+    open: callPools.open,
+  };
 
   const responses = createOpenResponses({
     clock,
@@ -363,7 +372,7 @@
     onStatement: (life, answer) => statements.record(life, answer),
     createDelivery: context =>
       settings.grants === 'call'
-        ? createCallDelivery(context, options.instanceCalls(poolOf))
+        ? createCallDelivery(context, options.instanceCalls(callConnections))
         : createHeartbeatDelivery(context),
   });
 
@@ -816,6 +825,7 @@
         server.closeAllConnections();
       }
       runInBackground(pools.close());
+      runInBackground(callPools.close());
       runInBackground(peerPools.close());
       channels.close();
     },
--- a/src/store/exchange.ts
+++ b/src/store/exchange.ts
@@ -31,7 +31,7 @@
  * const reply = await exchange(pool, {method: 'GET', path: '/objects?key=a'}, 1000);
  */
 export function exchange(
-  dispatcher: Dispatcher,
+  dispatcher: Pick<Dispatcher, 'dispatch'>,
   call: Call,
   timeoutMs: number,
 ): Promise<Reply> {
--- a/src/upstream/pools.ts
+++ b/src/upstream/pools.ts
@@ -16,10 +16,18 @@
 export interface Pools {
   /** Returns the pool for an address. A different limit replaces the pool. */
   readonly get: (address: Address, limit: number) => Dispatcher;
+  /** Returns a connection for one request, on which nothing was sent before. */
+  readonly open: (address: Address) => Connection;
   /** Closes each pool once its requests have ended. */
   readonly close: () => Promise<void>;
 }
 
+/** A connection that is in no pool. */
+export interface Connection extends Pick<Dispatcher, 'dispatch'> {
+  /** Closes it, with its request if that has not ended. */
+  readonly destroy: () => Promise<void>;
+}
+
 interface Entry {
   readonly limit: number;
   readonly pool: Pool;
@@ -51,6 +59,7 @@
       entries.set(name, {limit, pool});
       return pool;
     },
+    open: address => createPool(formatAddress(address), {limit: 1, ...options}),
     close: async () => {
       const open = [...entries.values()];
       entries.clear();
