Part the choice of the next map from its write

No change of behaviour: what is written in place of a stored map is a pure function now, with tests of an undone map and of the first map after a return from a copy.

--- a/src/ranges/recover.ts
+++ b/src/ranges/recover.ts
@@ -78,6 +78,38 @@
   return {fence: floor, terms, era, floor, isRecovering: true};
 }
 
+/** Highest era of a store that has not come back from a copy yet. */
+const FIRST_ERA = 1;
+
+/**
+ * Returns the map to write in place of a stored one: the changed map, or, if the
+ * store has undone a later one, that in recovery and without the change.
+ *
+ * @param era Era of the store.
+ * @param undone Known map that the store has undone, if it has.
+ * @param change Computes the next map; returns the same map for no change.
+ * @returns the stored map itself if nothing is to be written.
+ *
+ * @example
+ * nextMap(map, 2, undefined, m => revoke(m, life));
+ */
+export function nextMap(
+  stored: RangeMap,
+  era: number,
+  undone: RangeMap | undefined,
+  change: (map: RangeMap) => RangeMap,
+): RangeMap {
+  if (undone && isWritten(undone)) return recoverMap(undone, stored, era);
+  const changed = change(stored);
+  const isEmpty = changed.terms.length === 0 && stored.terms.length === 0;
+  if (changed === stored || isEmpty) return stored;
+  if (!isWritten(stored) && era > FIRST_ERA) {
+    // The copy may be older than a map by which keys were granted.
+    return recoverMap({...changed, era: 0}, stored, era);
+  }
+  return era > 0 ? {...changed, era} : changed;
+}
+
 /**
  * Ends the recovery of a map, once all leases have expired that were granted
  * before it.
--- a/src/sidecar/maps.ts
+++ b/src/sidecar/maps.ts
@@ -4,13 +4,7 @@
   type StoredChange,
   type Versioned,
 } from '../fleet/index.js';
-import {
-  EMPTY_MAP,
-  isWritten,
-  parseMap,
-  recoverMap,
-  type RangeMap,
-} from '../ranges/index.js';
+import {EMPTY_MAP, nextMap, parseMap, type RangeMap} from '../ranges/index.js';
 import {
   UnavailableError,
   eraOf,
@@ -87,9 +81,6 @@
   return 'problem' in map ? undefined : {value: map, version};
 }
 
-/** Highest era of a store that has not come back from a copy yet. */
-const FIRST_ERA = 1;
-
 /** Reads from the store, hedged by a read through another daemon. */
 async function readMapHedged(
   access: MapAccess,
@@ -171,20 +162,14 @@
     if (!map) return undefined;
     const era = object ? eraOf(object.version) : (access.store.era?.() ?? 0);
     const known = access.view().maps.get(service);
-    if (known?.isUndone && isWritten(known.value)) {
-      const recovered = recoverMap(known.value, map, era);
-      const {floor} = recovered;
+    const undone = known?.isUndone ? known.value : undefined;
+    const changed = nextMap(map, era, undone, change);
+    if (changed === map) return undefined;
+    const {floor} = changed;
+    if (floor !== map.floor) {
       access.log(SIDECAR_EVENTS.mapRecovered, {service, era, floor});
-      return JSON.stringify(recovered);
-    }
-    const changed = change(map);
-    const isEmpty = changed.terms.length === 0 && map.terms.length === 0;
-    if (changed === map || isEmpty) return undefined;
-    if (!isWritten(map) && era > FIRST_ERA) {
-      // The copy may be older than a map by which keys were granted.
-      return JSON.stringify(recoverMap({...changed, era: 0}, map, era));
     }
-    return JSON.stringify(era > 0 ? {...changed, era} : changed);
+    return JSON.stringify(changed);
   };
   const result = await writeFromView(
     access,
--- a/test/ranges/recover.test.ts
+++ b/test/ranges/recover.test.ts
@@ -1,12 +1,14 @@
 import test from 'ava';
 import {
   ALL_KEYS,
+  EMPTY_MAP,
   confirmTerms,
   createMap,
   expire,
   findTerm,
   grantableTerms,
   heldBy,
+  nextMap,
   parseMap,
   placeFree,
   recoverMap,
@@ -80,3 +82,22 @@
   const confirmed = confirmTerms(map, A, []);
   t.true((findTerm(confirmed, 0)?.fence ?? 0) > (map.floor ?? 0));
 });
+
+test('a map that the store has undone is written before any change of it', t => {
+  const map = {...createMap([{...ALL_KEYS, holder: A}]), era: 1};
+  const move = (m: RangeMap) => startMoves(m, [{...ALL_KEYS, holder: B}]);
+  t.is(findTerm(nextMap(map, 1, undefined, move), 0)?.state, 'moving');
+  const next = nextMap(EMPTY_MAP, 2, map, move);
+  t.true(next.isRecovering);
+  t.is(findTerm(next, 0)?.state, 'held');
+  t.is(
+    nextMap(next, 2, undefined, m => m),
+    next,
+  );
+});
+
+test('the first map after a return from a copy recovers, as keys may have been granted', t => {
+  const first = (m: RangeMap) => createMap([{...ALL_KEYS, holder: A}], m);
+  t.is(nextMap(EMPTY_MAP, 1, undefined, first).isRecovering, undefined);
+  t.true(nextMap(EMPTY_MAP, 2, undefined, first).isRecovering);
+});
