--- a/test/sidecar/foreign.test.ts
+++ b/test/sidecar/foreign.test.ts
@@ -2,7 +2,6 @@
 import type {Member} from '../../src/fleet/index.js';
 import {
   ALL_KEYS,
-  createMap,
   expire,
   findTerm,
   startMoves,
@@ -16,6 +15,7 @@
   heartbeatOf,
   lifeOf,
   startDaemon,
+  storeHeldBy,
   type HeldStore,
 } from './latechanges.js';
 
@@ -27,8 +27,7 @@
 
 /** Starts a daemon whose instance holds all keys. */
 async function startHolder() {
-  const store = createHeldStore();
-  store.changeMap(() => createMap([{...ALL_KEYS, holder: lifeOf(1)}]));
+  const store = storeHeldBy(1);
   const daemon = startDaemon(store);
   daemon.observeStore();
   await daemon.manager.handleHeartbeat(heartbeatOf(lifeOf(1), 1));
@@ -92,8 +91,7 @@
   ],
 ] as const) {
   test(`keys ${name} wait for the end of their lease when another service has the machine`, async t => {
-    const store = createHeldStore();
-    store.changeMap(() => createMap([{...ALL_KEYS, holder: lifeOf(1)}]));
+    const store = storeHeldBy(1);
     store.changeMap(change);
     const {manager, observeStore} = startDaemon(store, {service: 'desk'});
     observeStore();
--- a/test/sidecar/latechanges.test.ts
+++ b/test/sidecar/latechanges.test.ts
@@ -14,6 +14,7 @@
   createHeldStore,
   heartbeatOf,
   lifeOf,
+  storeHeldBy,
   startDaemon,
   type HeldStore,
 } from './latechanges.js';
@@ -22,12 +23,6 @@
 const MOVED = {from: 0, to: 99};
 const REST = {from: 100, to: ALL_KEYS.to};
 
-function storeHeldBy(born: number): HeldStore {
-  const store = createHeldStore();
-  store.changeMap(() => createMap([{...ALL_KEYS, holder: lifeOf(born)}]));
-  return store;
-}
-
 const move = (store: HeldStore) =>
   store.changeMap(map => startMoves(map, [{...MOVED, holder: OTHER_LIFE}]));
 
--- a/test/sidecar/latechanges.ts
+++ b/test/sidecar/latechanges.ts
@@ -9,7 +9,9 @@
   type StoredChange,
 } from '../../src/fleet/index.js';
 import {
+  ALL_KEYS,
   EMPTY_MAP,
+  createMap,
   findTerm,
   type Incarnation,
   type RangeMap,
@@ -244,6 +246,18 @@
   };
 }
 
+/**
+ * Creates a store in which a life holds all keys.
+ *
+ * @example
+ * const store = storeHeldBy(1);
+ */
+export function storeHeldBy(born: number): HeldStore {
+  const store = createHeldStore();
+  store.changeMap(() => createMap([{...ALL_KEYS, holder: lifeOf(born)}]));
+  return store;
+}
+
 /** Keys of the range map and of the registration in the store. */
 export const MAP_KEY = rangesKey(SERVICE);
 export const MEMBER_KEY = memberKey(NODE);
