--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -96,11 +96,11 @@
 });
 
 /** The store may be away for a moment, and lose its last seconds. */
-const drill = fc.record({
+const storeRestore = fc.record({
   ...early,
   // All keys are assigned by then.
   atMs: fc.integer({min: 9000, max: CLOCK_LENGTH_MS}),
-  kind: kind('drill'),
+  kind: kind('store-restore'),
   ageMs: fc.integer({min: 100, max: 6000}),
   awayMs: fc.integer({min: 0, max: 2500}),
 });
@@ -159,9 +159,9 @@
 );
 
 /** A store that comes back from copies, while keys move and instances end. */
-const drills = playOf(
+const storeRestores = playOf(
   fc.oneof(
-    {weight: 2, arbitrary: drill},
+    {weight: 2, arbitrary: storeRestore},
     {weight: 3, arbitrary: endEarly(crash)},
     {weight: 6, arbitrary: endEarly(move)},
     {weight: 1, arbitrary: endEarly(drain)},
@@ -186,8 +186,8 @@
   {name: 'jumping clocks, a good store', plays: jumpingClocks, on: 'good'},
   {name: 'jumping clocks, a bad store', plays: jumpingClocks, on: 'bad'},
   // Guards against keys with two holders after the store came back from a copy.
-  {name: 'copies, a good store', plays: drills, on: 'good'},
-  {name: 'copies, a bad store', plays: drills, on: 'bad'},
+  {name: 'copies, a good store', plays: storeRestores, on: 'good'},
+  {name: 'copies, a bad store', plays: storeRestores, on: 'bad'},
 ] as const;
 
 /** Plays that broke a rule when an exploration found them. */
@@ -205,7 +205,10 @@
 };
 
 /** Plays whose last seconds are without disturbances. */
-const ENDING_EARLY: ReadonlySet<unknown> = new Set([jumpingClocks, drills]);
+const ENDING_EARLY: ReadonlySet<unknown> = new Set([
+  jumpingClocks,
+  storeRestores,
+]);
 
 /** Explores plays one after another, since they replace the timers. */
 for (const overlapping of [false, true]) {
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -58,7 +58,11 @@
   | {readonly kind: 'drain'; readonly announces: boolean}
   | {readonly kind: 'move'; readonly from: number; readonly to: number}
   /** The store is away, and comes back from a copy of an earlier state. */
-  | {readonly kind: 'drill'; readonly ageMs: number; readonly awayMs: number}
+  | {
+      readonly kind: 'store-restore';
+      readonly ageMs: number;
+      readonly awayMs: number;
+    }
   /** The time of day jumps, and jumps back after a time. */
   | {readonly kind: 'clock'; readonly byMs: number; readonly backMs: number}
   /** The last heartbeats of an earlier life arrive again, or late. */
@@ -1027,7 +1031,7 @@
         return;
       case 'repeat':
         return repeat(machine, step.lives, step.count);
-      case 'drill':
+      case 'store-restore':
         awayUntil = now + step.awayMs;
         schedule(awayUntil, undefined, () =>
           restoreCopy(now - step.awayMs - step.ageMs),
