Log what a release by heartbeat rests on, and reports of keys given away

Event 6045 now says it for heartbeats, with the time since the last grant; event 6064 is an instance that reports keys under a token which the map has passed for another one.

--- a/src/ranges/grants.ts
+++ b/src/ranges/grants.ts
@@ -256,6 +256,26 @@
   return true;
 }
 
+/**
+ * Returns the ranges that an incarnation reports as held though the map has
+ * given keys of them to another one under a higher fencing token.
+ *
+ * @example
+ * findOutdatedHolds(map, incarnation, [{from: 0, to: 9, fence: 7}]);
+ */
+export function findOutdatedHolds(
+  map: RangeMap,
+  incarnation: Incarnation,
+  holds: readonly HeldRange[],
+): readonly HeldRange[] {
+  const isPassed = (held: HeldRange) => (term: RangeTerm) =>
+    overlaps(term, held) &&
+    term.state !== 'free' &&
+    term.fence > held.fence &&
+    !isSameIncarnation(term.holder, incarnation);
+  return holds.filter(held => map.terms.some(isPassed(held)));
+}
+
 /** Maximum transit time of a heartbeat that is answered, in milliseconds. */
 export const MAX_TRANSIT_MS = 1000;
 
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -163,6 +163,11 @@
     level: 'info',
     message: 'instance released keys',
   },
+  keysHeldPastTerm: {
+    number: 6064,
+    level: 'error',
+    message: 'instance reports keys that the map has given to another',
+  },
   releaseUnanswered: {
     number: 6046,
     level: 'warn',
--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -1,6 +1,7 @@
 import {
   NO_HEARTBEAT_GRANTS,
   contains,
+  findOutdatedHolds,
   findReleases,
   recordGrants,
   applyHeartbeat,
@@ -129,9 +130,22 @@
       : map;
   };
 
+  /** Logs which report proves a release, and how long after a grant it came. */
+  const logReleases = (service: string, {sequence}: HoldReport) => {
+    context.log(SIDECAR_EVENTS.keysReleased, {
+      service,
+      upstream: grants.incarnation?.id,
+      sequence,
+      ranges: grants.released.length,
+      grantedSequence: grants.grantedSequence,
+      sinceGrantMs: Math.round(clock() - grants.arrivedAt),
+    });
+  };
+
   /** Records releases until the map lacks none that is proved. */
   const recordReleases = async (service: string) => {
     for (;;) {
+      if (latestReport) logReleases(service, latestReport);
       const changed = await changeMap(
         context,
         service,
@@ -155,6 +169,20 @@
       .finally(() => (recording = undefined));
   };
 
+  const logOutdatedHolds = (
+    service: string,
+    {incarnation, sequence}: HoldReport,
+    outdated: readonly HeldRange[],
+  ) => {
+    const holds = outdated.map(({from, to, fence}) => `${from}-${to}:${fence}`);
+    context.log(SIDECAR_EVENTS.keysHeldPastTerm, {
+      service,
+      upstream: incarnation.id,
+      sequence,
+      holds: holds.join(' '),
+    });
+  };
+
   const prepareAnswer = async (
     {service}: Heartbeat,
     report: HoldReport,
@@ -162,6 +190,8 @@
   ): Promise<HeartbeatAnswer> => {
     const map = context.view().maps.get(service)?.value;
     if (!map) return {holdMs: leaseMs};
+    const outdated = findOutdatedHolds(map, report.incarnation, report.holds);
+    if (outdated.length > 0) logOutdatedHolds(service, report, outdated);
     if (findReleases(map, grants, report).length > 0)
       startRecordingReleases(service);
     const dueTerms = heldBy(map, report.incarnation);
--- a/test/sidecar/heartbeatdelivery.test.ts
+++ b/test/sidecar/heartbeatdelivery.test.ts
@@ -15,7 +15,9 @@
   type RangeMap,
 } from '../../src/ranges/index.js';
 import {
+  SIDECAR_EVENTS,
   createHeartbeatDelivery,
+  type DeliveryContext,
   type Heartbeat,
 } from '../../src/sidecar/index.js';
 import type {
@@ -46,7 +48,7 @@
 }
 
 /** Creates a delivery in virtual time whose store is answered by the test. */
-function createFixture(map = HELD) {
+function createFixture(map = HELD, log: DeliveryContext['log'] = () => {}) {
   let now = 0;
   let wall = 0;
   let view: FleetView = EMPTY_VIEW;
@@ -71,6 +73,7 @@
       {store, view: () => view, observeChange, clock: () => now},
       OWN,
       {
+        log,
         wallClock: () => wall,
         readThroughPeer: () => new Promise(() => {}),
       },
@@ -245,3 +248,18 @@
     [OTHER.id, 'i-3'],
   );
 });
+
+test('a report of keys that the map has given to another instance is logged', async t => {
+  const logged: unknown[] = [];
+  const {receive} = createFixture(
+    createMap([{...ALL_KEYS, holder: OTHER}], {...HELD, fence: 1}),
+    ({number}, fields) => {
+      if (number === SIDECAR_EVENTS.keysHeldPastTerm.number)
+        logged.push(fields);
+    },
+  );
+  void receive(4, {holds: [HELD_ROW]});
+  t.deepEqual(logged, [
+    {service: SERVICE, upstream: 'i-1', sequence: 4, holds: '0-65535:1'},
+  ]);
+});
