Plays of lives: how instances are granted keys is an argument

The search for two holders of a key knew only grants with the answers to heartbeats. The delivery of a daemon is now made by an argument of the play, which is offered time, chance, events and the check of a taken range; without it, deliveries are those by heartbeat as before.

--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -29,6 +29,7 @@
   type Heartbeat,
   type HeartbeatAnswer,
   type InstanceManager,
+  type InstanceManagerContext,
   type InstanceStatus,
 } from '../../src/sidecar/index.js';
 import {
@@ -88,10 +89,48 @@
   readonly lostShare: number;
   /** Share of heartbeats and answers that are held up. */
   readonly heldUpShare: number;
+  /** How instances are granted keys; by default with answers to heartbeats. */
+  readonly grants?: GrantPath;
   /** Called with each event, for a timeline. */
   readonly trace?: (line: string) => void;
 }
 
+/** Returns what creates the delivery of a daemon of a play. */
+export type GrantPath = (
+  play: Play,
+) => (daemon: Process) => InstanceManagerContext['createDelivery'];
+
+/** What a play offers to the simulation of a grant path. */
+export interface Play {
+  /** Returns the true time, in milliseconds. */
+  readonly now: () => number;
+  readonly between: (low: number, high: number) => number;
+  readonly chance: (share: number) => boolean;
+  /**
+   * Runs a function at a time, unless its process has ended, and later if the
+   * process stands still then.
+   *
+   * @param isTimer Whether the process itself waits for the time.
+   */
+  readonly schedule: (
+    at: number,
+    process: Process | undefined,
+    run: () => void,
+    isTimer?: boolean,
+  ) => unknown;
+  /** Returns the time of one way between a daemon and its instance. */
+  readonly heldUpMs: () => number;
+  /** Returns for how long work on a range goes on once it is withdrawn. */
+  readonly endOfWorkMs: () => number;
+  /** Records that an instance takes a range, and checks the rules. */
+  readonly checkTake: (
+    instance: Instance,
+    row: HeldRange,
+    isCounted: boolean,
+  ) => void;
+  readonly trace: (text: string) => void;
+}
+
 /** A rule of the users' list that was broken. */
 export interface Violation {
   /**
@@ -133,7 +172,8 @@
 /** Factor by which the slowest instance clock prolongs a hold. */
 const SLOWEST_CLOCK = 1.02;
 
-interface Machine {
+/** A machine with a daemon and the instance beside it. */
+export interface Machine {
   readonly index: number;
   readonly node: string;
   frozenUntil: number;
@@ -164,7 +204,8 @@
   readonly until: number;
 }
 
-interface Process {
+/** A process that may end or stand still. */
+export interface Process {
   readonly machine: Machine;
   isAlive: boolean;
   stalledUntil?: number;
@@ -177,13 +218,15 @@
   readonly move: (moved: KeyRange, to: Incarnation) => Promise<unknown>;
 }
 
-interface Row extends HeldRange {
+/** A range of an instance, and until when it holds it. */
+export interface Row extends HeldRange {
   until: number;
   /** Time at which work on a range that was left out ends. */
   readonly workEndsAt?: number;
 }
 
-interface Instance extends Process {
+/** A simulated instance. */
+export interface Instance extends Process {
   readonly incarnation: Incarnation;
   sequence: number;
   rows: Row[];
@@ -211,8 +254,13 @@
   readonly run: () => void;
 }
 
-/** Takes one range out of others. */
-function without<T extends KeyRange>(
+/**
+ * Takes one range out of others.
+ *
+ * @example
+ * without([{from: 0, to: 99}], {from: 20, to: 29}).length; // 2
+ */
+export function without<T extends KeyRange>(
   ranges: readonly T[],
   hole: KeyRange,
 ): T[] {
@@ -547,7 +595,7 @@
       drainMs: DRAIN_MS,
       onStatement: () => {},
       onInstanceStart: () => {},
-      createDelivery: createHeartbeatDelivery,
+      createDelivery: deliveryFor(process),
     });
     const planner = createPlanner({
       ...access,
@@ -1047,6 +1095,18 @@
     }
   };
 
+  const deliveryFor =
+    options.grants?.({
+      now: () => now,
+      between,
+      chance,
+      schedule,
+      heldUpMs,
+      endOfWorkMs,
+      checkTake,
+      trace,
+    }) ?? (() => createHeartbeatDelivery);
+
   for (const machine of machines) {
     schedule(between(0, 400), undefined, () => {
       startDaemon(machine);
