Take keys for released only once no answer that grants them can be read

Cause: that a later heartbeat leaves keys out proves nothing while an answer that grants them is open. Of the answers only the last was known.

Each answer with keys is now open until the instance can't read it any more after it sent a heartbeat: 2.13 s after the arrival of the answered one (a second by the slowest clock, and the transit of the later heartbeat), or until a heartbeat comes on the same connection, which shows that the response before was read. After a start of the daemon all keys are open for that time, for the answers of the process before.

Two tests of before name the connection of their heartbeats now, since they are about what comes after the release.

--- a/src/ranges/grants.ts
+++ b/src/ranges/grants.ts
@@ -1,4 +1,4 @@
-import type {Release} from './change.js';
+import {ALL_KEYS, type Release} from './change.js';
 import {
   contains,
   covers,
@@ -17,6 +17,13 @@
   readonly sequence: number;
   readonly holds: readonly HeldRange[];
   readonly freed: readonly Release[];
+  /** Arrival time of the heartbeat, in milliseconds. */
+  readonly arrivedAt: number;
+  /**
+   * Sequence number of an earlier heartbeat whose response the instance had read
+   * when it sent this one; undefined if none is known.
+   */
+  readonly readSequence?: number;
 }
 
 /** A range that an instance holds or still executes requests for. */
@@ -24,6 +31,21 @@
   readonly fence: number;
 }
 
+/** An answer that granted ranges and that the instance may still read. */
+export interface OpenAnswer {
+  /**
+   * Sequence number of the answered heartbeat; undefined for all answers of an
+   * earlier process of the daemon.
+   */
+  readonly sequence?: number;
+  readonly ranges: readonly KeyRange[];
+  /**
+   * Time from which heartbeats arrive that the instance sent after it had read
+   * the answer or stopped waiting for it, in milliseconds.
+   */
+  readonly openUntil: number;
+}
+
 /** Grants that a daemon has made to its instance in answers to heartbeats. */
 export interface HeartbeatGrants {
   /** Incarnation of the instance; undefined before its first heartbeat. */
@@ -41,6 +63,8 @@
   readonly arrivedAt: number;
   /** Reported releases that the map does not record yet. */
   readonly released: readonly Release[];
+  /** Answers that the instance may have read after it sent the last heartbeat. */
+  readonly open: readonly OpenAnswer[];
 }
 
 /** Grants of a daemon that has received no heartbeat yet. */
@@ -50,12 +74,28 @@
   grantedSequence: -1,
   arrivedAt: -Infinity,
   released: [],
+  open: [],
 };
 
+/**
+ * Returns the grants of a process that has received no heartbeat yet, and whose
+ * predecessor may have granted any keys.
+ *
+ * @param openUntil Time until which the instance may read answers of the
+ *     predecessor, as in `OpenAnswer`, in milliseconds.
+ *
+ * @example
+ * let grants = startGrants(clock() + OPEN_ANSWER_MS);
+ */
+export function startGrants(openUntil: number): HeartbeatGrants {
+  return {...NO_HEARTBEAT_GRANTS, open: [{ranges: [ALL_KEYS], openUntil}]};
+}
+
 /**
  * Applies a heartbeat. A new incarnation starts without grants; ranges that the
- * instance reports as freed are kept until the map records them. The caller
- * must pass the heartbeats of an incarnation in increasing sequence.
+ * instance reports as freed are kept until the map records them, or until it
+ * reports them as held. The caller must pass the heartbeats of an incarnation in
+ * increasing sequence.
  *
  * A release counts only after this process has answered without the range: a
  * heartbeat sent before a restart of the daemon proves nothing about later
@@ -68,15 +108,29 @@
   grants: HeartbeatGrants,
   report: HoldReport,
 ): HeartbeatGrants {
-  const {incarnation, sequence} = report;
-  if (!isSameIncarnation(grants.incarnation, incarnation))
-    return {...NO_HEARTBEAT_GRANTS, incarnation, sequence};
-  if (grants.grantedSequence < 0) return {...grants, sequence};
+  const {incarnation, sequence, holds} = report;
+  const open = grants.open.filter(answer => isOpen(answer, report));
+  if (!isSameIncarnation(grants.incarnation, incarnation)) {
+    const earlier = open.filter(answer => answer.sequence === undefined);
+    return {...NO_HEARTBEAT_GRANTS, incarnation, sequence, open: earlier};
+  }
+  if (grants.grantedSequence < 0) return {...grants, sequence, open};
   const freed = report.freed.filter(
     range => !grants.granted.some(granted => overlaps(granted, range)),
   );
-  if (freed.length === 0) return {...grants, sequence};
-  return {...grants, sequence, released: [...grants.released, ...freed]};
+  const released = grants.released.filter(
+    range => ![...holds, ...freed].some(other => overlaps(other, range)),
+  );
+  return {...grants, sequence, open, released: [...released, ...freed]};
+}
+
+/** Returns whether an answer may be read after a heartbeat was sent. */
+function isOpen(
+  {sequence, openUntil}: OpenAnswer,
+  {arrivedAt, readSequence}: HoldReport,
+): boolean {
+  const isRead = sequence !== undefined && sequence === readSequence;
+  return !isRead && arrivedAt < openUntil;
 }
 
 /**
@@ -84,7 +138,8 @@
  * verifiably released: ranges that it reported as freed, and terms that the
  * last granting answer omitted and that the instance, by a later heartbeat,
  * neither holds nor executes requests for any more. A term is skipped while the
- * instance still reports any part of it as held.
+ * instance still reports any part of it as held, or may read an earlier answer
+ * that grants it.
  *
  * @example
  * release(map, incarnation, findReleases(map, grants, report));
@@ -100,6 +155,7 @@
   return pending.flatMap(term => {
     const freed = grants.released.filter(range => overlaps(range, term));
     if (report.holds.some(range => overlaps(range, term))) return [];
+    if (isGrantOpen(grants, term)) return [];
     if (freed.length > 0) {
       return freed.map(({from, to, handover}) => ({
         from: Math.max(from, term.from),
@@ -113,31 +169,41 @@
   });
 }
 
+function isGrantOpen({open}: HeartbeatGrants, term: KeyRange): boolean {
+  return open.some(({ranges}) => ranges.some(range => overlaps(range, term)));
+}
+
 /**
  * Records an answer that granted ranges, and discards reported releases that
  * overlap the granted ranges.
  *
  * @param sequence Sequence number of the answered heartbeat.
  * @param arrivedAt Arrival time of the heartbeat, in milliseconds.
+ * @param openUntil Time until which the instance may read the answer, as in
+ *     `OpenAnswer`, in milliseconds.
  *
  * @example
- * grants = recordGrants(grants, report.sequence, heldBy(map, incarnation), now);
+ * const rows = heldBy(map, incarnation);
+ * grants = recordGrants(grants, sequence, rows, now, now + OPEN_ANSWER_MS);
  */
 export function recordGrants(
   grants: HeartbeatGrants,
   sequence: number,
   ranges: readonly HeldRange[],
   arrivedAt: number,
+  openUntil: number,
 ): HeartbeatGrants {
+  const granted = ranges.map(({from, to, fence}) => ({from, to, fence}));
   const released = grants.released.filter(
     range => !ranges.some(other => overlaps(other, range)),
   );
   return {
     ...grants,
     released,
-    granted: ranges.map(({from, to, fence}) => ({from, to, fence})),
+    granted,
     grantedSequence: sequence,
     arrivedAt,
+    open: [...grants.open, {sequence, ranges: granted, openUntil}],
   };
 }
 
--- a/src/sidecar/delivery.ts
+++ b/src/sidecar/delivery.ts
@@ -70,7 +70,6 @@
   readonly answerHeartbeat: (
     beat: Heartbeat,
     report: HoldReport,
-    arrivedAt: number,
   ) => Promise<HeartbeatAnswer>;
   /**
    * Brings the grants in line with the map; called on changes of the map and
--- a/src/sidecar/heartbeat.ts
+++ b/src/sidecar/heartbeat.ts
@@ -30,6 +30,11 @@
   readonly holds: readonly HeldRange[];
   /** Ranges released since its last acknowledged heartbeat. */
   readonly freed: readonly Release[];
+  /**
+   * Sequence number of the heartbeat before on the same connection, whose
+   * response the instance has read; undefined for the first.
+   */
+  readonly readSequence?: number;
 }
 
 /** The response to a heartbeat. */
--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -1,5 +1,4 @@
 import {
-  NO_HEARTBEAT_GRANTS,
   contains,
   findOutdatedHolds,
   findReleases,
@@ -10,6 +9,7 @@
   newlyGranted,
   MAX_TRANSIT_MS,
   reportsRange,
+  startGrants,
   release,
   isSameIncarnation,
   dropRecordedReleases,
@@ -27,7 +27,7 @@
 } from './delivery.js';
 import {SIDECAR_EVENTS} from './events.js';
 import type {Heartbeat, HeartbeatAnswer} from './heartbeat.js';
-import {RENEWAL_FRACTION} from './lease.js';
+import {RENEWAL_FRACTION, leaseBoundMs} from './lease.js';
 import {changeMap} from './maps.js';
 
 /**
@@ -43,6 +43,12 @@
  */
 const RESPONSE_LIMIT_MS = 1000;
 
+/**
+ * Time after the arrival of a heartbeat within which heartbeats may arrive that
+ * were sent before its response was read, in milliseconds.
+ */
+const OPEN_ANSWER_MS = leaseBoundMs(RESPONSE_LIMIT_MS) + MAX_TRANSIT_MS;
+
 /**
  * Creates a delivery that grants keys in the responses to heartbeats. Keys are
  * granted only after a read of the map that began after the heartbeat arrived,
@@ -51,13 +57,14 @@
  *
  * @example
  * const delivery = createHeartbeatDelivery(context);
- * const answer = await delivery.answerHeartbeat(beat, report, clock());
+ * const answer = await delivery.answerHeartbeat(beat, report);
  */
 export function createHeartbeatDelivery(
   context: DeliveryContext,
 ): GrantDelivery {
   const {clock, wallClock, leaseMs, recipient} = context;
-  let grants: HeartbeatGrants = NO_HEARTBEAT_GRANTS;
+  const earlierOpenUntil = clock() + OPEN_ANSWER_MS;
+  let grants: HeartbeatGrants = startGrants(earlierOpenUntil);
   /**
    * Newly granted ranges that the instance may not have read yet, until
    * `unreadUntil`.
@@ -85,7 +92,6 @@
 
   const renewGrants = async (
     report: HoldReport,
-    arrivedAt: number,
   ): Promise<readonly RangeTerm[] | undefined> => {
     const to = recipient();
     if (!to || !isSameIncarnation(to.incarnation, report.incarnation))
@@ -95,7 +101,7 @@
     const {map, version, terms: rows, isPartial} = read;
     // Leaving keys out would end leases of an earlier process of this daemon.
     if (isPartial && grants.grantedSequence < 0) return undefined;
-    const {sequence} = report;
+    const {sequence, arrivedAt} = report;
     const ageMs = Math.max(clock() - arrivedAt, wallClock() - latestReceivedAt);
     if (!isLatest(report) || ageMs >= RESPONSE_LIMIT_MS) {
       context.log(SIDECAR_EVENTS.grantWithheld, {
@@ -112,7 +118,13 @@
     unreadRanges = newlyGranted(grants.granted, rows);
     unreadUntil = clock() + GRANT_READ_DELAY_MS;
     grants = dropRecordedReleases(
-      recordGrants(grants, report.sequence, rows, arrivedAt),
+      recordGrants(
+        grants,
+        sequence,
+        rows,
+        arrivedAt,
+        arrivedAt + OPEN_ANSWER_MS,
+      ),
       map,
     );
     context.onChange();
@@ -186,7 +198,6 @@
   const prepareAnswer = async (
     {service}: Heartbeat,
     report: HoldReport,
-    arrivedAt: number,
   ): Promise<HeartbeatAnswer> => {
     const map = context.view().maps.get(service)?.value;
     if (!map) return {holdMs: leaseMs};
@@ -201,19 +212,18 @@
       sameRanges(dueTerms, grants.granted) &&
       dueTerms.every(term => reportsRange(report.holds, term));
     if (isFresh) return {holdMs: leaseMs};
-    const rows = await renewGrants(report, arrivedAt);
+    const rows = await renewGrants(report);
     return rows ? {grants: rows, holdMs: leaseMs} : {holdMs: leaseMs};
   };
 
   const answerHeartbeat: GrantDelivery['answerHeartbeat'] = async (
     beat,
     report,
-    arrivedAt,
   ) => {
     answersInProgress += 1;
-    latestArrivedAt = Math.max(latestArrivedAt, arrivedAt);
+    latestArrivedAt = Math.max(latestArrivedAt, report.arrivedAt);
     try {
-      return await prepareAnswer(beat, report, arrivedAt);
+      return await prepareAnswer(beat, report);
     } finally {
       answersInProgress -= 1;
     }
@@ -221,7 +231,7 @@
 
   return {
     reset: () => {
-      grants = NO_HEARTBEAT_GRANTS;
+      grants = startGrants(earlierOpenUntil);
       latestReport = undefined;
     },
     resume: () => {},
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -461,8 +461,15 @@
     claims = claims.filter(({life}) => isSameIncarnation(life, own));
     const isDepartureAnnounced = applyHeartbeat(beat, own, arrivedAt);
     if (isNew) delivery.reset();
-    const {sequence, holds, freed} = beat;
-    const report: HoldReport = {incarnation: own, sequence, holds, freed};
+    const {sequence, holds, freed, readSequence} = beat;
+    const report: HoldReport = {
+      incarnation: own,
+      sequence,
+      holds,
+      freed,
+      arrivedAt,
+      readSequence,
+    };
     delivery.recordReport(report);
     if (isNew || isDepartureAnnounced) {
       const written = registration.write().then(() => inheritKeys());
@@ -470,7 +477,7 @@
       written.catch(error => logFailure(error));
     }
     if (!context.isKeyed(beat.service)) return {holdMs: leaseMs};
-    return delivery.answerHeartbeat(beat, report, arrivedAt);
+    return delivery.answerHeartbeat(beat, report);
   };
 
   const logFailure = (error: unknown) =>
--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -4,13 +4,17 @@
 import test from 'ava';
 import {createControlHandler} from '../../platform/control.js';
 import {writeUntilClosed} from '../../standin/fleet/index.js';
-import type {Sidecar} from '../../src/sidecar/index.js';
+import type {InstanceManager, Sidecar} from '../../src/sidecar/index.js';
 
 /**
- * Starts a control server with a sidecar that only answers readiness checks.
+ * Starts a control server with a sidecar that only answers readiness checks and
+ * what the manager is given for.
  */
-async function startControl() {
-  const sidecar = {isReady: () => true} as Sidecar;
+async function startControl(manager: Partial<InstanceManager> = {}) {
+  const sidecar = {
+    isReady: () => true,
+    instanceManager: manager as InstanceManager,
+  } as Sidecar;
   const server = http.createServer(createControlHandler(sidecar, () => {}));
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -55,3 +59,53 @@
     t.is(ready.status, 200);
   });
 }
+
+const AGENT_OPTIONS = {keepAlive: true, maxSockets: 1};
+
+/** Sends a heartbeat; resolves when its response has been read. */
+async function sendHeartbeat(
+  port: number,
+  agent: http.Agent,
+  sequence: number,
+  born = 1,
+): Promise<void> {
+  const body = JSON.stringify({
+    ...{service: 'desk', address: '10.1.0.8:8301', zone: 'north'},
+    ...{version: 'v1', slots: 4, state: 'ready', cold_left_s: 0},
+    ...{seq: sequence, born},
+  });
+  const options = {agent, method: 'PUT', path: '/-/instances/i-1'};
+  const request = http.request({...options, host: '127.0.0.1', port});
+  request.end(body);
+  const [response] = (await once(request, 'response')) as [
+    http.IncomingMessage,
+  ];
+  response.resume();
+  await once(response, 'end');
+}
+
+test('a heartbeat on the connection of an earlier one of the same life shows that its response was read', async t => {
+  const received: (readonly [number, number | undefined])[] = [];
+  const {port, close} = await startControl({
+    handleHeartbeat: ({sequence, readSequence}) => {
+      received.push([sequence, readSequence]);
+      return Promise.resolve({holdMs: 5000});
+    },
+  });
+  t.teardown(close);
+  const [first, second] = [AGENT_OPTIONS, AGENT_OPTIONS].map(
+    options => new http.Agent(options),
+  );
+  await sendHeartbeat(port, first, 1);
+  await sendHeartbeat(port, second, 2);
+  await sendHeartbeat(port, first, 3);
+  await sendHeartbeat(port, first, 1, 2);
+  first.destroy();
+  second.destroy();
+  t.deepEqual(received, [
+    [1, undefined],
+    [2, undefined],
+    [3, 1],
+    [1, undefined],
+  ]);
+});
--- a/test/ranges/fleet.ts
+++ b/test/ranges/fleet.ts
@@ -34,6 +34,9 @@
 /** Age of a heartbeat from which an instance ignores the answer. */
 const ANSWER_LIMIT_MS = 1000;
 
+/** Time within which heartbeats arrive that were sent before an answer is read. */
+const OPEN_ANSWER_MS = 2 * ANSWER_LIMIT_MS * SLOWEST_CLOCK;
+
 /** A safety rule that is disabled, to check that the exploration detects it. */
 export type DisabledRule =
   | 'none'
@@ -68,7 +71,7 @@
 }
 
 interface SentHeartbeat {
-  readonly report: HoldReport;
+  readonly report: Omit<HoldReport, 'arrivedAt'>;
   readonly sentAt: number;
 }
 
@@ -139,7 +142,7 @@
     const {instance, heartbeats} = nodes[index];
     const sequence = instance.sequence + 1;
     const live = instance.holds.filter(held => held.until > now);
-    const report: HoldReport = {
+    const report = {
       incarnation: instance.incarnation,
       sequence,
       holds: live,
@@ -164,7 +167,8 @@
     const {heartbeats, grants: known} = nodes[index];
     const heartbeat = late ? heartbeats.at(0) : heartbeats.at(-1);
     if (!heartbeat) return;
-    const {report, sentAt} = heartbeat;
+    const {sentAt} = heartbeat;
+    const report = {...heartbeat.report, arrivedAt: now};
     const {incarnation} = report;
     replace(index, {
       heartbeats: heartbeats.filter(other => other !== heartbeat),
@@ -188,7 +192,7 @@
     const confirmed = isCopied ? copy : map;
     const rows = heldBy(confirmed, incarnation);
     grants = dropRecordedReleases(
-      recordGrants(grants, report.sequence, rows, now),
+      recordGrants(grants, report.sequence, rows, now, now + OPEN_ANSWER_MS),
       map,
     );
     replace(index, {grants, copy: map, answer: {report, sentAt, rows}});
--- a/test/sidecar/heartbeatdelivery.test.ts
+++ b/test/sidecar/heartbeatdelivery.test.ts
@@ -89,9 +89,16 @@
     /** Receives a heartbeat; the result is the response. */
     receive: (
       sequence: number,
-      {holds = [], freed = []}: Partial<Pick<HoldReport, 'holds' | 'freed'>>,
+      {
+        holds = [],
+        freed = [],
+        readSequence,
+      }: Partial<Pick<HoldReport, 'holds' | 'freed' | 'readSequence'>>,
     ) => {
-      const report = {incarnation: OWN, sequence, holds, freed};
+      const report: HoldReport = {
+        ...{incarnation: OWN, sequence, holds, freed},
+        ...{arrivedAt: now, readSequence},
+      };
       const {id, born} = OWN;
       const heartbeat: Heartbeat = {
         ...{id, born, sequence, holds, freed, service: SERVICE},
@@ -99,7 +106,7 @@
         state: 'ready',
       };
       delivery.recordReport(report);
-      return delivery.answerHeartbeat(heartbeat, report, now);
+      return delivery.answerHeartbeat(heartbeat, report);
     },
     /** Waits for the next call of the store. */
     nextCall: async (kind: PendingCall['kind']): Promise<PendingCall> => {
@@ -115,6 +122,80 @@
 
 const HELD_ROW = {...ALL_KEYS, fence: 1};
 
+/** Time after which no answer of an earlier process of the daemon is read. */
+const AFTER_START_MS = 5000;
+
+/**
+ * Grants all keys in the answer to heartbeat 7, and leaves them out of that to
+ * heartbeat 8, which is sent 870 ms later.
+ */
+async function grantAndWithdraw(
+  {advance, receive, nextCall, observeChange}: ReturnType<typeof createFixture>,
+  readSequence?: number,
+) {
+  advance(AFTER_START_MS);
+  const seventh = receive(7, {});
+  (await nextCall('get')).answer(stored(HELD, 1));
+  await seventh;
+  observeChange(stored(MOVING, 2));
+  advance(870);
+  const eighth = receive(8, {readSequence});
+  (await nextCall('get')).answer(stored(MOVING, 2));
+  await eighth;
+  advance(110);
+}
+
+// An answer that is held up may be read after later ones.
+for (const [report, fields] of [
+  ['no longer reported', {}],
+  ['reported as freed', {freed: [{...ALL_KEYS, handover: 'token'}]}],
+] as const) {
+  test(`keys are not released while an answer that grants them may still be read: ${report}`, async t => {
+    const fixture = createFixture();
+    const {advance, receive, nextCall} = fixture;
+    await grantAndWithdraw(fixture);
+    void receive(9, fields);
+    await t.throwsAsync(nextCall('put'));
+    advance(900);
+    void receive(10, {});
+    await t.throwsAsync(nextCall('put'));
+    advance(900);
+    void receive(11, {});
+    await t.notThrowsAsync(nextCall('put'));
+  });
+}
+
+test('keys are released at once if the instance has read the answer that granted them', async t => {
+  const fixture = createFixture();
+  await grantAndWithdraw(fixture, 7);
+  void fixture.receive(9, {});
+  await t.notThrowsAsync(fixture.nextCall('put'));
+});
+
+test('keys are not released while answers of an earlier process of the daemon may still be read', async t => {
+  const {receive, nextCall, observeChange, advance} = createFixture();
+  observeChange(stored(MOVING, 2));
+  const first = receive(8, {});
+  (await nextCall('get')).answer(stored(MOVING, 2));
+  await first;
+  advance(870);
+  void receive(9, {readSequence: 8});
+  await t.throwsAsync(nextCall('put'));
+});
+
+test('a release that the instance reported counts no more once it reports the keys as held', async t => {
+  const fixture = createFixture();
+  const {advance, receive, nextCall} = fixture;
+  await grantAndWithdraw(fixture);
+  void receive(9, {freed: [{...ALL_KEYS, handover: 'early'}]});
+  advance(100);
+  void receive(10, {holds: [HELD_ROW]});
+  advance(5000);
+  void receive(11, {freed: [{...ALL_KEYS, handover: 'late'}]});
+  const {terms} = JSON.parse((await nextCall('put')).value ?? '') as RangeMap;
+  t.is(terms[0].handover, 'late');
+});
+
 test('a heartbeat that is answered after a later one does not shorten the known lease', async t => {
   const {delivery, advance, receive, nextCall} = createFixture();
   const first = receive(1, {});
@@ -159,16 +240,17 @@
 
 test('keys released in an earlier heartbeat are not given away after they were granted again', async t => {
   const {advance, receive, nextCall, observeChange} = createFixture();
+  advance(AFTER_START_MS);
   const first = receive(1, {});
   (await nextCall('get')).answer(stored(HELD, 1));
   await first;
   observeChange(stored(MOVING, 2));
-  const second = receive(2, {holds: [HELD_ROW]});
+  const second = receive(2, {holds: [HELD_ROW], readSequence: 1});
   (await nextCall('get')).answer(stored(MOVING, 2));
   t.deepEqual((await second).grants, []);
   advance(100);
   const freed = [{...ALL_KEYS, handover: 'token'}];
-  void receive(3, {freed});
+  void receive(3, {freed, readSequence: 2});
   const releaseOf3 = await nextCall('put');
   // The move is cancelled meanwhile, and the next heartbeat is granted the keys.
   observeChange(stored(HELD, 3));
@@ -227,12 +309,13 @@
     {...low, holder: OTHER},
     {...high, holder: {...OTHER, id: 'i-3'}},
   ]);
-  const {receive, nextCall, observeChange} = createFixture();
+  const {advance, receive, nextCall, observeChange} = createFixture();
+  advance(AFTER_START_MS);
   const first = receive(1, {});
   (await nextCall('get')).answer(stored(HELD, 1));
   await first;
   observeChange(stored(moving, 2));
-  const second = receive(2, {holds: [HELD_ROW]});
+  const second = receive(2, {holds: [HELD_ROW], readSequence: 1});
   (await nextCall('get')).answer(stored(moving, 2));
   await second;
   const freedLow = {...low, handover: 'low'};
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -237,6 +237,8 @@
   dueAt: number;
   /** Time of its start or of the last answer. */
   answeredAt: number;
+  /** The last answer on its connection, which it keeps if it sends in turn. */
+  read?: {readonly sequence: number; readonly daemon?: Daemon};
 }
 
 /** State of the store from a time on. */
@@ -830,7 +832,8 @@
     instance.sequence += 1;
     instance.pending += 1;
     const sentAt = now;
-    const {sequence, rows, freed, state} = instance;
+    const {sequence, rows, freed, state, read} = instance;
+    instance.read = undefined;
     const beat: Heartbeat = {
       id: incarnation.id,
       born: incarnation.born,
@@ -873,13 +876,18 @@
         trace(
           `heartbeat ${name} (${Math.round(now - sentAt)} ms old), holds ${beat.holds.map(describe).join(' ')}, freed ${beat.freed.map(r => `${r.from}-${r.to}`).join(' ')}`,
         );
-        void daemon.manager.handleHeartbeat(beat).then(answer => {
+        const readSequence =
+          read?.daemon === daemon ? read.sequence : undefined;
+        const received = {...beat, readSequence};
+        void daemon.manager.handleHeartbeat(received).then(answer => {
           if (answer && !instance.isAlive) machine.strayAt = now;
           const isCounted = machine.thawedAt + THAW_MS < arrivedAt;
           trace(
             `answer to ${name}: ${answer?.grants?.map(describe).join(' ') ?? 'nothing'}`,
           );
           schedule(now + heldUpMs(), instance, () => {
+            if (!options.overlapping && now - sentAt < ANSWER_LIMIT_MS)
+              instance.read = {sequence, daemon};
             if (answer)
               receiveAnswer(instance, beat, sentAt, answer, isCounted);
             settle();
