Answer an instance that reports another's keys at once without them

Cause: an answer is left without keys while those last granted are reported and fresh; keys that the instance reports besides were not looked at, so that nothing told it to give them up before the next renewal.

Now a report of keys that the map has given to another is answered with the keys that the instance is to hold. The new test failed before; the tests of heartbeatdelivery and lives pass.

--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -207,6 +207,7 @@
       startRecordingReleases(service);
     const dueTerms = heldBy(map, report.incarnation);
     const isFresh =
+      outdated.length === 0 &&
       grants.grantedSequence >= 0 &&
       clock() - grants.arrivedAt < leaseMs * RENEWAL_FRACTION &&
       sameRanges(dueTerms, grants.granted) &&
--- a/test/sidecar/heartbeatdelivery.test.ts
+++ b/test/sidecar/heartbeatdelivery.test.ts
@@ -346,3 +346,21 @@
     {service: SERVICE, upstream: 'i-1', sequence: 4, holds: '0-65535:1'},
   ]);
 });
+
+// The instance gives up only what an answer with keys leaves out.
+test('an instance that reports keys of another is answered at once without them', async t => {
+  const given = createMap([{...ALL_KEYS, holder: OTHER}], {...HELD, fence: 1});
+  const {advance, receive, nextCall, observeChange} = createFixture();
+  const first = receive(1, {});
+  (await nextCall('get')).answer(stored(HELD, 1));
+  await first;
+  observeChange(stored(MOVING, 2));
+  const second = receive(2, {});
+  (await nextCall('get')).answer(stored(MOVING, 2));
+  await second;
+  observeChange(stored(given, 3));
+  advance(100);
+  const third = receive(3, {holds: [HELD_ROW]});
+  (await nextCall('get')).answer(stored(given, 3));
+  t.deepEqual((await third).grants, []);
+});
