Start no request at the end of a shutdown that its route's runs outlast

Cause: a waiting request was started until 1.6 s before the end, whatever the runs of its route take. No measure of them was kept: the estimates of the queue are means that expire after 10 s, and the load meter has one mean for all routes.

From 2.7 s after SIGTERM a request gets a slot if 995 of 1,000 recent runs fit into the time that is left, before that if half of them do. 1.6 s stay the least that is reserved, and what is reserved if nothing is known, so no bound gets wider. A slot that becomes free between two checks is checked too. The refusal is not-run with a Retry-After, as before.

--- a/src/relay/local.ts
+++ b/src/relay/local.ts
@@ -86,6 +86,11 @@
     timeMs: number,
     load?: StatedLoad,
   ) => void;
+  /**
+   * Called with the duration of each run that was not cut short; that of a run
+   * that missed its deadline is a lower bound.
+   */
+  readonly runEnded: (work: Work, timeMs: number) => void;
   /** Called with the statements of the instance about itself in an answer. */
   readonly statementReceived: (
     instance: Pick<LocalInstance, 'id' | 'born'>,
@@ -395,6 +400,9 @@
         endedAt - startedAt,
       );
       if (hasAnswer) context.requestCompleted(work, clock() - startedAt, load);
+      const {stopReason} = flow.state;
+      const isWhole = stopReason ? stopReason.reason === 'deadline' : hasAnswer;
+      if (isWhole) context.runEnded(work, endedAt - startedAt);
     },
   });
   const isAnswered = attempt.kind === 'answered';
--- a/src/sidecar/shutdown.ts
+++ b/src/sidecar/shutdown.ts
@@ -1,4 +1,10 @@
-import {INGRESS_GRACE_MS, type Denied, type Slots} from '../relay/index.js';
+import {
+  INGRESS_GRACE_MS,
+  type Claim,
+  type Denied,
+  type Slots,
+} from '../relay/index.js';
+import type {RunTimes} from './runtimes.js';
 
 /**
  * Times at which the phases of a shutdown begin, as readings of the daemon's
@@ -14,7 +20,8 @@
   readonly refuseNewFrom: number;
   /**
    * From then on, requests that wait for a slot are also refused unless they
-   * are certain to end before the process does.
+   * are certain to end before the process does; requests of routes with longer
+   * runs are refused earlier.
    */
   readonly refuseWaitingFrom: number;
   /**
@@ -37,10 +44,23 @@
 const KILL_MARGIN_MS = 500;
 
 /**
- * Time reserved before the end for requests that the instance has begun to run.
+ * Shortest time reserved before the end for requests that the instance has begun
+ * to run, and the time reserved if a route has no recent runs.
  */
 const FINISH_RESERVE_MS = 1600;
 
+/**
+ * Time between the end of a run and the receipt of its response, in
+ * milliseconds: a turn of the event loop of each of two daemons.
+ */
+const RESPONSE_MS = 100;
+
+/** Share of the runs of a route of which some are expected to take longer. */
+const TYPICAL_SHARE = 0.5;
+
+/** Share of the runs of a route that hardly any run exceeds. */
+const LONGEST_SHARE = 0.995;
+
 /**
  * Time reserved after a request's deadline for the response that it was missed,
  * in milliseconds: how long the caller's daemon waits beyond the deadline, and
@@ -81,15 +101,41 @@
   return deadlineAt + DEADLINE_ANSWER_MS <= plan.endsAt;
 }
 
-/** Refuses slots to requests chosen by their deadline. */
+/**
+ * Returns whether a request may start to run during a shutdown, by the recent
+ * runs of its route.
+ *
+ * While callers still send requests, only those are refused whose run would
+ * typically be interrupted, as a refusal for the rare long run would cost more
+ * requests than it saves. The few that are left later must be known to end in
+ * time.
+ *
+ * @example
+ * mayStartBeforeShutdown(plan, claim, runTimes, performance.now());
+ */
+export function mayStartBeforeShutdown(
+  plan: ShutdownPlan,
+  {kind, deadlineAt}: Pick<Claim, 'kind' | 'deadlineAt'>,
+  runTimes: Pick<RunTimes, 'quantileMs'>,
+  now: number,
+): boolean {
+  if (endsBeforeShutdown(plan, deadlineAt)) return true;
+  if (now >= plan.refuseWaitingFrom) return false;
+  const share = now < plan.refuseNewFrom ? TYPICAL_SHARE : LONGEST_SHARE;
+  const runMs = runTimes.quantileMs(kind, share) ?? 0;
+  return now + runMs + RESPONSE_MS <= plan.endsAt;
+}
+
+/** Refuses slots to chosen requests. */
 export interface SlotGate {
   /** Returns slots that are subject to this gate. */
   readonly wrap: (slots: Slots) => Slots;
   /**
-   * Refuses slots to the requests, waiting and future, whose deadline the
-   * predicate selects. Replaces an earlier predicate.
+   * Refuses slots to the requests that the predicate selects: to those that wait
+   * now, and to each one that arrives or gets its slot later. Replaces an earlier
+   * predicate.
    */
-  readonly refuseFromNow: (isRefused: (deadlineAt: number) => boolean) => void;
+  readonly refuseFromNow: (isRefused: (claim: Claim) => boolean) => void;
 }
 
 /**
@@ -100,36 +146,40 @@
  * @example
  * const gate = createSlotGate(200);
  * const slots = gate.wrap(createSlots({slots: 12, clock}));
- * gate.refuseFromNow(deadlineAt => deadlineAt > endsAt);
+ * gate.refuseFromNow(({deadlineAt}) => deadlineAt > endsAt);
  */
 export function createSlotGate(retryAfterMs: number): SlotGate {
   const denied: Denied = {kind: 'denied', reason: 'draining', retryAfterMs};
-  const waiters = new Map<AbortController, number>();
+  const waiters = new Map<AbortController, Claim>();
   const refusedWaiters = new WeakSet<AbortController>();
-  let isRefused: (deadlineAt: number) => boolean = () => false;
+  let isRefused: (claim: Claim) => boolean = () => false;
   return {
     wrap: inner => ({
       state: inner.state,
       setRateLimit: inner.setRateLimit,
       refusal: (claim, ahead) =>
-        isRefused(claim.deadlineAt) ? denied : inner.refusal(claim, ahead),
-      acquire: (request, signal) => {
-        if (isRefused(request.deadlineAt)) return denied;
+        isRefused(claim) ? denied : inner.refusal(claim, ahead),
+      acquire: (claim, signal) => {
+        if (isRefused(claim)) return denied;
         let controller: AbortController | undefined;
-        const grant = inner.acquire(request, () => {
+        const grant = inner.acquire(claim, () => {
           const own = new AbortController();
           controller = own;
           const outer = signal();
           const cancel = () => own.abort();
           outer.addEventListener('abort', cancel, {once: true});
           if (outer.aborted) cancel();
-          waiters.set(own, request.deadlineAt);
+          waiters.set(own, claim);
           return own.signal;
         });
         if (!(grant instanceof Promise)) return grant;
         return grant.then(result => {
           if (!controller) return result;
           waiters.delete(controller);
+          if (result.kind === 'granted' && isRefused(claim)) {
+            result.release(false);
+            return denied;
+          }
           const wasRefusedHere =
             result.kind === 'denied' && refusedWaiters.has(controller);
           return wasRefusedHere ? denied : result;
@@ -138,8 +188,8 @@
     }),
     refuseFromNow: predicate => {
       isRefused = predicate;
-      for (const [controller, deadlineAt] of waiters) {
-        if (!predicate(deadlineAt)) continue;
+      for (const [controller, claim] of waiters) {
+        if (!predicate(claim)) continue;
         refusedWaiters.add(controller);
         controller.abort();
       }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -38,6 +38,7 @@
   handleForwarded,
   loadOf,
   parseHop,
+  type Claim,
   type Dialect,
   type RequestResult,
   type InstanceRun,
@@ -79,6 +80,7 @@
 } from './instancemanager.js';
 import {readMapFromStore} from './maps.js';
 import {createLoadMeter} from './loadmeter.js';
+import {createRunTimes} from './runtimes.js';
 import {SIDECAR_METRICS} from './metrics.js';
 import {createPeerLoads} from './peerloads.js';
 import {createPlanner, type InstanceStatus} from './planner.js';
@@ -106,7 +108,7 @@
 import {
   READINESS_PROPAGATION_MS,
   createSlotGate,
-  endsBeforeShutdown,
+  mayStartBeforeShutdown,
   planShutdown,
   type ShutdownPlan,
 } from './shutdown.js';
@@ -232,6 +234,7 @@
   const viewChanges = createChangeSignal();
   const controller = new AbortController();
   const meter = createLoadMeter(clock);
+  const runTimes = createRunTimes(clock);
   const slotMeter = createSlotMeter(clock);
   const resultMeter = createResultMeter();
   let view: FleetView = EMPTY_VIEW;
@@ -368,6 +371,7 @@
       slots = slotsOf(count);
       slotMeter.recordOccupancy(count, 0);
       meter.reset();
+      runTimes.reset();
     },
     onStatement: (life, answer) => statements.record(life, answer),
     createDelivery: context =>
@@ -484,6 +488,7 @@
     instanceRuns,
     quarantine,
     requestCompleted: (_, timeMs) => meter.recordDuration(timeMs),
+    runEnded: ({route}, timeMs) => runTimes.record(route, timeMs),
     keyRequested: meter.recordRequest,
     statementReceived: statements.record,
     log,
@@ -796,6 +801,9 @@
       const plan = planShutdown(startedAt, settings.graceS * MS_PER_SECOND);
       shutdownPlan = plan;
       responses.beginShutdown(plan);
+      const isTooLate = (claim: Claim) =>
+        !mayStartBeforeShutdown(plan, claim, runTimes, clock());
+      slotGate.refuseFromNow(isTooLate);
       instanceManager.announceShutdown();
       log(SIDECAR_EVENTS.stopping, {open: responses.count()});
       for (;;) {
@@ -807,10 +815,8 @@
         const isQuiet = isDone && responses.idleMs() >= SHUTDOWN_IDLE_MS;
         if (isQuiet && now >= startedAt + READINESS_PROPAGATION_MS) break;
         if (now >= plan.closeConnectionsFrom) responses.closeConnections();
+        slotGate.refuseFromNow(isTooLate);
         if (now < plan.refuseWaitingFrom) continue;
-        slotGate.refuseFromNow(
-          deadlineAt => !endsBeforeShutdown(plan, deadlineAt),
-        );
         if (now >= plan.endsAt || isDone) break;
       }
       log(SIDECAR_EVENTS.stopped, {open: responses.count()});
--- a/test/sidecar/stop.test.ts
+++ b/test/sidecar/stop.test.ts
@@ -272,6 +272,88 @@
   t.is(status, 502);
 });
 
+/** Beginning of the ids of requests that run for long. */
+const SLOW = 'slow';
+
+/** Run time of these, longer than the time that a shutdown always reserves. */
+const SLOW_RUN_MS = 2500;
+
+/** Slots of an instance. */
+const SLOTS = 4;
+
+/**
+ * Starts a daemon of `desk` and one of `stock`, which sends it requests. The
+ * instance of `desk` has run some requests that take long.
+ */
+async function startSlowPair(t: ExecutionContext, graceS: number) {
+  const fleet = await startFleetWithLongTimeouts(['desk', 'stock'], graceS);
+  t.teardown(fleet.close);
+  const [pair, sender] = fleet.pairs;
+  let begun = 0;
+  pair.instance.replaceAnswer = (response, id) => {
+    if (!id.startsWith(SLOW)) return false;
+    begun += 1;
+    setTimeout(() => {
+      response.setHeader('X-Vanillaspool-Response-Signature', 'signed');
+      response.end('slow');
+    }, SLOW_RUN_MS);
+    return true;
+  };
+  /** Sends requests, each when the instance runs the last. */
+  const runSlowly = async (count: number) => {
+    const running: Promise<Result>[] = [];
+    while (running.length < count) {
+      const before = begun;
+      const hasBegun = () => begun > before;
+      running.push((await sendUntilRun(sender, SLOW, hasBegun)).result);
+    }
+    return running;
+  };
+  const earlier = await Promise.all(await runSlowly(SLOTS));
+  for (const {status} of earlier) t.is(status, 200);
+  return {pair, sender, runSlowly, begun: () => begun};
+}
+
+test('a stopping daemon does not begin a request that waited for a slot and would be broken off', async t => {
+  const {pair, sender, runSlowly, begun} = await startSlowPair(t, 6);
+  const stopped = pair.sidecar.shutDown();
+  await sleep(1000);
+  const running = await runSlowly(SLOTS);
+  await sleep(1000);
+  const begunBefore = begun();
+  const {status, headers, error} = await sendTestRequest(sender.callers, SLOW);
+  t.is(error, undefined);
+  t.is(status, 503);
+  t.true(Number(headers['retry-after']) > 0);
+  for (const answered of running) t.is((await answered).status, 200);
+  await stopped;
+  t.is(begun(), begunBefore);
+});
+
+test('a stopping daemon refuses a request at once whose run would be broken off', async t => {
+  const {pair, sender, begun} = await startSlowPair(t, 4);
+  const begunBefore = begun();
+  const stopped = pair.sidecar.shutDown();
+  await sleep(1500);
+  const {callers} = sender;
+  const {status, headers, timeMs, error} = await sendTestRequest(callers, SLOW);
+  t.is(error, undefined);
+  t.is(status, 503);
+  t.true(Number(headers['retry-after']) > 0);
+  t.true(timeMs < 1000);
+  await stopped;
+  t.is(begun(), begunBefore);
+});
+
+test('a stopping daemon begins what ends in time by the runs of its route', async t => {
+  const {pair, runSlowly} = await startSlowPair(t, 6);
+  const stopped = pair.sidecar.shutDown();
+  await sleep(2000);
+  const [answered] = await runSlowly(1);
+  t.is((await answered).status, 200);
+  await stopped;
+});
+
 test('a look-up with little time is served until shortly before the end of a stop', async t => {
   const {pair, hold, release} = await startHoldingPair(t, ['desk', 'desk'], 6);
   const [first] = await hold(1);
