Search for keys with two holders where addresses are used again

The search of the lives of machines had one service; it can have two now, each with planners of its own, and a disturbance that ends an instance and starts one of the other service at its address, before or after the settings name that.

--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -129,6 +129,13 @@
     awayMs: fc.integer({min: 0, max: 2500}),
   });
 
+  const reuse = fc.record({
+    ...early,
+    kind: kind('reuse'),
+    downMs: fc.integer({min: 2000, max: 6000}),
+    settingsMs: fc.integer({min: 500, max: 6000}),
+  });
+
   /** Instances that end every few seconds, while keys move. */
   const frequentEnds = playOf(
     fc.oneof({weight: 1, arbitrary: crash}, {weight: 4, arbitrary: move}),
@@ -180,7 +187,28 @@
     40,
   );
 
-  return {frequentEnds, allDisturbances, jumpingClocks, storeRestores};
+  /** Addresses that another service uses after an end, while keys move. */
+  const reusedAddresses = playOf(
+    fc.oneof(
+      {weight: 4, arbitrary: reuse},
+      {weight: 3, arbitrary: endEarly(crash)},
+      {weight: 8, arbitrary: endEarly(move)},
+      {weight: 2, arbitrary: repeat},
+      {weight: 1, arbitrary: endEarly(drain)},
+      {weight: 1, arbitrary: endEarly(restart)},
+      {weight: 1, arbitrary: endEarly(outage)},
+      {weight: 1, arbitrary: endEarly(cutLink)},
+    ),
+    60,
+  );
+
+  return {
+    frequentEnds,
+    allDisturbances,
+    jumpingClocks,
+    storeRestores,
+    reusedAddresses,
+  };
 }
 
 /** Conditions of the network and the store. */
@@ -196,6 +224,7 @@
   readonly mix: Mix;
   readonly on: keyof typeof CONDITIONS;
   readonly machines?: number;
+  readonly services?: number;
 }
 
 const EXPLORATIONS: readonly Exploration[] = [
@@ -215,6 +244,13 @@
     on: 'bad',
     machines: 6,
   },
+  {
+    name: 'four machines, reused addresses, a bad store',
+    mix: 'reusedAddresses',
+    on: 'bad',
+    machines: 4,
+    services: 2,
+  },
 ];
 
 /** Plays that broke a rule when an exploration found them. */
@@ -244,11 +280,13 @@
 const ENDING_EARLY: ReadonlySet<Mix> = new Set([
   'jumpingClocks',
   'storeRestores',
+  'reusedAddresses',
 ]);
 
 /** Explores plays one after another, since they replace the timers. */
 for (const overlapping of [false, true]) {
-  for (const {name, mix, on, machines = MACHINES} of EXPLORATIONS) {
+  for (const exploration of EXPLORATIONS) {
+    const {name, mix, on, machines = MACHINES, services = 1} = exploration;
     const title = `${name}, ${overlapping ? 'overlapping' : 'sequential'} heartbeats`;
     test.serial(`tokens rise and keys have one holder: ${title}`, async t => {
       const plays = playsOn(machines)[mix];
@@ -256,6 +294,7 @@
         const broken = await playLives({
           ...CONDITIONS[on],
           machines,
+          services,
           lengthMs: ENDING_EARLY.has(mix) ? CLOCK_PLAY_MS : LENGTH_MS,
           seed,
           disturbances,
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -57,6 +57,15 @@
   | {readonly kind: 'cut-link'; readonly to: number; readonly ms: number}
   | {readonly kind: 'drain'; readonly announces: boolean}
   | {readonly kind: 'move'; readonly from: number; readonly to: number}
+  /**
+   * The instance ends, and another service uses its address again. The settings
+   * of the daemon name that service before or after its instance starts.
+   */
+  | {
+      readonly kind: 'reuse';
+      readonly downMs: number;
+      readonly settingsMs: number;
+    }
   /** The store is away, and comes back from a copy of an earlier state. */
   | {
       readonly kind: 'store-restore';
@@ -74,6 +83,8 @@
 /** Circumstances of one exploration. */
 export interface LivesOptions {
   readonly machines: number;
+  /** Services that run on the machines by turns; 1 by default. */
+  readonly services?: number;
   readonly seed: number;
   readonly lengthMs: number;
   readonly disturbances: readonly Disturbance[];
@@ -108,7 +119,7 @@
   readonly text: string;
 }
 
-const SERVICE = 'stock';
+const SERVICES = ['stock', 'orders'];
 const LEASE_MS = 5000;
 const HEARTBEAT_MS = 870;
 const ANSWER_LIMIT_MS = 1000;
@@ -136,6 +147,12 @@
 interface Machine {
   readonly index: number;
   readonly node: string;
+  /** Service that runs there, by the settings of its daemon. */
+  service: string;
+  /** Service that the settings name next. */
+  dueService: string;
+  /** Time of the last change of the settings. */
+  configuredAt: number;
   frozenUntil: number;
   thawedAt: number;
   /** Time for which its monotonic clock stood still. */
@@ -174,7 +191,7 @@
   readonly manager: InstanceManager;
   readonly view: () => FleetView;
   readonly read: ObjectStore['get'];
-  readonly move: (moved: KeyRange, to: Incarnation) => Promise<unknown>;
+  readonly move: (moved: KeyRange, to: Instance) => Promise<unknown>;
 }
 
 interface Row extends HeldRange {
@@ -185,6 +202,7 @@
 
 interface Instance extends Process {
   readonly incarnation: Incarnation;
+  readonly service: string;
   sequence: number;
   rows: Row[];
   freed: Release[];
@@ -203,6 +221,12 @@
   readonly objects: ReadonlyMap<string, StoredObject>;
 }
 
+/** A range that a life was granted. */
+interface Taken extends HeldRange {
+  readonly life: Incarnation;
+  readonly service: string;
+}
+
 interface Event {
   readonly at: number;
   readonly order: number;
@@ -308,7 +332,7 @@
     stored = {at: now, revision, objects};
     copies.push(stored);
     history = [...history, object];
-    if (key === rangesKey(SERVICE)) traceMap(object);
+    if (services.some(service => key === rangesKey(service))) traceMap(object);
     return {kind: 'stored', version} satisfies WriteResult;
   };
 
@@ -423,11 +447,15 @@
   };
 
   // The machines.
+  const services = SERVICES.slice(0, options.services ?? 1);
   const machines: Machine[] = Array.from(
     {length: options.machines},
     (_, index) => ({
       index,
       node: `10.1.0.${index}:7620`,
+      service: services[index % services.length],
+      dueService: services[index % services.length],
+      configuredAt: -Infinity,
       frozenUntil: -Infinity,
       thawedAt: -Infinity,
       suspendedMs: 0,
@@ -517,7 +545,7 @@
         fields: Readonly<Record<string, unknown>> = {},
       ) =>
         trace(`daemon ${machine.index}: ${message} ${JSON.stringify(fields)}`),
-      readThroughPeer: () =>
+      readThroughPeer: (service: string) =>
         new Promise<StoredObject | undefined>(resolve => {
           if (!process.isAlive) return;
           const peers = machines.filter(
@@ -529,7 +557,7 @@
           const peer = peers[Math.floor(random() * peers.length)];
           schedule(now + 300, process, () => resolve(undefined), true);
           if (!peer?.daemon || now < machine.cutUntil) return;
-          const read = peer.daemon.read(rangesKey(SERVICE));
+          const read = peer.daemon.read(rangesKey(service));
           read.then(
             object => schedule(now + 3, process, () => resolve(object)),
             () => undefined,
@@ -540,7 +568,9 @@
       ...access,
       wallClock: () => timeOfDay(machine),
       domain: 'north',
-      service: SERVICE,
+      get service() {
+        return machine.service;
+      },
       instance: '10.1.0.1:8301',
       isKeyed: () => true,
       heartbeatMs: HEARTBEAT_MS,
@@ -585,8 +615,8 @@
       manager,
       read: store.get,
       view: () => view,
-      move: (moved: KeyRange, to: Incarnation) =>
-        changeMap(access, SERVICE, 'balance', map =>
+      move: (moved: KeyRange, {service, incarnation: to}: Instance) =>
+        changeMap(access, service, 'balance', map =>
           startMoves(map, [{...moved, holder: to}]),
         ),
     });
@@ -630,7 +660,8 @@
       void watch();
       void repeat(TICK_MS, manager.tick);
       void repeat(PLANNER_MS, async () => {
-        if (isListed && manager.local()) await planner.tick(SERVICE);
+        const {service} = manager.local() ?? {};
+        if (isListed && service) await planner.tick(service);
       });
     });
   };
@@ -644,7 +675,7 @@
 
   // The instances.
   let lives = 0;
-  const taken: (HeldRange & {readonly life: Incarnation})[] = [];
+  const taken: Taken[] = [];
 
   const liveRows = (instance: Instance) =>
     instance.rows.filter(row => row.until > now);
@@ -661,11 +692,12 @@
     row: HeldRange,
     isCounted: boolean,
   ) => {
-    const {incarnation} = instance;
+    const {incarnation, service} = instance;
     const name = nameOf(incarnation);
     trace(`${name} takes ${describe(row)}`);
     for (const earlier of taken) {
       if (isSameIncarnation(earlier.life, incarnation)) continue;
+      if (earlier.service !== service) continue;
       if (!overlaps(earlier, row) || earlier.fence < row.fence) continue;
       const text = `${name} takes ${describe(row)}, ${nameOf(earlier.life)} had ${describe(earlier)}`;
       if (isCounted) break_('token', text);
@@ -676,9 +708,11 @@
       to: row.to,
       fence: row.fence,
       life: incarnation,
+      service,
     });
     for (const {instance: other} of machines) {
       if (!other?.isAlive || other === instance) continue;
+      if (other.service !== service) continue;
       for (const held of liveRows(other)) {
         if (!overlaps(held, row)) continue;
         const shared = common(held, row);
@@ -774,7 +808,7 @@
   };
 
   const send = (instance: Instance) => {
-    const {incarnation, machine} = instance;
+    const {incarnation, service, machine} = instance;
     instance.dueAt = Infinity;
     if (!options.overlapping && instance.pending > 0) return;
     endWork(instance);
@@ -787,7 +821,7 @@
       id: incarnation.id,
       born: incarnation.born,
       sequence,
-      service: SERVICE,
+      service,
       address: {host: '10.1.0.1', port: 8301},
       domain: 'north',
       slots: 4,
@@ -853,6 +887,7 @@
     const since = Math.max(
       answeredAt,
       machine.startedAt,
+      machine.configuredAt,
       machine.strayAt,
       stalledUntil,
       machine.thawedAt,
@@ -870,8 +905,15 @@
   const checkKeys = () => {
     const lastAt = Math.max(...options.disturbances.map(({atMs}) => atMs));
     if (options.lengthMs - lastAt < QUIET_MS) return;
-    const object = stored.objects.get(rangesKey(SERVICE));
-    const {terms} = JSON.parse(object?.value ?? '{"terms":[]}') as RangeMap;
+    const running = services.filter(service =>
+      machines.some(
+        ({instance}) => instance?.isAlive && instance.service === service,
+      ),
+    );
+    const objects = running.map(name => stored.objects.get(rangesKey(name)));
+    const terms = objects.flatMap(object =>
+      object ? (JSON.parse(object.value) as RangeMap).terms : [],
+    );
     for (const {from, to, state, holder} of terms) {
       const instance = machineOf(holder.node)?.instance;
       const runs =
@@ -904,7 +946,10 @@
     return chance(0.2) ? between(900, 6000) : between(20, 900);
   };
 
-  const startInstance = (machine: Machine, id?: string) => {
+  const startInstance = (
+    machine: Machine,
+    {id, service = machine.service}: {id?: string; service?: string} = {},
+  ) => {
     lives += 1;
     const incarnation: Incarnation = {
       node: machine.node,
@@ -913,6 +958,7 @@
     };
     const instance: Instance = {
       machine,
+      service,
       isAlive: true,
       incarnation,
       sequence: 0,
@@ -926,7 +972,7 @@
     };
     machine.instance = instance;
     machine.capacity = between(20, 200);
-    trace(`${nameOf(incarnation)} starts`);
+    trace(`${nameOf(incarnation)} of ${service} starts`);
     sendSoon(instance, now + between(0, 300));
   };
 
@@ -936,7 +982,24 @@
     instance.isAlive = false;
     trace(`${nameOf(instance.incarnation)} ends`);
     schedule(now + downMs, undefined, () => {
-      startInstance(machine, sameId ? instance.incarnation.id : undefined);
+      const {incarnation, service} = instance;
+      startInstance(machine, {service, ...(sameId && {id: incarnation.id})});
+    });
+  };
+
+  const reuse = (machine: Machine, downMs: number, settingsMs: number) => {
+    const {instance} = machine;
+    if (!instance?.isAlive) return;
+    instance.isAlive = false;
+    trace(`${nameOf(instance.incarnation)} ends, its address is used again`);
+    const others = services.filter(service => service !== instance.service);
+    const service = others[0] ?? instance.service;
+    schedule(now + downMs, undefined, () => startInstance(machine, {service}));
+    machine.dueService = service;
+    schedule(now + settingsMs, undefined, () => {
+      trace(`settings of machine ${machine.index}: ${machine.dueService}`);
+      machine.service = machine.dueService;
+      machine.configuredAt = now;
     });
   };
 
@@ -1042,8 +1105,11 @@
         const life = machines[step.to % machines.length].instance;
         if (!daemon?.isAlive || !life) return;
         const moved = {from: step.from, to: step.from + 2999};
-        schedule(now, daemon, () => void daemon.move(moved, life.incarnation));
+        schedule(now, daemon, () => void daemon.move(moved, life));
+        return;
       }
+      case 'reuse':
+        return reuse(machine, step.downMs, step.settingsMs);
     }
   };
 
