Ignore the departure of an earlier life under the same id

An instance that started again under its id was not answered until it ended, if the departure (DELETE /-/instances/ID) of the life before it was read late: the daemon took the new life for departed, revoked its keys, and ignored its heartbeats. The departure was matched by the id alone, though an instance names its start, born, in all that it says of itself.

The departure's born is now read from its body, and one of another life is ignored, gets 404, and is logged (6064). Without a body, or without born in it, a departure counts for the current life, as before. A body that can't be read gets 400 (6033).

--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -72,7 +72,7 @@
   heartbeatMalformed: {
     number: 6033,
     level: 'warn',
-    message: 'malformed heartbeat rejected',
+    message: 'malformed heartbeat or departure rejected',
   },
   heartbeatForeign: {
     number: 6060,
@@ -80,6 +80,11 @@
     message:
       'heartbeat names another service or address than the settings; ignoring it',
   },
+  departureStale: {
+    number: 6064,
+    level: 'warn',
+    message: 'departure of another incarnation; ignoring it',
+  },
   instanceSilent: {
     number: 6034,
     level: 'warn',
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -90,9 +90,11 @@
   /**
    * Processes the instance's announcement that it is about to end.
    *
+   * @param born Start of the life that is about to end; if undefined, the
+   *     current one.
    * @returns false when the announcement is not from the current instance.
    */
-  readonly handleDeparture: (id: string) => Promise<boolean>;
+  readonly handleDeparture: (id: string, born?: number) => Promise<boolean>;
   /**
    * Marks a ready instance as draining because one of its responses stated that
    * it is about to shut down.
@@ -545,8 +547,12 @@
     delivery.reconcile();
   };
 
-  const handleDeparture = async (id: string) => {
+  const handleDeparture = async (id: string, born = instance?.born) => {
     if (!instance || instance.id !== id) return false;
+    if (instance.born !== born) {
+      log(SIDECAR_EVENTS.departureStale, {id, born, current: instance.born});
+      return false;
+    }
     if (instance.state === 'left') return true;
     instance = advanceState(instance, 'left', 'announcement');
     const written = registration.write().then(() => revokeKeys('left'));
--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -7,10 +7,17 @@
 import type {Sidecar} from '../../src/sidecar/index.js';
 
 /**
- * Starts a control server with a sidecar that only answers readiness checks.
+ * Starts a control server with a sidecar that answers readiness checks and
+ * acknowledges departures.
  */
 async function startControl() {
-  const sidecar = {isReady: () => true} as Sidecar;
+  const departures: unknown[] = [];
+  const handleDeparture = (id: string, born?: number) => {
+    departures.push({id, born});
+    return Promise.resolve(true);
+  };
+  const instanceManager = {handleDeparture} as Sidecar['instanceManager'];
+  const sidecar = {isReady: () => true, instanceManager} as Sidecar;
   const server = http.createServer(createControlHandler(sidecar, () => {}));
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -19,7 +26,7 @@
     server.closeAllConnections();
     server.close();
   };
-  return {port, close};
+  return {port, close, departures};
 }
 
 /** Writes until the peer closes the connection; returns the bytes written. */
@@ -55,3 +62,20 @@
     t.is(ready.status, 200);
   });
 }
+
+for (const {body, status, born} of [
+  {body: undefined, status: 200, born: undefined},
+  {body: '{}', status: 200, born: undefined},
+  {body: '{"born":1764892800000}', status: 200, born: 1_764_892_800_000},
+  {body: '{"born":"1764892800000"}', status: 400},
+  {body: '{"born":', status: 400},
+]) {
+  test(`a departure with the body ${body} gets ${status}`, async t => {
+    const {port, close, departures} = await startControl();
+    t.teardown(close);
+    const url = `http://127.0.0.1:${port}/-/instances/i-1`;
+    const answer = await fetch(url, {method: 'DELETE', body});
+    t.is(answer.status, status);
+    t.deepEqual(departures, status === 200 ? [{id: 'i-1', born}] : []);
+  });
+}
--- a/test/sidecar/instancemanager.test.ts
+++ b/test/sidecar/instancemanager.test.ts
@@ -155,6 +155,17 @@
   t.true(manager.local()?.isClosed);
 });
 
+test('a late departure of an earlier life does not close the next one under its id', async t => {
+  const {manager} = await createManager();
+  const next = {...HEARTBEAT, born: HEARTBEAT.born + 1};
+  await manager.handleHeartbeat(next);
+  t.false(await manager.handleDeparture(HEARTBEAT.id, HEARTBEAT.born));
+  t.false(manager.local()?.isClosed);
+  t.true(manager.isLeavingRecorded());
+  t.true(await manager.handleDeparture(next.id, next.born));
+  t.false(manager.isLeavingRecorded());
+});
+
 const MAP_KEY = rangesKey(HEARTBEAT.service);
 const HELD = createMap([{...ALL_KEYS, holder: OWN}]);
 
--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -264,6 +264,11 @@
     {seed: 103, path: '96'},
   ],
   // A grant by a map that was read before the recovery of the map was written.
+  'copies, a bad store, sequential heartbeats': [
+    // Departures of an earlier life under the same id.
+    {seed: 4402, path: '11'},
+    {seed: 4702, path: '21'},
+  ],
   'copies, a bad store, overlapping heartbeats': [{seed: 4402, path: '175'}],
   // A release that a later heartbeat seemed to prove before the grant was read.
   'six machines, frequent ends, a bad store, overlapping heartbeats': [
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -1006,14 +1006,14 @@
   const drain = (machine: Machine, announces: boolean) => {
     const {instance} = machine;
     if (!instance?.isAlive || instance.state !== 'ready') return;
-    const {id} = instance.incarnation;
+    const {id, born} = instance.incarnation;
     const depart = () => {
       schedule(now + heldUpMs(), undefined, () => {
         const {daemon} = machine;
         if (daemon?.isAlive)
           schedule(now, daemon, () => {
             trace(`${id} departs`);
-            void daemon.manager.handleDeparture(id);
+            void daemon.manager.handleDeparture(id, born);
           });
       });
     };
