--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -81,7 +81,7 @@
       'heartbeat names another service or address than the settings; ignoring it',
   },
   departureStale: {
-    number: 6064,
+    number: 6065,
     level: 'warn',
     message: 'departure of another incarnation; ignoring it',
   },
@@ -168,6 +168,11 @@
     level: 'info',
     message: 'instance released keys',
   },
+  keysHeldPastTerm: {
+    number: 6064,
+    level: 'error',
+    message: 'instance reports keys that the map has given to another',
+  },
   releaseUnanswered: {
     number: 6046,
     level: 'warn',
