--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -109,3 +109,26 @@
     [1, undefined],
   ]);
 });
+
+for (const {body, status, born} of [
+  {body: undefined, status: 200, born: undefined},
+  {body: '{}', status: 200, born: undefined},
+  {body: '{"born":1764892800000}', status: 200, born: 1_764_892_800_000},
+  {body: '{"born":"1764892800000"}', status: 400},
+  {body: '{"born":', status: 400},
+]) {
+  test(`a departure with the body ${body} gets ${status}`, async t => {
+    const departures: unknown[] = [];
+    const {port, close} = await startControl({
+      handleDeparture: (departing, life) => {
+        departures.push({id: departing, born: life});
+        return Promise.resolve(true);
+      },
+    });
+    t.teardown(close);
+    const url = `http://127.0.0.1:${port}/-/instances/i-1`;
+    const answer = await fetch(url, {method: 'DELETE', body});
+    t.is(answer.status, status);
+    t.deepEqual(departures, status === 200 ? [{id: 'i-1', born}] : []);
+  });
+}
