Adopt a later state of the instance that is recorded after the start

What callers saw: an instance that had left was sent requests by its own daemon after a restart (DRAIN). Cause: the last write of the process before, which records the departure, can take effect after this one has read the registration. The daemon then ignored the heartbeats as of an instance that left, but went on with the instance as ready, and wrote 'ready' over the departure. Change: the tick, and the restoration beside heartbeats, take over a later state from the registration; a registration is never written over a later state of the same instance.

--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -315,7 +315,7 @@
   const advanceState = (
     known: Instance,
     state: MemberState,
-    source: 'heartbeat' | 'announcement' | 'answer',
+    source: 'heartbeat' | 'announcement' | 'answer' | 'registration',
   ): Instance => {
     if (laterState(known.state, state) === known.state) return known;
     const {id} = known;
@@ -523,7 +523,20 @@
     );
   };
 
+  /**
+   * Takes over a later state of the instance from its registration: an earlier
+   * process of this daemon has acknowledged it, and this one has learned it since.
+   */
+  const adoptRecordedState = () => {
+    const known = registration.recorded();
+    if (!instance || !known) return;
+    if (!isSameIncarnation(incarnation(), incarnationOf(known))) return;
+    const adopted = advanceState(instance, known.state, 'registration');
+    if (adopted !== instance) instance = {...adopted, closesAt: -Infinity};
+  };
+
   const tick = async (lateMs: number) => {
+    adoptRecordedState();
     if (!instance) return;
     const hasMissedHeartbeats = () =>
       clock() - (instance?.lastHeardAt ?? -Infinity) >
@@ -570,6 +583,7 @@
     )
       return;
     if (instance) {
+      adoptRecordedState();
       delivery.resume();
       return;
     }
--- a/src/sidecar/registration.ts
+++ b/src/sidecar/registration.ts
@@ -1,5 +1,11 @@
-import {memberKey, parseMember, type Member} from '../fleet/index.js';
-import {orderOf} from '../ranges/index.js';
+import {
+  incarnationOf,
+  laterState,
+  memberKey,
+  parseMember,
+  type Member,
+} from '../fleet/index.js';
+import {isSameIncarnation, orderOf} from '../ranges/index.js';
 import type {StoredObject} from '../store/index.js';
 import {SIDECAR_EVENTS} from './events.js';
 import {writeFromView} from './fleetwrite.js';
@@ -28,7 +34,7 @@
 
 /**
  * Creates the registration of the local instance. It is never written over that of
- * an instance that started later.
+ * an instance that started later, or over a later state of the same one.
  *
  * @example
  * const registration = createRegistration({...context, dueMember});
@@ -52,8 +58,7 @@
       memberKey(node),
       known,
       'registration',
-      current =>
-        current && isOfLaterLife(current, member) ? undefined : value,
+      current => (current && isLater(current, member) ? undefined : value),
       text => text === value,
     );
     if (result?.kind !== 'stored') return;
@@ -78,10 +83,18 @@
   return {recorded: () => recordedObject()?.value, write};
 }
 
-/** Returns whether a registration is of an instance that started later. */
-function isOfLaterLife({value}: StoredObject, member: Member): boolean {
+/**
+ * Returns whether a registration is of an instance that started later, or of the
+ * same one in a later state.
+ */
+function isLater({value}: StoredObject, member: Member): boolean {
   const known = parseMember(value);
-  return !('problem' in known) && orderOf(known) > orderOf(member);
+  if ('problem' in known) return false;
+  if (orderOf(known) > orderOf(member)) return true;
+  return (
+    isSameIncarnation(incarnationOf(known), incarnationOf(member)) &&
+    laterState(known.state, member.state) !== member.state
+  );
 }
 
 function sameMember(a: Member, b: Member): boolean {
--- a/test/sidecar/instancemanager.test.ts
+++ b/test/sidecar/instancemanager.test.ts
@@ -88,6 +88,7 @@
   return {
     manager,
     view: () => view,
+    observeChange,
     advance: (timeMs: number) => {
       now += timeMs;
     },
@@ -267,3 +268,36 @@
   t.true(await departed);
   t.is(stored.at(-1)?.state, 'left');
 });
+
+// Guards against the last write of an earlier process, which takes effect after this
+// one has restored the instance as ready (DRAIN).
+test('a departure that is recorded late is in force, and is not written over', async t => {
+  const member = {
+    ...OWN,
+    domain: 'north',
+    service: 'desk',
+    slots: 4,
+    stopping: false,
+  };
+  const change = (state: string, version: number) => ({
+    key: memberKey(NODE),
+    value: JSON.stringify({...member, state}),
+    version,
+  });
+  const written: string[] = [];
+  const store: ObjectStore = {
+    ...STORE,
+    put: async (_, value) => {
+      written.push(value);
+      return {kind: 'stored', version: 9};
+    },
+  };
+  const {manager, observeChange} = await createManager(store, undefined, [
+    change('ready', 1),
+  ]);
+  t.false(manager.local()?.isClosed);
+  observeChange(change('left', 2));
+  await manager.tick(0);
+  t.true(manager.local()?.isClosed);
+  t.deepEqual(written, []);
+});
