Ask others for a departure that a restored store may have undone

What callers saw: requests ran at an instance whose departure its daemon had acknowledged, when the daemon was restarted while the store came back from a copy (DRAIN). Cause: the daemon had only the copy, in which the instance is ready, and took it for ready again. Others knew the later state and kept it, but nobody told. A later state stays in force, is logged (6064) and is written.

--- a/src/fleet/view.ts
+++ b/src/fleet/view.ts
@@ -129,6 +129,24 @@
   return {view: {...view, maps}};
 }
 
+/**
+ * Applies what another daemon knows of an instance: a later state than the store has
+ * stays in force, since the store may have undone it.
+ *
+ * @returns the same view if the instance is not registered, or in no earlier state.
+ *
+ * @example
+ * const next = applyKnownMember(view, member);
+ */
+export function applyKnownMember(view: FleetView, known: Member): FleetView {
+  const stored = view.members.get(known.node);
+  if (!stored) return view;
+  const member = withKnownState(known, stored);
+  if (member === stored) return view;
+  const members = new Map(view.members).set(known.node, member);
+  return {...view, members};
+}
+
 /** Returns a registration whose instance is in no earlier state than is known. */
 function withKnownState(
   known: Member | undefined,
--- a/src/ranges/recover.ts
+++ b/src/ranges/recover.ts
@@ -79,7 +79,7 @@
 }
 
 /** Highest era of a store that has not come back from a copy yet. */
-const FIRST_ERA = 1;
+export const FIRST_ERA = 1;
 
 /**
  * Returns the map to write in place of a stored one: the changed map, or, if the
--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -148,6 +148,12 @@
     level: 'warn',
     message: 'store came back from a copy; reading all objects again',
   },
+  departureRecalled: {
+    number: 6064,
+    level: 'warn',
+    message:
+      'other daemons know a later state of the instance than the store has',
+  },
   memberLost: {
     number: 6043,
     level: 'warn',
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -10,6 +10,7 @@
   EMPTY_VIEW,
   FLEET_PREFIX,
   applyChange,
+  applyKnownMember,
   applyListing,
   watchPrefix,
   type FleetView,
@@ -45,6 +46,7 @@
   type SplitState,
 } from '../relay/index.js';
 import {formatAddress, parseAddress, type Address} from '../model/index.js';
+import {FIRST_ERA} from '../ranges/index.js';
 import {createChannels, serveChannels} from '../channel/index.js';
 import {createInstanceRuns, type InFlight} from '../quarantine/index.js';
 import {eraOf, type ObjectStore, type StoredObject} from '../store/index.js';
@@ -82,6 +84,7 @@
 import {SIDECAR_METRICS} from './metrics.js';
 import {createPeerLoads} from './peerloads.js';
 import {createPlanner, type InstanceStatus} from './planner.js';
+import {MEMBER_PATH, recallMember} from './recall.js';
 import {
   SHUTDOWN_RETRY_AFTER_MS,
   afterBody,
@@ -238,6 +241,8 @@
   let isFleetListed = false;
   /** Era of the store at the last listing of the fleet. */
   let storeEra = 0;
+  /** Resolves once it is known whether the store has undone a departure. */
+  let recall: Promise<void> | undefined;
   let shutdownPlan: ShutdownPlan | undefined;
   let loopDelayMs = 0;
   const slotGate = createSlotGate(SHUTDOWN_RETRY_AFTER_MS);
@@ -584,6 +589,12 @@
     response.end(status && JSON.stringify(status));
   };
 
+  const answerMemberRequest = (peer: string, response: ServerResponse) => {
+    const known = view.members.get(peer)?.value;
+    if (!known) response.writeHead(404);
+    response.end(known && JSON.stringify(known));
+  };
+
   const handleQuarantine = createQuarantineHandler(fleetQuarantine, log);
 
   const callers: Server = createHttpServer(
@@ -628,6 +639,11 @@
         runInBackground(handleQuarantine(request, response));
         return;
       }
+      if (!isHop && request.url?.startsWith(MEMBER_PATH)) {
+        const peer = request.url.slice(MEMBER_PATH.length);
+        answerMemberRequest(peer, response);
+        return;
+      }
       if (!isHop && request.url?.startsWith(MAP_PATH)) {
         const name = request.url.slice(MAP_PATH.length);
         runInBackground(answerMapRequest(name, response));
@@ -700,6 +716,18 @@
     }
   };
 
+  /** Applies later states of the local instance that other daemons know. */
+  const recallDeparture = async () => {
+    if (!view.members.has(node)) return;
+    const random = Math.random;
+    const found = await recallMember({node, view: () => view, random});
+    const before = view;
+    view = found.reduce(applyKnownMember, view);
+    if (view === before) return;
+    const {id, state} = view.members.get(node)?.value ?? {};
+    log(SIDECAR_EVENTS.departureRecalled, {id, state});
+  };
+
   const followFleet = () =>
     watchPrefix(
       store,
@@ -719,8 +747,16 @@
           for (const message of step.problems) {
             log(SIDECAR_EVENTS.objectMalformed, {message});
           }
-          instanceManager.resume();
           viewChanges.notify();
+          recall ??=
+            era > FIRST_ERA
+              ? recallDeparture().catch(reportError)
+              : Promise.resolve();
+          const resumed = recall.then(() => {
+            instanceManager.resume();
+            viewChanges.notify();
+          });
+          runInBackground(resumed);
         },
         observeChange,
       ),
--- a/test/fleet/view.test.ts
+++ b/test/fleet/view.test.ts
@@ -2,6 +2,7 @@
 import {
   EMPTY_VIEW,
   applyChange,
+  applyKnownMember,
   memberKey,
   membersOf,
   type FleetView,
@@ -53,3 +54,16 @@
     t.deepEqual(step.view.members.get(A)?.value, known);
   });
 }
+
+// Guards against an acknowledged departure that the store has undone (DRAIN).
+test('a later state that another daemon knows stays in force, for the same instance', t => {
+  const view = register(EMPTY_VIEW, A, 'stock', 5);
+  const member = view.members.get(A)?.value;
+  if (!member) throw new Error('the instance is not registered');
+  const left = {...member, state: 'left'} as const;
+  const next = applyKnownMember(view, left);
+  t.deepEqual(next.members.get(A), {value: left, version: 5, isUndone: true});
+  t.is(applyKnownMember(next, member), next);
+  t.is(applyKnownMember(view, {...left, born: 0}), view);
+  t.is(applyKnownMember(view, {...left, node: B}), view);
+});
--- a/test/sidecar/storecopy.test.ts
+++ b/test/sidecar/storecopy.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {findTerm, startMoves, type RangeMap} from '../../src/ranges/index.js';
+import type {StoreCopy} from '../../standin/fleet/index.js';
 import {GRANT_METHODS, SIDECAR_EVENTS} from '../../src/sidecar/index.js';
 import {
   configuration,
@@ -82,6 +83,41 @@
   return Math.max(longestMs, Date.now() - servedAt);
 }
 
+const stateOf = ({store}: TestFleet, {node}: Pair) =>
+  (store.read('fleet', `member.${node}`) as {readonly state: string}).state;
+
+/** Lets the instance leave, and returns the copy of the store before that. */
+async function leaveAfterCopy(fleet: TestFleet, leaving: Pair) {
+  const copy = fleet.store.takeCopy();
+  await leaving.instance.sendDeparture();
+  await waitUntil(() => stateOf(fleet, leaving) === 'left');
+  await sleep(1000);
+  return copy;
+}
+
+/** Time within which a daemon that has stopped makes its last calls. */
+const LAST_CALLS_MS = 1000;
+
+/** Restarts a daemon while the store is away and comes back from a copy. */
+async function restartWithStore(
+  {store}: TestFleet,
+  pair: Pair,
+  copy: StoreCopy,
+) {
+  const {faults} = store;
+  faults.isUnavailable = true;
+  const startsBefore = startsOf(pair);
+  const restarted = pair.restart();
+  await waitUntil(() => startsOf(pair) > startsBefore);
+  await sleep(LAST_CALLS_MS);
+  store.restore(copy);
+  faults.isUnavailable = false;
+  await restarted;
+}
+
+const startsOf = ({events}: Pair) =>
+  events.filter(([kind]) => kind === SIDECAR_EVENTS.started).length;
+
 for (const grants of GRANT_METHODS) {
   // Guards against keys that are granted again, under old tokens, to whom the copy
   // of the store names (OWNER).
@@ -133,22 +169,44 @@
     const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
     t.teardown(fleet.close);
     const [leaving, , entry] = fleet.pairs;
-    const copy = fleet.store.takeCopy();
-    await leaving.instance.sendDeparture();
-    const stateOf = () =>
-      (
-        fleet.store.read('fleet', `member.${leaving.node}`) as {
-          readonly state: string;
-        }
-      ).state;
-    await waitUntil(() => stateOf() === 'left');
-    await sleep(1000);
+    const copy = await leaveAfterCopy(fleet, leaving);
     const runs = leaving.instance.runs.length;
     fleet.store.restore(copy);
     for (let key = 0; key < 65_000; key += 1000) {
       await sendRequest(entry.callers, 'GET', '/view/x', key);
     }
-    await waitUntil(() => stateOf() === 'left');
+    await waitUntil(() => stateOf(fleet, leaving) === 'left');
+    t.is(leaving.instance.runs.length, runs);
+  });
+
+  // Guards against a daemon that begins with the copy, in which an instance is
+  // ready whose departure it has acknowledged (DRAIN).
+  test(`a departure outlasts a restart of its daemon with the store, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const [leaving] = fleet.pairs;
+    const copy = await leaveAfterCopy(fleet, leaving);
+    const runs = leaving.instance.runs.length;
+    await restartWithStore(fleet, leaving, copy);
+    for (let key = 0; key < 65_000; key += 1000) {
+      await sendRequest(leaving.callers, 'GET', '/view/x', key);
+    }
     t.is(leaving.instance.runs.length, runs);
+    await waitUntil(() => stateOf(fleet, leaving) === 'left');
   });
 }
+
+// The same for an instance without keys.
+test('a departure without keys outlasts a restart of its daemon with the store', async t => {
+  const fleet = await startFleet(['desk', 'desk', 'stock']);
+  t.teardown(fleet.close);
+  const [leaving] = fleet.pairs;
+  const copy = await leaveAfterCopy(fleet, leaving);
+  const runs = leaving.instance.runs.length;
+  await restartWithStore(fleet, leaving, copy);
+  for (let sent = 0; sent < 50; sent++) {
+    await sendRequest(leaving.callers, 'POST', '/book/x');
+  }
+  t.is(leaving.instance.runs.length, runs);
+  await waitUntil(() => stateOf(fleet, leaving) === 'left');
+});
