Metrics of the store's era, its rises, and maps in recovery

New test of storecopy: era 1, then two returns from a copy; the gauges and the counter follow, and the recovery ends. The 20 tests of storecopy and stop pass.

--- a/src/sidecar/metrics.ts
+++ b/src/sidecar/metrics.ts
@@ -21,6 +21,24 @@
     help: 'Calls to the store, by kind and result.',
     labels: ['kind', 'result'],
   },
+  storeRestores: {
+    type: 'counter',
+    name: 'vanillaspool_store_restores_total',
+    help: 'Times that the store came back from a copy, as seen by this daemon.',
+    labels: [],
+  },
+  storeEra: {
+    type: 'gauge',
+    name: 'vanillaspool_store_era',
+    help: 'Era of the store, which rises when it comes back from a copy; 0 if it names none.',
+    labels: [],
+  },
+  recoveringMaps: {
+    type: 'gauge',
+    name: 'vanillaspool_recovering_maps',
+    help: 'Range maps in recovery since the store came back from a copy.',
+    labels: [],
+  },
   slotSeconds: {
     type: 'counter',
     name: 'vanillaspool_slot_seconds_total',
@@ -90,6 +108,8 @@
   readonly recordRequest: (request: RequestResult) => void;
   readonly recordSlotUsage: (usage: SlotUsage) => void;
   readonly recordStoreCall: (kind: CallKind, result: CallResult) => void;
+  /** Records that the store came back from a copy. */
+  readonly recordStoreRestored: () => void;
 }
 
 const MS_PER_SECOND = 1000;
@@ -137,6 +157,7 @@
     recordStoreCall: (kind, result) => {
       metrics.counter(SIDECAR_METRICS.storeCalls, {kind, result})();
     },
+    recordStoreRestored: metrics.counter(SIDECAR_METRICS.storeRestores, {}),
   };
 }
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -127,6 +127,8 @@
   readonly log: Log;
   /** Called with each request of a caller that has ended. */
   readonly onRequestEnd?: (request: RequestResult) => void;
+  /** Called when the store has come back from a copy. */
+  readonly onStoreRestored?: () => void;
   /** Called about once a second with the use of the slots since then. */
   readonly onSlotUsage?: (usage: SlotUsage) => void;
 }
@@ -738,6 +740,7 @@
           const era = eraOf(listing.revision);
           if (isFleetListed && era !== storeEra) {
             log(SIDECAR_EVENTS.storeRestored, {era, before: storeEra});
+            options.onStoreRestored?.();
           }
           storeEra = era;
           const step = applyListing(view, listing);
@@ -793,6 +796,11 @@
       )(configuration.unreadableValueCount());
       const refused = configuration.isNewestRejected() ? 1 : 0;
       metrics.gauge(SIDECAR_METRICS.configurationRefused, {})(refused);
+      metrics.gauge(SIDECAR_METRICS.storeEra, {})(storeEra);
+      const recovering = [...view.maps.values()].filter(
+        ({value}) => value.isRecovering,
+      ).length;
+      metrics.gauge(SIDECAR_METRICS.recoveringMaps, {})(recovering);
       const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -17,12 +17,17 @@
 import {PLATFORM_DIALECT} from '../../platform/dialect.js';
 import {createMetadataStore} from '../../platform/store.js';
 import {
+  createMetricsRecorder,
   createSidecar,
   type GrantMethod,
   type Sidecar,
   type SidecarSettings,
 } from '../../src/sidecar/index.js';
-import type {EventFields, EventKind} from '../../src/telemetry/index.js';
+import {
+  createMetrics,
+  type EventFields,
+  type EventKind,
+} from '../../src/telemetry/index.js';
 
 /** Interval between heartbeats in these tests. */
 export const HEARTBEAT_INTERVAL_MS = 200;
@@ -38,6 +43,8 @@
   /** Address of the daemon that other daemons connect to. */
   readonly node: string;
   readonly events: readonly (readonly [EventKind, EventFields])[];
+  /** Returns the metrics of the daemon, as operators read them. */
+  readonly metrics: () => Promise<string>;
   /** Restarts the daemon; the instance keeps running. */
   readonly restart: () => Promise<void>;
   readonly close: () => Promise<void>;
@@ -214,6 +221,8 @@
     holdLimitS: 2,
     retryShare: 0.2,
   };
+  const metrics = createMetrics();
+  const {recordStoreRestored} = createMetricsRecorder(metrics);
   const createDaemon = () =>
     createSidecar({
       settings,
@@ -223,6 +232,7 @@
       readConfiguration,
       instanceCalls: createInstanceCalls,
       log,
+      onStoreRestored: recordStoreRestored,
     });
   let sidecar = createDaemon();
   const server = http.createServer((request, response) =>
@@ -271,6 +281,10 @@
     callers,
     node: peers,
     events,
+    metrics: () => {
+      sidecar.updateGauges(metrics);
+      return metrics.text();
+    },
     restart: async () => {
       await sidecar.shutDown();
       sidecar = createDaemon();
--- a/test/sidecar/storecopy.test.ts
+++ b/test/sidecar/storecopy.test.ts
@@ -210,3 +210,41 @@
   t.is(leaving.instance.runs.length, runs);
   await waitUntil(() => stateOf(fleet, leaving) === 'left');
 });
+
+/** Returns the value of a metric without labels. */
+async function valueOf(pair: Pair, name: string): Promise<number> {
+  const text = await pair.metrics();
+  return Number(new RegExp(`^${name} (.*)$`, 'm').exec(text)?.[1]);
+}
+
+test('the metrics tell the era, how often it rose, and the maps in recovery', async t => {
+  const fleet = await startFleet(['stock', 'stock', 'desk']);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  const read = () =>
+    Promise.all(
+      ['era', 'restores_total'].map(n =>
+        valueOf(pair, `vanillaspool_store_${n}`),
+      ),
+    );
+  const recovering = () => valueOf(pair, 'vanillaspool_recovering_maps');
+  t.deepEqual(await read(), [1, 0]);
+  t.is(await recovering(), 0);
+  const {copy} = await moveAfterCopy(fleet);
+  for (const rises of [1, 2]) {
+    fleet.store.restore(copy);
+    await waitUntil(() => mapOf(fleet).era === 1 + rises);
+    await waitUntil(() => restoresOf(pair) === rises);
+    t.deepEqual(await read(), [1 + rises, rises]);
+  }
+  t.is(await recovering(), 1);
+  await waitUntil(() => mapOf(fleet).isRecovering === undefined);
+  await sleep(SETTLED_SEEN_MS);
+  t.is(await recovering(), 0);
+});
+
+/** Time within which each daemon sees a change of the store. */
+const SETTLED_SEEN_MS = 1000;
+
+const restoresOf = ({events}: Pair) =>
+  events.filter(([kind]) => kind === SIDECAR_EVENTS.storeRestored).length;
