--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -10,6 +10,7 @@
   EMPTY_VIEW,
   FLEET_PREFIX,
   applyChange,
+  applyKnownMember,
   applyListing,
   watchPrefix,
   type FleetView,
@@ -46,6 +47,7 @@
   type SplitState,
 } from '../relay/index.js';
 import {formatAddress, parseAddress, type Address} from '../model/index.js';
+import {FIRST_ERA} from '../ranges/index.js';
 import {createChannels, serveChannels} from '../channel/index.js';
 import {createInstanceRuns, type InFlight} from '../quarantine/index.js';
 import {eraOf, type ObjectStore, type StoredObject} from '../store/index.js';
@@ -84,6 +86,7 @@
 import {SIDECAR_METRICS} from './metrics.js';
 import {createPeerLoads} from './peerloads.js';
 import {createPlanner, type InstanceStatus} from './planner.js';
+import {MEMBER_PATH, recallMember} from './recall.js';
 import {
   SHUTDOWN_RETRY_AFTER_MS,
   afterBody,
@@ -126,6 +129,8 @@
   readonly log: Log;
   /** Called with each request of a caller that has ended. */
   readonly onRequestEnd?: (request: RequestResult) => void;
+  /** Called when the store has come back from a copy. */
+  readonly onStoreRestored?: () => void;
   /** Called about once a second with the use of the slots since then. */
   readonly onSlotUsage?: (usage: SlotUsage) => void;
 }
@@ -241,6 +246,8 @@
   let isFleetListed = false;
   /** Era of the store at the last listing of the fleet. */
   let storeEra = 0;
+  /** Resolves once it is known whether the store has undone a departure. */
+  let recall: Promise<void> | undefined;
   let shutdownPlan: ShutdownPlan | undefined;
   let loopDelayMs = 0;
   const slotGate = createSlotGate(SHUTDOWN_RETRY_AFTER_MS);
@@ -589,6 +596,12 @@
     response.end(status && JSON.stringify(status));
   };
 
+  const answerMemberRequest = (peer: string, response: ServerResponse) => {
+    const known = view.members.get(peer)?.value;
+    if (!known) response.writeHead(404);
+    response.end(known && JSON.stringify(known));
+  };
+
   const handleQuarantine = createQuarantineHandler(fleetQuarantine, log);
 
   const callers: Server = createHttpServer(
@@ -633,6 +646,11 @@
         runInBackground(handleQuarantine(request, response));
         return;
       }
+      if (!isHop && request.url?.startsWith(MEMBER_PATH)) {
+        const peer = request.url.slice(MEMBER_PATH.length);
+        answerMemberRequest(peer, response);
+        return;
+      }
       if (!isHop && request.url?.startsWith(MAP_PATH)) {
         const name = request.url.slice(MAP_PATH.length);
         runInBackground(answerMapRequest(name, response));
@@ -705,6 +723,18 @@
     }
   };
 
+  /** Applies later states of the local instance that other daemons know. */
+  const recallDeparture = async () => {
+    if (!view.members.has(node)) return;
+    const random = Math.random;
+    const found = await recallMember({node, view: () => view, random});
+    const before = view;
+    view = found.reduce(applyKnownMember, view);
+    if (view === before) return;
+    const {id, state} = view.members.get(node)?.value ?? {};
+    log(SIDECAR_EVENTS.departureRecalled, {id, state});
+  };
+
   const followFleet = () =>
     watchPrefix(
       store,
@@ -715,6 +745,7 @@
           const era = eraOf(listing.revision);
           if (isFleetListed && era !== storeEra) {
             log(SIDECAR_EVENTS.storeRestored, {era, before: storeEra});
+            options.onStoreRestored?.();
           }
           storeEra = era;
           const step = applyListing(view, listing);
@@ -724,8 +755,16 @@
           for (const message of step.problems) {
             log(SIDECAR_EVENTS.objectMalformed, {message});
           }
-          instanceManager.resume();
           viewChanges.notify();
+          recall ??=
+            era > FIRST_ERA
+              ? recallDeparture().catch(reportError)
+              : Promise.resolve();
+          const resumed = recall.then(() => {
+            instanceManager.resume();
+            viewChanges.notify();
+          });
+          runInBackground(resumed);
         },
         observeChange,
       ),
@@ -762,6 +801,11 @@
       )(configuration.unreadableValueCount());
       const refused = configuration.isNewestRejected() ? 1 : 0;
       metrics.gauge(SIDECAR_METRICS.configurationRefused, {})(refused);
+      metrics.gauge(SIDECAR_METRICS.storeEra, {})(storeEra);
+      const recovering = [...view.maps.values()].filter(
+        ({value}) => value.isRecovering,
+      ).length;
+      metrics.gauge(SIDECAR_METRICS.recoveringMaps, {})(recovering);
       const {running, waiting} = slots.state();
       const busy = running.length + waiting.length;
       metrics.gauge(SIDECAR_METRICS.instanceBusy, {})(busy);
--- a/test/sidecar/storecopy.test.ts
+++ b/test/sidecar/storecopy.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {findTerm, startMoves, type RangeMap} from '../../src/ranges/index.js';
+import type {StoreCopy} from '../../standin/fleet/index.js';
 import {GRANT_METHODS, SIDECAR_EVENTS} from '../../src/sidecar/index.js';
 import {
   configuration,
@@ -82,6 +83,41 @@
   return Math.max(longestMs, Date.now() - servedAt);
 }
 
+const stateOf = ({store}: TestFleet, {node}: Pair) =>
+  (store.read('fleet', `member.${node}`) as {readonly state: string}).state;
+
+/** Lets the instance leave, and returns the copy of the store before that. */
+async function leaveAfterCopy(fleet: TestFleet, leaving: Pair) {
+  const copy = fleet.store.takeCopy();
+  await leaving.instance.sendDeparture();
+  await waitUntil(() => stateOf(fleet, leaving) === 'left');
+  await sleep(1000);
+  return copy;
+}
+
+/** Time within which a daemon that has stopped makes its last calls. */
+const LAST_CALLS_MS = 1000;
+
+/** Restarts a daemon while the store is away and comes back from a copy. */
+async function restartWithStore(
+  {store}: TestFleet,
+  pair: Pair,
+  copy: StoreCopy,
+) {
+  const {faults} = store;
+  faults.isUnavailable = true;
+  const startsBefore = startsOf(pair);
+  const restarted = pair.restart();
+  await waitUntil(() => startsOf(pair) > startsBefore);
+  await sleep(LAST_CALLS_MS);
+  store.restore(copy);
+  faults.isUnavailable = false;
+  await restarted;
+}
+
+const startsOf = ({events}: Pair) =>
+  events.filter(([kind]) => kind === SIDECAR_EVENTS.started).length;
+
 for (const grants of GRANT_METHODS) {
   // Guards against keys that are granted again, under old tokens, to whom the copy
   // of the store names (OWNER).
@@ -133,22 +169,82 @@
     const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
     t.teardown(fleet.close);
     const [leaving, , entry] = fleet.pairs;
-    const copy = fleet.store.takeCopy();
-    await leaving.instance.sendDeparture();
-    const stateOf = () =>
-      (
-        fleet.store.read('fleet', `member.${leaving.node}`) as {
-          readonly state: string;
-        }
-      ).state;
-    await waitUntil(() => stateOf() === 'left');
-    await sleep(1000);
+    const copy = await leaveAfterCopy(fleet, leaving);
     const runs = leaving.instance.runs.length;
     fleet.store.restore(copy);
     for (let key = 0; key < 65_000; key += 1000) {
       await sendRequest(entry.callers, 'GET', '/view/x', key);
     }
-    await waitUntil(() => stateOf() === 'left');
+    await waitUntil(() => stateOf(fleet, leaving) === 'left');
+    t.is(leaving.instance.runs.length, runs);
+  });
+
+  // Guards against a daemon that begins with the copy, in which an instance is
+  // ready whose departure it has acknowledged (DRAIN).
+  test(`a departure outlasts a restart of its daemon with the store, granted by ${grants}`, async t => {
+    const fleet = await startFleet(['stock', 'stock', 'desk'], {grants});
+    t.teardown(fleet.close);
+    const [leaving] = fleet.pairs;
+    const copy = await leaveAfterCopy(fleet, leaving);
+    const runs = leaving.instance.runs.length;
+    await restartWithStore(fleet, leaving, copy);
+    for (let key = 0; key < 65_000; key += 1000) {
+      await sendRequest(leaving.callers, 'GET', '/view/x', key);
+    }
     t.is(leaving.instance.runs.length, runs);
+    await waitUntil(() => stateOf(fleet, leaving) === 'left');
   });
 }
+
+// The same for an instance without keys.
+test('a departure without keys outlasts a restart of its daemon with the store', async t => {
+  const fleet = await startFleet(['desk', 'desk', 'stock']);
+  t.teardown(fleet.close);
+  const [leaving] = fleet.pairs;
+  const copy = await leaveAfterCopy(fleet, leaving);
+  const runs = leaving.instance.runs.length;
+  await restartWithStore(fleet, leaving, copy);
+  for (let sent = 0; sent < 50; sent++) {
+    await sendRequest(leaving.callers, 'POST', '/book/x');
+  }
+  t.is(leaving.instance.runs.length, runs);
+  await waitUntil(() => stateOf(fleet, leaving) === 'left');
+});
+
+/** Returns the value of a metric without labels. */
+async function valueOf(pair: Pair, name: string): Promise<number> {
+  const text = await pair.metrics();
+  return Number(new RegExp(`^${name} (.*)$`, 'm').exec(text)?.[1]);
+}
+
+test('the metrics tell the era, how often it rose, and the maps in recovery', async t => {
+  const fleet = await startFleet(['stock', 'stock', 'desk']);
+  t.teardown(fleet.close);
+  const [pair] = fleet.pairs;
+  const read = () =>
+    Promise.all(
+      ['era', 'restores_total'].map(n =>
+        valueOf(pair, `vanillaspool_store_${n}`),
+      ),
+    );
+  const recovering = () => valueOf(pair, 'vanillaspool_recovering_maps');
+  t.deepEqual(await read(), [1, 0]);
+  t.is(await recovering(), 0);
+  const {copy} = await moveAfterCopy(fleet);
+  for (const rises of [1, 2]) {
+    fleet.store.restore(copy);
+    await waitUntil(() => mapOf(fleet).era === 1 + rises);
+    await waitUntil(() => restoresOf(pair) === rises);
+    t.deepEqual(await read(), [1 + rises, rises]);
+  }
+  t.is(await recovering(), 1);
+  await waitUntil(() => mapOf(fleet).isRecovering === undefined);
+  await sleep(SETTLED_SEEN_MS);
+  t.is(await recovering(), 0);
+});
+
+/** Time within which each daemon sees a change of the store. */
+const SETTLED_SEEN_MS = 1000;
+
+const restoresOf = ({events}: Pair) =>
+  events.filter(([kind]) => kind === SIDECAR_EVENTS.storeRestored).length;
