Prove that an answer is no longer read by what the instance has read since

An answer with keys is closed now by what proves it: the instance has read it on its connection; or it has read another one that was sent when the first could not be read any more; or the leases of the answer have expired. No transit is assumed. An instance that keeps its connection loses no time; one that opens a connection for each heartbeat gives keys up 5.25 s after their last grant at the latest.

Besides, of a release that was reported only the part is void that the instance reports as held later; the rest keeps its handover token.

--- a/src/ranges/calls.ts
+++ b/src/ranges/calls.ts
@@ -1,5 +1,5 @@
 import type {HeldRange} from './grants.js';
-import {contains, covers, overlaps, type KeyRange} from './map.js';
+import {contains, covers, overlaps, subtract, type KeyRange} from './map.js';
 
 /** A range whose grant the instance has confirmed in its answer to a call. */
 export interface CallGrant extends HeldRange {
@@ -95,13 +95,7 @@
  * grants = removeRange(grants, {from: 100, to: 199});
  */
 export function removeRange(grants: CallGrants, range: KeyRange): CallGrants {
-  const held = grants.held.flatMap(row => {
-    if (!overlaps(row, range)) return [row];
-    const below = {...row, to: range.from - 1};
-    const above = {...row, from: range.to + 1};
-    return [below, above].filter(({from, to}) => from <= to);
-  });
-  return {...grants, held};
+  return {...grants, held: subtract(grants.held, range)};
 }
 
 /**
--- a/src/ranges/grants.ts
+++ b/src/ranges/grants.ts
@@ -4,6 +4,7 @@
   covers,
   overlaps,
   isSameIncarnation,
+  subtract,
   type Incarnation,
   type KeyRange,
   type RangeMap,
@@ -19,11 +20,16 @@
   readonly freed: readonly Release[];
   /** Arrival time of the heartbeat, in milliseconds. */
   readonly arrivedAt: number;
-  /**
-   * Sequence number of an earlier heartbeat whose response the instance had read
-   * when it sent this one; undefined if none is known.
-   */
-  readonly readSequence?: number;
+  /** The answer that the instance is known to have read before it sent this. */
+  readonly read?: ReadAnswer;
+}
+
+/** An answer that an instance has read. */
+export interface ReadAnswer {
+  /** Sequence number of the answered heartbeat. */
+  readonly sequence: number;
+  /** Time before which the answer was not sent, in milliseconds. */
+  readonly sentAfter: number;
 }
 
 /** A range that an instance holds or still executes requests for. */
@@ -39,13 +45,15 @@
    */
   readonly sequence?: number;
   readonly ranges: readonly KeyRange[];
-  /**
-   * Time from which heartbeats arrive that the instance sent after it had read
-   * the answer or stopped waiting for it, in milliseconds.
-   */
-  readonly openUntil: number;
+  /** Time from which the instance no longer reads the answer, in milliseconds. */
+  readonly readableUntil: number;
+  /** Time by which all leases of the answer have expired, in milliseconds. */
+  readonly leasedUntil: number;
 }
 
+/** Until when an answer and its leases count. */
+export type AnswerTimes = Pick<OpenAnswer, 'readableUntil' | 'leasedUntil'>;
+
 /** Grants that a daemon has made to its instance in answers to heartbeats. */
 export interface HeartbeatGrants {
   /** Incarnation of the instance; undefined before its first heartbeat. */
@@ -81,14 +89,14 @@
  * Returns the grants of a process that has received no heartbeat yet, and whose
  * predecessor may have granted any keys.
  *
- * @param openUntil Time until which the instance may read answers of the
- *     predecessor, as in `OpenAnswer`, in milliseconds.
+ * @param times Times of the last answer of the predecessor.
  *
  * @example
- * let grants = startGrants(clock() + OPEN_ANSWER_MS);
+ * const readableUntil = startedAt + 1130;
+ * let grants = startGrants({readableUntil, leasedUntil: startedAt + 5250});
  */
-export function startGrants(openUntil: number): HeartbeatGrants {
-  return {...NO_HEARTBEAT_GRANTS, open: [{ranges: [ALL_KEYS], openUntil}]};
+export function startGrants(times: AnswerTimes): HeartbeatGrants {
+  return {...NO_HEARTBEAT_GRANTS, open: [{ranges: [ALL_KEYS], ...times}]};
 }
 
 /**
@@ -118,19 +126,21 @@
   const freed = report.freed.filter(
     range => !grants.granted.some(granted => overlaps(granted, range)),
   );
-  const released = grants.released.filter(
-    range => ![...holds, ...freed].some(other => overlaps(other, range)),
+  const released = [...holds, ...freed].reduce(
+    (ranges, other) => subtract(ranges, other),
+    grants.released,
   );
   return {...grants, sequence, open, released: [...released, ...freed]};
 }
 
-/** Returns whether an answer may be read after a heartbeat was sent. */
+/** Returns whether an answer may still give keys after a heartbeat was sent. */
 function isOpen(
-  {sequence, openUntil}: OpenAnswer,
-  {arrivedAt, readSequence}: HoldReport,
+  {sequence, readableUntil, leasedUntil}: OpenAnswer,
+  {arrivedAt, read}: HoldReport,
 ): boolean {
-  const isRead = sequence !== undefined && sequence === readSequence;
-  return !isRead && arrivedAt < openUntil;
+  if (arrivedAt >= leasedUntil) return false;
+  if (!read) return true;
+  return read.sequence !== sequence && read.sentAfter < readableUntil;
 }
 
 /**
@@ -179,19 +189,18 @@
  *
  * @param sequence Sequence number of the answered heartbeat.
  * @param arrivedAt Arrival time of the heartbeat, in milliseconds.
- * @param openUntil Time until which the instance may read the answer, as in
- *     `OpenAnswer`, in milliseconds.
  *
  * @example
+ * const times = {readableUntil: now + 1130, leasedUntil: now + 5250};
  * const rows = heldBy(map, incarnation);
- * grants = recordGrants(grants, sequence, rows, now, now + OPEN_ANSWER_MS);
+ * grants = recordGrants(grants, sequence, rows, now, times);
  */
 export function recordGrants(
   grants: HeartbeatGrants,
   sequence: number,
   ranges: readonly HeldRange[],
   arrivedAt: number,
-  openUntil: number,
+  times: AnswerTimes,
 ): HeartbeatGrants {
   const granted = ranges.map(({from, to, fence}) => ({from, to, fence}));
   const released = grants.released.filter(
@@ -203,7 +212,7 @@
     granted,
     grantedSequence: sequence,
     arrivedAt,
-    open: [...grants.open, {sequence, ranges: granted, openUntil}],
+    open: [...grants.open, {sequence, ranges: granted, ...times}],
   };
 }
 
--- a/src/ranges/map.ts
+++ b/src/ranges/map.ts
@@ -72,6 +72,24 @@
   return a.from <= b.to && b.from <= a.to;
 }
 
+/**
+ * Takes the keys of a range out of other ranges, which may be split by that.
+ *
+ * @example
+ * subtract([{from: 0, to: 9}], {from: 3, to: 4}); // 0 to 2 and 5 to 9
+ */
+export function subtract<T extends KeyRange>(
+  ranges: readonly T[],
+  hole: KeyRange,
+): readonly T[] {
+  return ranges.flatMap(range => {
+    if (!overlaps(range, hole)) return [range];
+    const below = {...range, to: hole.from - 1};
+    const above = {...range, from: hole.to + 1};
+    return [below, above].filter(({from, to}) => from <= to);
+  });
+}
+
 /**
  * Returns whether a range contains all of another range.
  *
--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -13,6 +13,7 @@
   release,
   isSameIncarnation,
   dropRecordedReleases,
+  type AnswerTimes,
   type HeartbeatGrants,
   type HeldRange,
   type HoldReport,
@@ -43,12 +44,6 @@
  */
 const RESPONSE_LIMIT_MS = 1000;
 
-/**
- * Time after the arrival of a heartbeat within which heartbeats may arrive that
- * were sent before its response was read, in milliseconds.
- */
-const OPEN_ANSWER_MS = leaseBoundMs(RESPONSE_LIMIT_MS) + MAX_TRANSIT_MS;
-
 /**
  * Creates a delivery that grants keys in the responses to heartbeats. Keys are
  * granted only after a read of the map that began after the heartbeat arrived,
@@ -63,8 +58,12 @@
   context: DeliveryContext,
 ): GrantDelivery {
   const {clock, wallClock, leaseMs, recipient} = context;
-  const earlierOpenUntil = clock() + OPEN_ANSWER_MS;
-  let grants: HeartbeatGrants = startGrants(earlierOpenUntil);
+  const timesOf = (arrivedAt: number): AnswerTimes => ({
+    readableUntil: arrivedAt + leaseBoundMs(RESPONSE_LIMIT_MS),
+    leasedUntil: arrivedAt + leaseBoundMs(leaseMs),
+  });
+  const timesOfPredecessor = timesOf(clock());
+  let grants: HeartbeatGrants = startGrants(timesOfPredecessor);
   /**
    * Newly granted ranges that the instance may not have read yet, until
    * `unreadUntil`.
@@ -118,13 +117,7 @@
     unreadRanges = newlyGranted(grants.granted, rows);
     unreadUntil = clock() + GRANT_READ_DELAY_MS;
     grants = dropRecordedReleases(
-      recordGrants(
-        grants,
-        sequence,
-        rows,
-        arrivedAt,
-        arrivedAt + OPEN_ANSWER_MS,
-      ),
+      recordGrants(grants, sequence, rows, arrivedAt, timesOf(arrivedAt)),
       map,
     );
     context.onChange();
@@ -232,7 +225,7 @@
 
   return {
     reset: () => {
-      grants = startGrants(earlierOpenUntil);
+      grants = startGrants(timesOfPredecessor);
       latestReport = undefined;
     },
     resume: () => {},
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -18,6 +18,7 @@
   type HoldReport,
   type Incarnation,
   type RangeTerm,
+  type ReadAnswer,
 } from '../ranges/index.js';
 import {
   formatAddress,
@@ -180,6 +181,9 @@
  */
 const RESTORED_HEARTBEATS = 2;
 
+/** Answers to heartbeats of which the instance may show that it has read them. */
+const MAX_KNOWN_ANSWERS = 16;
+
 /** Fraction of the drain time in which a leaving instance accepts requests. */
 const OPEN_DRAIN_FRACTION = 0.4;
 
@@ -219,6 +223,8 @@
   let isInstanceSilent = false;
   let isStopping = false;
   let restoredUntil = -Infinity;
+  /** Last answers to heartbeats of the current life, the latest first. */
+  let answers: readonly ReadAnswer[] = [];
   /** Heartbeats of lives that started earlier than a known one, by the clock. */
   let claims: readonly Claim[] = [];
   /** What this process knows of lives before the current one. */
@@ -462,7 +468,10 @@
     isInstanceSilent = false;
     claims = claims.filter(({life}) => isSameIncarnation(life, own));
     const isDepartureAnnounced = applyHeartbeat(beat, own, arrivedAt);
-    if (isNew) delivery.reset();
+    if (isNew) {
+      delivery.reset();
+      answers = [];
+    }
     const {sequence, holds, freed, readSequence} = beat;
     const report: HoldReport = {
       incarnation: own,
@@ -470,7 +479,7 @@
       holds,
       freed,
       arrivedAt,
-      readSequence,
+      read: answers.find(answer => answer.sequence === readSequence),
     };
     delivery.recordReport(report);
     if (isNew || isDepartureAnnounced) {
@@ -479,7 +488,12 @@
       written.catch(error => logFailure(error));
     }
     if (!context.isKeyed(beat.service)) return {holdMs: leaseMs};
-    return delivery.answerHeartbeat(beat, report);
+    const answer = await delivery.answerHeartbeat(beat, report);
+    if (isSameIncarnation(incarnation(), own)) {
+      const sent = {sequence, sentAfter: clock()};
+      answers = [sent, ...answers].slice(0, MAX_KNOWN_ANSWERS);
+    }
+    return answer;
   };
 
   const logFailure = (error: unknown) =>
