Wait for earlier calls also to a life that is not the registered one

Cause: a restarted daemon waits for such calls only from resume(), which returned without it if the life that had already sent a heartbeat is not the registered one, as after a registration that could not be written.

The grants are resumed for any life now. The wait is the same lease as after each restart. A store without any registration of the daemon is still not covered.

--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -570,12 +570,8 @@
 
   const resume = () => {
     const known = registration.recorded();
-    if (
-      !known ||
-      known.service !== context.service ||
-      (instance && !isSameIncarnation(incarnation(), incarnationOf(known)))
-    )
-      return;
+    if (!known || known.service !== context.service) return;
+    // The process before may have called a life that it could not register.
     if (instance) {
       delivery.resume();
       return;
--- a/test/sidecar/succession.test.ts
+++ b/test/sidecar/succession.test.ts
@@ -400,3 +400,32 @@
   t.is(findLater(CLAIMANT, known)?.order, 9001);
   t.is(findLater({...LATER, order: 9001}, known), undefined);
 });
+
+/** Starts a daemon whose instance answers each call to release keys at once. */
+function startReleasing(store: HeldStore): DaemonProcess {
+  const statement = EMPTY_STATEMENT;
+  const calls: InstanceCalls = {
+    grant: () => new Promise(() => {}),
+    release: async () => ({kind: 'released', handover: 'token', statement}),
+  };
+  return startDaemon(store, {
+    createDelivery: context => createCallDelivery(context, calls),
+  });
+}
+
+test('a restarted daemon waits for the calls to a life that its registration lacks', async t => {
+  const store = storeHeldBy(LATER);
+  const before = startReleasing(store);
+  before.observeStore();
+  await before.manager.handleHeartbeat(heartbeatOf(lifeOf(3000), 1));
+  t.is(store.member()?.id, 'i-3000');
+  store.refuseWrites(MEMBER_KEY);
+  store.changeMap(map => startMoves(map, [{...ALL_KEYS, holder: OTHER_LIFE}]));
+  const restarted = startReleasing(store);
+  await restarted.manager.handleHeartbeat(heartbeatOf(LATER, 2));
+  restarted.observeStore();
+  restarted.manager.resume();
+  restarted.manager.reconcile();
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.is(store.termAt(0).holder.id, LATER.id);
+});
