State three orders in which a heartbeat is taken for a proof of release

The first and the second may give keys two holders: a heartbeat that was sent before an answer was read and is handled over a second later, and two late heartbeats of an ended life whose clock was ahead. The third costs the handover token of a part.

--- a/test/sidecar/heartbeatdelivery.test.ts
+++ b/test/sidecar/heartbeatdelivery.test.ts
@@ -165,6 +165,39 @@
   });
 }
 
+// A heartbeat that was sent before the answer was read may arrive at any time:
+// it was held up, or the daemon stood still while it waited at its socket.
+test('a heartbeat that arrives late does not show that an answer has been read', async t => {
+  const fixture = createFixture();
+  await grantAndWithdraw(fixture);
+  fixture.advance(1500);
+  void fixture.receive(9, {});
+  await t.throwsAsync(fixture.nextCall('put'));
+});
+
+// An answer to a later heartbeat shows nothing of one on another connection.
+test('an answer stays open when another one has been read', async t => {
+  const fixture = createFixture();
+  await grantAndWithdraw(fixture);
+  void fixture.receive(9, {readSequence: 8});
+  await t.throwsAsync(fixture.nextCall('put'));
+});
+
+test('a release of a part keeps its token when another part is held again', async t => {
+  const low = {from: 0, to: 99};
+  const high = {from: 100, to: 199};
+  const fixture = createFixture();
+  const {advance, receive, nextCall} = fixture;
+  await grantAndWithdraw(fixture);
+  void receive(9, {freed: [{...low, to: 199, handover: 'token'}]});
+  advance(100);
+  void receive(10, {holds: [{...high, fence: 1}]});
+  advance(5000);
+  void receive(11, {});
+  const {terms} = JSON.parse((await nextCall('put')).value ?? '') as RangeMap;
+  t.is(terms[0].handover, 'token');
+});
+
 test('keys are released at once if the instance has read the answer that granted them', async t => {
   const fixture = createFixture();
   await grantAndWithdraw(fixture, 7);
--- a/test/sidecar/succession.test.ts
+++ b/test/sidecar/succession.test.ts
@@ -429,3 +429,23 @@
   await new Promise(resolve => setTimeout(resolve, 50));
   t.is(store.termAt(0).holder.id, LATER.id);
 });
+
+test('two late heartbeats of an ended life whose clock was ahead release no keys of the one that runs', async t => {
+  const store = storeHeldBy(LATER);
+  const daemon = startDaemon(store);
+  daemon.observeStore();
+  daemon.manager.resume();
+  daemon.advance(20_000);
+  const running = await daemon.manager.handleHeartbeat(heartbeatOf(LATER, 1));
+  t.is(running?.grants?.length, 1);
+  daemon.advance(500);
+  store.changeMap(map => startMoves(map, [{...ALL_KEYS, holder: OTHER_LIFE}]));
+  for (const sequence of [5, 6]) {
+    daemon.observeStore();
+    daemon.advance(50);
+    await daemon.manager.handleHeartbeat(heartbeatOf(EARLIER, sequence));
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+  // The lease of the one that runs ends more than four seconds later.
+  t.not(store.termAt(0).holder.id, OTHER_LIFE.id);
+});
