Forget refusals from before a run that failed

Cause: the daemon of the caller leaves out those that refused the request. The wait for an instance, after which refusals are forgotten, was over.

Change: refusals from before an attempt that failed with an unknown outcome are forgotten, as the attempt may have lasted long. Attempts, retry budget and deadline bound the repeats as before.

Evidence: 'a request that a shutdown interrupts runs at an instance whose daemon refused it before its restart' (test/sidecar/stop.test.ts) got 502 in place of 200 before.

--- a/src/relay/ingress.ts
+++ b/src/relay/ingress.ts
@@ -285,6 +285,8 @@
     const ends = context.quarantine.endCount(contentOfRouted(routed));
     if (ends >= MAX_REPEATED_ENDS) return false;
     if (context.isKeyed(service)) routed.sentTo.clear();
+    // Refusals from before the failed attempt may be outdated.
+    routed.refusedBy.clear();
     return context.retryAllowed(service, canCallerRetry);
   }
   if (FINAL_REASONS.has(failure.reason)) {
--- a/test/sidecar/stop.test.ts
+++ b/test/sidecar/stop.test.ts
@@ -43,10 +43,12 @@
 async function startFleetWithLongTimeouts(
   services: readonly string[],
   graceS: number,
+  repetition = 'non_idempotent',
 ) {
   const fleet = await startFleet(services, {graceS});
   const changed = configuration(2) as {routes: {rows: unknown[][]}};
   const [, book] = changed.routes.rows;
+  book[3] = repetition;
   [book[4], book[5]] = [CALLER_TIMEOUT_MS / 1000, CALLER_TIMEOUT_MS / 2000];
   fleet.store.write('config', 'main', changed);
   const isInForce = ({events}: Pair) =>
@@ -354,6 +356,31 @@
   await stopped;
 });
 
+test('a request that a shutdown interrupts runs at an instance whose daemon refused it before its restart', async t => {
+  const services = ['desk', 'desk', 'stock'];
+  const fleet = await startFleetWithLongTimeouts(services, 4, 'idempotent');
+  t.teardown(fleet.close);
+  const [near, far, sender] = fleet.pairs;
+  const held = holdResponses([near]);
+  t.teardown(held.release);
+  const isHeld = () => held.count() > 0;
+  const first = await sendUntilRun(near, HELD, isHeld);
+  let hasBegun = false;
+  far.instance.replaceAnswer = () => (hasBegun = true);
+  const restarted = near.restart();
+  await sleep(1000);
+  const stopped = far.sidecar.shutDown();
+  await sleep(1200);
+  const interrupted = sendTestRequest(sender.callers, 'again');
+  await waitUntil(() => hasBegun);
+  held.release();
+  const {status, error} = await interrupted;
+  t.is(error, undefined);
+  t.is(status, 200);
+  t.is((await first.result).status, 200);
+  await Promise.all([restarted, stopped]);
+});
+
 test('a look-up with little time is served until shortly before the end of a stop', async t => {
   const {pair, hold, release} = await startHoldingPair(t, ['desk', 'desk'], 6);
   const [first] = await hold(1);
