Keep releases from quarantine that a restored store has undone

What callers saw: a request that had been released, by an answer in a trial or by an operator, was refused again by all daemons after the store came back from a copy of before the release. Cause: the copy's entry was taken as a newer one; the release was known, but nobody compared. A quarantine whose whole object the copy lacked was never written again, as the view kept it as stored. Change: a known release stays in force unless the entry has new evidence, and is written again after the usual delay for writes that any daemon may make. A listing without the object says that nothing is stored.

--- a/src/fleet/view.ts
+++ b/src/fleet/view.ts
@@ -1,4 +1,8 @@
-import {parseQuarantine, type StoredQuarantine} from '../quarantine/index.js';
+import {
+  parseQuarantine,
+  withReleases,
+  type StoredQuarantine,
+} from '../quarantine/index.js';
 import {
   EMPTY_MAP,
   isOutdated,
@@ -182,7 +186,13 @@
   const stored = value === undefined ? NO_REQUESTS : parseQuarantine(value);
   if ('problem' in stored) return {view, problem: stored.problem};
   const quarantines = new Map(view.quarantines);
-  quarantines.set(service, {value: stored, version});
+  const inForce = withReleases(stored, known?.value ?? NO_REQUESTS);
+  quarantines.set(
+    service,
+    inForce === stored
+      ? {value: stored, version}
+      : {value: inForce, version, isUndone: true},
+  );
   return {view: {...view, quarantines}};
 }
 
@@ -190,7 +200,8 @@
 
 /**
  * Applies a complete listing of the fleet objects. Members without an object in
- * it are removed; maps that the store has lost stay known.
+ * it are removed; maps that the store has lost stay known, and requests that it has
+ * lost are not in quarantine there.
  *
  * @example
  * applyListing(view, await store.list(FLEET_PREFIX));
@@ -205,8 +216,11 @@
   );
   let next: FleetView = {...view, members: new Map(kept)};
   const lost = versionOf(eraOf(revision), 0);
-  for (const service of view.maps.keys()) {
-    const key = rangesKey(service);
+  const known = [
+    ...[...view.maps.keys()].map(rangesKey),
+    ...[...view.quarantines.keys()].map(quarantineKey),
+  ];
+  for (const key of known) {
     if (!listed.has(key)) next = applyChange(next, {key, version: lost}).view;
   }
   const problems: string[] = [];
--- a/src/quarantine/stored.ts
+++ b/src/quarantine/stored.ts
@@ -87,3 +87,42 @@
   const kept = others.filter(other => !dropped.has(other));
   return {requests: [...kept, request]};
 }
+
+/**
+ * Returns whether a request was released on the evidence against it.
+ *
+ * @example
+ * hasRelease(stored, request);
+ */
+export function hasRelease(
+  {requests}: StoredQuarantine,
+  {fingerprint, lives}: Pick<StoredRequest, 'fingerprint' | 'lives'>,
+): boolean {
+  const known = requests.find(request => request.fingerprint === fingerprint);
+  return (
+    known?.isReleased === true &&
+    lives.every(life => known.lives.includes(life))
+  );
+}
+
+/**
+ * Returns the stored requests with the releases that are known, for a store that has
+ * come back from a copy of before them.
+ *
+ * @returns the same object if it lacks none.
+ *
+ * @example
+ * const inForce = withReleases(stored, known);
+ */
+export function withReleases(
+  stored: StoredQuarantine,
+  known: StoredQuarantine,
+): StoredQuarantine {
+  const inForce = stored.requests.map(request => {
+    if (request.isReleased || !hasRelease(known, request)) return request;
+    const {fingerprint} = request;
+    return known.requests.find(r => r.fingerprint === fingerprint) ?? request;
+  });
+  const isSame = inForce.every((request, i) => request === stored.requests[i]);
+  return isSame ? stored : {requests: inForce};
+}
--- a/src/sidecar/quarantinestore.ts
+++ b/src/sidecar/quarantinestore.ts
@@ -1,6 +1,8 @@
-import {quarantineKey, type FleetView} from '../fleet/index.js';
+import {quarantineKey, type FleetView, type Versioned} from '../fleet/index.js';
 import {
+  hasRelease,
   parseQuarantine,
+  withReleases,
   withRequest,
   type Quarantine,
   type StoredQuarantine,
@@ -91,7 +93,10 @@
   context: QuarantineStoreContext,
 ): QuarantineStore {
   const {clock, view} = context;
-  /** Time from which this daemon writes an entry, by fingerprint. */
+  /**
+   * Time from which this daemon writes an entry, by fingerprint, or what the store
+   * has undone, by key.
+   */
   const writeFrom = new Map<string, number>();
   /** Services of requests that were released here, by fingerprint. */
   const released = new Map<string, string>();
@@ -118,24 +123,43 @@
     );
   };
 
-  /** Makes an entry true in the store; returns whether it is. */
+  /** Writes the releases of a service that the store has undone. */
+  const writeReleases = async (
+    key: string,
+    known: Versioned<StoredQuarantine>,
+  ) => {
+    await writeFromView(
+      context,
+      key,
+      known,
+      'releases',
+      current => {
+        const stored = current ? parseQuarantine(current.value) : EMPTY;
+        if ('problem' in stored) return undefined;
+        const inForce = withReleases(stored, known.value);
+        return inForce === stored ? undefined : JSON.stringify(inForce);
+      },
+      () => false,
+    );
+  };
+
+  /** Makes something true in the store; returns whether it is. */
   const settle = async (
-    service: string,
-    fingerprint: string,
+    id: string,
     isStored: boolean,
-    entry: () => StoredRequest,
+    store: () => Promise<void>,
   ): Promise<boolean> => {
-    const from = writeFrom.get(fingerprint);
+    const from = writeFrom.get(id);
     const step = planWrite(isStored, from, clock());
     if (step === 'done') {
-      writeFrom.delete(fingerprint);
+      writeFrom.delete(id);
       return true;
     }
     if (step === 'write' || from === undefined) {
       const delayMs = storeDelayMs(view().members.size, Math.random());
-      writeFrom.set(fingerprint, clock() + delayMs);
+      writeFrom.set(id, clock() + delayMs);
     }
-    if (step === 'write') await write(service, entry());
+    if (step === 'write') await store();
     return false;
   };
 
@@ -180,38 +204,30 @@
       for (const {fingerprint, service, address, lives} of quarantined) {
         const known = find(service, fingerprint);
         const isStored = known?.isReleased === false;
-        await settle(service, fingerprint, isStored, () => {
+        await settle(fingerprint, isStored, () => {
           const since = Date.now();
-          return {fingerprint, address, lives, since, isReleased: false};
+          const entry = {fingerprint, address, lives, since, isReleased: false};
+          return write(service, entry);
         });
       }
       for (const [fingerprint, service] of released) {
         const known = find(service, fingerprint);
         const isStored = known === undefined || known.isReleased;
-        const isSettled = await settle(service, fingerprint, isStored, () => ({
-          ...(known as StoredRequest),
-          isReleased: true,
-        }));
+        const isSettled = await settle(fingerprint, isStored, () =>
+          write(service, {...(known as StoredRequest), isReleased: true}),
+        );
         if (isSettled) released.delete(fingerprint);
       }
+      for (const [service, known] of view().quarantines) {
+        const key = quarantineKey(service);
+        await settle(key, !known.isUndone, () => writeReleases(key, known));
+      }
     },
   };
 }
 
 const EMPTY: StoredQuarantine = {requests: []};
 
-/** Returns whether a request was released on the evidence against it. */
-function hasRelease(
-  {requests}: StoredQuarantine,
-  {fingerprint, lives}: Pick<StoredRequest, 'fingerprint' | 'lives'>,
-): boolean {
-  const known = requests.find(request => request.fingerprint === fingerprint);
-  return (
-    known?.isReleased === true &&
-    lives.every(life => known.lives.includes(life))
-  );
-}
-
 function containsRequest(
   text: string,
   {fingerprint, isReleased}: StoredRequest,
--- a/test/fleet/view.test.ts
+++ b/test/fleet/view.test.ts
@@ -3,10 +3,13 @@
   EMPTY_VIEW,
   applyChange,
   applyKnownMember,
+  applyListing,
   memberKey,
   membersOf,
+  quarantineKey,
   type FleetView,
 } from '../../src/fleet/index.js';
+import {versionOf} from '../../src/store/index.js';
 
 function register(
   view: FleetView,
@@ -67,3 +70,43 @@
   t.is(applyKnownMember(view, {...left, born: 0}), view);
   t.is(applyKnownMember(view, {...left, node: B}), view);
 });
+
+const REQUEST = {
+  fingerprint: 'f',
+  address: 'GET a / ',
+  lives: ['i-1@1'],
+  since: 1,
+};
+
+function quarantine(view: FleetView, requests: unknown, version: number) {
+  const value = JSON.stringify({requests});
+  return applyChange(view, {key: quarantineKey('desk'), value, version}).view;
+}
+
+// Guards against a released request that is quarantined again by a copy of the store.
+test('a release from quarantine stays in force unless there is new evidence', t => {
+  const released = {...REQUEST, isReleased: true};
+  const held = {...REQUEST, isReleased: false};
+  const renewed = {...held, lives: ['i-1@1', 'i-2@2']};
+  const view = quarantine(EMPTY_VIEW, [released], versionOf(1, 9));
+  const copy = quarantine(view, [held], versionOf(2, 5));
+  t.deepEqual(copy.quarantines.get('desk'), {
+    value: {requests: [released]},
+    version: versionOf(2, 5),
+    isUndone: true,
+  });
+  const later = quarantine(copy, [renewed], versionOf(2, 6));
+  t.deepEqual(later.quarantines.get('desk'), {
+    value: {requests: [renewed]},
+    version: versionOf(2, 6),
+  });
+});
+
+// Guards against a quarantine that no daemon writes again, as it seems to be stored.
+test('quarantined requests that a listing lacks are not stored any more', t => {
+  const held = {...REQUEST, isReleased: false};
+  const view = quarantine(EMPTY_VIEW, [held], versionOf(1, 9));
+  const listing = {revision: versionOf(2, 5), objects: []};
+  const {view: next} = applyListing(view, listing);
+  t.deepEqual(next.quarantines.get('desk')?.value.requests, []);
+});
--- a/test/sidecar/quarantinestore.test.ts
+++ b/test/sidecar/quarantinestore.test.ts
@@ -9,6 +9,7 @@
 import {
   NO_SUSPECTS,
   createQuarantine,
+  parseQuarantine,
   quarantinedOf,
   recordInstanceEnd,
   type InstanceEnd,
@@ -19,7 +20,13 @@
   planWrite,
   storeDelayMs,
 } from '../../src/sidecar/quarantinestore.js';
-import {UnavailableError, type ObjectStore} from '../../src/store/index.js';
+import {
+  UnavailableError,
+  revisionOf,
+  versionOf,
+  type ObjectStore,
+  type StoredObject,
+} from '../../src/store/index.js';
 
 test('an entry is written once this daemon has to, and until the store has it', t => {
   t.is(planWrite(true, 0, 10), 'done');
@@ -60,16 +67,24 @@
     ),
   };
   let version = 1;
+  let object: StoredObject | undefined;
   const put: ObjectStore['put'] = async (key, value, expected) => {
     calls += 1;
     if (isAway) throw new UnavailableError('away');
-    const current = view.quarantines.get('desk')?.version ?? 0;
-    if (current !== expected) return {kind: 'conflict'};
+    if ((object?.version ?? 0) !== expected) {
+      return {kind: 'conflict', current: object};
+    }
     version += 1;
-    view = applyChange(view, {key, value, version}).view;
+    object = {key, value, version};
+    view = applyChange(view, object).view;
     return {kind: 'stored', version};
   };
-  const store = {put, get: async () => undefined} as unknown as ObjectStore;
+  const get: ObjectStore['get'] = async () => {
+    calls += 1;
+    if (isAway) throw new UnavailableError('away');
+    return object;
+  };
+  const store = {put, get} as unknown as ObjectStore;
   const daemons = Array.from({length: count}, () =>
     createQuarantineStore({
       clock: () => now,
@@ -90,8 +105,21 @@
     view: () => view,
     calls: () => calls,
     setAway: (away: boolean) => (isAway = away),
-    losesAll: () => (view = {...view, quarantines: new Map()}),
-    stored: () => view.quarantines.get('desk')?.value.requests ?? [],
+    losesAll: () => {
+      object = undefined;
+      view = {...view, quarantines: new Map()};
+    },
+    object: () => object,
+    /** The store comes back from a copy, which all daemons see at once. */
+    restore: (copy: StoredObject) => {
+      version = versionOf(2, revisionOf(copy.version));
+      object = {...copy, version};
+      view = applyChange(view, object).view;
+    },
+    stored: () => {
+      const stored = parseQuarantine(object?.value ?? '{"requests": []}');
+      return 'problem' in stored ? [] : stored.requests;
+    },
   };
 }
 
@@ -174,3 +202,42 @@
   await daemon.tick([SUSPECT]);
   t.deepEqual(written, []);
 });
+
+// Guards against a released request that all daemons refuse again.
+for (const size of [9, 80, 1200]) {
+  test(`a release that the store has undone stays in force among ${size}, and is written again`, async t => {
+    const fleet = createFleet(size);
+    fleet.daemons[0].own(['f']);
+    await fleet.tick(1000, [SUSPECT]);
+    const copy = fleet.object();
+    if (!copy) throw new Error('the quarantine is not stored');
+    const other = createQuarantine({
+      clock: () => 0,
+      tellOthers: () => {},
+      tellOthersLater: () => {},
+      onReleased: () => {},
+      log: () => {},
+    });
+    fleet.daemons[1].applyView(fleet.view(), other);
+    fleet.daemons[0].recordRelease(SUSPECT, true);
+    await fleet.tick(1000, []);
+    fleet.daemons[1].applyView(fleet.view(), other);
+    t.deepEqual(other.quarantined(), []);
+    const callsBefore = fleet.calls();
+    fleet.restore(copy);
+    t.deepEqual(
+      fleet.stored().map(({isReleased}) => isReleased),
+      [false],
+    );
+    fleet.daemons[1].applyView(fleet.view(), other);
+    t.deepEqual(other.quarantined(), []);
+    await fleet.tick(20_000, []);
+    t.deepEqual(
+      fleet.stored().map(({isReleased}) => isReleased),
+      [true],
+    );
+    const calls = fleet.calls() - callsBefore;
+    t.log(`${calls} calls`);
+    t.true(calls <= 10, `${calls} calls`);
+  });
+}
