Serve reported keys at a restarted daemon while their map recovers

What callers saw: after a drill with a daemon restarted, its instance's keys were refused for up to 6.9 s (five-second leases), though the instance ran, held them and reported so. Cause: the new process has no lease of its own, so it may renew nothing until the recovery ends, and it relied on the grants of the process before for two heartbeat intervals only, or not at all if a heartbeat came before the listing. Change: while the map recovers, for at most a lease after the start, keys that the map gives to the instance and that it reports are sent to it. No lease is renewed by that; the instance checks whether it still holds them.

The new test of instancemanager failed before.

--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -6,6 +6,7 @@
   type MemberState,
 } from '../fleet/index.js';
 import {
+  contains,
   expire,
   isGrantable,
   isHeldByPredecessor,
@@ -15,6 +16,7 @@
   orderOf,
   takeOver,
   findTerm,
+  type HeldRange,
   type HoldReport,
   type Incarnation,
   type RangeTerm,
@@ -135,7 +137,8 @@
    * unless another incarnation is already known. If it was ready, it is sent
    * requests before its first heartbeat. Until this process grants keys, but
    * for two heartbeat intervals at most, it is taken to hold the keys that the
-   * map assigns to it; the instance itself checks whether it still holds them.
+   * map assigns to it, and while the map recovers for a lease at most; the instance
+   * itself checks whether it still holds them.
    * Withdraws the shutdown that the earlier process announced.
    */
   readonly resume: () => void;
@@ -168,6 +171,8 @@
   readonly lastHeardAt: number;
   /** Sequence number of its last heartbeat; -1 before the first. */
   readonly sequence: number;
+  /** Ranges in its last heartbeat; none if it does not report them. */
+  readonly reported: readonly HeldRange[];
   /** State in its last heartbeat. */
   readonly reportedState?: Heartbeat['state'];
 }
@@ -343,6 +348,7 @@
       address,
       lastHeardAt: arrivedAt,
       sequence,
+      reported: beat.holds,
       reportedState: beat.state,
     };
     const {state = 'ready', closesAt = Infinity} = known ?? {};
@@ -603,6 +609,7 @@
       closesAt,
       lastHeardAt,
       sequence: -1,
+      reported: [],
     };
     context.onInstanceStart(slots);
     delivery.resume();
@@ -624,6 +631,19 @@
     );
   };
 
+  /**
+   * Returns whether the instance may hold a key by a grant of an earlier process,
+   * which this one cannot renew while the map recovers. The instance itself
+   * checks whether it still does.
+   */
+  const mayHoldInRecovery = (key: number) => {
+    if (!instance || clock() >= startedAt + context.leaseMs) return false;
+    const known = context.view().maps.get(instance.service);
+    if (!known?.isUndone && !known?.value.isRecovering) return false;
+    const {reported} = instance;
+    return reported.length === 0 || reported.some(row => contains(row, key));
+  };
+
   return {
     resume,
     handleHeartbeat,
@@ -639,7 +659,9 @@
       return {id, born, service, address, slots, isClosed: closed};
     },
     holds: key =>
-      delivery.holds(key) ?? (clock() <= restoredUntil && isHeldByMap(key)),
+      delivery.holds(key) ??
+      ((clock() <= restoredUntil || mayHoldInRecovery(key)) &&
+        isHeldByMap(key)),
     recordNotHeld: delivery.recordNotHeld,
     mayBeGranted: key => {
       const own = incarnation();
--- a/test/sidecar/contexts.ts
+++ b/test/sidecar/contexts.ts
@@ -11,7 +11,8 @@
   'store' | 'view' | 'observeChange' | 'clock'
 >;
 
-const LEASE_MS = 5000;
+/** Lease of the keys in these contexts, in milliseconds. */
+export const LEASE_MS = 5000;
 
 /**
  * Creates the context of an instance manager in virtual time whose daemon has no
--- a/test/sidecar/instancemanager.test.ts
+++ b/test/sidecar/instancemanager.test.ts
@@ -23,7 +23,7 @@
   type InstanceManagerContext,
 } from '../../src/sidecar/index.js';
 import type {ObjectStore} from '../../src/store/index.js';
-import {createManagerContext} from './contexts.js';
+import {LEASE_MS, createManagerContext} from './contexts.js';
 
 const HEARTBEAT_MS = 800;
 const NODE = '10.1.0.8:7620';
@@ -301,3 +301,23 @@
   t.true(manager.local()?.isClosed);
   t.deepEqual(written, []);
 });
+
+// Guards against keys that are not served though their holder runs, after its daemon
+// was restarted while the store came back from a copy.
+test('reported keys of an instance are served by a restarted daemon while their map recovers', async t => {
+  const recovering: RangeMap = {...HELD, era: 2, isRecovering: true};
+  const [KEPT, GONE] = [10, 60_000];
+  for (const map of [recovering, HELD]) {
+    const {manager, advance} = await createManager(STORE, undefined, [
+      storedMap(map, 7),
+    ]);
+    advance(3 * HEARTBEAT_MS);
+    const [{fence}] = map.terms;
+    const holds = [{from: 0, to: 999, fence}];
+    await manager.handleHeartbeat({...HEARTBEAT, sequence: 2, holds});
+    t.is(manager.holds(KEPT), map === recovering);
+    t.false(manager.holds(GONE));
+    advance(LEASE_MS);
+    t.false(manager.holds(KEPT));
+  }
+});
