A release by call waits while the map is in recovery

Once the map was in recovery after the store came back from a copy, a daemon whose instance had left, or whose keys were revoked, did nothing else any more: no heartbeat, request or probe was answered until it was killed.

Cause: a map in recovery records no release, so the change wrote nothing, and the unchanged map counted as a recorded release. The delivery started the same release again at once. While the lease lasted, it called the instance without a pause; after it, no step waited for anything, and the event loop stood still.

Change: a release counts as recorded once the map does not require it any more. Until then the change is tried again after the usual delay, and a confirmed release keeps its handover.

--- a/src/sidecar/calldelivery.ts
+++ b/src/sidecar/calldelivery.ts
@@ -226,8 +226,7 @@
   const releaseRange = async (to: Recipient, term: RangeTerm) => {
     const {service, incarnation} = to;
     const expiresAt = Math.max(confirmedAt, startedAt) + leaseBoundMs(leaseMs);
-    const isReleaseDue = () => {
-      const map = context.view().maps.get(service)?.value;
+    const isReleaseDue = (map = context.view().maps.get(service)?.value) => {
       const wanted =
         map && isCurrent(to) ? termsDueForRelease(to, map.terms) : [];
       return wanted.some(other => overlaps(other, term));
@@ -258,7 +257,8 @@
       const map = await changeMap(context, service, 'release', m =>
         release(m, incarnation, [released]),
       );
-      if (map) break;
+      // A map in recovery does not record releases yet.
+      if (map && !isReleaseDue(map.value)) break;
       await context.sleep(RETRY_DELAY_MS);
     }
   };
