Plays of lives: a frozen machine is lost to the others

A frozen machine counted as out since its thaw, a time to come, so that the others took it for alive however long it stood still, and never revoked its keys. It is out since it froze now.

--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -176,6 +176,7 @@
 export interface Machine {
   readonly index: number;
   readonly node: string;
+  frozenFrom: number;
   frozenUntil: number;
   thawedAt: number;
   /** Time for which its monotonic clock stood still. */
@@ -476,6 +477,7 @@
     (_, index) => ({
       index,
       node: `10.1.0.${index}:7620`,
+      frozenFrom: -Infinity,
       frozenUntil: -Infinity,
       thawedAt: -Infinity,
       suspendedMs: 0,
@@ -494,7 +496,7 @@
   const machineOf = (node: string) => machines.find(m => m.node === node);
 
   const outSince = (machine: Machine): number | undefined => {
-    if (now < machine.frozenUntil) return machine.thawedAt;
+    if (now < machine.frozenUntil) return machine.frozenFrom;
     if (now < machine.cutUntil) return machine.cutFrom;
     return machine.daemon?.isAlive ? undefined : machine.downSince;
   };
@@ -1018,6 +1020,7 @@
 
   const freeze = (machine: Machine, ms: number, suspends: boolean) => {
     trace(`machine ${machine.index} freezes for ${ms} ms`);
+    machine.frozenFrom = now;
     machine.frozenUntil = now + ms;
     machine.thawedAt = now + ms;
     if (!suspends) return;
