A map that was read before the machine was suspended grants no keys by call

Cause: the lease was counted from the start of the read by the monotonic clock, which stands still while the machine is suspended. A read in progress then granted almost a whole lease after the thaw, when the others had waited for the end of the lease and taken the keys.

Change: the age of a read is the larger one by the monotonic clock and by the time of day, as with grants by heartbeat.

--- a/src/sidecar/calldelivery.ts
+++ b/src/sidecar/calldelivery.ts
@@ -109,6 +109,13 @@
 /** Shortest interval between two reports of keys not held that are acted on. */
 const DENIAL_INTERVAL_MS = 300;
 
+/** Time at which a read of the map began. */
+interface ReadStart {
+  readonly at: number;
+  /** The same by the time of day, in Unix milliseconds. */
+  readonly wallAt: number;
+}
+
 /**
  * Creates a delivery that grants keys by calls to the instance. A range is
  * granted only after a read of the map, and for a lease that ends a bounded
@@ -125,7 +132,7 @@
   context: DeliveryContext,
   calls: InstanceCalls,
 ): GrantDelivery {
-  const {clock, leaseMs, recipient, log} = context;
+  const {clock, wallClock, leaseMs, recipient, log} = context;
   const startedAt = clock();
   const renewalLeftMs = (leaseMs - GRANT_TIMEOUT_MS) * (1 - RENEWAL_FRACTION);
   let ledger: CallGrants = NO_CALL_GRANTS;
@@ -153,16 +160,24 @@
   const isReleasing = (range: KeyRange) =>
     [...rangesInRelease].some(other => overlaps(other, range));
 
+  /** Returns the time since a read began, even if the machine was suspended. */
+  const ageOf = ({at, wallAt}: ReadStart) =>
+    Math.max(clock() - at, wallClock() - wallAt);
+
   const isCurrent = ({incarnation}: Recipient) =>
     isSameIncarnation(recipient()?.incarnation, incarnation);
 
-  const grantRange = async (to: Recipient, term: RangeTerm, readAt: number) => {
+  const grantRange = async (
+    to: Recipient,
+    term: RangeTerm,
+    read: ReadStart,
+  ) => {
     const sentAt = clock();
-    const leftMs = readAt + leaseMs - sentAt - GRANT_TIMEOUT_MS;
+    const leftMs = leaseMs - ageOf(read) - GRANT_TIMEOUT_MS;
     if (leftMs < MIN_LEASE_MS || isReleasing(term)) return;
     const number = ++lastCallNumber;
     const range = rangeOf(term);
-    const endsAt = readAt + leaseBoundMs(leaseMs);
+    const endsAt = read.at + leaseBoundMs(leaseMs);
     ledger = recordCall(ledger, {...range, number, endsAt});
     const {kind, message, statement} = await calls.grant(
       to,
@@ -200,20 +215,20 @@
 
   /** @param leftMs Leases with at least this much time left are not renewed. */
   const renewGrants = async (to: Recipient, leftMs: number) => {
-    const readAt = clock();
-    readingSince = readAt;
+    const start: ReadStart = {at: clock(), wallAt: wallClock()};
+    readingSince = start.at;
     const read = await readGrantableKeys(context, to, leasedRanges);
     readingSince = -Infinity;
     if (!read || !isCurrent(to)) return;
-    confirmedAt = readAt;
+    confirmedAt = start.at;
     const {version, terms} = read;
     const isNew = terms.some(term =>
       isGrantDue(ledger, term, clock(), -Infinity),
     );
-    const ageMs = clock() - readAt;
+    const ageMs = ageOf(start);
     if (isNew) logGrants(context, to, terms, {version, ageMs});
     await Promise.all(
-      dueTerms(terms, leftMs).map(term => grantRange(to, term, readAt)),
+      dueTerms(terms, leftMs).map(term => grantRange(to, term, start)),
     );
     hasGranted = true;
     context.onChange();
--- a/test/sidecar/calldelivery.test.ts
+++ b/test/sidecar/calldelivery.test.ts
@@ -20,7 +20,7 @@
   WriteResult,
 } from '../../src/store/index.js';
 import {EMPTY_STATEMENT} from '../../src/upstream/index.js';
-import {createDeliveryContext} from './contexts.js';
+import {LEASE_MS, createDeliveryContext} from './contexts.js';
 
 const OWN: Incarnation = {node: '10.1.0.8:7620', id: 'i-1', born: 1};
 
@@ -135,3 +135,49 @@
     t.is(releases, isAnswered ? 1 : 0);
   });
 }
+
+test('a map that was read before the machine was suspended grants no keys', async t => {
+  const map = createMap([{...ALL_KEYS, holder: OWN}]);
+  const stored = {
+    key: rangesKey('desk'),
+    value: JSON.stringify(map),
+    version: 1,
+  };
+  const {view} = applyChange(EMPTY_VIEW, stored);
+  let wallClock = 1_800_000_000_000;
+  let answer: (object: StoredObject) => void = () => {};
+  const store: ObjectStore = {
+    get: () => new Promise(resolve => (answer = resolve)),
+    put: () => new Promise(() => {}),
+    list: () => new Promise(() => {}),
+    delete: () => new Promise(() => {}),
+    watch: async function* () {},
+  };
+  const leases: number[] = [];
+  const delivery = createCallDelivery(
+    createDeliveryContext(
+      {store, view: () => view, observeChange: () => {}, clock: () => 1000},
+      OWN,
+      {wallClock: () => wallClock},
+    ),
+    {
+      grant: async (_to, _range, _handover, holdMs) => {
+        leases.push(holdMs);
+        return {kind: 'granted', message: '', statement: EMPTY_STATEMENT};
+      },
+      release: () => new Promise(() => {}),
+    },
+  );
+  const turn = () => new Promise(resolve => setImmediate(resolve));
+  delivery.reconcile();
+  wallClock += 10_000;
+  answer(stored);
+  await turn();
+  t.deepEqual(leases, []);
+  delivery.reconcile();
+  wallClock += 200;
+  answer(stored);
+  await turn();
+  t.is(leases.length, 1);
+  t.true(leases[0] <= LEASE_MS - 200);
+});
--- a/test/sidecar/contexts.ts
+++ b/test/sidecar/contexts.ts
@@ -11,7 +11,8 @@
   'store' | 'view' | 'observeChange' | 'clock'
 >;
 
-const LEASE_MS = 5000;
+/** Duration of a lease in tests in virtual time, in milliseconds. */
+export const LEASE_MS = 5000;
 
 /**
  * Creates the context of an instance manager in virtual time whose daemon has no
