--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -170,7 +170,7 @@
 /** Time after a thaw in which grants of its sender are not counted. */
 const THAW_MS = 1000;
 /** Factor by which the slowest instance clock prolongs a hold. */
-const SLOWEST_CLOCK = 1.02;
+export const SLOWEST_CLOCK = 1.02;
 
 /** A machine with a daemon and the instance beside it. */
 export interface Machine {
