--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -181,7 +181,7 @@
 /** Time after a thaw in which grants of its sender are not counted. */
 const THAW_MS = 1000;
 /** Factor by which the slowest instance clock prolongs a hold. */
-const SLOWEST_CLOCK = 1.02;
+export const SLOWEST_CLOCK = 1.02;
 
 /** A machine with a daemon and the instance beside it. */
 export interface Machine {
@@ -193,6 +193,7 @@
   dueService: string;
   /** Time of the last change of the settings. */
   configuredAt: number;
+  frozenFrom: number;
   frozenUntil: number;
   thawedAt: number;
   /** Time for which its monotonic clock stood still. */
@@ -506,6 +507,7 @@
       service: services[index % services.length],
       dueService: services[index % services.length],
       configuredAt: -Infinity,
+      frozenFrom: -Infinity,
       frozenUntil: -Infinity,
       thawedAt: -Infinity,
       suspendedMs: 0,
@@ -524,7 +526,7 @@
   const machineOf = (node: string) => machines.find(m => m.node === node);
 
   const outSince = (machine: Machine): number | undefined => {
-    if (now < machine.frozenUntil) return machine.thawedAt;
+    if (now < machine.frozenUntil) return machine.frozenFrom;
     if (now < machine.cutUntil) return machine.cutFrom;
     return machine.daemon?.isAlive ? undefined : machine.downSince;
   };
@@ -1088,7 +1090,9 @@
   };
 
   const freeze = (machine: Machine, ms: number, suspends: boolean) => {
+    if (now < machine.frozenUntil) return;
     trace(`machine ${machine.index} freezes for ${ms} ms`);
+    machine.frozenFrom = now;
     machine.frozenUntil = now + ms;
     machine.thawedAt = now + ms;
     if (!suspends) return;
@@ -1146,7 +1150,10 @@
         });
         return;
       case 'stall':
-        if (machine.instance) machine.instance.stalledUntil = now + step.ms;
+        if (machine.instance) {
+          const {stalledUntil = 0} = machine.instance;
+          machine.instance.stalledUntil = Math.max(stalledUntil, now + step.ms);
+        }
         return;
       case 'repeat':
         return repeat(machine, step.lives, step.count);
