Explore departures as the platform sends them, that name no life

The search passed the start of the life with each departure since, so that it no longer showed what happens without it, which is what the platform's example of a departure has.

--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -225,6 +225,7 @@
   readonly on: keyof typeof CONDITIONS;
   readonly machines?: number;
   readonly services?: number;
+  readonly namesDepartures?: boolean;
 }
 
 const EXPLORATIONS: readonly Exploration[] = [
@@ -237,6 +238,17 @@
   // Guards against keys with two holders after the store came back from a copy.
   {name: 'copies, a good store', mix: 'storeRestores', on: 'good'},
   {name: 'copies, a bad store', mix: 'storeRestores', on: 'bad'},
+  {
+    name: 'copies, a bad store, departures that name their life',
+    mix: 'storeRestores',
+    on: 'bad',
+    namesDepartures: true,
+  },
+  {
+    name: 'copies, a bad store, departures that name no life',
+    mix: 'storeRestores',
+    on: 'bad',
+  },
   // More lives meet at the same keys, and more of them start and end.
   {
     name: 'six machines, frequent ends, a bad store',
@@ -253,6 +265,12 @@
   },
 ];
 
+/** Plays with late departures of an earlier life under the same id. */
+const LATE_DEPARTURES = [
+  {seed: 4402, path: '11'},
+  {seed: 4702, path: '21'},
+];
+
 /** Plays that broke a rule when an exploration found them. */
 const FOUND: Readonly<
   Record<string, readonly {readonly seed: number; readonly path: string}[]>
@@ -264,12 +282,11 @@
     {seed: 103, path: '96'},
   ],
   // A grant by a map that was read before the recovery of the map was written.
-  'copies, a bad store, sequential heartbeats': [
-    // Departures of an earlier life under the same id.
-    {seed: 4402, path: '11'},
-    {seed: 4702, path: '21'},
-  ],
   'copies, a bad store, overlapping heartbeats': [{seed: 4402, path: '175'}],
+  'copies, a bad store, departures that name their life, sequential heartbeats':
+    LATE_DEPARTURES,
+  'copies, a bad store, departures that name no life, sequential heartbeats':
+    LATE_DEPARTURES,
   // A release that a later heartbeat seemed to prove before the grant was read.
   'six machines, frequent ends, a bad store, overlapping heartbeats': [
     {seed: 4701, path: '118'},
@@ -291,7 +308,8 @@
 /** Explores plays one after another, since they replace the timers. */
 for (const overlapping of [false, true]) {
   for (const exploration of EXPLORATIONS) {
-    const {name, mix, on, machines = MACHINES, services = 1} = exploration;
+    const {name, mix, on, namesDepartures} = exploration;
+    const {machines = MACHINES, services = 1} = exploration;
     const title = `${name}, ${overlapping ? 'overlapping' : 'sequential'} heartbeats`;
     test.serial(`tokens rise and keys have one holder: ${title}`, async t => {
       const plays = playsOn(machines)[mix];
@@ -300,6 +318,7 @@
           ...CONDITIONS[on],
           machines,
           services,
+          namesDepartures,
           lengthMs: ENDING_EARLY.has(mix) ? CLOCK_PLAY_MS : LENGTH_MS,
           seed,
           disturbances,
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -94,6 +94,8 @@
    * last one is not answered yet.
    */
   readonly overlapping: boolean;
+  /** Whether a departure names the start of its life; by default it does not. */
+  readonly namesDepartures?: boolean;
   /** Share of the calls to the store that take up to a second. */
   readonly slowShare: number;
   /** Share of the calls whose answer is lost or which are done seconds later. */
@@ -1071,7 +1073,10 @@
         if (daemon?.isAlive)
           schedule(now, daemon, () => {
             trace(`${id} departs`);
-            void daemon.manager.handleDeparture(id, born);
+            void daemon.manager.handleDeparture(
+              id,
+              options.namesDepartures ? born : undefined,
+            );
           });
       });
     };
