Tests that fail: requests given up for silence, and run after their deadline

Callers saw 502 in place of an answer that was on its way, also from a daemon that stops (LOST), and instances ran what nobody waited for any more (GONE).

- a request for a key at a daemon that answers after 3 s: 502 after 2.5 s, when two probes of a second each had no answer; the key has one holder, so that nothing was gained;
- the same while the daemon that was asked shuts down;
- a forwarded request with 175 ms left, read after 700 ms of a blocked event loop: it was run.

--- a/test/sidecar/blocked.test.ts
+++ b/test/sidecar/blocked.test.ts
@@ -2,6 +2,8 @@
  * Tests that block the event loop of their process, one after the other: other
  * tests in it would see daemons that are behind.
  */
+import {once} from 'node:events';
+import {Worker} from 'node:worker_threads';
 import test from 'ava';
 import {
   createStop,
@@ -122,3 +124,75 @@
     t.is((await forwarded).kind, 'answered');
   },
 );
+
+/** A request that another daemon forwards, and what came of it. */
+interface ForwardedResult {
+  readonly status: number;
+  readonly outcome?: string;
+}
+
+/** Time for which the event loop of the receiver is blocked, in milliseconds. */
+const BLOCKED_MS = 700;
+
+/**
+ * Source of a worker that forwards requests like a daemon, to one whose clock it
+ * has learned: the first as soon as it starts, the second 100 ms after a message.
+ */
+const FORWARDING_SOURCE = `
+const http = require('node:http');
+const {once} = require('node:events');
+const {parentPort, workerData} = require('node:worker_threads');
+const {host, port, instance} = workerData;
+let clockAheadMs = NaN;
+const forward = (id, leftMs) => new Promise(resolve => {
+  const hop = [id, 'desk', instance, 'book', 'once', 1, leftMs, leftMs, null, 'stock'];
+  const headers = {
+    Host: 'a.example',
+    'X-Vanillaspool-Request-Id': id,
+    'vanillaspool-hop': JSON.stringify(hop),
+  };
+  const sentAt = performance.now() + clockAheadMs;
+  if (!Number.isNaN(sentAt)) headers['vanillaspool-sent-at'] = Math.round(sentAt);
+  const path = '/book/x';
+  const request = http.request({host, port, method: 'POST', path, headers}, response => {
+    const {statusCode: status} = response;
+    const load = response.headers['vanillaspool-load'] ?? '';
+    clockAheadMs = Number(load.split(',')[5]) - performance.now();
+    response.resume();
+    const outcome = response.headers['vanillaspool-outcome'];
+    response.on('end', () => resolve({status, outcome}));
+  });
+  request.on('error', () => resolve({status: 0}));
+  request.end();
+});
+(async () => {
+  parentPort.postMessage(await forward('r1', 8000));
+  const [leftMs] = await once(parentPort, 'message');
+  await new Promise(resolve => setTimeout(resolve, 100));
+  parentPort.postMessage(await forward('r2', leftMs));
+})();
+`;
+
+test.serial(
+  'a forwarded request that is read after its deadline is refused as not run',
+  async t => {
+    const fleet = await startFleet(['desk', 'stock']);
+    t.teardown(fleet.close);
+    const [{node, instance}] = fleet.pairs;
+    const {host, port} = parseAddress(node);
+    const workerData = {host, port, instance: 'i-desk-0'};
+    const worker = new Worker(FORWARDING_SOURCE, {eval: true, workerData});
+    t.teardown(() => worker.terminate());
+    const nextResult = async () =>
+      ((await once(worker, 'message')) as [ForwardedResult])[0];
+    t.is((await nextResult()).status, 200);
+    worker.postMessage(BLOCKED_MS / 4);
+    const forwarded = nextResult();
+    setImmediate(blockEventLoop, BLOCKED_MS);
+    t.deepEqual(await forwarded, {status: 503, outcome: 'not-run'});
+    t.deepEqual(
+      instance.runs.map(({id}) => id),
+      ['r1'],
+    );
+  },
+);
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -412,13 +412,14 @@
   path: string,
   key?: number,
   body?: Buffer,
+  timeoutMs = 2000,
 ): Promise<Answer> {
   const [host, port] = callers.split(':');
   const id = `r${++lastId}`;
   const headers: Record<string, string> = {
     Host: 'a.example',
     'X-Vanillaspool-Request-Id': id,
-    'X-Vanillaspool-Request-Deadline': '2000',
+    'X-Vanillaspool-Request-Deadline': String(timeoutMs),
   };
   if (key !== undefined) headers['X-Vanillaspool-Shard-Key'] = String(key);
   return new Promise((resolve, reject) => {
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -1,4 +1,4 @@
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {
   SIDECAR_EVENTS,
   STATUS_PATH,
@@ -13,7 +13,7 @@
   waitUntil,
   type TestFleet,
 } from './fixture.js';
-import {startResettingPeer, startPeer} from './peer.js';
+import {startResettingPeer, startPeer, type PeerBehaviour} from './peer.js';
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -107,6 +107,55 @@
   });
 }
 
+/** Timeout of the requests for keys in the tests below, in seconds. */
+const KEYED_TIMEOUT_S = 5;
+
+/** Starts a fleet whose keys are shared with a peer, by a route that is patient. */
+async function startFleetWithPeer(
+  t: ExecutionContext,
+  behaviour: PeerBehaviour,
+): Promise<TestFleet> {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const peer = await startPeer(fleet.store, 'stock', behaviour);
+  t.teardown(peer.close);
+  const patient = configuration(2) as {routes: {rows: unknown[][]}};
+  patient.routes.rows[0][4] = KEYED_TIMEOUT_S;
+  fleet.store.write('config', 'main', patient);
+  shareKeys(fleet, peer);
+  await pause(PROPAGATION_MS);
+  return fleet;
+}
+
+/** Requests a key that the peer holds. */
+const requestPeerKey = ({pairs: [{callers}]}: TestFleet) =>
+  sendRequest(
+    callers,
+    'GET',
+    '/view/x',
+    65_535,
+    undefined,
+    KEYED_TIMEOUT_S * 1000,
+  );
+
+/** Slower than the two probes that find a daemon unresponsive. */
+const SLOW = {probeDelayMs: 5000, requestDelayMs: 3000};
+
+test('a request for a key is answered by a daemon that is slower than its probes', async t => {
+  const fleet = await startFleetWithPeer(t, SLOW);
+  t.is((await requestPeerKey(fleet)).status, 200);
+});
+
+// Guards against a failure in place of the answer of a running request (LOST).
+test('a daemon that shuts down does not break off a request for the silence of the holder', async t => {
+  const fleet = await startFleetWithPeer(t, SLOW);
+  const answer = requestPeerKey(fleet);
+  await pause(PROPAGATION_MS);
+  const stopped = fleet.pairs[0].sidecar.shutDown();
+  t.is((await answer).status, 200);
+  await stopped;
+});
+
 const isDeclaredLost = (fleet: TestFleet, upstream: string) =>
   fleet.pairs.some(({events}) =>
     events.some(
