Give up no running request for the silence of a live daemon without an alternative

Callers saw 502 after 2.5 s in place of an answer that came after 3 s, also from a daemon that was shutting down (LOST). Cause: two probes without an answer within a second each make a daemon unresponsive, and idempotent requests that had been sent to it were broken off. Its kernel accepts connections, so the process is there; a machine that is slowed runs what it was sent. A key has one holder, so the caller got nothing for it.

Such a request is now only given up for another instance: one that appears to answer and to have a free slot, with attempts and retry budget left. A service without keys counted as having an alternative though it had one instance; it is looked for now. A machine that accepts no connections, and a process that has ended, are given up as before: no bound changes.

--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -25,8 +25,6 @@
   readonly peerTransport: (node: string, work: Work) => Transport;
   readonly loads: (node: string) => InstanceLoad;
   readonly observeLoad: (node: string, event: LoadEvent) => void;
-  /** Each key of the service is served by one instance. */
-  readonly isKeyed: (service: string) => boolean;
   /**
    * Starts a probe of a daemon on a new connection, unless one is in progress.
    */
@@ -55,16 +53,20 @@
  * late.
  *
  * @param node Address of the daemon, as `ip:port`.
+ * @param hasAlternative Returns whether the request could be sent to another
+ *     instance now, should this attempt be aborted.
  * @param onHead Called with the head of an answer that is passed on.
  *
  * @example
- * const attempt = await forward(context, flow, '10.1.0.8:7620', work);
+ * const attempt = await forward(
+ *   context, flow, '10.1.0.8:7620', work, () => false);
  */
 export async function forward(
   context: ForwardContext,
   flow: Flow,
   node: string,
   work: Work,
+  hasAlternative: (isSent: boolean) => boolean,
   onHead: (head: ResponseHead) => void = () => {},
 ): Promise<Attempt> {
   const transport = context.peerTransport(node, work);
@@ -75,7 +77,6 @@
   let silence: 'unconnected' | Liveness | undefined;
   const isRepeatable =
     work.repetition === 'idempotent' && work.body.kind !== 'streamed';
-  const hasAlternative = !context.isKeyed(work.service);
   let isRepeatedCheck = false;
   const check = (dueAt: number) => {
     if (hasAnswer) return;
@@ -84,8 +85,13 @@
     const lateMs = isRepeatedCheck ? 0 : now - dueAt;
     isRepeatedCheck = lateMs >= LATE_TIMER_MS;
     const pendingMs = now - forwardedAt;
-    const pending = {pendingMs, isSent, isRepeatable, hasAlternative, lateMs};
-    const step = decidePending(status, pending);
+    const step = decidePending(status, {
+      pendingMs,
+      isSent,
+      isRepeatable,
+      hasAlternative: hasAlternative(isSent),
+      lateMs,
+    });
     if (step.kind === 'give-up') {
       silence = status.liveness;
       flow.state.abortCurrent?.();
--- a/src/relay/ingress.ts
+++ b/src/relay/ingress.ts
@@ -31,14 +31,19 @@
   type IngressContext,
   type RoutedRequest,
 } from './routed.js';
-import {findTarget, hasFreeInstance, refusableRequest} from './target.js';
+import {
+  CALLER_RETRY_MS,
+  findTarget,
+  hasAlternative,
+  hasFreeInstance,
+  refusableRequest,
+} from './target.js';
 import {
   INGRESS_GRACE_MS,
   holderWaitUntil,
   admitRequest,
   stopAtDeadline,
   type Timings,
-  type Flow,
   type Work,
 } from './work.js';
 
@@ -48,12 +53,6 @@
 /** Largest number of attempts to forward one request. */
 const MAX_FORWARDS = 6;
 
-/**
- * Time that a caller needs to retry a request itself, in milliseconds; it obeys
- * a Retry-After for a third of it.
- */
-const CALLER_RETRY_MS = 1000;
-
 /** Assumed timeout of a caller that states none, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
@@ -357,7 +356,7 @@
   const attempt =
     member.node === context.node
       ? await runLocally(context, routed.flow, work, observe)
-      : await forwardTo(context, routed.flow, member.node, work, observe);
+      : await forwardTo(context, routed, member, work, observe);
   const hasFailedThere =
     attempt.kind === 'broken' ||
     (attempt.kind === 'failed' && isFault(attempt.failure)) ||
@@ -370,16 +369,20 @@
 
 async function forwardTo(
   context: IngressContext,
-  flow: Flow,
-  node: string,
+  routed: RoutedRequest,
+  member: Member,
   work: Work,
   onHead: (head: ResponseHead) => void,
 ): Promise<Attempt> {
+  const {flow} = routed;
+  const {node} = member;
   if (needsOffer(work)) {
     const refusal = await offer(context, flow, node, work);
     if (refusal) return refusal;
   }
-  return forward(context, flow, node, work, onHead);
+  const canMove = (isSent: boolean) =>
+    hasAlternative(context, routed, member, isSent);
+  return forward(context, flow, node, work, canMove, onHead);
 }
 
 /**
--- a/src/relay/routed.ts
+++ b/src/relay/routed.ts
@@ -42,6 +42,8 @@
    * @param canCallerRetry The caller has time to retry the request itself.
    */
   readonly retryAllowed: (service: string, canCallerRetry: boolean) => boolean;
+  /** Tells whether `retryAllowed` would allow a retry now. */
+  readonly hasRetry: (service: string, canCallerRetry: boolean) => boolean;
   /** Counts a request to a service towards its retry budget. */
   readonly countRequest: (service: string) => void;
   readonly requestEnded: (outcome: RequestResult) => void;
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -23,6 +23,12 @@
  */
 const REFUSED_RETRY_INTERVAL_MS = 100;
 
+/**
+ * Time that a caller needs to retry a request itself, in milliseconds; it obeys
+ * a Retry-After for a third of it.
+ */
+export const CALLER_RETRY_MS = 1000;
+
 /** Shortest Retry-After if no daemon has free capacity, in milliseconds. */
 const MIN_OVERLOAD_RETRY_MS = 200;
 
@@ -229,11 +235,55 @@
   routed: RoutedRequest,
 ): boolean {
   const now = context.clock();
-  return openMembers(context, routed.service, now).some(member => {
-    if (routed.refusedBy.has(member.node)) return false;
-    const load = context.loads(member.node);
-    if (limitDelayMs(load, now) > 0) return false;
-    const {reportedBusy, inFlight, slots} = load;
-    return Math.max(reportedBusy, inFlight) < Math.max(slots, member.slots);
+  return openMembers(context, routed.service, now).some(
+    member =>
+      !routed.refusedBy.has(member.node) && hasCapacity(context, member, now),
+  );
+}
+
+function hasCapacity(
+  {loads}: IngressContext,
+  {node, slots}: Member,
+  now: number,
+): boolean {
+  const load = loads(node);
+  if (limitDelayMs(load, now) > 0) return false;
+  const {reportedBusy, inFlight} = load;
+  return Math.max(reportedBusy, inFlight) < Math.max(load.slots, slots);
+}
+
+/**
+ * Tells whether a request that a member has not answered could be sent to
+ * another instance, which appears to answer and to have free capacity.
+ *
+ * @param isSent The request may have run, so that sending it again draws on the
+ *     retry budget.
+ *
+ * @example
+ * if (!hasAlternative(context, routed, member, true)) await answer;
+ */
+export function hasAlternative(
+  context: IngressContext,
+  routed: RoutedRequest,
+  member: Member,
+  isSent: boolean,
+): boolean {
+  const {service, route, refusedBy, sentTo, identity} = routed;
+  if (context.isKeyed(service)) return false;
+  const now = context.clock();
+  if (isSent) {
+    const canCallerRetry = identity.dueAt - now >= CALLER_RETRY_MS;
+    const isLastAttempt = sentTo.size + 1 >= route.maxAttempts;
+    if (isLastAttempt || !context.hasRetry(service, canCallerRetry))
+      return false;
+  }
+  return openMembers(context, service, now).some(other => {
+    const {node, id} = other;
+    if (id === member.id || sentTo.has(id)) return false;
+    // Refusals count for nothing after an attempt that may have run.
+    if (!isSent && refusedBy.has(node)) return false;
+    const {avoidedUntil, suspectedUntil} = context.loads(node);
+    if (Math.max(avoidedUntil, suspectedUntil) > now) return false;
+    return hasCapacity(context, other, now);
   });
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -472,6 +472,9 @@
     );
   };
 
+  const budgetAfterRetry = (service: string, canCallerRetry: boolean) =>
+    spendRetry(budgetOf(service), canCallerRetry ? RETRIES_KEPT_BACK : 0);
+
   const context: IngressContext = {
     clock,
     intake: createIntake(
@@ -532,12 +535,13 @@
     holderRefusals: createHolderRefusals(),
     answerLengths,
     overloadRefusals: createOverloadRefusals(),
-    retryAllowed: (service, canReturn) => {
-      const kept = canReturn ? RETRIES_KEPT_BACK : 0;
-      const left = spendRetry(budgetOf(service), kept);
+    retryAllowed: (service, canCallerRetry) => {
+      const left = budgetAfterRetry(service, canCallerRetry);
       if (left) budgets.set(service, left);
       return left !== undefined;
     },
+    hasRetry: (service, canCallerRetry) =>
+      budgetAfterRetry(service, canCallerRetry) !== undefined,
     countRequest: service => {
       budgets.set(service, countForwarded(budgetOf(service)));
     },
--- a/test/sidecar/blocked.test.ts
+++ b/test/sidecar/blocked.test.ts
@@ -67,7 +67,6 @@
     peerTransport: peer => pools.get(parseAddress(peer), PEER_CONNECTIONS),
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
-    isKeyed: () => false,
     probe: () => {},
     // It becomes unreachable while the event loop is blocked.
     peerStatus: () => ({
@@ -105,7 +104,13 @@
   const stop = createStop(state);
   const course = {bodyMs: 0};
   const flow = {request, response, state, bodyMode: 'none', stop, course};
-  const attempt = await forward(context, flow as unknown as Flow, node, work);
+  const attempt = await forward(
+    context,
+    flow as unknown as Flow,
+    node,
+    work,
+    () => true,
+  );
   await pools.close();
   return attempt;
 }
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -156,7 +156,6 @@
     peerTransport: peer => pools.get(parseAddress(peer), PEER_CONNECTIONS),
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
-    isKeyed: () => false,
     probe: () => {},
     peerStatus: () => peerStatusOf(NEVER_PROBED, performance.now()),
     loopDelayMs: () => 0,
@@ -183,7 +182,8 @@
     const course = {bodyMs: 0};
     const stop = createStop(state);
     const flow = {request, response, state, bodyMode: 'none', stop, course};
-    void forward(context, flow as Flow, node, work).then(known => {
+    const forwarded = forward(context, flow as Flow, node, work, () => true);
+    void forwarded.then(known => {
       attempt = known;
       if (!response.headersSent) response.writeHead(500);
       response.end();
