Keep the leases of a replaced life in mind for releases

Keys went to the next holder 4.4 s before the lease of the instance that held them ended, so that two instances held them (OWNER). It took two late heartbeats of an ended life whose clock was ahead, and that this daemon had not heard before: the first took it for the instance that runs, since it started later by the clock; the second did not report the keys, which are to move away, and was taken for their release.

The cause: a change of the life discarded all grants. Evidence of one life was applied to another: that the new one does not hold the keys says nothing of the one that it replaced, unless that has ended.

Answers to replaced lives now stay open, until their leases have expired (5.25 s after the last heartbeat that may have been granted keys), or until the new life has read an answer. A late heartbeat can't show that; an instance that runs on the machine does, with its second heartbeat on a kept connection, so that its moves are not delayed.

--- a/src/ranges/grants.ts
+++ b/src/ranges/grants.ts
@@ -41,7 +41,7 @@
 export interface OpenAnswer {
   /**
    * Sequence number of the answered heartbeat; undefined for all answers of an
-   * earlier process of the daemon.
+   * earlier process of the daemon, or to earlier incarnations.
    */
   readonly sequence?: number;
   readonly ranges: readonly KeyRange[];
@@ -86,17 +86,19 @@
 };
 
 /**
- * Returns the grants of a process that has received no heartbeat yet, and whose
- * predecessor may have granted any keys.
+ * Returns the grants before the first heartbeat of an incarnation, when others
+ * may have been granted any keys: by an earlier process of the daemon, or before
+ * this incarnation replaced them.
  *
- * @param times Times of the last answer of the predecessor.
+ * @param earlier Times of the last answers of these grants.
  *
  * @example
  * const readableUntil = startedAt + 1130;
- * let grants = startGrants({readableUntil, leasedUntil: startedAt + 5250});
+ * let grants = startGrants([{readableUntil, leasedUntil: startedAt + 5250}]);
  */
-export function startGrants(times: AnswerTimes): HeartbeatGrants {
-  return {...NO_HEARTBEAT_GRANTS, open: [{ranges: [ALL_KEYS], ...times}]};
+export function startGrants(earlier: readonly AnswerTimes[]): HeartbeatGrants {
+  const open = earlier.map(times => ({ranges: [ALL_KEYS], ...times}));
+  return {...NO_HEARTBEAT_GRANTS, open};
 }
 
 /**
--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -63,7 +63,7 @@
     leasedUntil: arrivedAt + leaseBoundMs(leaseMs),
   });
   const timesOfPredecessor = timesOf(clock());
-  let grants: HeartbeatGrants = startGrants(timesOfPredecessor);
+  let grants: HeartbeatGrants = startGrants([timesOfPredecessor]);
   /**
    * Newly granted ranges that the instance may not have read yet, until
    * `unreadUntil`.
@@ -73,6 +73,8 @@
   let answersInProgress = 0;
   /** Arrival of the latest heartbeat that was answered, by `clock`. */
   let latestArrivedAt = -Infinity;
+  /** Time by which all leases of replaced incarnations have expired. */
+  let replacedLeasedUntil = -Infinity;
   /** Report of the latest heartbeat of the current incarnation. */
   let latestReport: HoldReport | undefined;
   /** Its arrival, by `wallClock`. */
@@ -80,6 +82,21 @@
   /** Write of releases that is in progress. */
   let recording: Promise<void> | undefined;
 
+  const lastConfirmedAt = () =>
+    answersInProgress > 0
+      ? Math.max(grants.arrivedAt, latestArrivedAt)
+      : grants.arrivedAt;
+
+  /** Discards all grants, and keeps in mind that their leases may go on. */
+  const reset = () => {
+    const {leasedUntil} = timesOf(lastConfirmedAt());
+    replacedLeasedUntil = Math.max(replacedLeasedUntil, leasedUntil);
+    // An incarnation that reads an answer runs, so that those before have ended.
+    const replaced = {readableUntil: clock(), leasedUntil: replacedLeasedUntil};
+    grants = startGrants([timesOfPredecessor, replaced]);
+    latestReport = undefined;
+  };
+
   /** Returns whether no later heartbeat and no other incarnation is known. */
   const isLatest = ({incarnation, sequence}: HoldReport) =>
     sequence === grants.sequence &&
@@ -224,10 +241,7 @@
   };
 
   return {
-    reset: () => {
-      grants = startGrants(timesOfPredecessor);
-      latestReport = undefined;
-    },
+    reset,
     resume: () => {},
     recordReport: report => {
       latestReport = report;
@@ -248,10 +262,7 @@
       grants.grantedSequence < 0
         ? undefined
         : grants.arrivedAt + leaseMs - clock(),
-    lastConfirmedAt: () =>
-      answersInProgress > 0
-        ? Math.max(grants.arrivedAt, latestArrivedAt)
-        : grants.arrivedAt,
+    lastConfirmedAt,
   };
 }
 
--- a/test/sidecar/succession.test.ts
+++ b/test/sidecar/succession.test.ts
@@ -14,6 +14,7 @@
   createCallDelivery,
   createHeartbeatDelivery,
   leaseBoundMs,
+  type Heartbeat,
   type InstanceCalls,
 } from '../../src/sidecar/index.js';
 import {EMPTY_STATEMENT} from '../../src/upstream/index.js';
@@ -430,22 +431,51 @@
   t.is(store.termAt(0).holder.id, LATER.id);
 });
 
-test('two late heartbeats of an ended life whose clock was ahead release no keys of the one that runs', async t => {
-  const store = storeHeldBy(LATER);
+/** Starts a daemon that has granted a life all keys, which are to move away. */
+async function startMovingFrom(life: Incarnation) {
+  const store = storeHeldBy(life);
   const daemon = startDaemon(store);
   daemon.observeStore();
   daemon.manager.resume();
   daemon.advance(20_000);
-  const running = await daemon.manager.handleHeartbeat(heartbeatOf(LATER, 1));
-  t.is(running?.grants?.length, 1);
+  const answer = await daemon.manager.handleHeartbeat(heartbeatOf(life, 1));
   daemon.advance(500);
   store.changeMap(map => startMoves(map, [{...ALL_KEYS, holder: OTHER_LIFE}]));
-  for (const sequence of [5, 6]) {
-    daemon.observeStore();
-    daemon.advance(50);
-    await daemon.manager.handleHeartbeat(heartbeatOf(EARLIER, sequence));
-    await new Promise(resolve => setTimeout(resolve, 20));
-  }
+  return {store, daemon, granted: answer?.grants};
+}
+
+/** Handles a heartbeat, and lets the writes that follow from it be done. */
+async function settleHeartbeat(
+  {observeStore, advance, manager}: DaemonProcess,
+  beat: Heartbeat,
+) {
+  observeStore();
+  advance(50);
+  await manager.handleHeartbeat(beat);
+  await new Promise(resolve => setTimeout(resolve, 20));
+}
+
+test('two late heartbeats of an ended life whose clock was ahead release no keys of the one that runs', async t => {
+  const {store, daemon, granted} = await startMovingFrom(LATER);
+  t.is(granted?.length, 1);
+  for (const sequence of [5, 6])
+    await settleHeartbeat(daemon, heartbeatOf(EARLIER, sequence));
   // The lease of the one that runs ends more than four seconds later.
   t.not(store.termAt(0).holder.id, OTHER_LIFE.id);
 });
+
+test('a life that has read an answer releases the keys of the one that it replaced', async t => {
+  const {store, daemon} = await startMovingFrom(LATER);
+  await settleHeartbeat(daemon, heartbeatOf(EARLIER, 1));
+  const second = heartbeatOf(EARLIER, 2, {readSequence: 1});
+  await settleHeartbeat(daemon, second);
+  t.is(store.termAt(0).holder.id, OTHER_LIFE.id);
+});
+
+test('a replaced life whose lease has expired delays no release', async t => {
+  const {store, daemon} = await startMovingFrom(LATER);
+  await settleHeartbeat(daemon, heartbeatOf(EARLIER, 1));
+  daemon.advance(leaseBoundMs(LEASE_MS));
+  await settleHeartbeat(daemon, heartbeatOf(EARLIER, 2));
+  t.is(store.termAt(0).holder.id, OTHER_LIFE.id);
+});
