Restore revoked keys of an instance that is heard again, by heartbeat too

A search on six machines ended with keys that no instance held: LIVES_MACHINES=6 LIVES_SEED=9131 LIVES_RUNS=60, "jumping clocks, a bad store, overlapping heartbeats", path "38", kept: "32052-44810 free with i-0.6" at 44,996 ms. The map gave i-0.6 these keys at 43.450 s; two of its heartbeats and an answer were held up, so that the keys were revoked as of a silent instance at 44.723 s, before it could take them. The heartbeat of 44.870 s did not report them, and was taken for their release: at 44.874 s they were free, and rested until the next plan.

The cause: the daemon took both ways at once with the same heartbeat. It restored revoked keys of an instance that has proved to be alive, and it released those of them that the heartbeat did not report. Which write came first decided. Grants by call restore such keys only.

Revoked keys of a ready instance that is heard are now restored, not released; those that are to move on still go to their next holder at once, and a draining instance releases as before. The check "kept" looks at one moment in a network that holds messages up to the end; that is a property of the model, but what it found is a fault of the product.

--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -11,6 +11,7 @@
   reportsRange,
   startGrants,
   release,
+  restore,
   isSameIncarnation,
   dropRecordedReleases,
   type AnswerTimes,
@@ -143,10 +144,21 @@
     return rows;
   };
 
+  /**
+   * Returns the releases that a report proves. Keys that were revoked from an
+   * instance that sends heartbeats are not released but restored.
+   */
+  const releasesBy = (report: HoldReport, map: RangeMap) => {
+    const to = recipient();
+    const isRestorable = to?.state === 'ready' && !to.isSilent;
+    const due = isRestorable ? restore(map, report.incarnation) : map;
+    return findReleases(due, grants, report);
+  };
+
   /** Returns the map without what the latest heartbeat proves to be released. */
   const releaseRanges = (map: RangeMap): RangeMap => {
     if (!latestReport) return map;
-    const released = findReleases(map, grants, latestReport);
+    const released = releasesBy(latestReport, map);
     return released.length > 0
       ? release(map, latestReport.incarnation, released)
       : map;
@@ -213,8 +225,7 @@
     if (!map) return {holdMs: leaseMs};
     const outdated = findOutdatedHolds(map, report.incarnation, report.holds);
     if (outdated.length > 0) logOutdatedHolds(service, report, outdated);
-    if (findReleases(map, grants, report).length > 0)
-      startRecordingReleases(service);
+    if (releasesBy(report, map).length > 0) startRecordingReleases(service);
     const dueTerms = heldBy(map, report.incarnation);
     const isFresh =
       outdated.length === 0 &&
--- a/test/sidecar/latechanges.test.ts
+++ b/test/sidecar/latechanges.test.ts
@@ -3,9 +3,11 @@
   ALL_KEYS,
   cancelMoves,
   createMap,
+  release,
   revoke,
   startMoves,
 } from '../../src/ranges/index.js';
+import type {Heartbeat} from '../../src/sidecar/index.js';
 import {
   LEASE_MS,
   MAP_KEY,
@@ -262,3 +264,55 @@
   t.not(store.termAt(0).holder.id, OTHER_LIFE.id);
   t.is(store.termAt(0).next?.id, OTHER_LIFE.id);
 });
+
+/**
+ * Starts a daemon whose instance is granted the rest of the keys, and then given
+ * the moved ones, which are revoked with the others before it can take them.
+ */
+async function revokeUntaken(state: Heartbeat['state'] = 'ready') {
+  const store = createHeldStore();
+  const life = lifeOf(1);
+  store.changeMap(() =>
+    createMap([
+      {...MOVED, holder: OTHER_LIFE},
+      {...REST, holder: life},
+    ]),
+  );
+  const daemon = startDaemon(store);
+  const {manager, observeStore, advance} = daemon;
+  observeStore();
+  advance(AFTER_START_MS);
+  await manager.handleHeartbeat(heartbeatOf(life, 1, {state}));
+  store.changeMap(map =>
+    release(startMoves(map, [{...MOVED, holder: life}]), OTHER_LIFE, [
+      {...MOVED, handover: ''},
+    ]),
+  );
+  observeStore();
+  advance(3000);
+  await manager.tick(0);
+  observeStore();
+  const holds = [{...REST, fence: 1}];
+  const returning = heartbeatOf(life, 2, {state, holds, readSequence: 1});
+  return {...daemon, store, life, returning};
+}
+
+test('an instance that sends heartbeats again is granted keys that were revoked before it took them', async t => {
+  const {manager, store, life, returning} = await revokeUntaken();
+  t.is(store.termAt(MOVED.from).state, 'revoked');
+  const {fence} = store.termAt(MOVED.from);
+  const answer = await manager.handleHeartbeat(returning);
+  t.deepEqual(
+    answer?.grants?.map(row => row.from),
+    [MOVED.from, REST.from],
+  );
+  t.is(store.termAt(MOVED.from).holder.id, life.id);
+  t.is(store.termAt(MOVED.from).fence, fence);
+});
+
+test('a draining instance that sends heartbeats again releases keys that were revoked before it took them', async t => {
+  const {manager, store, returning} = await revokeUntaken('draining');
+  t.is(store.termAt(MOVED.from).state, 'revoked');
+  await manager.handleHeartbeat(returning);
+  t.is(store.termAt(MOVED.from).state, 'free');
+});
--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -256,6 +256,12 @@
     on: 'bad',
     machines: 6,
   },
+  {
+    name: 'six machines, jumping clocks, a bad store',
+    mix: 'jumpingClocks',
+    on: 'bad',
+    machines: 6,
+  },
   {
     name: 'four machines, reused addresses, a bad store',
     mix: 'reusedAddresses',
@@ -291,6 +297,10 @@
   'six machines, frequent ends, a bad store, overlapping heartbeats': [
     {seed: 4701, path: '118'},
   ],
+  // Keys that were revoked before their holder took them, and released by it.
+  'six machines, jumping clocks, a bad store, overlapping heartbeats': [
+    {seed: 9131, path: '38'},
+  ],
 };
 
 /** Whether plays are other than those that were recorded. */
