Tell by its connection which life a departure is of

An instance that started again under its id was not answered until it ended, if the departure (DELETE /-/instances/ID) of the life before was read late: it names no life, so it counted for the one that runs. That the daemon ignores departures of another life helps only if the body names one.

The model in lives knows connections: an instance that has read the answer to its last heartbeat sends its departure on the same connection, any other on a new one. It also checks now that each departure of the current life is acknowledged, and that no requests are sent to it after the drain time. Without this knowledge no daemon could keep both rules: the late departure of one life and the one of the next are the same message.

--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -74,7 +74,23 @@
     ...{version: 'v1', slots: 4, state: 'ready', cold_left_s: 0},
     ...{seq: sequence, born},
   });
-  const options = {agent, method: 'PUT', path: '/-/instances/i-1'};
+  await call(port, {agent, method: 'PUT', path: '/-/instances/i-1'}, body);
+}
+
+/** Sends a departure without a body; resolves when its response has been read. */
+function sendDeparture(
+  port: number,
+  agent: http.Agent,
+  id = 'i-1',
+): Promise<void> {
+  return call(port, {agent, method: 'DELETE', path: `/-/instances/${id}`});
+}
+
+async function call(
+  port: number,
+  options: http.RequestOptions,
+  body?: string,
+): Promise<void> {
   const request = http.request({...options, host: '127.0.0.1', port});
   request.end(body);
   const [response] = (await once(request, 'response')) as [
@@ -132,3 +148,31 @@
     t.deepEqual(departures, status === 200 ? [{id: 'i-1', born}] : []);
   });
 }
+
+test('a departure that names no life is of the one whose heartbeats came on its connection', async t => {
+  const departures: unknown[] = [];
+  const {port, close} = await startControl({
+    handleHeartbeat: () => Promise.resolve({holdMs: 5000}),
+    handleDeparture: (id, born) => {
+      departures.push([id, born]);
+      return Promise.resolve(true);
+    },
+  });
+  t.teardown(close);
+  const [earlier, later, other] = [1, 2, 3].map(
+    () => new http.Agent(AGENT_OPTIONS),
+  );
+  await sendHeartbeat(port, earlier, 1, 1);
+  await sendHeartbeat(port, later, 1, 2);
+  await sendDeparture(port, earlier);
+  await sendDeparture(port, later);
+  await sendDeparture(port, later, 'i-2');
+  await sendDeparture(port, other);
+  for (const agent of [earlier, later, other]) agent.destroy();
+  t.deepEqual(departures, [
+    ['i-1', 1],
+    ['i-1', 2],
+    ['i-2', undefined],
+    ['i-1', undefined],
+  ]);
+});
--- a/test/sidecar/calllives.test.ts
+++ b/test/sidecar/calllives.test.ts
@@ -222,7 +222,7 @@
   }
 }
 
-const OTHER_KINDS = ['shared', 'work', 'unserved', 'kept'];
+const OTHER_KINDS = ['shared', 'work', 'unserved', 'kept', 'departure'];
 
 for (const [name, plays] of Object.entries(PLAYS)) {
   for (const [state, conditions] of Object.entries(CONDITIONS)) {
--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -15,7 +15,7 @@
 
 /** Rules that are checked; a hunt may look for one of them. */
 const KINDS = (
-  process.env.LIVES_KINDS ?? 'token,shared,work,unserved,kept'
+  process.env.LIVES_KINDS ?? 'token,shared,work,unserved,kept,departure'
 ).split(',');
 
 const kind = <T extends string>(name: T) => fc.constant(name);
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -94,7 +94,10 @@
    * last one is not answered yet.
    */
   readonly overlapping: boolean;
-  /** Whether a departure names the start of its life; by default it does not. */
+  /**
+   * Whether a departure names the start of its life; by default it does not, and
+   * only the connection on which heartbeats came before tells whose it is.
+   */
   readonly namesDepartures?: boolean;
   /** Share of the calls to the store that take up to a second. */
   readonly slowShare: number;
@@ -154,8 +157,11 @@
    * - `unserved`: a running instance was not answered within a lease bound and
    *   some heartbeats.
    * - `kept`: long after all disturbances, keys are not with a running instance.
+   * - `departure`: the departure of the current life was not acknowledged, or
+   *   requests were sent to it later than the drain time after that.
    */
-  readonly kind: 'token' | 'shared' | 'work' | 'unserved' | 'kept';
+  readonly kind:
+    'token' | 'shared' | 'work' | 'unserved' | 'kept' | 'departure';
   readonly atMs: number;
   readonly text: string;
 }
@@ -1063,25 +1069,48 @@
     });
   };
 
+  /** Hands a departure to the daemon, and checks the answer to the current life. */
+  const handOverDeparture = (
+    {incarnation}: Instance,
+    daemon: Daemon,
+    isNamed: boolean,
+  ) => {
+    const {manager} = daemon;
+    const {id, born} = incarnation;
+    trace(`${id} departs`);
+    const isCurrent = isSameIncarnation(manager.incarnation(), incarnation);
+    const answer = manager.handleDeparture(id, isNamed ? born : undefined);
+    if (!isCurrent) return;
+    void answer.then(isKnown => {
+      if (!isKnown) break_('departure', `${id} not acknowledged`);
+    });
+    schedule(now + DRAIN_MS, daemon, () => {
+      const isStillCurrent = isSameIncarnation(
+        manager.incarnation(),
+        incarnation,
+      );
+      if (isStillCurrent && !manager.local()?.isClosed)
+        break_('departure', `${id} open to requests`);
+    });
+  };
+
   const drain = (machine: Machine, announces: boolean) => {
     const {instance} = machine;
     if (!instance?.isAlive || instance.state !== 'ready') return;
-    const {id, born} = instance.incarnation;
     const depart = () => {
+      // The connection ends with the daemon's process.
+      const {daemon: reader} = instance.read ?? {};
       schedule(now + heldUpMs(), undefined, () => {
         const {daemon} = machine;
-        if (daemon?.isAlive)
-          schedule(now, daemon, () => {
-            trace(`${id} departs`);
-            void daemon.manager.handleDeparture(
-              id,
-              options.namesDepartures ? born : undefined,
-            );
-          });
+        if (!daemon?.isAlive) return;
+        const isNamed = options.namesDepartures || reader === daemon;
+        schedule(now, daemon, () =>
+          handOverDeparture(instance, daemon, isNamed),
+        );
       });
     };
     const end = () => endInstance(machine, between(500, 3000), false);
-    trace(`${id} ${announces ? 'drains' : 'leaves'}`);
+    trace(`${nameOf(instance.incarnation)} ${announces ? 'drains' : 'leaves'}`);
     if (announces) {
       instance.state = 'draining';
       sendSoon(instance, now);
