Ignore a departure on a connection older than the current life

A departure that names no life still closed the next one under its id if it came on a connection without heartbeats: an instance opens one when its last heartbeat is not answered yet.

Connections to the control address are now numbered as the server accepts them, which is the order in which they were opened. A life opens its first one after the life before has ended, so that a departure on a lower number than that of the first heartbeat is of an earlier life.

--- a/src/sidecar/heartbeat.ts
+++ b/src/sidecar/heartbeat.ts
@@ -35,6 +35,11 @@
    * response the instance has read; undefined for the first.
    */
   readonly readSequence?: number;
+  /**
+   * Number of the connection on which it came. Connections to this process are
+   * numbered in the order in which they were opened.
+   */
+  readonly connection?: number;
 }
 
 /** The response to a heartbeat. */
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -93,11 +93,16 @@
   /**
    * Processes the instance's announcement that it is about to end.
    *
-   * @param born Start of the life that is about to end; if undefined, the
-   *     current one.
+   * @param born Start of the life that is about to end. If it is not known, that
+   *     is the current one, unless the connection is of an earlier one.
+   * @param connection Number of the connection on which it came.
    * @returns false when the announcement is not from the current instance.
    */
-  readonly handleDeparture: (id: string, born?: number) => Promise<boolean>;
+  readonly handleDeparture: (
+    id: string,
+    born?: number,
+    connection?: number,
+  ) => Promise<boolean>;
   /**
    * Marks a ready instance as draining because one of its responses stated that
    * it is about to shut down.
@@ -178,6 +183,8 @@
   readonly reported: readonly HeldRange[];
   /** State in its last heartbeat. */
   readonly reportedState?: Heartbeat['state'];
+  /** Connection of its first heartbeat; 0 if that was not received. */
+  readonly firstConnection: number;
 }
 
 /**
@@ -186,6 +193,9 @@
  */
 const RESTORED_HEARTBEATS = 2;
 
+/** Largest sequence number of the first heartbeat of a life. */
+const MAX_FIRST_SEQUENCE = 1;
+
 /** Answers to heartbeats of which the instance may show that it has read them. */
 const MAX_KNOWN_ANSWERS = 16;
 
@@ -359,9 +369,15 @@
       reported: beat.holds,
       reportedState: beat.state,
     };
-    const {state = 'ready', closesAt = Infinity} = known ?? {};
+    const {connection = 0} = beat;
+    const isFirst = sequence <= MAX_FIRST_SEQUENCE;
+    const {
+      state = 'ready',
+      closesAt = Infinity,
+      firstConnection = isFirst ? connection : 0,
+    } = known ?? {};
     instance = advanceState(
-      {...reported, state, closesAt},
+      {...reported, state, closesAt, firstConnection},
       beat.state,
       'heartbeat',
     );
@@ -587,10 +603,18 @@
     delivery.reconcile();
   };
 
-  const handleDeparture = async (id: string, born = instance?.born) => {
+  const handleDeparture = async (
+    id: string,
+    born?: number,
+    connection = Infinity,
+  ) => {
     if (!instance || instance.id !== id) return false;
-    if (instance.born !== born) {
-      log(SIDECAR_EVENTS.departureStale, {id, born, current: instance.born});
+    const {born: current, firstConnection} = instance;
+    // A life opens its connections after the one before it has ended.
+    const isOfOtherLife =
+      born === undefined ? connection < firstConnection : born !== current;
+    if (isOfOtherLife) {
+      log(SIDECAR_EVENTS.departureStale, {id, born, current});
       return false;
     }
     if (instance.state === 'left') return true;
@@ -633,6 +657,7 @@
       lastHeardAt,
       sequence: -1,
       reported: [],
+      firstConnection: 0,
     };
     context.onInstanceStart(slots);
     delivery.resume();
--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -2,7 +2,10 @@
 import net, {type AddressInfo, type Socket} from 'node:net';
 import {once} from 'node:events';
 import test from 'ava';
-import {createControlHandler} from '../../platform/control.js';
+import {
+  createConnectionNumbers,
+  createControlHandler,
+} from '../../platform/control.js';
 import {writeUntilClosed} from '../../standin/fleet/index.js';
 import type {InstanceManager, Sidecar} from '../../src/sidecar/index.js';
 
@@ -15,7 +18,11 @@
     isReady: () => true,
     instanceManager: manager as InstanceManager,
   } as Sidecar;
-  const server = http.createServer(createControlHandler(sidecar, () => {}));
+  const connections = createConnectionNumbers();
+  const server = http.createServer(
+    createControlHandler(sidecar, () => {}, connections),
+  );
+  server.on('connection', connections.add);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
@@ -176,3 +183,30 @@
     ['i-1', undefined],
   ]);
 });
+
+test('connections are numbered as they were opened, not as their requests arrive', async t => {
+  const received: unknown[] = [];
+  const {port, close} = await startControl({
+    handleHeartbeat: ({born, connection}) => {
+      received.push([born, connection]);
+      return Promise.resolve({holdMs: 5000});
+    },
+    handleDeparture: (_, born, connection) => {
+      received.push([born, connection]);
+      return Promise.resolve(true);
+    },
+  });
+  t.teardown(close);
+  const late = net.connect(port, '127.0.0.1');
+  await once(late, 'connect');
+  const agent = new http.Agent(AGENT_OPTIONS);
+  await sendHeartbeat(port, agent, 1, 2);
+  agent.destroy();
+  late.write('DELETE /-/instances/i-1 HTTP/1.1\r\nHost: a\r\n\r\n');
+  await once(late, 'data');
+  late.destroy();
+  t.deepEqual(received, [
+    [2, 2],
+    [undefined, 1],
+  ]);
+});
--- a/test/sidecar/instancemanager.test.ts
+++ b/test/sidecar/instancemanager.test.ts
@@ -167,6 +167,32 @@
   t.false(manager.isLeavingRecorded());
 });
 
+test('a departure on a connection that is older than those of the current life does not close it', async t => {
+  const {manager} = await createManager();
+  const {id, born} = HEARTBEAT;
+  const next = {...HEARTBEAT, born: born + 1};
+  await manager.handleHeartbeat({...next, connection: 8});
+  await manager.handleHeartbeat({...next, sequence: 2, connection: 9});
+  t.false(await manager.handleDeparture(id, undefined, 7));
+  t.true(manager.isLeavingRecorded());
+  t.true(await manager.handleDeparture(id, undefined, 8));
+  t.false(manager.isLeavingRecorded());
+});
+
+for (const [connection, sequence] of [
+  [9, 1],
+  [7, 3],
+]) {
+  test(`a departure on connection ${connection} is acknowledged if heartbeat ${sequence} of the life came on connection 8`, async t => {
+    const {manager} = await createManager();
+    const {id, born} = HEARTBEAT;
+    const next = {...HEARTBEAT, born: born + 1, sequence};
+    await manager.handleHeartbeat({...next, connection: 8});
+    t.true(await manager.handleDeparture(id, undefined, connection));
+    t.false(manager.isLeavingRecorded());
+  });
+}
+
 const MAP_KEY = rangesKey(HEARTBEAT.service);
 const HELD = createMap([{...ALL_KEYS, holder: OWN}]);
 
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -251,6 +251,13 @@
   readonly workEndsAt?: number;
 }
 
+/** A connection of an instance, which ends with the process of the daemon. */
+interface Connection {
+  readonly daemon?: Daemon;
+  /** Number in the order of opening. */
+  readonly connection: number;
+}
+
 /** A simulated instance. */
 export interface Instance extends Process {
   readonly incarnation: Incarnation;
@@ -265,7 +272,7 @@
   /** Time of its start or of the last answer. */
   answeredAt: number;
   /** The last answer on its connection, which it keeps if it sends in turn. */
-  read?: {readonly sequence: number; readonly daemon?: Daemon};
+  read?: Connection & {readonly sequence: number};
 }
 
 /** State of the store from a time on. */
@@ -735,6 +742,7 @@
 
   // The instances.
   let lives = 0;
+  let connections = 0;
   const taken: Taken[] = [];
 
   const liveRows = (instance: Instance) =>
@@ -867,6 +875,17 @@
     });
   };
 
+  /** Returns the connection for a message: the kept one if it is idle. */
+  const connect = ({read, machine: {daemon}}: Instance): Connection => {
+    if (read && read.daemon === daemon) return read;
+    connections += 1;
+    return {daemon, connection: connections};
+  };
+
+  /** Returns the number of a connection if a process has accepted it. */
+  const numberAt = (process: Daemon, {daemon, connection}: Connection) =>
+    daemon === process ? connection : undefined;
+
   const send = (instance: Instance) => {
     const {incarnation, service, machine} = instance;
     instance.dueAt = Infinity;
@@ -877,6 +896,7 @@
     instance.pending += 1;
     const sentAt = now;
     const {sequence, rows, freed, state, read} = instance;
+    const used = connect(instance);
     instance.read = undefined;
     const beat: Heartbeat = {
       id: incarnation.id,
@@ -922,7 +942,8 @@
         );
         const readSequence =
           read?.daemon === daemon ? read.sequence : undefined;
-        const received = {...beat, readSequence};
+        const connection = numberAt(daemon, used);
+        const received = {...beat, readSequence, connection};
         void daemon.manager.handleHeartbeat(received).then(answer => {
           if (answer && !instance.isAlive) machine.strayAt = now;
           const isCounted = machine.thawedAt + THAW_MS < arrivedAt;
@@ -931,7 +952,7 @@
           );
           schedule(now + heldUpMs(), instance, () => {
             if (!options.overlapping && now - sentAt < ANSWER_LIMIT_MS)
-              instance.read = {sequence, daemon};
+              instance.read = {...used, sequence, daemon};
             if (answer)
               receiveAnswer(instance, beat, sentAt, answer, isCounted);
             settle();
@@ -1074,12 +1095,17 @@
     {incarnation}: Instance,
     daemon: Daemon,
     isNamed: boolean,
+    connection: number | undefined,
   ) => {
     const {manager} = daemon;
     const {id, born} = incarnation;
     trace(`${id} departs`);
     const isCurrent = isSameIncarnation(manager.incarnation(), incarnation);
-    const answer = manager.handleDeparture(id, isNamed ? born : undefined);
+    const answer = manager.handleDeparture(
+      id,
+      isNamed ? born : undefined,
+      connection,
+    );
     if (!isCurrent) return;
     void answer.then(isKnown => {
       if (!isKnown) break_('departure', `${id} not acknowledged`);
@@ -1098,14 +1124,15 @@
     const {instance} = machine;
     if (!instance?.isAlive || instance.state !== 'ready') return;
     const depart = () => {
-      // The connection ends with the daemon's process.
-      const {daemon: reader} = instance.read ?? {};
+      const {read} = instance;
+      const used = connect(instance);
       schedule(now + heldUpMs(), undefined, () => {
         const {daemon} = machine;
         if (!daemon?.isAlive) return;
-        const isNamed = options.namesDepartures || reader === daemon;
+        const isNamed = options.namesDepartures || read?.daemon === daemon;
+        const connection = numberAt(daemon, used);
         schedule(now, daemon, () =>
-          handOverDeparture(instance, daemon, isNamed),
+          handOverDeparture(instance, daemon, isNamed, connection),
         );
       });
     };
