--- a/src/sidecar/heartbeatdelivery.ts
+++ b/src/sidecar/heartbeatdelivery.ts
@@ -11,6 +11,7 @@
   reportsRange,
   startGrants,
   release,
+  restore,
   isSameIncarnation,
   dropRecordedReleases,
   type AnswerTimes,
@@ -63,7 +64,7 @@
     leasedUntil: arrivedAt + leaseBoundMs(leaseMs),
   });
   const timesOfPredecessor = timesOf(clock());
-  let grants: HeartbeatGrants = startGrants(timesOfPredecessor);
+  let grants: HeartbeatGrants = startGrants([timesOfPredecessor]);
   /**
    * Newly granted ranges that the instance may not have read yet, until
    * `unreadUntil`.
@@ -73,6 +74,8 @@
   let answersInProgress = 0;
   /** Arrival of the latest heartbeat that was answered, by `clock`. */
   let latestArrivedAt = -Infinity;
+  /** Time by which all leases of replaced incarnations have expired. */
+  let replacedLeasedUntil = -Infinity;
   /** Report of the latest heartbeat of the current incarnation. */
   let latestReport: HoldReport | undefined;
   /** Its arrival, by `wallClock`. */
@@ -80,6 +83,21 @@
   /** Write of releases that is in progress. */
   let recording: Promise<void> | undefined;
 
+  const lastConfirmedAt = () =>
+    answersInProgress > 0
+      ? Math.max(grants.arrivedAt, latestArrivedAt)
+      : grants.arrivedAt;
+
+  /** Discards all grants, and keeps in mind that their leases may go on. */
+  const reset = () => {
+    const {leasedUntil} = timesOf(lastConfirmedAt());
+    replacedLeasedUntil = Math.max(replacedLeasedUntil, leasedUntil);
+    // An incarnation that reads an answer runs, so that those before have ended.
+    const replaced = {readableUntil: clock(), leasedUntil: replacedLeasedUntil};
+    grants = startGrants([timesOfPredecessor, replaced]);
+    latestReport = undefined;
+  };
+
   /** Returns whether no later heartbeat and no other incarnation is known. */
   const isLatest = ({incarnation, sequence}: HoldReport) =>
     sequence === grants.sequence &&
@@ -126,10 +144,21 @@
     return rows;
   };
 
+  /**
+   * Returns the releases that a report proves. Keys that were revoked from an
+   * instance that sends heartbeats are not released but restored.
+   */
+  const releasesBy = (report: HoldReport, map: RangeMap) => {
+    const to = recipient();
+    const isRestorable = to?.state === 'ready' && !to.isSilent;
+    const due = isRestorable ? restore(map, report.incarnation) : map;
+    return findReleases(due, grants, report);
+  };
+
   /** Returns the map without what the latest heartbeat proves to be released. */
   const releaseRanges = (map: RangeMap): RangeMap => {
     if (!latestReport) return map;
-    const released = findReleases(map, grants, latestReport);
+    const released = releasesBy(latestReport, map);
     return released.length > 0
       ? release(map, latestReport.incarnation, released)
       : map;
@@ -196,8 +225,7 @@
     if (!map) return {holdMs: leaseMs};
     const outdated = findOutdatedHolds(map, report.incarnation, report.holds);
     if (outdated.length > 0) logOutdatedHolds(service, report, outdated);
-    if (findReleases(map, grants, report).length > 0)
-      startRecordingReleases(service);
+    if (releasesBy(report, map).length > 0) startRecordingReleases(service);
     const dueTerms = heldBy(map, report.incarnation);
     const isFresh =
       outdated.length === 0 &&
@@ -224,10 +252,7 @@
   };
 
   return {
-    reset: () => {
-      grants = startGrants(timesOfPredecessor);
-      latestReport = undefined;
-    },
+    reset,
     resume: () => {},
     recordReport: report => {
       latestReport = report;
@@ -248,10 +273,7 @@
       grants.grantedSequence < 0
         ? undefined
         : grants.arrivedAt + leaseMs - clock(),
-    lastConfirmedAt: () =>
-      answersInProgress > 0
-        ? Math.max(grants.arrivedAt, latestArrivedAt)
-        : grants.arrivedAt,
+    lastConfirmedAt,
   };
 }
 
--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -2,7 +2,10 @@
 import net, {type AddressInfo, type Socket} from 'node:net';
 import {once} from 'node:events';
 import test from 'ava';
-import {createControlHandler} from '../../platform/control.js';
+import {
+  createConnectionNumbers,
+  createControlHandler,
+} from '../../platform/control.js';
 import {writeUntilClosed} from '../../standin/fleet/index.js';
 import type {InstanceManager, Sidecar} from '../../src/sidecar/index.js';
 
@@ -15,7 +18,11 @@
     isReady: () => true,
     instanceManager: manager as InstanceManager,
   } as Sidecar;
-  const server = http.createServer(createControlHandler(sidecar, () => {}));
+  const connections = createConnectionNumbers();
+  const server = http.createServer(
+    createControlHandler(sidecar, () => {}, connections),
+  );
+  server.on('connection', connections.add);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
@@ -74,7 +81,23 @@
     ...{version: 'v1', slots: 4, state: 'ready', cold_left_s: 0},
     ...{seq: sequence, born},
   });
-  const options = {agent, method: 'PUT', path: '/-/instances/i-1'};
+  await call(port, {agent, method: 'PUT', path: '/-/instances/i-1'}, body);
+}
+
+/** Sends a departure without a body; resolves when its response has been read. */
+function sendDeparture(
+  port: number,
+  agent: http.Agent,
+  id = 'i-1',
+): Promise<void> {
+  return call(port, {agent, method: 'DELETE', path: `/-/instances/${id}`});
+}
+
+async function call(
+  port: number,
+  options: http.RequestOptions,
+  body?: string,
+): Promise<void> {
   const request = http.request({...options, host: '127.0.0.1', port});
   request.end(body);
   const [response] = (await once(request, 'response')) as [
@@ -132,3 +155,58 @@
     t.deepEqual(departures, status === 200 ? [{id: 'i-1', born}] : []);
   });
 }
+
+test('a departure that names no life is of the one whose heartbeats came on its connection', async t => {
+  const departures: unknown[] = [];
+  const {port, close} = await startControl({
+    handleHeartbeat: () => Promise.resolve({holdMs: 5000}),
+    handleDeparture: (id, born) => {
+      departures.push([id, born]);
+      return Promise.resolve(true);
+    },
+  });
+  t.teardown(close);
+  const [earlier, later, other] = [1, 2, 3].map(
+    () => new http.Agent(AGENT_OPTIONS),
+  );
+  await sendHeartbeat(port, earlier, 1, 1);
+  await sendHeartbeat(port, later, 1, 2);
+  await sendDeparture(port, earlier);
+  await sendDeparture(port, later);
+  await sendDeparture(port, later, 'i-2');
+  await sendDeparture(port, other);
+  for (const agent of [earlier, later, other]) agent.destroy();
+  t.deepEqual(departures, [
+    ['i-1', 1],
+    ['i-1', 2],
+    ['i-2', undefined],
+    ['i-1', undefined],
+  ]);
+});
+
+test('connections are numbered as they were opened, not as their requests arrive', async t => {
+  const received: unknown[] = [];
+  const {port, close} = await startControl({
+    handleHeartbeat: ({born, connection}) => {
+      received.push([born, connection]);
+      return Promise.resolve({holdMs: 5000});
+    },
+    handleDeparture: (_, born, connection) => {
+      received.push([born, connection]);
+      return Promise.resolve(true);
+    },
+  });
+  t.teardown(close);
+  const late = net.connect(port, '127.0.0.1');
+  await once(late, 'connect');
+  const agent = new http.Agent(AGENT_OPTIONS);
+  await sendHeartbeat(port, agent, 1, 2);
+  agent.destroy();
+  late.write('DELETE /-/instances/i-1 HTTP/1.1\r\nHost: a\r\n\r\n');
+  await once(late, 'data');
+  late.destroy();
+  t.deepEqual(received, [
+    [2, 2],
+    [undefined, 1],
+  ]);
+});
--- a/test/sidecar/lives.ts
+++ b/test/sidecar/lives.ts
@@ -94,7 +94,10 @@
    * last one is not answered yet.
    */
   readonly overlapping: boolean;
-  /** Whether a departure names the start of its life; by default it does not. */
+  /**
+   * Whether a departure names the start of its life; by default it does not, and
+   * only the connection on which heartbeats came before tells whose it is.
+   */
   readonly namesDepartures?: boolean;
   /** Share of the calls to the store that take up to a second. */
   readonly slowShare: number;
@@ -154,8 +157,11 @@
    * - `unserved`: a running instance was not answered within a lease bound and
    *   some heartbeats.
    * - `kept`: long after all disturbances, keys are not with a running instance.
+   * - `departure`: the departure of the current life was not acknowledged, or
+   *   requests were sent to it later than the drain time after that.
    */
-  readonly kind: 'token' | 'shared' | 'work' | 'unserved' | 'kept';
+  readonly kind:
+    'token' | 'shared' | 'work' | 'unserved' | 'kept' | 'departure';
   readonly atMs: number;
   readonly text: string;
 }
@@ -245,6 +251,13 @@
   readonly workEndsAt?: number;
 }
 
+/** A connection of an instance, which ends with the process of the daemon. */
+interface Connection {
+  readonly daemon?: Daemon;
+  /** Number in the order of opening. */
+  readonly connection: number;
+}
+
 /** A simulated instance. */
 export interface Instance extends Process {
   readonly incarnation: Incarnation;
@@ -259,7 +272,7 @@
   /** Time of its start or of the last answer. */
   answeredAt: number;
   /** The last answer on its connection, which it keeps if it sends in turn. */
-  read?: {readonly sequence: number; readonly daemon?: Daemon};
+  read?: Connection & {readonly sequence: number};
 }
 
 /** State of the store from a time on. */
@@ -729,6 +742,7 @@
 
   // The instances.
   let lives = 0;
+  let connections = 0;
   const taken: Taken[] = [];
 
   const liveRows = (instance: Instance) =>
@@ -861,6 +875,17 @@
     });
   };
 
+  /** Returns the connection for a message: the kept one if it is idle. */
+  const connect = ({read, machine: {daemon}}: Instance): Connection => {
+    if (read && read.daemon === daemon) return read;
+    connections += 1;
+    return {daemon, connection: connections};
+  };
+
+  /** Returns the number of a connection if a process has accepted it. */
+  const numberAt = (process: Daemon, {daemon, connection}: Connection) =>
+    daemon === process ? connection : undefined;
+
   const send = (instance: Instance) => {
     const {incarnation, service, machine} = instance;
     instance.dueAt = Infinity;
@@ -871,6 +896,7 @@
     instance.pending += 1;
     const sentAt = now;
     const {sequence, rows, freed, state, read} = instance;
+    const used = connect(instance);
     instance.read = undefined;
     const beat: Heartbeat = {
       id: incarnation.id,
@@ -916,7 +942,8 @@
         );
         const readSequence =
           read?.daemon === daemon ? read.sequence : undefined;
-        const received = {...beat, readSequence};
+        const connection = numberAt(daemon, used);
+        const received = {...beat, readSequence, connection};
         void daemon.manager.handleHeartbeat(received).then(answer => {
           if (answer && !instance.isAlive) machine.strayAt = now;
           const isCounted = machine.thawedAt + THAW_MS < arrivedAt;
@@ -925,7 +952,7 @@
           );
           schedule(now + heldUpMs(), instance, () => {
             if (!options.overlapping && now - sentAt < ANSWER_LIMIT_MS)
-              instance.read = {sequence, daemon};
+              instance.read = {...used, sequence, daemon};
             if (answer)
               receiveAnswer(instance, beat, sentAt, answer, isCounted);
             settle();
@@ -1063,25 +1090,54 @@
     });
   };
 
+  /** Hands a departure to the daemon, and checks the answer to the current life. */
+  const handOverDeparture = (
+    {incarnation}: Instance,
+    daemon: Daemon,
+    isNamed: boolean,
+    connection: number | undefined,
+  ) => {
+    const {manager} = daemon;
+    const {id, born} = incarnation;
+    trace(`${id} departs`);
+    const isCurrent = isSameIncarnation(manager.incarnation(), incarnation);
+    const answer = manager.handleDeparture(
+      id,
+      isNamed ? born : undefined,
+      connection,
+    );
+    if (!isCurrent) return;
+    void answer.then(isKnown => {
+      if (!isKnown) break_('departure', `${id} not acknowledged`);
+    });
+    schedule(now + DRAIN_MS, daemon, () => {
+      const isStillCurrent = isSameIncarnation(
+        manager.incarnation(),
+        incarnation,
+      );
+      if (isStillCurrent && !manager.local()?.isClosed)
+        break_('departure', `${id} open to requests`);
+    });
+  };
+
   const drain = (machine: Machine, announces: boolean) => {
     const {instance} = machine;
     if (!instance?.isAlive || instance.state !== 'ready') return;
-    const {id, born} = instance.incarnation;
     const depart = () => {
+      const {read} = instance;
+      const used = connect(instance);
       schedule(now + heldUpMs(), undefined, () => {
         const {daemon} = machine;
-        if (daemon?.isAlive)
-          schedule(now, daemon, () => {
-            trace(`${id} departs`);
-            void daemon.manager.handleDeparture(
-              id,
-              options.namesDepartures ? born : undefined,
-            );
-          });
+        if (!daemon?.isAlive) return;
+        const isNamed = options.namesDepartures || read?.daemon === daemon;
+        const connection = numberAt(daemon, used);
+        schedule(now, daemon, () =>
+          handOverDeparture(instance, daemon, isNamed, connection),
+        );
       });
     };
     const end = () => endInstance(machine, between(500, 3000), false);
-    trace(`${id} ${announces ? 'drains' : 'leaves'}`);
+    trace(`${nameOf(instance.incarnation)} ${announces ? 'drains' : 'leaves'}`);
     if (announces) {
       instance.state = 'draining';
       sendSoon(instance, now);
