Keep a sent request at a daemon that cannot be reached until it can go elsewhere

Callers of keys got 502 a second after the machine of the holder took no new connections, while it answered on old ones. Cause: 'unreachable' is what a full accept queue looks like, too. A key has one holder, so that its callers were refused until it answered.

A request that was sent and may be repeated is now given up for another instance only: the next holder, once the map names one, or one with a free slot. It is then sent there by the daemon, in place of a failure. Unsent requests and processes that have ended are given up as before.

The unit test of the eight cases expects the second of the two sent ones to be kept as well, for the same reason; the others as before.

--- a/src/relay/detector.ts
+++ b/src/relay/detector.ts
@@ -465,10 +465,9 @@
  * - If it may have run and must not run again, it is aborted only when the
  *   process is known to have ended; a late answer is worth more to its caller
  *   than none.
- * - Any other request is aborted when its daemon accepts no connections.
- * - A process that accepts connections and does not answer may be late and
- *   running what it was sent, so such a request is only aborted for another
- *   instance.
+ * - Any other request is aborted when its daemon has failed. One that was sent is
+ *   only aborted for another instance: the daemon may be late, or its accept
+ *   queue full, and the request running.
  * - If the daemon is suspected, a request that was sent is kept, as its answer
  *   is likelier than that of another attempt. One that was not sent is aborted
  *   after 400 ms without any answer from the daemon if another instance may run
@@ -493,9 +492,10 @@
   const isSafeToRepeat = !isSent || isRepeatable;
   if (liveness === 'refused') return {kind: 'give-up'};
   const isUnavailable =
-    liveness === 'unreachable' ||
-    (liveness === 'unresponsive' && (!isSent || hasAlternative));
-  if (isUnavailable && isSafeToRepeat) return {kind: 'give-up'};
+    liveness === 'unreachable' || liveness === 'unresponsive';
+  const isReplaceable = !isSent || hasAlternative;
+  if (isUnavailable && isSafeToRepeat && isReplaceable)
+    return {kind: 'give-up'};
   const quietMs = Math.min(pendingMs, status.quietMs);
   if (quietMs >= PROBE_AFTER_MS) {
     const isMovable = liveness === 'suspect' && !isSent && hasAlternative;
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -252,9 +252,22 @@
   return Math.max(reportedBusy, inFlight) < Math.max(load.slots, slots);
 }
 
+/** Tells whether the key of a request has moved away from a member. */
+function isHeldByOther(
+  {view}: IngressContext,
+  {service, caller: {key}}: RoutedRequest,
+  member: Member,
+): boolean {
+  const map = view().maps.get(service)?.value;
+  const term = map && key !== undefined ? findTerm(map, key) : undefined;
+  if (!term || term.state === 'free') return false;
+  return !isSameIncarnation(incarnationOf(member), term.holder);
+}
+
 /**
  * Tells whether a request that a member has not answered could be sent to
- * another instance, which appears to answer and to have free capacity.
+ * another instance: the next holder of its key or, without keys, one that
+ * appears to answer and to have free capacity.
  *
  * @param isSent The request may have run, so that sending it again draws on the
  *     retry budget.
@@ -269,7 +282,6 @@
   isSent: boolean,
 ): boolean {
   const {service, route, refusedBy, sentTo, identity} = routed;
-  if (context.isKeyed(service)) return false;
   const now = context.clock();
   if (isSent) {
     const canCallerRetry = identity.dueAt - now >= CALLER_RETRY_MS;
@@ -277,6 +289,9 @@
     if (isLastAttempt || !context.hasRetry(service, canCallerRetry))
       return false;
   }
+  if (context.isKeyed(service)) {
+    return isSent && isHeldByOther(context, routed, member);
+  }
   return openMembers(context, service, now).some(other => {
     const {node, id} = other;
     if (id === member.id || sentTo.has(id)) return false;
--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -275,8 +275,7 @@
       for (const liveness of ['unreachable', 'unresponsive'] as const) {
         const one = {...pending, hasAlternative};
         // A live process may be running it, and no other instance could.
-        const isKept =
-          liveness === 'unresponsive' && one.isSent && !hasAlternative;
+        const isKept = one.isSent && !hasAlternative;
         const step = decidePending(statusWith(liveness), one);
         t.is(step.kind, isKept ? 'probe' : 'give-up');
       }
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -138,6 +138,9 @@
     KEYED_TIMEOUT_S * 1000,
   );
 
+/** Time in which two probes without an answer show a daemon as unresponsive. */
+const SILENCE_MS = 3300;
+
 /** Slower than the two probes that find a daemon unresponsive. */
 const SLOW = {probeDelayMs: 5000, requestDelayMs: 3000};
 
@@ -156,6 +159,25 @@
   await stopped;
 });
 
+test('a request at a holder that goes dark is answered by the next holder of its key', async t => {
+  const fleet = await startFleetWithPeer(t, {isUnresponsive: true});
+  const [pair] = fleet.pairs;
+  const answer = requestPeerKey(fleet);
+  await pause(PROPAGATION_MS);
+  // The planner gives the key to the other instance.
+  const map = fleet.store.read('fleet', 'ranges.stock') as {
+    fence: number;
+    terms: {holder: unknown; fence: number}[];
+  };
+  const [{holder}] = map.terms;
+  const fence = map.fence + 1;
+  const terms = map.terms.map(term => ({...term, holder, fence}));
+  await pause(SILENCE_MS);
+  fleet.store.write('fleet', 'ranges.stock', {...map, fence, terms});
+  t.is((await answer).status, 200);
+  t.true(pair.instance.runs.length > 0);
+});
+
 const isDeclaredLost = (fleet: TestFleet, upstream: string) =>
   fleet.pairs.some(({events}) =>
     events.some(
