Take a grant of nothing by call for no grant

What callers saw: after a drill (the store back from a copy) with a daemon restarted, requests for the keys of that daemon's instance were refused until the recovery of the map ended, though the instance ran and held them.

Cause: a restarted daemon may grant nothing while the map recovers. Its delivery by call counted that renewal of no range as a grant, so that holds() said false in place of undefined, and what the instance manager knows of grants of the process before (mayHoldInRecovery) was not asked. Documented is: undefined if this process has granted nothing yet.

Change: a delivery has granted once a lease was confirmed. Nothing is granted by it: the instance itself refuses what it does not hold.

The new test failed before (false in place of undefined) and passes; 30 tests of calldelivery, instancemanager, storecopy and restart pass.

--- a/src/sidecar/calldelivery.ts
+++ b/src/sidecar/calldelivery.ts
@@ -230,7 +230,7 @@
     await Promise.all(
       dueTerms(terms, leftMs).map(term => grantRange(to, term, start)),
     );
-    hasGranted = true;
+    hasGranted ||= leasedRanges().length > 0;
     context.onChange();
   };
 
--- a/test/sidecar/calldelivery.test.ts
+++ b/test/sidecar/calldelivery.test.ts
@@ -181,3 +181,40 @@
   t.is(leases.length, 1);
   t.true(leases[0] <= LEASE_MS - 200);
 });
+
+// Guards against keys that are refused though their holder runs, after its daemon
+// was restarted while the store came back from a copy.
+test('a restarted daemon that may grant nothing does not take its instance for one without keys', async t => {
+  const held = createMap([{...ALL_KEYS, holder: OWN}]);
+  const floor = held.fence + 1;
+  const map: RangeMap = {...held, fence: floor, floor, isRecovering: true};
+  const stored = {
+    key: rangesKey('desk'),
+    value: JSON.stringify(map),
+    version: 1,
+  };
+  const {view} = applyChange(EMPTY_VIEW, stored);
+  let reads = 0;
+  const store: ObjectStore = {
+    get: async () => {
+      reads += 1;
+      return stored;
+    },
+    put: () => new Promise(() => {}),
+    list: () => new Promise(() => {}),
+    delete: () => new Promise(() => {}),
+    watch: async function* () {},
+  };
+  const delivery = createCallDelivery(
+    createDeliveryContext(
+      {store, view: () => view, observeChange: () => {}, clock: () => 0},
+      OWN,
+      {},
+    ),
+    {grant: () => new Promise(() => {}), release: () => new Promise(() => {})},
+  );
+  delivery.resume();
+  await new Promise(resolve => setImmediate(resolve));
+  t.is(reads, 1);
+  t.is(delivery.holds(10), undefined);
+});
