Judge departures by connection only after a restart under the same id

The connection now counts only if the life replaced one under the same id, which alone leaves it open whose departure it is.

--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -183,7 +183,10 @@
   readonly reported: readonly HeldRange[];
   /** State in its last heartbeat. */
   readonly reportedState?: Heartbeat['state'];
-  /** Connection of its first heartbeat; 0 if that was not received. */
+  /**
+   * Connection of its first heartbeat; 0 if that was not received, or no life
+   * before it under the same identifier is known.
+   */
   readonly firstConnection: number;
 }
 
@@ -370,11 +373,11 @@
       reportedState: beat.state,
     };
     const {connection = 0} = beat;
-    const isFirst = sequence <= MAX_FIRST_SEQUENCE;
+    const isRestart = instance?.id === id && sequence <= MAX_FIRST_SEQUENCE;
     const {
       state = 'ready',
       closesAt = Infinity,
-      firstConnection = isFirst ? connection : 0,
+      firstConnection = isRestart ? connection : 0,
     } = known ?? {};
     instance = advanceState(
       {...reported, state, closesAt, firstConnection},
--- a/test/sidecar/lives.test.ts
+++ b/test/sidecar/lives.test.ts
@@ -287,6 +287,13 @@
   'frequent ends, a bad store, overlapping heartbeats': [
     {seed: 103, path: '96'},
   ],
+  // Departures before the first heartbeat of the life was answered.
+  'all disturbances, a bad store, overlapping heartbeats': [
+    {seed: 923, path: '3'},
+  ],
+  'four machines, reused addresses, a bad store, overlapping heartbeats': [
+    {seed: 923, path: '0'},
+  ],
   // A grant by a map that was read before the recovery of the map was written.
   'copies, a bad store, overlapping heartbeats': [{seed: 4402, path: '175'}],
   'copies, a bad store, departures that name their life, sequential heartbeats':
