Take only the proved part of a time on the way off a deadline

Cause: the clock of the receiver was measured when the answer arrived, so the lateness of that answer counted as time on the way of later requests.

A daemon now tells when it read the request, and the sender takes the least difference to when it sent one. The error is the time that this request was on its way, so that a time on the way can be found too short and never too long; a restart of the receiver finds none. A header that is no whole number counts for nothing ('' was 0).

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -58,8 +58,6 @@
       readonly meanMs: number;
       readonly limitedMs: number;
       readonly intervalMs: number;
-      /** Its monotonic clock, in milliseconds; NaN if it states none. */
-      readonly clockMs: number;
     }
   /** The daemon has failed. */
   | {readonly kind: 'unreachable'}
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -13,6 +13,7 @@
   type Liveness,
   type PeerStatus,
 } from './detector.js';
+import type {ClockReading} from './transit.js';
 import {hopHeaders, bodyToSend, type Flow, type Work} from './work.js';
 
 /** Dependencies for forwarding requests to other daemons. */
@@ -25,6 +26,8 @@
   readonly peerTransport: (node: string, work: Work) => Transport;
   readonly loads: (node: string) => InstanceLoad;
   readonly observeLoad: (node: string, event: LoadEvent) => void;
+  /** Records when a daemon read a request, by its clock. */
+  readonly observeClock: (node: string, reading: ClockReading) => void;
   /**
    * Returns by how much the clock of a daemon is ahead of this one's, in
    * milliseconds, if known.
@@ -58,8 +61,8 @@
  * late.
  *
  * @param node Address of the daemon, as `ip:port`.
- * @param hasAlternative Returns whether the request could be sent to another
- *     instance now, should this attempt be aborted.
+ * @param canMove Returns whether the request could be sent to another instance
+ *     now, should this attempt be aborted.
  * @param onHead Called with the head of an answer that is passed on.
  *
  * @example
@@ -71,7 +74,7 @@
   flow: Flow,
   node: string,
   work: Work,
-  hasAlternative: (isSent: boolean) => boolean,
+  canMove: (isSent: boolean) => boolean,
   onHead: (head: ResponseHead) => void = () => {},
 ): Promise<Attempt> {
   const transport = context.peerTransport(node, work);
@@ -96,7 +99,7 @@
       isSent,
       isRepeatable,
       // The answer matters only once the daemon is suspected.
-      hasAlternative: status.liveness !== 'alive' && hasAlternative(isSent),
+      hasAlternative: status.liveness !== 'alive' && canMove(isSent),
       lateMs,
     });
     if (step.kind === 'give-up') {
@@ -113,7 +116,11 @@
   const judge = (head: ResponseHead) => {
     hasAnswer = true;
     const load = readLoad(head);
-    if (load) context.observeLoad(node, {kind: 'reported', ...load});
+    if (load) {
+      context.observeLoad(node, {kind: 'reported', ...load});
+      const reading = {sentAt: forwardedAt, readAt: load.clockMs};
+      context.observeClock(node, reading);
+    }
     const reported = readFailure(head);
     if (!reported && head.ownHeaders.has(LOAD_HEADER)) return undefined;
     if (!reported) {
--- a/src/relay/forwarded.ts
+++ b/src/relay/forwarded.ts
@@ -76,6 +76,7 @@
         'forwarded request has no valid vanillaspool-hop header',
       ),
       false,
+      startedAt,
     );
     return;
   }
@@ -107,7 +108,13 @@
   if (body.kind === 'broken' || body.kind === 'too-large') {
     cancelDeadline();
     context.transfers.finish(hop.id, body.kind !== 'broken');
-    answer(context, response, notRun('bad-request', body.kind), false);
+    answer(
+      context,
+      response,
+      notRun('bad-request', body.kind),
+      false,
+      startedAt,
+    );
     return;
   }
   const work = workOf(request, hop, startedAt, caller, body);
@@ -127,11 +134,11 @@
     const {outcome, reason, message} = refusal;
     const fields = {request: hop.id, upstream: hop.instance, ...course};
     context.log(RELAY_EVENTS.ran, {...fields, outcome, reason, message});
-    answer(context, response, refusal, false);
+    answer(context, response, refusal, false, startedAt);
     return;
   }
   const attempt = await runLocally(context, flow, work, head => {
-    head.headers.push(LOAD_HEADER, formatLoad(context.load()));
+    head.headers.push(LOAD_HEADER, loadAt(context, startedAt));
   });
   cancelDeadline();
   const timeMs = Math.round(context.clock() - startedAt);
@@ -164,7 +171,7 @@
       ...spent,
       upstream: instance,
     });
-    answer(context, response, reported, free === false);
+    answer(context, response, reported, free === false, startedAt);
   }
 }
 
@@ -222,7 +229,7 @@
     refuseOffer(context, work, ahead() - 1);
   cancelDeadline();
   if (!refusal) {
-    const headers = [LOAD_HEADER, formatLoad(context.load())];
+    const headers = [LOAD_HEADER, loadAt(context, startedAt)];
     response.writeHead(ACCEPTED_STATUS, headers);
     response.end();
     return;
@@ -233,7 +240,7 @@
   const timeMs = Math.round(context.clock() - startedAt);
   const fields = {request: id, outcome, reason, message, timeMs};
   context.log(RELAY_EVENTS.offerRefused, {...fields, upstream: instance});
-  answer(context, response, refusal, false);
+  answer(context, response, refusal, false, startedAt);
 }
 
 /** Status of the answer that accepts an offer. */
@@ -271,15 +278,21 @@
   return notRun(reason, message, retryAfterMs);
 }
 
+/** Returns the load, with the time at which the request was read. */
+function loadAt({load}: ForwardedContext, readAt: number): string {
+  return formatLoad({...load(), clockMs: readAt});
+}
+
 function answer(
   context: ForwardedContext,
   response: ResponseWriter,
   failure: Failure,
   offered: boolean,
+  readAt: number,
 ): void {
   if (response.destroyed || response.headersSent) return;
   const headers = failureHeaders(failure, offered);
-  headers.push(LOAD_HEADER, formatLoad(context.load()));
+  headers.push(LOAD_HEADER, loadAt(context, readAt));
   headers.push('Content-Length', '0');
   response.writeHead(failure.status, headers);
   response.end();
--- a/src/relay/hop.ts
+++ b/src/relay/hop.ts
@@ -181,7 +181,10 @@
   readonly limitedMs: number;
   /** Interval of requests that the rate limit allows; 0 without a limit. */
   readonly intervalMs: number;
-  /** Monotonic clock of the daemon at the time of the report, in milliseconds. */
+  /**
+   * Monotonic clock of the daemon when it read the request, or later, in
+   * milliseconds.
+   */
   readonly clockMs: number;
 }
 
@@ -218,6 +221,6 @@
     meanMs: Number(values[2]),
     limitedMs: Number(values[3] ?? 0),
     intervalMs: Number(values[4] ?? 0),
-    clockMs: Number(values[5] ?? NaN),
+    clockMs: Number(values[5] || NaN),
   };
 }
--- a/src/relay/offer.ts
+++ b/src/relay/offer.ts
@@ -53,7 +53,8 @@
   const {clock, peerPools, observeLoad} = context;
   const pool = peerPools.get(parseAddress(node), PEER_CONNECTIONS);
   const length = String(lengthOf(work.body));
-  const described = hopHeaders(work, clock(), context.clockAheadMs(node));
+  const sentAt = clock();
+  const described = hopHeaders(work, sentAt, context.clockAheadMs(node));
   const headers = [...described, OFFER_HEADER, length];
   const call = {method: 'GET', path: '/', headers, body: null};
   let answer: ResponseHead | undefined;
@@ -86,6 +87,7 @@
     return failedWithFreeRetry(notRun(reason, message));
   }
   observeLoad(node, {kind: 'reported', ...load});
+  context.observeClock(node, {sentAt, readAt: load.clockMs});
   const reported = readFailure(answer);
   return reported && failedWithFreeRetry(reported.failure);
 }
--- a/src/relay/transit.ts
+++ b/src/relay/transit.ts
@@ -1,12 +1,12 @@
 /**
- * Header of a forwarded request with the time at which it was sent, in
- * milliseconds of the receiver's clock as the sender knows it.
+ * Header of a forwarded request with the time at which it was sent at the latest,
+ * in milliseconds of the receiver's clock.
  */
 export const SENT_AT_HEADER = 'vanillaspool-sent-at';
 
 /** By how much the clock of another daemon is ahead of this one's. */
 export interface ClockDifference {
-  /** Lower bound: too low by the time that an answer took to arrive. */
+  /** Upper bound: too high by the time that a request took to be read. */
   readonly aheadMs: number;
   /** Time of the measurement, in milliseconds. */
   readonly measuredAt: number;
@@ -29,26 +29,34 @@
  */
 const MAX_WALL_SHIFT_MS = 50;
 
+/** When a daemon read a request, by its own clock. */
+export interface ClockReading {
+  /** Time at which the request was sent, in milliseconds of this clock. */
+  readonly sentAt: number;
+  /** Its clock when it read the request, in milliseconds. */
+  readonly readAt: number;
+}
+
 /**
- * Adds a reading of the clock of another daemon, from an answer that arrives
- * now. The highest measurement, of the fastest answer, is kept.
+ * Adds a reading of the clock of another daemon. The lowest measurement, of the
+ * request that was read soonest, is kept.
  *
- * @param readingMs Its clock when it sent the answer, in milliseconds.
  * @param wallOffsetMs Wall clock minus monotonic clock, in milliseconds.
  *
  * @example
- * measureClock(undefined, 5040, 1000, offset).aheadMs; // 4040
+ * const reading = {sentAt: 990, readAt: 4995};
+ * measureClock(undefined, reading, 1000, offset).aheadMs; // 4005
  */
 export function measureClock(
   previous: ClockDifference | undefined,
-  readingMs: number,
+  {sentAt, readAt}: ClockReading,
   now: number,
   wallOffsetMs: number,
 ): ClockDifference {
-  const measured = {aheadMs: readingMs - now, measuredAt: now, wallOffsetMs};
+  const measured = {aheadMs: readAt - sentAt, measuredAt: now, wallOffsetMs};
   const known = clockAheadMs(previous, now, wallOffsetMs);
-  const isBetter = known === undefined || measured.aheadMs >= known;
-  return previous === undefined || isBetter ? measured : previous;
+  const isKept = known !== undefined && known < measured.aheadMs;
+  return previous && isKept ? previous : measured;
 }
 
 /**
@@ -56,7 +64,7 @@
  * undefined if it was not measured, too long ago, or before a suspension.
  *
  * @example
- * clockAheadMs(measureClock(undefined, 5040, 1000, offset), 1500, offset);
+ * clockAheadMs(measureClock(undefined, reading, 1000, offset), 1500, offset);
  */
 export function clockAheadMs(
   difference: ClockDifference | undefined,
@@ -69,10 +77,10 @@
 }
 
 /**
- * Returns for how long a forwarded request was on its way: in a queue of its
- * sender, on the link, or unread at the receiver, in milliseconds.
+ * Returns for how long a forwarded request was on its way at least: in a queue of
+ * its sender, on the link, or unread at the receiver, in milliseconds.
  *
- * @param sentAt The header that tells when it was sent.
+ * @param sentAt The header that tells when it was sent at the latest.
  * @returns 0 if that is unknown.
  *
  * @example
@@ -82,7 +90,8 @@
   sentAt: string | readonly string[] | undefined,
   readAt: number,
 ): number {
-  if (typeof sentAt !== 'string') return 0;
-  const transitMs = readAt - Number(sentAt);
-  return transitMs > 0 ? transitMs : 0;
+  if (typeof sentAt !== 'string' || !WHOLE_NUMBER.test(sentAt)) return 0;
+  return Math.max(0, readAt - Number(sentAt));
 }
+
+const WHOLE_NUMBER = /^\d+$/;
--- a/src/sidecar/peerloads.ts
+++ b/src/sidecar/peerloads.ts
@@ -5,6 +5,7 @@
   clockAheadMs,
   measureClock,
   type ClockDifference,
+  type ClockReading,
   type InstanceLoad,
   type Liveness,
   type LoadEvent,
@@ -30,6 +31,8 @@
 export interface PeerLoads {
   readonly of: (peer: string) => InstanceLoad;
   readonly observe: (peer: string, event: LoadEvent) => void;
+  /** Records when a daemon read a request, by its clock. */
+  readonly observeClock: (peer: string, reading: ClockReading) => void;
   /**
    * Returns by how much the clock of a daemon is ahead of this one's, in
    * milliseconds, if known.
@@ -98,10 +101,10 @@
 
   const wallOffsetMs = () => context.wallClock() - clock();
 
-  const recordClock = (peer: string, readingMs: number) => {
-    if (Number.isNaN(readingMs)) return;
+  const observeClock = (peer: string, reading: ClockReading) => {
+    if (Number.isNaN(reading.readAt)) return;
     const before = clocks.get(peer);
-    const after = measureClock(before, readingMs, clock(), wallOffsetMs());
+    const after = measureClock(before, reading, clock(), wallOffsetMs());
     clocks.set(peer, after);
   };
 
@@ -109,10 +112,7 @@
     const before = loadOf(peer);
     const after = applyLoadEvent(before, event, clock());
     loads.set(peer, after);
-    if (event.kind === 'reported') {
-      context.recordAnswer(peer);
-      recordClock(peer, event.clockMs);
-    }
+    if (event.kind === 'reported') context.recordAnswer(peer);
     const isFirst = before.failedProbes === 0 && after.failedProbes > 0;
     if (isFirst) runInBackground(probeUntilReachable(peer));
   };
@@ -132,6 +132,7 @@
   return {
     of: loadOf,
     observe,
+    observeClock,
     clockAheadMs: peer =>
       clockAheadMs(clocks.get(peer), clock(), wallOffsetMs()),
     probe: peer => runInBackground(probe(peer)),
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -519,6 +519,7 @@
       return applyLoadEvent(known, {kind: 'reported', ...ownLoad()}, clock());
     },
     observeLoad: loads.observe,
+    observeClock: loads.observeClock,
     clockAheadMs: loads.clockAheadMs,
     peerPools,
     peerTransport: (peer, work) => {
--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -24,7 +24,6 @@
   meanMs,
   limitedMs: 0,
   intervalMs: 0,
-  clockMs: NaN,
 });
 
 const choice = (node: string, load: InstanceLoad): Candidate => ({
--- a/test/relay/limit.test.ts
+++ b/test/relay/limit.test.ts
@@ -266,7 +266,6 @@
         busy: running.length + waiting.length,
         slots: SLOTS,
         meanMs: WORK_MS,
-        clockMs: now(),
         ...(hasLimitReports ? limit : {limitedMs: 0, intervalMs: 0}),
       };
       const sent = loads.get(node) ?? UNKNOWN_LOAD;
--- a/test/sidecar/blocked.test.ts
+++ b/test/sidecar/blocked.test.ts
@@ -67,6 +67,7 @@
     peerTransport: peer => pools.get(parseAddress(peer), PEER_CONNECTIONS),
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
+    observeClock: () => {},
     clockAheadMs: () => undefined,
     probe: () => {},
     // It becomes unreachable while the event loop is blocked.
@@ -158,12 +159,13 @@
     'X-Vanillaspool-Request-Id': id,
     'vanillaspool-hop': JSON.stringify(hop),
   };
-  const sentAt = performance.now() + clockAheadMs;
-  if (!Number.isNaN(sentAt)) headers['vanillaspool-sent-at'] = Math.round(sentAt);
+  const sentAt = performance.now();
+  if (!Number.isNaN(clockAheadMs))
+    headers['vanillaspool-sent-at'] = Math.round(sentAt + clockAheadMs);
   const path = '/book/x';
   const request = http.request({host, port, method: 'POST', path, headers}, response => {
     const load = response.headers['vanillaspool-load'] ?? '';
-    clockAheadMs = Number(load.split(',')[5]) - performance.now();
+    clockAheadMs = Number(load.split(',')[5]) - sentAt;
     response.resume();
     const outcome = response.headers['vanillaspool-outcome'];
     const reason = response.headers['vanillaspool-reason'];
@@ -182,7 +184,7 @@
 `;
 
 /** How long the sender of a request waits for its answer. */
-interface Patience {
+interface SenderTimeouts {
   readonly leftMs: number;
   /** Time after which it closes its connection. */
   readonly closeMs?: number;
@@ -192,7 +194,10 @@
  * Forwards a request to a daemon whose event loop is blocked, and returns what
  * came of it and which requests the instance ran.
  */
-async function forwardWhileBlocked(t: ExecutionContext, patience: Patience) {
+async function forwardWhileBlocked(
+  t: ExecutionContext,
+  timeouts: SenderTimeouts,
+) {
   const fleet = await startFleet(['desk', 'stock']);
   t.teardown(fleet.close);
   const [{node, instance}] = fleet.pairs;
@@ -203,7 +208,7 @@
   const nextResult = async () =>
     ((await once(worker, 'message')) as [ForwardedResult])[0];
   t.is((await nextResult()).outcome, undefined);
-  worker.postMessage(patience);
+  worker.postMessage(timeouts);
   const forwarded = nextResult();
   setImmediate(blockEventLoop, BLOCKED_MS);
   const result = await forwarded;
@@ -214,8 +219,8 @@
 test.serial(
   'a forwarded request that is read after its deadline is refused as not run',
   async t => {
-    const patience = {leftMs: BLOCKED_MS / 4};
-    const {result, runs} = await forwardWhileBlocked(t, patience);
+    const timeouts = {leftMs: BLOCKED_MS / 4};
+    const {result, runs} = await forwardWhileBlocked(t, timeouts);
     t.deepEqual(result, {outcome: 'not-run', reason: 'deadline'});
     t.deepEqual(runs, ['r1']);
   },
@@ -224,8 +229,8 @@
 test.serial(
   'a forwarded request whose sender has gone before it is read is not run',
   async t => {
-    const patience = {leftMs: 8000, closeMs: BLOCKED_MS / 4};
-    const {runs} = await forwardWhileBlocked(t, patience);
+    const timeouts = {leftMs: 8000, closeMs: BLOCKED_MS / 4};
+    const {runs} = await forwardWhileBlocked(t, timeouts);
     t.deepEqual(runs, ['r1']);
   },
 );
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -156,6 +156,7 @@
     peerTransport: peer => pools.get(parseAddress(peer), PEER_CONNECTIONS),
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
+    observeClock: () => {},
     clockAheadMs: () => undefined,
     probe: () => {},
     peerStatus: () => peerStatusOf(NEVER_PROBED, performance.now()),
