Send no request to the instance after its deadline

An instance ran a request 0.6 s after its deadline: the deadline passed while the connection to the instance was being opened, in a turn of the event loop in which timers came last. The deadline is now looked at when the connection is ready, as the instance's identity was; the request is refused as not run.

--- a/src/relay/local.ts
+++ b/src/relay/local.ts
@@ -341,6 +341,7 @@
   let isGarbled = false;
   let sentAt = startedAt;
   let isRefused = false;
+  let isTooLate = false;
   let endRun: EndRun = () => {};
   const leftMs = Math.max(1, Math.floor(work.deadlineAt - startedAt));
   const call = {
@@ -356,7 +357,8 @@
   const attempt = await runExchange(flow, pool, call, {
     canSend: () => {
       sentAt = clock();
-      if (context.local()?.id !== work.instance) return false;
+      isTooLate = sentAt >= work.deadlineAt;
+      if (isTooLate || context.local()?.id !== work.instance) return false;
       endRun = context.instanceRuns.begin(local, run);
       return true;
     },
@@ -387,6 +389,10 @@
     addHeaders: onHead,
     classifyUnsent: error => {
       if (isWithoutListener(error)) context.instanceRuns.recordEnd(local);
+      if (isTooLate) {
+        const late = 'the deadline passed before the request could be sent';
+        return finalFailure(notRun('deadline', late));
+      }
       const message = `connection to the instance failed: ${error.message}`;
       return failedWithFreeRetry(notRun('upstream-refused', message));
     },
