Give no more keys to members whose load cannot be read

A planner kept the last status of a member whatever its age. The probe of an overloaded daemon times out, and by its status from before the overload it had the most room, so that each plan gave it more keys.

A status that is older than three plans no longer makes a member a recipient, unless that of none is newer; event 6067 tells which members these are.

The first new test fails before: the member whose load is unknown gets keys.

--- a/src/sidecar/events.ts
+++ b/src/sidecar/events.ts
@@ -215,6 +215,11 @@
     level: 'error',
     message: 'unexpected error; the daemon ends',
   },
+  loadUnknown: {
+    number: 6067,
+    level: 'info',
+    message: 'load of members could not be read; they get no more keys',
+  },
   memberReachedByOthers: {
     number: 6058,
     level: 'info',
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -114,6 +114,12 @@
  */
 const PRECEDENCE_MS = 2000;
 
+/**
+ * Age up to which a status tells the load of a member, in milliseconds: three
+ * plans, so that a single probe may fail.
+ */
+const STATUS_VALID_MS = 3000;
+
 /** Assumed capacity of a member whose status is not known yet. */
 const DEFAULT_CAPACITY_PER_SECOND = 80;
 
@@ -128,6 +134,8 @@
 export function createPlanner(context: PlannerContext): Planner {
   const {node, clock, log} = context;
   const statuses = new Map<string, InstanceStatus>();
+  /** Time at which the status of each member was read. */
+  const statusReadAt = new Map<string, number>();
   /** Time at which this process first saw each revocation. */
   const revocationSeenAt = new Map<string, number>();
   /** Maps in recovery, by service, and when this process first saw them. */
@@ -144,7 +152,9 @@
    */
   const refreshStatus = async (member: Member) => {
     const refresh = context.probe(member.node).then(status => {
-      if (status) statuses.set(member.node, status);
+      if (!status) return;
+      statuses.set(member.node, status);
+      statusReadAt.set(member.node, clock());
     });
     if (context.peerState(member.node).liveness === 'alive') await refresh;
   };
@@ -180,6 +190,22 @@
         return {incarnation: incarnationOf(member), capacity};
       });
 
+  /** Returns the candidates whose load is known now. */
+  const recipientsOf = (candidates: readonly Candidate[]) =>
+    withRecentStatus(candidates, statusReadAt, clock() - STATUS_VALID_MS);
+
+  const logUnknownLoads = (
+    service: string,
+    candidates: readonly Candidate[],
+  ) => {
+    const known = recipientsOf(candidates);
+    const unknown = candidates.filter(candidate => !known.includes(candidate));
+    if (unknown.length === 0) return;
+    const peers = unknown.map(({incarnation}) => incarnation.node).join(' ');
+    const count = unknown.length;
+    log(SIDECAR_EVENTS.loadUnknown, {service, count, peers});
+  };
+
   const expiredTerms = (
     map: RangeMap,
     reach: PlannerReach,
@@ -380,14 +406,15 @@
     for (const {holder, revocation} of due) {
       next = expire(next, holder, revocation);
     }
-    next = placeFree(next, planFree(next, heat, candidates));
+    const recipients = recipientsOf(candidates);
+    next = placeFree(next, planFree(next, heat, recipients));
     const isLeaving = (life: Incarnation) =>
       members.some(
         member =>
           member.state !== 'ready' &&
           isSameIncarnation(incarnationOf(member), life),
       );
-    return startMoves(next, planDraining(next, heat, candidates, isLeaving));
+    return startMoves(next, planDraining(next, heat, recipients, isLeaving));
   };
 
   const tick = async (service: string) => {
@@ -446,16 +473,34 @@
       reach === 'connected' && clock() - balancedAt >= BALANCE_INTERVAL_MS;
     if (!isStable(map) || !isBalanceDue) return;
     balancedAt = clock();
+    logUnknownLoads(service, candidates);
     await changeMap(context, service, 'balance', m => {
       if (!isStable(m) || m.isRecovering) return m;
       const able = candidatesOf(membersOf(context.view(), service));
-      return startMoves(m, planBalance(m, heat, able, BALANCE_OPTIONS));
+      const known = recipientsOf(able);
+      return startMoves(m, planBalance(m, heat, known, BALANCE_OPTIONS));
     });
   };
 
   return {tick};
 }
 
+/**
+ * Returns the candidates whose status was read since a time; all if none was. An
+ * overloaded daemon may accept no probe for many plans. By the status from before
+ * it would be the one with the most spare capacity, and get more keys with each.
+ */
+function withRecentStatus(
+  candidates: readonly Candidate[],
+  readAt: ReadonlyMap<string, number>,
+  since: number,
+): readonly Candidate[] {
+  const recent = candidates.filter(
+    ({incarnation}) => (readAt.get(incarnation.node) ?? -Infinity) >= since,
+  );
+  return recent.length > 0 ? recent : candidates;
+}
+
 function incarnationKey({node, id, born}: Incarnation): string {
   return `${node} ${id} ${born}`;
 }
--- a/test/sidecar/planner.test.ts
+++ b/test/sidecar/planner.test.ts
@@ -11,13 +11,15 @@
 import {
   ALL_KEYS,
   EMPTY_MAP,
+  RATE_BUCKETS,
   createMap,
   expire,
   restore,
   revoke,
+  type KeyRange,
   type RangeMap,
 } from '../../src/ranges/index.js';
-import {createPlanner} from '../../src/sidecar/index.js';
+import {createPlanner, type InstanceStatus} from '../../src/sidecar/index.js';
 import type {ObjectStore} from '../../src/store/index.js';
 
 const SERVICE = 'desk';
@@ -34,6 +36,7 @@
   let version = 1;
   let view: FleetView = EMPTY_VIEW;
   let isLost = true;
+  const statuses = new Map<string, InstanceStatus>();
   let conflicts: readonly (() => RangeMap | undefined)[] = [];
   const observeChange = (change: StoredChange) => {
     view = applyChange(view, change).view;
@@ -73,7 +76,7 @@
     node: OWN,
     clock: () => now,
     leaseMs: 5000,
-    probe: () => Promise.resolve(undefined),
+    probe: node => Promise.resolve(statuses.get(node)),
     probeThrough: () => Promise.resolve(undefined),
     peerState: node =>
       node === LOST && isLost
@@ -86,6 +89,22 @@
         await planner.tick(SERVICE);
     },
     observeMember,
+    /**
+     * Lets a daemon report a rate of requests, spread over a range of keys; it
+     * answers no probes without one.
+     */
+    report: (node: string, range?: KeyRange, perSecond = 0) => {
+      statuses.delete(node);
+      if (!range) return;
+      const first = partOf(range.from);
+      const parts = partOf(range.to) - first + 1;
+      const heat = Array.from(
+        {length: parts},
+        (_, part) => [first + part, perSecond / parts] as const,
+      );
+      const {id, born} = lifeAt(node);
+      statuses.set(node, {id, born, silent: false, capacity: 100, heat});
+    },
     /** Lets the lost daemon answer again. */
     recover: () => (isLost = false),
     /** Lets the next writes meet maps that others have written meanwhile. */
@@ -124,6 +143,8 @@
 });
 
 const lifeAt = (node: string) => ({node, id: `i-${node}`, born: 2});
+const partOf = (key: number) =>
+  Math.floor((key * RATE_BUCKETS) / (ALL_KEYS.to + 1));
 const HELD_BY_LOST = createMap([{...ALL_KEYS, holder: lifeAt(LOST)}]);
 const HELD_BY_OWN = createMap([{...ALL_KEYS, holder: lifeAt(OWN)}]);
 
@@ -207,3 +228,35 @@
   t.deepEqual(states(), ['held', 'held']);
   t.deepEqual([...holders()], [OTHER, OWN]);
 });
+
+test('a member whose load can no longer be read gets no keys from a busier one', async t => {
+  const lower = {from: 0, to: MIDDLE};
+  const upper = {from: MIDDLE + 1, to: ALL_KEYS.to};
+  const map = createMap([
+    {...lower, holder: lifeAt(OWN)},
+    {...upper, holder: lifeAt(OTHER)},
+  ]);
+  const {run, report, states} = createFixture(map, {state: 'left'});
+  report(OWN, lower, 20);
+  report(OTHER, upper, 20);
+  await run(5000);
+  report(OTHER);
+  await run(4000);
+  report(OWN, lower, 150);
+  await run(20_000);
+  t.deepEqual(states(), ['held', 'held']);
+});
+
+test('a member whose load is read gets keys from a busier one', async t => {
+  const lower = {from: 0, to: MIDDLE};
+  const upper = {from: MIDDLE + 1, to: ALL_KEYS.to};
+  const map = createMap([
+    {...lower, holder: lifeAt(OWN)},
+    {...upper, holder: lifeAt(OTHER)},
+  ]);
+  const {run, report, states} = createFixture(map, {state: 'left'});
+  report(OWN, lower, 150);
+  report(OTHER, upper, 20);
+  await run(5000);
+  t.true(states().includes('moving'));
+});
