Let requests wait for a channel that is being opened

Each waits for some 1.2 s, and two of them make a live daemon unreachable, whose keys are then refused.

While no channel could be used, each request took an HTTP connection of its own, up to 128 to one daemon, whose accept queue holds 128; the channels wait in the same queue.

While a channel is being opened, the first request takes HTTP; the others wait until the connection is accepted, and for up to 100 ms more. A queue that is full so gets two connections from each daemon. A daemon that accepts and opens no channel is used over HTTP after that time.

The first new test fails before: all 20 requests take the fallback.

--- a/src/channel/client.ts
+++ b/src/channel/client.ts
@@ -17,6 +17,12 @@
   type Frame,
 } from './frame.js';
 import {CHANNEL_PATH, CHANNEL_PROTOCOL} from './server.js';
+import {
+  MAX_UPGRADE_WAIT_MS,
+  NEW_OPENING,
+  wayWithoutChannel,
+  type Opening,
+} from './opening.js';
 import {CREDIT_BYTES} from './window.js';
 import {createFrameWriter} from './writer.js';
 
@@ -30,7 +36,7 @@
   /**
    * Returns how requests reach a daemon while no channel to it can be used: it
    * is being opened, has fallen silent, or the daemon does not know the
-   * protocol.
+   * protocol. Each request on it may take a connection of its own.
    */
   readonly fallback: (address: Address) => Transport;
   /** Called when a channel to a daemon has fallen silent. */
@@ -74,7 +80,11 @@
 /** Time after which a channel is opened again that could not be opened. */
 const FAILED_RETRY_MS = 500;
 
-const RETRY_MS = {refused: REFUSED_RETRY_MS, failed: FAILED_RETRY_MS} as const;
+const RETRY_MS = {
+  refused: REFUSED_RETRY_MS,
+  failed: FAILED_RETRY_MS,
+  'timed-out': 0,
+} as const;
 
 /** A request on a channel. */
 interface Stream {
@@ -93,8 +103,8 @@
  * over one connection, at a fraction of the cost of an HTTP exchange. Short
  * requests and answers only: a long one would delay the others.
  *
- * No request waits for a channel: until one can be used, requests take the
- * fallback.
+ * A request that finds no channel takes the fallback, or waits for the one that
+ * is being opened (`wayWithoutChannel`).
  *
  * @example
  * const channels = createChannels({
@@ -132,7 +142,8 @@
   const {clock} = options;
   const fallback = options.fallback(address);
   let channels: Channel[] = [];
-  let isConnecting = false;
+  let opening: Opening | undefined;
+  let waiting: WaitingCall[] = [];
   let isClosed = false;
   let connectFrom = -Infinity;
 
@@ -146,19 +157,56 @@
       () => options.onSilent(address),
     );
     channels = [...channels, channel];
+    return channel;
+  };
+
+  /** Sends the requests that waited for a channel, or tells why they can't be. */
+  const endWait = (dispatch: (entry: WaitingCall) => void) => {
+    const ended = waiting;
+    waiting = [];
+    ended.forEach(dispatch);
+  };
+
+  const failWaiting = (message: string) =>
+    endWait(({handler}) => handler.onError?.(new Error(message)));
+
+  const finishOpening = (result: OpenResult) => {
+    opening = undefined;
+    if (result.kind === 'open' || result.kind === 'refused') {
+      options.onConnect?.(address);
+    }
+    if (result.kind === 'open') {
+      if (isClosed) return void result.socket.destroy();
+      const channel = addChannel(result.socket);
+      return endWait(({call, handler}) => channel.send(call as Call, handler));
+    }
+    connectFrom = clock() + RETRY_MS[result.kind];
+    if (result.kind === 'timed-out') {
+      return failWaiting('the daemon did not open a channel in time');
+    }
+    endWait(({call, handler}) => fallback.dispatch(call, handler));
   };
 
   const connect = () => {
     const isDue = clock() >= connectFrom && channels.length < MAX_CHANNELS;
-    if (isConnecting || isClosed || !isDue) return;
-    isConnecting = true;
-    openChannel(address, options.connectTimeoutMs, result => {
-      isConnecting = false;
-      if (result.kind !== 'failed') options.onConnect?.(address);
-      if (result.kind === 'open' && isClosed) result.socket.destroy();
-      else if (result.kind === 'open') addChannel(result.socket);
-      else connectFrom = clock() + RETRY_MS[result.kind];
-    });
+    if (opening || isClosed || !isDue) return;
+    opening = NEW_OPENING;
+    openChannel(
+      address,
+      options.connectTimeoutMs,
+      () => {
+        const acceptedAt = clock();
+        opening = {...NEW_OPENING, ...opening, acceptedAt};
+        setTimeout(() => endLongWait(acceptedAt), MAX_UPGRADE_WAIT_MS);
+      },
+      finishOpening,
+    );
+  };
+
+  /** Ends the wait if the daemon has accepted the connection, and says no more. */
+  const endLongWait = (acceptedAt: number) => {
+    if (opening?.acceptedAt !== acceptedAt) return;
+    endWait(({call, handler}) => fallback.dispatch(call, handler));
   };
 
   /** Returns the usable channel with the fewest open requests. */
@@ -174,8 +222,14 @@
     dispatch: (call, handler) => {
       const best = findChannel();
       if (!best || best.streamCount() >= CROWDED_STREAMS) connect();
-      if (!best) return fallback.dispatch(call, handler);
-      best.send(call as Call, handler);
+      if (best) {
+        best.send(call as Call, handler);
+        return true;
+      }
+      const way = wayWithoutChannel(opening, clock());
+      opening = way.opening;
+      if (way.kind === 'fallback') return fallback.dispatch(call, handler);
+      waiting.push({call, handler});
       return true;
     },
     closeIdle: () => {
@@ -188,26 +242,38 @@
     close: () => {
       isClosed = true;
       channels.forEach(channel => channel.close());
+      failWaiting('the daemon closes its channels');
     },
   };
 }
 
+/** A request that waits for a channel. */
+interface WaitingCall {
+  readonly call: Parameters<Transport['dispatch']>[0];
+  readonly handler: ResponseHandler;
+}
+
 type OpenResult =
   | {readonly kind: 'open'; readonly socket: Socket}
   /** The daemon does not speak the protocol. */
   | {readonly kind: 'refused'}
-  | {readonly kind: 'failed'};
+  | {readonly kind: 'failed'}
+  | {readonly kind: 'timed-out'};
 
 function openChannel(
   {host, port}: Address,
   timeoutMs: number,
+  onAccepted: () => void,
   done: (result: OpenResult) => void,
 ): void {
   const request = sendHttpRequest({
     ...{host, port, path: CHANNEL_PATH, agent: false},
     headers: {Connection: 'Upgrade', Upgrade: CHANNEL_PROTOCOL},
   });
-  const timer = setTimeout(() => request.destroy(), timeoutMs);
+  const timer = setTimeout(() => {
+    finish({kind: 'timed-out'});
+    request.destroy();
+  }, timeoutMs);
   let isDone = false;
   const finish = (result: OpenResult) => {
     if (isDone) return;
@@ -215,6 +281,7 @@
     clearTimeout(timer);
     done(result);
   };
+  request.on('socket', socket => socket.once('connect', onAccepted));
   request.on('upgrade', (_, socket, rest) => {
     if (rest.length > 0) socket.unshift(rest);
     if (isDone) socket.destroy();
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -15,6 +15,7 @@
   encodeHeadFrame,
   type RequestHead,
 } from '../../src/channel/frame.js';
+import {NEW_OPENING, wayWithoutChannel} from '../../src/channel/opening.js';
 import {
   UnprocessedError,
   type ResponseWriter,
@@ -241,6 +242,50 @@
   close();
 });
 
+test('requests that find no channel while one is opened do not open a connection each', async t => {
+  const server = await startServer(echo);
+  const {to, fellBack, close} = createClient();
+  const transport = to(server.address);
+  const paths = Array.from({length: 20}, (_, id) => `/${id}`);
+  const answers = await Promise.all(
+    paths.map(path => send(transport, {path}).received),
+  );
+  t.deepEqual(fellBack, ['/0']);
+  t.deepEqual(
+    answers.slice(1).map(({body}) => body),
+    paths.slice(1),
+  );
+  close();
+  server.close();
+});
+
+test('requests do not wait long for a daemon that accepts connections and opens no channel', async t => {
+  const server = net.createServer(() => {});
+  const address = await listen(server);
+  const {to, fellBack, close} = createClient();
+  const ids = ['/1', '/2', '/3'];
+  const startedAt = performance.now();
+  await Promise.all(ids.map(path => send(to(address), {path}).received));
+  t.deepEqual(fellBack, ids);
+  t.true(performance.now() - startedAt < 250);
+  close();
+  server.close();
+});
+
+test('requests wait for a channel while its connection is not accepted, but for the first', t => {
+  const first = wayWithoutChannel(NEW_OPENING, 0);
+  t.is(first.kind, 'fallback');
+  const second = wayWithoutChannel(first.opening, 1000);
+  t.is(second.kind, 'wait');
+  t.is(
+    wayWithoutChannel({bypassCount: 1, acceptedAt: 1000}, 1050).kind,
+    'wait',
+  );
+  const late = wayWithoutChannel({bypassCount: 1, acceptedAt: 1000}, 1100);
+  t.is(late.kind, 'fallback');
+  t.is(wayWithoutChannel(undefined, 0).kind, 'fallback');
+});
+
 test('a request that the server did not read before it closed is known as unprocessed', async t => {
   let goAway: (() => void) | undefined;
   // Reads nothing after the handshake, then says that it has read request 1.
