Let a daemon correct a departure that another writer has recorded

What callers saw: an instance that runs, but whose record another writer had set to `left` under its id and `born`, was sent no more requests, its heartbeats were refused, and no later record helped (seen by direct call).

Cause: a recorded state only rises, since a copy of the store may have undone a departure. The daemon of the instance took any later state for one that its earlier process had acknowledged, and each view kept it though a later record of the same era had another.

Change: once a process has written the registration, conditional writes of an earlier one can't follow; a later state of the same life that is recorded after that is another writer's, and the daemon writes its own again. Views keep a later state than the stored one only if that is from a later era, or already undone; within an era the last record holds.

Remains: a daemon that was restarted and had nothing to write still takes such a record for an acknowledged departure.

--- a/src/fleet/view.ts
+++ b/src/fleet/view.ts
@@ -116,7 +116,7 @@
     if ('problem' in member) return {view, problem: member.problem};
     if (member.node !== node)
       return {view, problem: `expected the registration of ${node}`};
-    members.set(node, withKnownState(known?.value, {value: member, version}));
+    members.set(node, withLaterState(known, {value: member, version}));
     return {view: {...view, members}};
   }
   if (key.startsWith(QUARANTINE_PREFIX)) return applyQuarantine(view, change);
@@ -151,13 +151,28 @@
   return {...view, members};
 }
 
+/**
+ * Returns a registration whose instance is in no earlier state than is known, if
+ * the store may have undone that state. Otherwise its daemon has corrected what
+ * another writer had recorded.
+ */
+function withLaterState(
+  known: Versioned<Member> | undefined,
+  stored: Versioned<Member>,
+): Versioned<Member> {
+  if (!known) return stored;
+  const isSameEra = eraOf(known.version) === eraOf(stored.version);
+  if (isSameEra && !known.isUndone) return stored;
+  return withKnownState(known.value, stored);
+}
+
 /** Returns a registration whose instance is in no earlier state than is known. */
 function withKnownState(
-  known: Member | undefined,
+  known: Member,
   stored: Versioned<Member>,
 ): Versioned<Member> {
   const {value, version} = stored;
-  if (!known || !isSameIncarnation(incarnationOf(known), incarnationOf(value)))
+  if (!isSameIncarnation(incarnationOf(known), incarnationOf(value)))
     return stored;
   const state = laterState(known.state, value.state);
   if (state === value.state) return stored;
--- a/src/sidecar/registration.ts
+++ b/src/sidecar/registration.ts
@@ -23,7 +23,10 @@
 
 /** Registers the local instance in the store. */
 export interface Registration {
-  /** Returns the registration as far as this daemon has read it. */
+  /**
+   * Returns the registration as far as this daemon has read it, but in the state
+   * that is due if another writer has recorded a later one.
+   */
   readonly recorded: () => Member | undefined;
   /**
    * Writes the registration that is due, after a write in progress of an earlier
@@ -44,9 +47,36 @@
   const {node, dueMember, log} = context;
   let writing: Promise<void> | undefined;
   let nextWrite: Promise<void> | undefined;
+  /** Version of the last write of this process; undefined before the first. */
+  let ownVersion: number | undefined;
+
+  /**
+   * Returns whether another writer has recorded a later state than the one that is
+   * due. Conditional writes of an earlier process can't follow one of this process.
+   */
+  const isForeign = (known: Member, version: number, due = dueMember()) =>
+    due !== undefined &&
+    ownVersion !== undefined &&
+    version > ownVersion &&
+    isLaterState(known, due);
 
   const recordedObject = () => context.view().members.get(node);
 
+  /** Returns whether a stored registration may not be replaced by another one. */
+  const isInForce = ({value, version}: StoredObject, member: Member) => {
+    const known = parseMember(value);
+    if ('problem' in known) return false;
+    if (orderOf(known) > orderOf(member)) return true;
+    return isLaterState(known, member) && !isForeign(known, version, member);
+  };
+
+  const recorded = () => {
+    const known = recordedObject();
+    if (!known) return undefined;
+    const {value, version, isUndone} = known;
+    return !isUndone && isForeign(value, version) ? dueMember() : value;
+  };
+
   const writeMember = async () => {
     const member = dueMember();
     const known = recordedObject();
@@ -58,10 +88,11 @@
       memberKey(node),
       known,
       'registration',
-      current => (current && isLater(current, member) ? undefined : value),
+      current => (current && isInForce(current, member) ? undefined : value),
       text => text === value,
     );
     if (result?.kind !== 'stored') return;
+    ownVersion = Math.max(ownVersion ?? 0, result.object?.version ?? 0);
     const {id, state, stopping} = member;
     log(SIDECAR_EVENTS.registered, {id, state, stopping});
   };
@@ -80,17 +111,11 @@
     return nextWrite;
   };
 
-  return {recorded: () => recordedObject()?.value, write};
+  return {recorded, write};
 }
 
-/**
- * Returns whether a registration is of an instance that started later, or of the
- * same one in a later state.
- */
-function isLater({value}: StoredObject, member: Member): boolean {
-  const known = parseMember(value);
-  if ('problem' in known) return false;
-  if (orderOf(known) > orderOf(member)) return true;
+/** Returns whether a registration is of the same life in a later state. */
+function isLaterState(known: Member, member: Member): boolean {
   return (
     isSameIncarnation(incarnationOf(known), incarnationOf(member)) &&
     laterState(known.state, member.state) !== member.state
--- a/test/fleet/view.test.ts
+++ b/test/fleet/view.test.ts
@@ -71,6 +71,29 @@
   t.is(applyKnownMember(view, {...left, node: B}), view);
 });
 
+// Guards against a departure of another writer that stays in force though the daemon
+// of the instance has corrected it.
+test('a later state stays in force only if the store may have undone it', t => {
+  const first = register(EMPTY_VIEW, A, 'stock', versionOf(1, 5));
+  const member = first.members.get(A)?.value;
+  const key = memberKey(A);
+  const ready = JSON.stringify(member);
+  const left = JSON.stringify({...member, state: 'left'});
+  const stateAfter = (...changes: [value: string, version: number][]) => {
+    const view = changes.reduce(
+      (v, [value, version]) => applyChange(v, {key, value, version}).view,
+      first,
+    );
+    return view.members.get(A)?.value.state;
+  };
+  const leaving = [left, versionOf(1, 6)] as [string, number];
+  t.is(stateAfter(leaving), 'left');
+  t.is(stateAfter(leaving, [ready, versionOf(1, 7)]), 'ready');
+  const restored = [ready, versionOf(2, 5)] as [string, number];
+  t.is(stateAfter(leaving, restored), 'left');
+  t.is(stateAfter(leaving, restored, [ready, versionOf(2, 6)]), 'left');
+});
+
 const REQUEST = {
   fingerprint: 'f',
   address: 'GET a / ',
--- a/test/sidecar/foreign.test.ts
+++ b/test/sidecar/foreign.test.ts
@@ -106,3 +106,19 @@
     t.is(next?.state, name === 'held' ? 'free' : 'held');
   });
 }
+
+// Guards against a departure that another writer records under the id of an instance
+// that runs, which is then sent no requests.
+test('a departure that another writer records does not close the instance', async t => {
+  const {manager, observeStore, advance, store} = await startHolder();
+  const member = store.member();
+  const left = JSON.stringify({...member, state: 'left'});
+  const [object] = store.listing().objects.filter(o => o.key === MEMBER_KEY);
+  t.is((await store.put(MEMBER_KEY, left, object.version)).kind, 'stored');
+  observeStore();
+  await manager.tick(0);
+  advance(870);
+  observeStore();
+  t.false(manager.local()?.isClosed);
+  t.is(store.member()?.state, 'ready');
+});
