Give up a sent request when its instance is lost

The bound is now that at which the keys of the instance are given to others (2 s of failed probes for a machine that takes no connections, 5 s for a process that does not answer), so that its caller can come again.

--- a/src/relay/detector.ts
+++ b/src/relay/detector.ts
@@ -466,8 +466,8 @@
  *   process is known to have ended; a late answer is worth more to its caller
  *   than none.
  * - Any other request is aborted when its daemon has failed. One that was sent is
- *   only aborted for another instance: the daemon may be late, or its accept
- *   queue full, and the request running.
+ *   kept while no other instance can run it, as the daemon may be late, or its
+ *   accept queue full; but no longer than its instance keeps its keys.
  * - If the daemon is suspected, a request that was sent is kept, as its answer
  *   is likelier than that of another attempt. One that was not sent is aborted
  *   after 400 ms without any answer from the daemon if another instance may run
@@ -493,7 +493,7 @@
   if (liveness === 'refused') return {kind: 'give-up'};
   const isUnavailable =
     liveness === 'unreachable' || liveness === 'unresponsive';
-  const isReplaceable = !isSent || hasAlternative;
+  const isReplaceable = !isSent || hasAlternative || isLost(status);
   if (isUnavailable && isSafeToRepeat && isReplaceable)
     return {kind: 'give-up'};
   const quietMs = Math.min(pendingMs, status.quietMs);
--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -278,6 +278,8 @@
         const isKept = one.isSent && !hasAlternative;
         const step = decidePending(statusWith(liveness), one);
         t.is(step.kind, isKept ? 'probe' : 'give-up');
+        const lost = {...statusWith(liveness), failingMs: 5500};
+        t.is(decidePending(lost, one).kind, 'give-up');
       }
     }
   }
