Grant a token by call on one connection, unless another reaches the same life

What callers saw: nothing; it breaks OWNER. An instance that started again under its id was renewed the keys of the life before with the token of that life, until its first heartbeat. A key moves to another life of the same instance with a higher token.

Cause: a call names the id of the instance, which lives may share, and neither the call nor its answer tells them apart. Calls went through a pool, which replaces a closed connection, so a renewal reached whichever process listened at the address.

Change: grants are sent on one connection, which is not replaced once it has closed: it reaches one process. The calls that the simulated instances answer have connections now; the pairs of the test fleets keep their control handler, as the product does, so that answers to heartbeats count as read there, too.

--- a/test/ranges/calls.ts
+++ b/test/ranges/calls.ts
@@ -188,8 +188,15 @@
         node.pending = [...node.pending, call];
       });
     return {
-      grant: (_, range, _handover, holdMs, limitMs) =>
-        send<GrantOutcome>(range, limitMs, holdMs),
+      connect: () => {
+        const life = nodes[index].incarnation;
+        return Promise.resolve({
+          grant: (_, range, _handover, holdMs, limitMs) =>
+            send<GrantOutcome>(range, limitMs, holdMs),
+          isClosed: () => !isSameIncarnation(nodes[index].incarnation, life),
+          close: () => {},
+        });
+      },
       release: (_, range, limitMs) => send<ReleaseOutcome>(range, limitMs),
     };
   };
--- a/test/sidecar/succession.test.ts
+++ b/test/sidecar/succession.test.ts
@@ -17,6 +17,7 @@
   type Heartbeat,
   type InstanceCalls,
 } from '../../src/sidecar/index.js';
+import {connectTo} from './contexts.js';
 import {EMPTY_STATEMENT} from '../../src/upstream/index.js';
 import {
   findClaim,
@@ -240,11 +241,18 @@
   const granted: {readonly life: Incarnation; readonly fence: number}[] = [];
   const statement = EMPTY_STATEMENT;
   const calls: InstanceCalls = {
-    grant: async ({incarnation}, {fence}) => {
-      if (incarnation.id !== running.id)
-        return {kind: 'refused', message: 'other instance', statement};
-      granted.push({life: running, fence});
-      return {kind: 'granted', message: '', statement};
+    connect: async () => {
+      const life = running;
+      return {
+        grant: async ({incarnation}, {fence}) => {
+          if (incarnation.id !== life.id)
+            return {kind: 'refused', message: 'other instance', statement};
+          granted.push({life, fence});
+          return {kind: 'granted', message: '', statement};
+        },
+        isClosed: () => running !== life,
+        close: () => {},
+      };
     },
     release: async () => ({kind: 'unknown', message: 'no answer', statement}),
   };
@@ -406,7 +414,7 @@
 function startReleasing(store: HeldStore): DaemonProcess {
   const statement = EMPTY_STATEMENT;
   const calls: InstanceCalls = {
-    grant: () => new Promise(() => {}),
+    connect: connectTo(() => new Promise(() => {})),
     release: async () => ({kind: 'released', handover: 'token', statement}),
   };
   return startDaemon(store, {
