--- a/src/sidecar/calldelivery.ts
+++ b/src/sidecar/calldelivery.ts
@@ -1,5 +1,4 @@
 import {
-  ALL_KEYS,
   NO_CALL_GRANTS,
   recordCall,
   contains,
@@ -15,16 +14,14 @@
   isSameIncarnation,
   termsToRelease,
   removeRange,
-  subtract,
   type CallOutcome,
   type HeldRange,
   type KeyRange,
   type CallGrants,
-  type Incarnation,
   type RangeMap,
   type RangeTerm,
 } from '../ranges/index.js';
-import type {FleetView} from '../fleet/index.js';
+import type {Dispatcher} from 'undici';
 import type {Address} from '../model/index.js';
 import type {Pools, Statement} from '../upstream/index.js';
 import {
@@ -67,14 +64,14 @@
  * no copy of the answer to one can come in place of the answer to a call.
  */
 export interface CallConnections {
-  /** Opens a connection that is not replaced once it has closed. */
-  readonly connect: Pools['connect'];
+  /** Returns the connections that calls share. */
+  readonly shared: (address: Address) => Pick<Dispatcher, 'dispatch'>;
   /** Returns a connection for one call, on which nothing was sent before. */
   readonly open: Pools['open'];
 }
 
-/** A connection for calls that grant keys, to one process of an instance. */
-export interface GrantConnection {
+/** Calls to an instance that grant keys and release them. */
+export interface InstanceCalls {
   /**
    * Grants a range for a lease that is counted from the arrival of the call.
    * The call must not arrive after its time limit.
@@ -86,19 +83,6 @@
     holdMs: number,
     limitMs: number,
   ) => Promise<GrantOutcome>;
-  /** Returns whether it has closed; it is not opened again. */
-  readonly isClosed: () => boolean;
-  readonly close: () => void;
-}
-
-/** Calls to an instance that grant keys and release them. */
-export interface InstanceCalls {
-  /**
-   * Opens a connection for grants.
-   *
-   * @throws if it can't be opened in time.
-   */
-  readonly connect: (address: Address) => Promise<GrantConnection>;
   /**
    * Requests the release of a range; answered once requests for its keys have
    * ended.
@@ -125,26 +109,6 @@
 /** Shortest interval between two reports of keys not held that are acted on. */
 const DENIAL_INTERVAL_MS = 300;
 
-/**
- * Fraction of the time that is left of a lease at its renewal, after which keys get
- * a new token if it is not known which life a new connection reaches.
- */
-const PROOF_FRACTION = 0.8;
-
-/** A connection to the instance, and what is known of its other end. */
-interface Line {
-  readonly connection: GrantConnection;
-  readonly openedAt: number;
-  /** Life that is known to be at its other end. */
-  readonly life?: Incarnation;
-}
-
-/** A token with which keys may have been granted. */
-interface UsedToken extends HeldRange {
-  /** Connection of the grant; undefined for those of an earlier process. */
-  readonly connection?: GrantConnection;
-}
-
 /** Time at which a read of the map began. */
 interface ReadStart {
   readonly at: number;
@@ -156,9 +120,7 @@
  * Creates a delivery that grants keys by calls to the instance. A range is
  * granted only after a read of the map, and for a lease that ends a bounded
  * time after that read began, no matter when the call arrives within its time
- * limit. Calls name the id of the instance, which several lives may have, so a
- * token is granted on one connection only, unless another one is known to reach the
- * same life. A range counts as released once the instance has confirmed the release
+ * limit. A range counts as released once the instance has confirmed the release
  * and no unanswered call can grant it again, or once its last lease has
  * expired.
  *
@@ -173,7 +135,6 @@
   const {clock, wallClock, leaseMs, recipient, log} = context;
   const startedAt = clock();
   const renewalLeftMs = (leaseMs - GRANT_TIMEOUT_MS) * (1 - RENEWAL_FRACTION);
-  const proofTimeoutMs = renewalLeftMs * PROOF_FRACTION;
   let ledger: CallGrants = NO_CALL_GRANTS;
   let lastCallNumber = 0;
   let confirmedAt = -Infinity;
@@ -186,10 +147,6 @@
    */
   let earlierCallsUntil = -Infinity;
   let renewal: Promise<void> | undefined;
-  let line: Line | undefined;
-  let usedTokens: readonly UsedToken[] = [];
-  /** Maps by which an earlier process may have granted keys. */
-  let earlierMaps: FleetView['maps'] | undefined;
   let deniedAt = -Infinity;
   const rangesInRelease = new Set<KeyRange>();
 
@@ -210,49 +167,10 @@
   const isCurrent = ({incarnation}: Recipient) =>
     isSameIncarnation(recipient()?.incarnation, incarnation);
 
-  /** Returns the open connection to the instance. */
-  const connectTo = async ({address, incarnation}: Recipient) => {
-    if (line && !line.connection.isClosed()) return line;
-    try {
-      const connection = await calls.connect(address);
-      line = {connection, openedAt: clock()};
-      return line;
-    } catch (error) {
-      const {message} = error as Error;
-      const upstream = incarnation.id;
-      log(SIDECAR_EVENTS.grantFailed, {upstream, kind: 'refused', message});
-      runInBackground(context.sleep(RETRY_DELAY_MS).then(reconcile));
-      return undefined;
-    }
-  };
-
-  const disconnect = () => {
-    line?.connection.close();
-    line = undefined;
-  };
-
-  /** Returns whether no earlier life can have been granted keys with the token. */
-  const isTokenSafe = (range: HeldRange, {connection, life}: Line) =>
-    isSameIncarnation(life, recipient()?.incarnation) ||
-    !usedTokens.some(
-      used =>
-        overlaps(used, range) &&
-        used.fence >= range.fence &&
-        used.connection !== connection,
-    );
-
-  /** Returns whether heartbeats may still prove which life the line reaches. */
-  const isAwaitingProof = (range: HeldRange) =>
-    line !== undefined &&
-    !line.connection.isClosed() &&
-    clock() < line.openedAt + proofTimeoutMs &&
-    !isTokenSafe(range, line);
-
   const grantRange = async (
     to: Recipient,
     term: RangeTerm,
     read: ReadStart,
-    {connection}: Line,
   ) => {
     const sentAt = clock();
     const leftMs = leaseMs - ageOf(read) - GRANT_TIMEOUT_MS;
@@ -261,8 +179,7 @@
     const range = rangeOf(term);
     const endsAt = read.at + leaseBoundMs(leaseMs);
     ledger = recordCall(ledger, {...range, number, endsAt});
-    usedTokens = [...subtract(usedTokens, range), {...range, connection}];
-    const {kind, message, statement} = await connection.grant(
+    const {kind, message, statement} = await calls.grant(
       to,
       range,
       term.handover,
@@ -297,7 +214,7 @@
     ledger.held.filter(row => clock() < row.until);
 
   /** @param leftMs Leases with at least this much time left are not renewed. */
-  const renewGrants = async (to: Recipient, leftMs: number): Promise<void> => {
+  const renewGrants = async (to: Recipient, leftMs: number) => {
     const start: ReadStart = {at: clock(), wallAt: wallClock()};
     readingSince = start.at;
     const read = await readGrantableKeys(context, to, leasedRanges);
@@ -308,43 +225,13 @@
     const isNew = terms.some(term =>
       isGrantDue(ledger, term, clock(), -Infinity),
     );
-    const earlier = earlierMaps?.get(to.service)?.value;
-    if (earlier)
-      usedTokens = [...usedTokens, {...ALL_KEYS, fence: earlier.fence}];
-    earlierMaps = undefined;
-    const reached = await connectTo(to);
-    if (!reached || !isCurrent(to)) return;
     const ageMs = ageOf(start);
     if (isNew) logGrants(context, to, terms, {version, ageMs});
-    const due = dueTerms(terms, leftMs);
-    const safe = due.filter(term => isTokenSafe(term, reached));
-    await Promise.all(safe.map(term => grantRange(to, term, start, reached)));
+    await Promise.all(
+      dueTerms(terms, leftMs).map(term => grantRange(to, term, start)),
+    );
     hasGranted ||= leasedRanges().length > 0;
     context.onChange();
-    const isProofLate =
-      leftMs === Infinity || clock() >= reached.openedAt + proofTimeoutMs;
-    if (isProofLate && (await replaceTokens(to, due, reached)))
-      await renewGrants(to, leftMs);
-  };
-
-  /**
-   * Gives keys new tokens in place of those that are not safe.
-   *
-   * @returns false if there were none, or the map can't be changed now.
-   */
-  const replaceTokens = async (
-    to: Recipient,
-    terms: readonly RangeTerm[],
-    reached: Line,
-  ) => {
-    const isUnsafe = (term: RangeTerm) => !isTokenSafe(term, reached);
-    if (!terms.some(isUnsafe)) return false;
-    const read = await changeMap(context, to.service, 'life not known', map =>
-      terms
-        .filter(isUnsafe)
-        .reduce((m, term) => raiseFence(m, to.incarnation, term), map),
-    );
-    return read !== undefined && !read.value.isRecovering;
   };
 
   /**
@@ -444,9 +331,7 @@
     return ownTerms.some(term => {
       if (term.state === 'revoked') return isRestorable;
       return (
-        term.state === 'held' &&
-        dueTerms([term], renewalLeftMs).length > 0 &&
-        !isAwaitingProof(term)
+        term.state === 'held' && dueTerms([term], renewalLeftMs).length > 0
       );
     });
   };
@@ -454,17 +339,12 @@
   return {
     reset: () => {
       ledger = {...ledger, held: []};
-      disconnect();
     },
     resume: () => {
-      earlierMaps = context.view().maps;
       earlierCallsUntil = startedAt + leaseBoundMs(leaseMs);
       reconcile();
     },
-    recordReport: ({incarnation, read}) => {
-      if (line && read && read.sentAfter >= line.openedAt)
-        line = {...line, life: incarnation};
-    },
+    recordReport: () => {},
     answerHeartbeat: () => {
       reconcile();
       return Promise.resolve({holdMs: leaseMs});
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -144,7 +144,7 @@
    * Restores the instance that an earlier process of this daemon registered,
    * unless another incarnation is already known. If it was ready, it is sent
    * requests before its first heartbeat. Until this process grants keys, but
-   * for three heartbeat intervals at most, it is taken to hold the keys that the
+   * for two heartbeat intervals at most, it is taken to hold the keys that the
    * map assigns to it, and while the map recovers for a lease at most; the instance
    * itself checks whether it still holds them.
    * Withdraws the shutdown that the earlier process announced.
@@ -192,9 +192,9 @@
 
 /**
  * Heartbeat intervals for which the registration by an earlier process is
- * relied on: grants by call may wait for the second heartbeat.
+ * relied on.
  */
-const RESTORED_HEARTBEATS = 3;
+const RESTORED_HEARTBEATS = 2;
 
 /** Largest sequence number of the first heartbeat of a life. */
 const MAX_FIRST_SEQUENCE = 1;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -170,6 +170,9 @@
 /** Event loop delay from which it is logged. */
 const LOOP_DELAY_LOG_THRESHOLD_MS = 250;
 
+/** Connections to the local instance for calls that grant keys. */
+const CALL_CONNECTIONS = 8;
+
 /** Time limit for connecting to the local instance. */
 const CONNECT_TIMEOUT_MS = 300;
 
@@ -338,6 +341,10 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     keepAliveMs: INSTANCE_IDLE_TIMEOUT_MS,
   });
+  const callConnections: CallConnections = {
+    shared: address => callPools.get(address, CALL_CONNECTIONS),
+    open: callPools.open,
+  };
 
   const responses = createOpenResponses({
     clock,
@@ -376,7 +383,7 @@
     onStatement: (life, answer) => statements.record(life, answer),
     createDelivery: context =>
       settings.grants === 'call'
-        ? createCallDelivery(context, options.instanceCalls(callPools))
+        ? createCallDelivery(context, options.instanceCalls(callConnections))
         : createHeartbeatDelivery(context),
   });
 
--- a/src/upstream/pools.ts
+++ b/src/upstream/pools.ts
@@ -1,5 +1,4 @@
-import type {Socket} from 'node:net';
-import {Client, Pool, type Dispatcher} from 'undici';
+import {Pool, type Dispatcher} from 'undici';
 import {createConnector} from '../connector/index.js';
 import {formatAddress, type Address} from '../model/index.js';
 
@@ -19,12 +18,6 @@
   readonly get: (address: Address, limit: number) => Dispatcher;
   /** Returns a connection for one request, on which nothing was sent before. */
   readonly open: (address: Address) => Connection;
-  /**
-   * Opens a connection that is not replaced once it has closed.
-   *
-   * @throws if it can't be opened in time.
-   */
-  readonly connect: (address: Address) => Promise<OpenConnection>;
   /** Closes each pool once its requests have ended. */
   readonly close: () => Promise<void>;
 }
@@ -35,11 +28,6 @@
   readonly destroy: () => Promise<void>;
 }
 
-/** An open connection, whose other end is one process until it is closed. */
-export interface OpenConnection extends Connection {
-  readonly isClosed: () => boolean;
-}
-
 interface Entry {
   readonly limit: number;
   readonly pool: Pool;
@@ -60,7 +48,6 @@
     throw new RangeError('connectTimeoutMs and keepAliveMs must be positive');
   }
   const entries = new Map<string, Entry>();
-  const connections = new Set<Connection>();
   return {
     get: (address, limit) => {
       const name = formatAddress(address);
@@ -73,74 +60,14 @@
       return pool;
     },
     open: address => createPool(formatAddress(address), {limit: 1, ...options}),
-    connect: async address => {
-      const connection = await connectOnce(address, options, () =>
-        connections.delete(connection),
-      );
-      connections.add(connection);
-      return connection;
-    },
     close: async () => {
-      const open = [...entries.values()].map(({pool}) => pool.close());
+      const open = [...entries.values()];
       entries.clear();
-      const closed = [...connections].map(({destroy}) => destroy());
-      await Promise.all([...open, ...closed]);
+      await Promise.all(open.map(entry => entry.pool.close()));
     },
   };
 }
 
-/** @param onClose Called when the connection has closed. */
-async function connectOnce(
-  address: Address,
-  options: Omit<ConnectionOptions, 'limit'>,
-  onClose: () => void,
-): Promise<OpenConnection> {
-  const {connectTimeoutMs, keepAliveMs} = options;
-  const socket = await openSocket(address, connectTimeoutMs);
-  let isClosed = false;
-  let isTaken = false;
-  const client = new Client(`http://${formatAddress(address)}`, {
-    pipelining: 1,
-    // Undici does not resume when it is called back at once.
-    connect: (_, callback) =>
-      process.nextTick(() => {
-        if (isTaken || isClosed)
-          return callback(new Error('the connection has closed'), null);
-        isTaken = true;
-        callback(null, socket);
-      }),
-    keepAliveTimeout: keepAliveMs,
-    keepAliveMaxTimeout: keepAliveMs,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-  socket.once('close', () => {
-    isClosed = true;
-    onClose();
-  });
-  return {
-    dispatch: client.dispatch.bind(client),
-    destroy: async () => {
-      socket.destroy();
-      await client.destroy();
-    },
-    isClosed: () => isClosed,
-  };
-}
-
-function openSocket(
-  {host, port}: Address,
-  connectTimeoutMs: number,
-): Promise<Socket> {
-  const connect = createConnector(connectTimeoutMs);
-  const options = {hostname: host, port: String(port), protocol: 'http:'};
-  return new Promise((resolve, reject) => {
-    connect(options, (error, socket) =>
-      error === null ? resolve(socket) : reject(error),
-    );
-  });
-}
-
 function createPool(name: string, options: ConnectionOptions): Pool {
   return new Pool(`http://${name}`, {
     connections: options.limit,
--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -39,7 +39,10 @@
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
   const pools = createPools({connectTimeoutMs: 500, keepAliveMs: 4000});
-  const calls = createInstanceCalls(pools);
+  const calls = createInstanceCalls({
+    shared: address => pools.get(address, 1),
+    open: pools.open,
+  });
   const to: Recipient = {
     incarnation: {node: '10.1.0.8:7620', id: 'i-1', born: 1},
     service: 'stock',
@@ -70,8 +73,7 @@
 test('an answer to a request is not taken for the answer to a grant', async t => {
   const {calls, to, close} = await startInstance({first: LATE_COPY});
   t.teardown(close);
-  const {grant} = await calls.connect(to.address);
-  const {kind} = await grant(to, RANGE, '', 4000, 1000);
+  const {kind} = await calls.grant(to, RANGE, '', 4000, 1000);
   t.is(kind, 'unanswered');
 });
 
@@ -80,8 +82,7 @@
     next: EARLIER_RELEASE,
   });
   t.teardown(close);
-  const {grant} = await calls.connect(to.address);
-  t.is((await grant(to, RANGE, '', 4000, 1000)).kind, 'granted');
+  t.is((await calls.grant(to, RANGE, '', 4000, 1000)).kind, 'granted');
   for (let turn = 0; turn < 3; turn++) {
     const released = await calls.release(to, RANGE, 1000);
     t.is(released.kind === 'released' && released.handover, 'h');
@@ -95,17 +96,3 @@
   t.teardown(close);
   t.is((await calls.release(to, RANGE, 1000)).kind, 'unknown');
 });
-
-// Guards against a call for one life that the next one under the same id gets.
-test('a connection for grants is not opened again once it has closed', async t => {
-  const {calls, to, sockets, close} = await startInstance({});
-  t.teardown(close);
-  const {grant, isClosed} = await calls.connect(to.address);
-  t.is((await grant(to, RANGE, '', 4000, 1000)).kind, 'granted');
-  t.false(isClosed());
-  sockets[0].destroy();
-  t.not((await grant(to, RANGE, '', 4000, 1000)).kind, 'granted');
-  t.true(isClosed());
-  t.is((await grant(to, RANGE, '', 4000, 1000)).kind, 'refused');
-  t.is(sockets.length, 1);
-});
--- a/test/ranges/calls.ts
+++ b/test/ranges/calls.ts
@@ -188,15 +188,8 @@
         node.pending = [...node.pending, call];
       });
     return {
-      connect: () => {
-        const life = nodes[index].incarnation;
-        return Promise.resolve({
-          grant: (_, range, _handover, holdMs, limitMs) =>
-            send<GrantOutcome>(range, limitMs, holdMs),
-          isClosed: () => !isSameIncarnation(nodes[index].incarnation, life),
-          close: () => {},
-        });
-      },
+      grant: (_, range, _handover, holdMs, limitMs) =>
+        send<GrantOutcome>(range, limitMs, holdMs),
       release: (_, range, limitMs) => send<ReleaseOutcome>(range, limitMs),
     };
   };
--- a/test/sidecar/calldelivery.test.ts
+++ b/test/sidecar/calldelivery.test.ts
@@ -20,7 +20,7 @@
   WriteResult,
 } from '../../src/store/index.js';
 import {EMPTY_STATEMENT} from '../../src/upstream/index.js';
-import {LEASE_MS, connectTo, createDeliveryContext} from './contexts.js';
+import {LEASE_MS, createDeliveryContext} from './contexts.js';
 
 const OWN: Incarnation = {node: '10.1.0.8:7620', id: 'i-1', born: 1};
 
@@ -47,10 +47,7 @@
       OWN,
       {},
     ),
-    {
-      connect: connectTo(() => new Promise(() => {})),
-      release: () => new Promise(() => {}),
-    },
+    {grant: () => new Promise(() => {}), release: () => new Promise(() => {})},
   );
   t.is(delivery.lastConfirmedAt(), -Infinity);
   delivery.reconcile();
@@ -113,7 +110,7 @@
         },
       ),
       {
-        connect: connectTo(() => new Promise(() => {})),
+        grant: () => new Promise(() => {}),
         release: async () => {
           releases += 1;
           const statement = EMPTY_STATEMENT;
@@ -164,10 +161,10 @@
       {wallClock: () => wallClock},
     ),
     {
-      connect: connectTo(async (_to, _range, _handover, holdMs) => {
+      grant: async (_to, _range, _handover, holdMs) => {
         leases.push(holdMs);
         return {kind: 'granted', message: '', statement: EMPTY_STATEMENT};
-      }),
+      },
       release: () => new Promise(() => {}),
     },
   );
@@ -214,134 +211,10 @@
       OWN,
       {},
     ),
-    {
-      connect: connectTo(() => new Promise(() => {})),
-      release: () => new Promise(() => {}),
-    },
+    {grant: () => new Promise(() => {}), release: () => new Promise(() => {})},
   );
   delivery.resume();
   await new Promise(resolve => setImmediate(resolve));
   t.is(reads, 1);
   t.is(delivery.holds(10), undefined);
 });
-
-/** Starts a delivery whose connections can be closed, in virtual time. */
-function startConnected() {
-  let now = 1000;
-  let stored: StoredObject = {
-    key: rangesKey('desk'),
-    value: JSON.stringify(createMap([{...ALL_KEYS, holder: OWN}])),
-    version: 1,
-  };
-  let {view} = applyChange(EMPTY_VIEW, stored);
-  const observeChange = (object: StoredChange) => {
-    ({view} = applyChange(view, object));
-  };
-  const store: ObjectStore = {
-    get: async () => stored,
-    put: async (key, value): Promise<WriteResult> => {
-      stored = {key, value, version: stored.version + 1};
-      return {kind: 'stored', version: stored.version};
-    },
-    list: () => new Promise(() => {}),
-    delete: () => new Promise(() => {}),
-    watch: async function* () {},
-  };
-  const tokens: number[] = [];
-  let connections = 0;
-  let broken = 0;
-  const delivery = createCallDelivery(
-    createDeliveryContext(
-      {store, view: () => view, observeChange, clock: () => now},
-      OWN,
-      {},
-    ),
-    {
-      connect: async () => {
-        const number = ++connections;
-        return {
-          grant: async (_to, {fence}) => {
-            tokens.push(fence);
-            return {kind: 'granted', message: '', statement: EMPTY_STATEMENT};
-          },
-          isClosed: () => number <= broken,
-          close: () => {},
-        };
-      },
-      release: () => new Promise(() => {}),
-    },
-  );
-  /** Lets time pass, and returns the tokens that are granted then. */
-  const grantsAfter = async (timeMs: number) => {
-    now += timeMs;
-    const before = tokens.length;
-    delivery.reconcile();
-    for (let turn = 0; turn < 3; turn++)
-      await new Promise(resolve => setImmediate(resolve));
-    return tokens.slice(before);
-  };
-  return {
-    delivery,
-    grantsAfter,
-    breakConnection: () => (broken = connections),
-    /** Records a heartbeat that shows that an answer of a time was read. */
-    report: (sentAfter?: number) =>
-      delivery.recordReport({
-        incarnation: OWN,
-        sequence: 1,
-        holds: [],
-        freed: [],
-        arrivedAt: now,
-        read: sentAfter === undefined ? undefined : {sequence: 0, sentAfter},
-      }),
-    now: () => now,
-  };
-}
-
-/** Time after which a lease is renewed. */
-const RENEWAL_MS = 1500;
-
-// Guards against a life that takes keys with the token of the one before (OWNER).
-test('a token is granted on a new connection once heartbeats show that it reaches the same life', async t => {
-  const {grantsAfter, breakConnection, report, now} = startConnected();
-  t.deepEqual(await grantsAfter(0), [1]);
-  t.deepEqual(await grantsAfter(RENEWAL_MS), [1]);
-  breakConnection();
-  t.deepEqual(await grantsAfter(RENEWAL_MS), []);
-  const openedAt = now();
-  report();
-  t.deepEqual(await grantsAfter(100), []);
-  report(openedAt - 1);
-  t.deepEqual(await grantsAfter(100), []);
-  report(openedAt);
-  t.deepEqual(await grantsAfter(100), [1]);
-});
-
-test('keys get a new token if it is not known which life a connection reaches', async t => {
-  const {grantsAfter, breakConnection} = startConnected();
-  t.deepEqual(await grantsAfter(0), [1]);
-  breakConnection();
-  t.deepEqual(await grantsAfter(RENEWAL_MS), []);
-  t.deepEqual(await grantsAfter(2000), []);
-  // Before the lease of the first grant ends.
-  t.deepEqual(await grantsAfter(600), [2]);
-  t.deepEqual(await grantsAfter(RENEWAL_MS), [2]);
-});
-
-test('a restarted daemon grants the token of an earlier process once heartbeats show the life', async t => {
-  const {delivery, grantsAfter, report, now} = startConnected();
-  delivery.resume();
-  t.deepEqual(await grantsAfter(0), []);
-  report(now());
-  t.deepEqual(await grantsAfter(100), [1]);
-});
-
-test('an instance without heartbeats is asked with a new token on a new connection', async t => {
-  const {delivery, grantsAfter, breakConnection} = startConnected();
-  t.deepEqual(await grantsAfter(0), [1]);
-  breakConnection();
-  t.deepEqual(await grantsAfter(RENEWAL_MS), []);
-  const asked = delivery.confirmAlive();
-  t.deepEqual(await grantsAfter(0), [2]);
-  await asked;
-});
--- a/test/sidecar/called.test.ts
+++ b/test/sidecar/called.test.ts
@@ -147,22 +147,3 @@
   t.false(from.sidecar.instanceManager.isSilent());
   t.is((await sendRequest(entry.callers, 'GET', '/view/x', KEY)).status, 200);
 });
-
-/** Above the time after which a lease is renewed, and below its duration. */
-const FIRST_HEARTBEAT_MS = 1800;
-
-// Guards against a life that takes keys with the token of the one before (OWNER).
-test('an instance that starts again under its id gets no key with the token of the life before', async t => {
-  const {fleet, from} = await startFleetGrantedByCall();
-  t.teardown(fleet.close);
-  const before = from.instance;
-  await from.restartInstance({heartbeatIntervalMs: FIRST_HEARTBEAT_MS});
-  await waitUntil(() => holdsKey(from));
-  const fences = (calls: readonly KeyCall[]) =>
-    calls.filter(({kind}) => kind === 'grant').map(({fence}) => fence);
-  const highest = Math.max(...fences(before.calls));
-  t.deepEqual(
-    fences(from.instance.calls).filter(fence => fence <= highest),
-    [],
-  );
-});
--- a/test/sidecar/callinstances.ts
+++ b/test/sidecar/callinstances.ts
@@ -5,7 +5,6 @@
 } from '../../src/ranges/index.js';
 import {
   createCallDelivery,
-  type GrantConnection,
   type GrantOutcome,
   type InstanceCalls,
   type Recipient,
@@ -53,17 +52,14 @@
   readonly unanswered: T;
   /** Lets the instance execute the call; undefined if it does not answer. */
   readonly run: (instance: Instance) => Reply<T> | undefined;
-  /** Instance at the other end of the connection, if it is open already. */
-  readonly connected?: Instance;
 }
 
 const isWithdrawn = (row: Row) => row.workEndsAt !== undefined;
 
 /**
- * Grants keys by calls that simulated instances answer. Calls overtake each
- * other, also on one connection. A call that arrives after its time limit, or that
- * the instance reads after it, has no effect. A connection closes when a call on
- * it is not answered in time, or has no effect since its instance has ended.
+ * Grants keys by calls that simulated instances answer. Each call has a
+ * connection of its own, so that calls overtake each other. A call that arrives
+ * after its time limit, or that the instance reads after it, has no effect.
  *
  * @example
  * await playLives({...options, grants: grantByCall(faults)});
@@ -133,7 +129,7 @@
     const send = <T extends Outcome>(
       daemon: Process,
       expected: Recipient,
-      {name, limitMs, isLost, notRun, unanswered, run, connected}: Call<T>,
+      {name, limitMs, isLost, notRun, unanswered, run}: Call<T>,
     ) =>
       new Promise<T>(resolve => {
         if (!daemon.isAlive) return;
@@ -147,11 +143,7 @@
         schedule(sentAt + limitMs, daemon, () => resolve(unanswered), true);
         if (isLost && chance(0.5)) return lose();
         schedule(sentAt + play.heldUpMs(), undefined, () => {
-          const instance = connected ?? daemon.machine.instance;
-          if (connected?.isAlive === false) {
-            answer(now() + play.heldUpMs(), unanswered);
-            return;
-          }
+          const {instance} = daemon.machine;
           if (
             !instance?.isAlive ||
             instance.incarnation.id !== expected.incarnation.id
@@ -175,18 +167,8 @@
         });
       });
 
-    const connect = async (daemon: Process): Promise<GrantConnection> => {
-      const connected = daemon.machine.instance;
-      if (!connected?.isAlive) throw new Error('the connection is refused');
-      let isClosed = false;
-      const grant: GrantConnection['grant'] = async (
-        to,
-        range,
-        _handover,
-        holdMs,
-        limitMs,
-      ) => {
-        if (isClosed) return grantOutcome('refused');
+    const callsOf = (daemon: Process): InstanceCalls => ({
+      grant: (to, range, _handover, holdMs, limitMs) => {
         const {from, to: last, fence} = range;
         const name = `grant ${from}-${last}:${fence} for ${Math.round(holdMs)} ms`;
         const run = (instance: Instance) => {
@@ -203,29 +185,15 @@
           const outcome = grantOutcome(isAccepted ? 'granted' : 'outranked');
           return {outcome, at: now()};
         };
-        const outcome = await send<GrantOutcome>(daemon, to, {
+        return send(daemon, to, {
           name,
           limitMs,
           isLost: chance(faults.lostGrantShare),
           notRun: grantOutcome('refused'),
           unanswered: grantOutcome('unanswered'),
           run,
-          connected,
         });
-        isClosed ||= outcome.kind === 'unanswered';
-        return outcome;
-      };
-      return {
-        grant,
-        isClosed: () => isClosed,
-        close: () => {
-          isClosed = true;
-        },
-      };
-    };
-
-    const callsOf = (daemon: Process): InstanceCalls => ({
-      connect: () => connect(daemon),
+      },
       release: (to, range, limitMs) => {
         const run = (instance: Instance): Reply<ReleaseOutcome> => {
           const at = withdraw(instance, range);
--- a/test/sidecar/calllives.test.ts
+++ b/test/sidecar/calllives.test.ts
@@ -134,13 +134,6 @@
   moves: playOf({move: 6, restart: 1, outage: 1}, 100),
   'frequent ends': playOf({crash: 1, move: 4}, 200),
   [UNDER_SAME_ID]: playOf({crashUnderSameId: 1, move: 4}, 60),
-  'ends under the same id beside restarts': playOf(
-    {
-      ...{crashUnderSameId: 4, move: 4, restart: 3, outage: 1, cutLink: 1},
-      ...{freeze: 1, stall: 1},
-    },
-    60,
-  ),
   'all disturbances': playOf(
     {
       ...{crash: 4, move: 6, drain: 1, restart: 2, outage: 3, cutLink: 1},
--- a/test/sidecar/contexts.ts
+++ b/test/sidecar/contexts.ts
@@ -2,7 +2,6 @@
 import {
   createHeartbeatDelivery,
   type DeliveryContext,
-  type GrantConnection,
   type InstanceManagerContext,
 } from '../../src/sidecar/index.js';
 
@@ -86,14 +85,3 @@
     ...options,
   };
 }
-
-/**
- * Returns what opens connections that do not close to an instance.
- *
- * @example
- * const calls = {connect: connectTo(grant), release};
- */
-export function connectTo(grant: GrantConnection['grant']) {
-  return (): Promise<GrantConnection> =>
-    Promise.resolve({grant, isClosed: () => false, close: () => {}});
-}
--- a/test/sidecar/fixture.ts
+++ b/test/sidecar/fixture.ts
@@ -5,7 +5,6 @@
 import {
   startInstance,
   startMetadataStore,
-  type InstanceOptions,
   type InstanceStandin,
   type MetadataStoreStandin,
 } from '../../standin/fleet/index.js';
@@ -48,10 +47,6 @@
   readonly metrics: () => Promise<string>;
   /** Restarts the daemon; the instance keeps running. */
   readonly restart: () => Promise<void>;
-  /** Ends the instance, and starts it again under the same id. */
-  readonly restartInstance: (
-    options: Pick<InstanceOptions, 'heartbeatIntervalMs'>,
-  ) => Promise<void>;
   readonly close: () => Promise<void>;
 }
 
@@ -240,19 +235,17 @@
       onStoreRestored: recordStoreRestored,
     });
   let sidecar = createDaemon();
-  let handleControl = createControlHandler(sidecar, log);
   const server = http.createServer((request, response) =>
-    handleControl(request, response),
+    createControlHandler(sidecar, log)(request, response),
   );
   server.listen(Number(control.split(':')[1]), HOST);
   await once(server, 'listening');
   await sidecar.start();
   const lives: InstanceStandin[] = [];
   let isClosed = false;
-  const firstId = `i-${service}-${index}`;
-  const startLife = async (options: Partial<InstanceOptions> = {}) => {
+  const startLife = async () => {
     const life = await startInstance({
-      id: `${firstId}${lives.length > 0 ? `-${lives.length}` : ''}`,
+      id: `i-${service}-${index}${lives.length > 0 ? `-${lives.length}` : ''}`,
       born: 1000 + index + lives.length * 100,
       service,
       zone: `zone-${index % 2}`,
@@ -264,7 +257,6 @@
       control,
       host: HOST,
       port: instancePort,
-      ...options,
     });
     life.isDeadly = isDeadly;
     life.onCrash = () => {
@@ -296,14 +288,9 @@
     restart: async () => {
       await sidecar.shutDown();
       sidecar = createDaemon();
-      handleControl = createControlHandler(sidecar, log);
       await sidecar.start();
       await waitUntil(sidecar.isReady);
     },
-    restartInstance: async options => {
-      lives[lives.length - 1].crash();
-      await startLife({id: firstId, ...options});
-    },
     close: async () => {
       isClosed = true;
       lives[lives.length - 1].crash();
--- a/test/sidecar/succession.test.ts
+++ b/test/sidecar/succession.test.ts
@@ -17,7 +17,6 @@
   type Heartbeat,
   type InstanceCalls,
 } from '../../src/sidecar/index.js';
-import {connectTo} from './contexts.js';
 import {EMPTY_STATEMENT} from '../../src/upstream/index.js';
 import {
   findClaim,
@@ -241,18 +240,11 @@
   const granted: {readonly life: Incarnation; readonly fence: number}[] = [];
   const statement = EMPTY_STATEMENT;
   const calls: InstanceCalls = {
-    connect: async () => {
-      const life = running;
-      return {
-        grant: async ({incarnation}, {fence}) => {
-          if (incarnation.id !== life.id)
-            return {kind: 'refused', message: 'other instance', statement};
-          granted.push({life, fence});
-          return {kind: 'granted', message: '', statement};
-        },
-        isClosed: () => running !== life,
-        close: () => {},
-      };
+    grant: async ({incarnation}, {fence}) => {
+      if (incarnation.id !== running.id)
+        return {kind: 'refused', message: 'other instance', statement};
+      granted.push({life: running, fence});
+      return {kind: 'granted', message: '', statement};
     },
     release: async () => ({kind: 'unknown', message: 'no answer', statement}),
   };
@@ -414,7 +406,7 @@
 function startReleasing(store: HeldStore): DaemonProcess {
   const statement = EMPTY_STATEMENT;
   const calls: InstanceCalls = {
-    connect: connectTo(() => new Promise(() => {})),
+    grant: () => new Promise(() => {}),
     release: async () => ({kind: 'released', handover: 'token', statement}),
   };
   return startDaemon(store, {
