Let holders of unknown load give keys away

Cause: took members whose status is older than three plans out of the balance altogether, in place of out of its recipients, so that a busy holder whose probes fail was not relieved.

planBalance takes the recipients as an argument of its own; all candidates may give keys away.

The new test of ranges/plan states both: a holder that is no recipient gives keys away, and none are moved if the only recipient is the busiest. 52 tests of ranges and sidecar/planner pass.

--- a/src/ranges/plan.ts
+++ b/src/ranges/plan.ts
@@ -245,6 +245,8 @@
  * Handles instances of different speed, instances that join without keys, and
  * keys that become busy.
  *
+ * @param recipients Candidates that may get keys; all may give keys away.
+ *
  * @example
  * const settings = {tolerance: 1.2, lowUtilization: 0.55, maxMoves: 4};
  * startMoves(map, planBalance(map, rates, candidates, settings));
@@ -254,17 +256,21 @@
   rates: RequestRates,
   candidates: readonly Candidate[],
   settings: PlanSettings,
+  recipients = candidates,
 ): readonly Placement[] {
   if (candidates.length < 2) return [];
   const loads = loadsOf(map, rates, candidates);
   const total = totalOf(loads);
   const mean = total.rate / total.capacity;
+  const isRecipient = ({candidate}: CandidateLoad) =>
+    recipients.includes(candidate);
   const moves: Placement[] = [];
   const movedTerms = new Set<RangeTerm>();
   while (moves.length < settings.maxMoves) {
     const sorted = [...loads].sort((a, b) => utilization(b) - utilization(a));
     const hot = sorted[0];
-    const cold = sorted[sorted.length - 1];
+    const cold = sorted.filter(isRecipient).at(-1);
+    if (!cold || cold === hot) break;
     if (utilization(hot) < mean * settings.tolerance) break;
     const isLowLoad = utilization(hot) < settings.lowUtilization;
     if (isLowLoad && utilization(cold) >= mean * UNLOADED_SHARE) break;
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -477,8 +477,9 @@
     await changeMap(context, service, 'balance', m => {
       if (!isStable(m) || m.isRecovering) return m;
       const able = candidatesOf(membersOf(context.view(), service));
-      const known = recipientsOf(able);
-      return startMoves(m, planBalance(m, heat, known, BALANCE_OPTIONS));
+      const recipients = recipientsOf(able);
+      const moves = planBalance(m, heat, able, BALANCE_OPTIONS, recipients);
+      return startMoves(m, moves);
     });
   };
 
--- a/test/ranges/plan.test.ts
+++ b/test/ranges/plan.test.ts
@@ -54,6 +54,15 @@
   t.true(moves.every(({holder}) => holder === b.incarnation));
 });
 
+test('a busy holder gives keys away though its load is not known now', t => {
+  const all = [a, b, c, d];
+  const rates = ratesOf([0.9, 0.4, 0.2, 0.2]);
+  const moves = planBalance(mapOf(all), rates, all, SETTINGS, [c]);
+  t.true(moves.length > 0);
+  t.true(moves.every(({holder}) => holder === c.incarnation));
+  t.deepEqual(planBalance(mapOf(all), rates, all, SETTINGS, [a]), []);
+});
+
 test('an uneven load below the low utilization moves no keys', t => {
   const map = mapOf([a, b]);
   t.deepEqual(planBalance(map, ratesOf([0.5, 0.3]), [a, b], SETTINGS), []);
