Let no request wait for a channel after the channels were closed

Found on reading the change again: a request that came after close(), while a channel was still being opened, was put among those that wait, and nothing ended that wait but its own deadline. An attempt that has ended could also be taken up again by a late 'connect'.

close() forgets the attempt, and a late connection is ignored; such a request takes the fallback, as before. The new test failed before (no end within a second) and passes now. A second one guards against work that begins after its caller has gone: a request whose caller leaves while it waits for a channel is not sent.

--- a/src/channel/client.ts
+++ b/src/channel/client.ts
@@ -195,8 +195,9 @@
       address,
       options.connectTimeoutMs,
       () => {
+        if (!opening) return;
         const acceptedAt = clock();
-        opening = {...NEW_OPENING, ...opening, acceptedAt};
+        opening = {...opening, acceptedAt};
         setTimeout(() => endLongWait(acceptedAt), MAX_UPGRADE_WAIT_MS);
       },
       finishOpening,
@@ -241,6 +242,7 @@
     },
     close: () => {
       isClosed = true;
+      opening = undefined;
       channels.forEach(channel => channel.close());
       failWaiting('the daemon closes its channels');
     },
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -18,6 +18,7 @@
 import {NEW_OPENING, wayWithoutChannel} from '../../src/channel/opening.js';
 import {
   UnprocessedError,
+  exchange,
   type ResponseWriter,
 } from '../../src/upstream/index.js';
 import {
@@ -259,6 +260,44 @@
   server.close();
 });
 
+// Guards against work that begins after its caller has gone.
+test('a request whose caller leaves while it waits for a channel is not sent', async t => {
+  const paths: string[] = [];
+  const server = await startServer((request, response) => {
+    paths.push(request.url ?? '');
+    echo(request, response);
+  });
+  const {to, close} = createClient();
+  const transport = to(server.address);
+  void send(transport, {path: '/first'});
+  let sent: boolean | undefined;
+  const call = {method: 'GET', path: '/left', headers: [], body: null};
+  const abort = exchange(transport, call, {} as ResponseWriter, {
+    beforeSend: () => true,
+    onHead: () => undefined,
+    onEnd: result => (sent = result.kind !== 'failed' || result.sent),
+  });
+  const last = send(transport, {path: '/last'}).received;
+  abort(new Error('the caller has left'));
+  t.false(sent);
+  t.is((await last).body, '/last');
+  t.deepEqual(paths, ['/last']);
+  close();
+  server.close();
+});
+
+test('a request that comes after the channels were closed does not wait', async t => {
+  const server = await startServer(echo);
+  const {to, close} = createClient();
+  const transport = to(server.address);
+  void send(transport, {path: '/first'});
+  close();
+  const late = send(transport, {path: '/late'}).received;
+  const ended = await Promise.race([late, pause(1000)]);
+  t.not(ended, undefined);
+  server.close();
+});
+
 test('requests do not wait long for a daemon that accepts connections and opens no channel', async t => {
   const server = net.createServer(() => {});
   const address = await listen(server);
