--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -178,6 +178,23 @@
   t.true(pair.instance.runs.length > 0);
 });
 
+test('requests are not given up for a retry that one of them gets', async t => {
+  const fleet = await startFleet(['stock', 'desk']);
+  t.teardown(fleet.close);
+  const late = {probeDelayMs: 8000, requestDelayMs: 3500};
+  const peer = await startPeer(fleet.store, 'desk', late);
+  t.teardown(peer.close);
+  const patient = configuration(2) as {routes: {rows: unknown[][]}};
+  patient.routes.rows[1].splice(3, 2, 'idempotent', 6);
+  fleet.store.write('config', 'main', patient);
+  await pause(PROPAGATION_MS);
+  const [{callers}] = fleet.pairs;
+  const send = () =>
+    sendRequest(callers, 'GET', '/book/x', undefined, undefined, 6000);
+  const answers = await Promise.all(Array.from({length: 60}, send));
+  t.false(answers.some(({status}) => status === 502));
+});
+
 const isDeclaredLost = (fleet: TestFleet, upstream: string) =>
   fleet.pairs.some(({events}) =>
     events.some(
