--- a/src/relay/intake.ts
+++ b/src/relay/intake.ts
@@ -26,11 +26,11 @@
   readonly cycleMs: number;
 }
 
-/** Time budget of one turn for starting requests, in milliseconds. */
+/** Time of one turn for starting requests, in milliseconds. */
 const TURN_MS = 25;
 
 /**
- * Plans a turn: starts as many requests as fit into the time budget, by rank
+ * Plans a turn: starts as many requests as fit into their time, by rank
  * and then by deadline, refuses those whose turn would come after their maximum
  * wait, and defers the rest to the next turn. At least one request is started
  * per turn unless all are refused.
