Count late answers to probes, and keep sent requests that nobody else can run

Cause: lateness of a link was taken for the end of a machine. A probe closed its connection at its timeout (300 to 1,200 ms), so an acceptance or an answer that a full link delays longer (1.0 to 1.5 s at p99) could never refute it, and the round-trip time, from which the timeouts come, was that of the answers in time only. After 2 s of that (5 s if connections are accepted) a request that had been sent was given up, though no other instance could run it: its caller gains nothing by 502 over the answer.

Change: a probe is read for 3 s after its timeout. An answer then ends every suspicion and counts for the round-trip time of that daemon; an acceptance ends what was found of a machine that accepts none. A sent request without another instance is given up after 10 s of failed probes in place of the time after which keys are given away, which is unchanged (2 and 5 s), as are a process that has ended and the move to another instance.

Tests, each seen to fail before: a daemon that answers probes after 1.5 s was unresponsive; a request of 7 s at a daemon that answers no probe got 502, now 200; the observation of late answers.

--- a/src/relay/detector.ts
+++ b/src/relay/detector.ts
@@ -99,6 +99,8 @@
   | {readonly kind: 'probe-started'}
   /** An answer to any request arrived. */
   | {readonly kind: 'answer-received'}
+  /** The answer to a probe arrived after the probe had timed out. */
+  | {readonly kind: 'answered-late'; readonly tookMs: number}
   /** A new connection was accepted, of a probe or of a request. */
   | {readonly kind: 'connection-accepted'}
   | {
@@ -130,6 +132,10 @@
  * since the probe as are still to answer, and at least one answered, unless
  * none is available for a comparison.
  *
+ * An answer that arrives after its probe has timed out ends every suspicion, and
+ * counts for the round-trip time, which would otherwise be that of the answers
+ * in time.
+ *
  * On narrow links and slow processors, answers can be delayed as long as those
  * of a failed machine. A busy link or event loop of the observer delays the
  * answers of all daemons; a failed machine only its own. A refused connection
@@ -149,6 +155,11 @@
       return {...state, probedAt: now, isProbing: true};
     case 'answer-received':
       return markAlive(state, now);
+    case 'answered-late': {
+      const {tookMs} = observation;
+      const roundTrip = updateRoundTrip(state.roundTrip, tookMs, now);
+      return {...markAlive(state, now), roundTrip};
+    }
     case 'connection-accepted':
       return markAccepting(state, now);
     case 'probe-ended': {
@@ -466,8 +477,8 @@
  *   process is known to have ended; a late answer is worth more to its caller
  *   than none.
  * - Any other request is aborted when its daemon has failed. One that was sent is
- *   kept while no other instance can run it, as the daemon may be late, or its
- *   accept queue full; but no longer than its instance keeps its keys.
+ *   kept while no other instance can run it, as the daemon may be late, its
+ *   accept queue full, or its link; until nothing was heard for 10 s.
  * - If the daemon is suspected, a request that was sent is kept, as its answer
  *   is likelier than that of another attempt. One that was not sent is aborted
  *   after 400 ms without any answer from the daemon if another instance may run
@@ -493,7 +504,8 @@
   if (liveness === 'refused') return {kind: 'give-up'};
   const isUnavailable =
     liveness === 'unreachable' || liveness === 'unresponsive';
-  const isReplaceable = !isSent || hasAlternative || isLost(status);
+  const isReplaceable =
+    !isSent || hasAlternative || status.failingMs >= SILENT_MS;
   if (isUnavailable && isSafeToRepeat && isReplaceable)
     return {kind: 'give-up'};
   const quietMs = Math.min(pendingMs, status.quietMs);
@@ -506,6 +518,13 @@
   return {kind: 'wait', ms: Math.max(1, PROBE_AFTER_MS - quietMs)};
 }
 
+/**
+ * Time of failed probes after which a request that was sent is given up though no
+ * other instance can run it, in milliseconds; longer than a full link delays its
+ * answer.
+ */
+const SILENT_MS = 10_000;
+
 /**
  * Time of failed probes after which a member is lost, in milliseconds: three
  * probes a second apart, which is the interval of plans. An unresponsive
--- a/src/sidecar/probe.ts
+++ b/src/sidecar/probe.ts
@@ -52,11 +52,27 @@
   readonly lateMs: number;
 }
 
+/** Callbacks of a probe. */
+export interface ProbeListener {
+  /** Called when the connection was accepted, be it after the time limit. */
+  readonly accepted: () => void;
+  /** Called with the time that an answer took which came after the time limit. */
+  readonly answeredLate: (tookMs: number) => void;
+}
+
+/**
+ * Time after its limit for which the answer to a probe is still read, in
+ * milliseconds: about as long as a full link delays it.
+ */
+const LATE_ANSWER_MS = 3000;
+
 /**
  * Probes another daemon on a new connection, so that the outcome shows whether
  * new connections work. If the timer of the time limit fires late, responses
  * received meanwhile have not been read yet, so the limit is extended once.
  *
+ * @param listener Without one, nothing is read after the time limit.
+ *
  * @example
  * const limits = {connectMs: 300, answerMs: 1200};
  * const {outcome} = await probePeer<InstanceStatus>(
@@ -66,13 +82,14 @@
   node: string,
   path: string,
   limits: ProbeTimeouts,
-  onConnect: () => void = () => {},
+  listener?: ProbeListener,
 ): Promise<TimedProbeOutcome<T>> {
   const {host, port} = parseAddress(node);
   const startedAt = performance.now();
   return new Promise(resolve => {
     let isConnected = false;
     let isExtended = false;
+    let isLate = false;
     let timer: NodeJS.Timeout;
     const setDeadline = (dueAt: number) => {
       timer = setTimeout(() => onTimeout(dueAt), dueAt - performance.now());
@@ -81,7 +98,7 @@
       const now = performance.now();
       const lateMs = now - dueAt;
       if (isExtended || lateMs < LATE_TIMER_MS) {
-        finish({kind: isConnected ? 'unanswered' : 'unconnected'}, lateMs);
+        giveUp({kind: isConnected ? 'unanswered' : 'unconnected'}, lateMs);
         return;
       }
       isExtended = true;
@@ -113,11 +130,22 @@
       clearTimeout(timer);
       resolve({outcome, lateMs});
       clientRequest.destroy();
+      const isAnsweredLate = isLate && outcome.kind === 'answered';
+      if (isAnsweredLate) listener?.answeredLate(outcome.tookMs);
+    };
+    /** Ends the probe, but not the wait for its answer. */
+    const giveUp = (outcome: ProbeOutcome<T>, lateMs: number) => {
+      if (!listener) return finish(outcome, lateMs);
+      isLate = true;
+      resolve({outcome, lateMs});
+      timer = setTimeout(() => clientRequest.destroy(), LATE_ANSWER_MS);
+      timer.unref();
     };
     clientRequest.on('socket', socket => {
       socket.once('connect', () => {
         isConnected = true;
-        onConnect();
+        listener?.accepted();
+        if (isLate) return;
         clearTimeout(timer);
         const fromMs = isExtended ? performance.now() : startedAt;
         setDeadline(fromMs + limits.answerMs);
@@ -281,12 +309,10 @@
       performance.now(),
     );
     observe(peer, {kind: 'probe-started'});
-    const {outcome, lateMs} = await probePeer<T>(
-      peer,
-      STATUS_PATH,
-      limits,
-      () => observe(peer, {kind: 'connection-accepted'}),
-    );
+    const {outcome, lateMs} = await probePeer<T>(peer, STATUS_PATH, limits, {
+      accepted: () => observe(peer, {kind: 'connection-accepted'}),
+      answeredLate: tookMs => observe(peer, {kind: 'answered-late', tookMs}),
+    });
     const hasNoAnswer =
       outcome.kind !== 'answered' && outcome.kind !== 'refused';
     const observer = {
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -159,6 +159,29 @@
   await stopped;
 });
 
+// Guards against a failure in place of the answer of a running request (LOST).
+test('a running request is answered by a daemon that answers no probe for as long', async t => {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const silent = {probeDelayMs: 20_000, requestDelayMs: 7000};
+  const peer = await startPeer(fleet.store, 'desk', silent);
+  t.teardown(peer.close);
+  const patient = configuration(2) as {routes: {rows: unknown[][]}};
+  patient.routes.rows[1].splice(3, 2, 'idempotent', 9);
+  fleet.store.write('config', 'main', patient);
+  await pause(PROPAGATION_MS);
+  const [{callers}] = fleet.pairs;
+  const answer = sendRequest(
+    callers,
+    'GET',
+    '/book/x',
+    undefined,
+    undefined,
+    9000,
+  );
+  t.is((await answer).status, 200);
+});
+
 test('a request at a holder that goes dark is answered by the next holder of its key', async t => {
   const fleet = await startFleetWithPeer(t, {isUnresponsive: true});
   const [pair] = fleet.pairs;
@@ -354,6 +377,22 @@
   t.is(detector.stateOf(unreachable.node).liveness, 'unreachable');
 });
 
+// Guards against live daemons behind full links that are taken for lost (LOST).
+test('a daemon whose answers arrive after the timeouts of the probes is not lost', async t => {
+  const fleet = await startFleet([]);
+  t.teardown(fleet.close);
+  const late = await startPeer(fleet.store, 'desk', {probeDelayMs: 1500});
+  t.teardown(late.close);
+  const other = await startPeer(fleet.store, 'desk', {});
+  t.teardown(other.close);
+  const detector = createFailureDetector('127.0.0.1:1');
+  for (let turn = 0; turn < 6; turn++) {
+    await detector.probe(late.node, [late.node, other.node]);
+    const {liveness} = detector.stateOf(late.node);
+    t.true(liveness === 'alive' || liveness === 'suspect', liveness);
+  }
+});
+
 test('daemons that are first probed at the same time are compared with each other', async t => {
   const fleet = await startFleet([]);
   t.teardown(fleet.close);
