Estimate a request by the duration of its route at an instance

Cause: instances are compared by the mean duration of all that they run. One that runs many short look-ups looks fast, so it gets more of them and of the long requests, refuses the long ones, and looks faster still.

Change: an answer also states the mean duration of its own route there, and a daemon keeps how each instance compares with the others by the routes that it runs. The duration of a request is that of its route times this factor; the wait for a slot still counts by the mean of all.

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -152,15 +152,13 @@
  * Estimates the time that a new request takes at an instance, in milliseconds:
  * the wait for a slot, the work, and penalties for failures and distance.
  *
- * @param isSameDomain The instance is in the own failure domain.
  * @param bytes Length of the request body and of the expected answer.
  *
  * @example
- * estimateMs(load, true, now) < estimateMs(load, false, now); // true
+ * estimateMs({node, isSameDomain: true, load}, performance.now());
  */
 export function estimateMs(
-  load: InstanceLoad,
-  isSameDomain: boolean,
+  {load, isSameDomain, expectedMs}: Candidate,
   now: number,
   bytes = 0,
 ): number {
@@ -170,7 +168,7 @@
   const busy = othersBusy + inFlight;
   const queue = Math.max(0, busy + 1 - slots) / slots;
   const usage = busy / slots;
-  const workMs = Math.max(meanMs, 1);
+  const workMs = Math.max(expectedMs ?? meanMs, 1);
   const failMs = load.failures * FAILURE_COST_MS;
   const kilobytes = bytes / BYTES_PER_KB;
   const farMs = isSameDomain
@@ -178,7 +176,10 @@
     : DOMAIN_COST_MS + kilobytes * DOMAIN_COST_MS_PER_KB;
   // Assumes that another daemon has sent one request since the report.
   const limitMs = limitDelayMs(load, now) + load.intervalMs;
-  return workMs * (1 + queue + USAGE_WEIGHT * usage) + limitMs + failMs + farMs;
+  const waitMs = Math.max(meanMs, 1) * queue;
+  return (
+    workMs * (1 + USAGE_WEIGHT * usage) + waitMs + limitMs + failMs + farMs
+  );
 }
 
 /**
@@ -201,8 +202,11 @@
 /** An instance to which a request may be sent. */
 export interface Candidate {
   readonly node: string;
+  /** The instance is in the own failure domain. */
   readonly isSameDomain: boolean;
   readonly load: InstanceLoad;
+  /** Expected duration of the request there, in milliseconds, if known. */
+  readonly expectedMs?: number;
 }
 
 /**
@@ -223,10 +227,10 @@
   let best: T | undefined;
   let bestMs = Infinity;
   for (const candidate of candidates) {
-    const {load, isSameDomain} = candidate;
-    const until = Math.max(load.avoidedUntil, load.suspectedUntil);
+    const {avoidedUntil, suspectedUntil} = candidate.load;
+    const until = Math.max(avoidedUntil, suspectedUntil);
     const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
-    const ms = estimateMs(load, isSameDomain, now, bytes) + penaltyMs;
+    const ms = estimateMs(candidate, now, bytes) + penaltyMs;
     if (ms < bestMs) {
       best = candidate;
       bestMs = ms;
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -13,6 +13,7 @@
   type Liveness,
   type PeerStatus,
 } from './detector.js';
+import type {RouteDurations} from './durations.js';
 import type {ClockReading} from './transit.js';
 import {hopHeaders, bodyToSend, type Flow, type Work} from './work.js';
 
@@ -26,6 +27,7 @@
   readonly peerTransport: (node: string, work: Work) => Transport;
   readonly loads: (node: string) => InstanceLoad;
   readonly observeLoad: (node: string, event: LoadEvent) => void;
+  readonly durations: RouteDurations;
   /** Records when a daemon read a request, by its clock. */
   readonly observeClock: (node: string, reading: ClockReading) => void;
   /**
@@ -118,6 +120,7 @@
     const load = readLoad(head);
     if (load) {
       context.observeLoad(node, {kind: 'reported', ...load});
+      context.durations.observe(node, work.route, load.routeMs ?? NaN);
       const reading = {sentAt: forwardedAt, readAt: load.clockMs};
       context.observeClock(node, reading);
     }
--- a/src/relay/forwarded.ts
+++ b/src/relay/forwarded.ts
@@ -1,3 +1,4 @@
+import {meanMs} from '../admission/index.js';
 import {signalOf, createStop, type RequestState} from '../gateway/index.js';
 import {notRun, type Failure} from '../model/index.js';
 import {
@@ -76,6 +77,7 @@
         'forwarded request has no valid vanillaspool-hop header',
       ),
       false,
+      '',
       startedAt,
     );
     return;
@@ -113,6 +115,7 @@
       response,
       notRun('bad-request', body.kind),
       false,
+      hop.route,
       startedAt,
     );
     return;
@@ -134,11 +137,11 @@
     const {outcome, reason, message} = refusal;
     const fields = {request: hop.id, upstream: hop.instance, ...course};
     context.log(RELAY_EVENTS.ran, {...fields, outcome, reason, message});
-    answer(context, response, refusal, false, startedAt);
+    answer(context, response, refusal, false, hop.route, startedAt);
     return;
   }
   const attempt = await runLocally(context, flow, work, head => {
-    head.headers.push(LOAD_HEADER, loadAt(context, startedAt));
+    head.headers.push(LOAD_HEADER, loadAt(context, hop.route, startedAt));
   });
   cancelDeadline();
   const timeMs = Math.round(context.clock() - startedAt);
@@ -171,7 +174,7 @@
       ...spent,
       upstream: instance,
     });
-    answer(context, response, reported, free === false, startedAt);
+    answer(context, response, reported, free === false, hop.route, startedAt);
   }
 }
 
@@ -229,7 +232,7 @@
     refuseOffer(context, work, ahead() - 1);
   cancelDeadline();
   if (!refusal) {
-    const headers = [LOAD_HEADER, loadAt(context, startedAt)];
+    const headers = [LOAD_HEADER, loadAt(context, hop.route, startedAt)];
     response.writeHead(ACCEPTED_STATUS, headers);
     response.end();
     return;
@@ -240,7 +243,7 @@
   const timeMs = Math.round(context.clock() - startedAt);
   const fields = {request: id, outcome, reason, message, timeMs};
   context.log(RELAY_EVENTS.offerRefused, {...fields, upstream: instance});
-  answer(context, response, refusal, false, startedAt);
+  answer(context, response, refusal, false, hop.route, startedAt);
 }
 
 /** Status of the answer that accepts an offer. */
@@ -278,9 +281,17 @@
   return notRun(reason, message, retryAfterMs);
 }
 
-/** Returns the load, with the time at which the request was read. */
-function loadAt({load}: ForwardedContext, readAt: number): string {
-  return formatLoad({...load(), clockMs: readAt});
+/**
+ * Returns the load, with the time at which the request was read and the mean
+ * time of its route.
+ */
+function loadAt(
+  {load, slots, clock}: ForwardedContext,
+  route: string,
+  readAt: number,
+): string {
+  const routeMs = meanMs(slots().state().estimates, route, clock());
+  return formatLoad({...load(), clockMs: readAt, routeMs});
 }
 
 function answer(
@@ -288,11 +299,12 @@
   response: ResponseWriter,
   failure: Failure,
   offered: boolean,
+  route: string,
   readAt: number,
 ): void {
   if (response.destroyed || response.headersSent) return;
   const headers = failureHeaders(failure, offered);
-  headers.push(LOAD_HEADER, loadAt(context, readAt));
+  headers.push(LOAD_HEADER, loadAt(context, route, readAt));
   headers.push('Content-Length', '0');
   response.writeHead(failure.status, headers);
   response.end();
--- a/src/relay/hop.ts
+++ b/src/relay/hop.ts
@@ -186,6 +186,10 @@
    * milliseconds.
    */
   readonly clockMs: number;
+  /**
+   * Mean time that a request of the same route takes, in milliseconds, if known.
+   */
+  readonly routeMs?: number;
 }
 
 /**
@@ -197,9 +201,11 @@
  */
 export function formatLoad(load: ReportedLoad): string {
   const {busy, slots, meanMs, limitedMs, intervalMs, clockMs} = load;
+  const {routeMs = 0} = load;
   const limit = `${Math.round(limitedMs)},${Math.round(intervalMs)}`;
   const times = `${Math.round(meanMs)},${limit},${Math.round(clockMs)}`;
-  return `${busy},${slots},${times}`;
+  const route = routeMs > 0 ? `,${Math.round(routeMs)}` : '';
+  return `${busy},${slots},${times}${route}`;
 }
 
 /**
@@ -222,5 +228,6 @@
     limitedMs: Number(values[3] ?? 0),
     intervalMs: Number(values[4] ?? 0),
     clockMs: Number(values[5] || NaN),
+    ...(values[6] && {routeMs: Number(values[6])}),
   };
 }
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -10,6 +10,7 @@
 export * from './choose.js';
 export * from './configuration.js';
 export * from './dialect.js';
+export * from './durations.js';
 export * from './ingress.js';
 export * from './routed.js';
 export * from './events.js';
--- a/src/relay/ingress.ts
+++ b/src/relay/ingress.ts
@@ -1,3 +1,4 @@
+import {meanMs} from '../admission/index.js';
 import {
   finalFailure,
   createStop,
@@ -355,7 +356,7 @@
   };
   const attempt =
     member.node === context.node
-      ? await runLocally(context, routed.flow, work, observe)
+      ? await runHere(context, routed, work, observe)
       : await forwardTo(context, routed, member, work, observe);
   const hasFailedThere =
     attempt.kind === 'broken' ||
@@ -367,6 +368,19 @@
   return attempt;
 }
 
+async function runHere(
+  context: IngressContext,
+  {flow}: RoutedRequest,
+  work: Work,
+  onHead: (head: ResponseHead) => void,
+): Promise<Attempt> {
+  const attempt = await runLocally(context, flow, work, onHead);
+  const {estimates} = context.slots().state();
+  const routeMs = meanMs(estimates, work.route, context.clock());
+  context.durations.observe(context.node, work.route, routeMs);
+  return attempt;
+}
+
 async function forwardTo(
   context: IngressContext,
   routed: RoutedRequest,
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -171,6 +171,7 @@
     node: member.node,
     isSameDomain: member.domain === context.domain,
     load: context.loads(member.node),
+    expectedMs: context.durations.expectedMs(member.node, routed.route.name),
     member,
   }));
   const bytes =
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -27,6 +27,7 @@
   createHolderRefusals,
   createIntake,
   createAnswerLengths,
+  createRouteDurations,
   createOverloadRefusals,
   createCallerRetries,
   createSlots,
@@ -520,6 +521,7 @@
     },
     observeLoad: loads.observe,
     observeClock: loads.observeClock,
+    durations: createRouteDurations(),
     clockAheadMs: loads.clockAheadMs,
     peerPools,
     peerTransport: (peer, work) => {
--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -49,7 +49,8 @@
     })),
     report(0, 40),
   );
-  t.true(estimateMs(fast, true, 0) < estimateMs(after(report(1)), true, 0));
+  const slow = choice('slow', after(report(1)));
+  t.true(estimateMs(choice('fast', fast), 0) < estimateMs(slow, 0));
   const choices = [choice('fails', failing), choice('fast', fast)];
   t.is(chooseInstance(choices, 0)?.node, 'fast');
 });
--- a/test/sidecar/blocked.test.ts
+++ b/test/sidecar/blocked.test.ts
@@ -14,6 +14,7 @@
 import {
   PEER_CONNECTIONS,
   UNKNOWN_LOAD,
+  createRouteDurations,
   forward,
   type Flow,
   type ForwardContext,
@@ -68,6 +69,7 @@
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
     observeClock: () => {},
+    durations: createRouteDurations(),
     clockAheadMs: () => undefined,
     probe: () => {},
     // It becomes unreachable while the event loop is blocked.
