Compare instances with recent reports and a few others at random

Behind full links live daemons were taken for lost, calls never arrived, and a map was cut at the end of a stop.

Cause: a daemon compared all instances. With 80 daemons a pair talks less than once a second, nearly all reports are old, and an old report counted as an idle instance: the mean duration decided alone, and the same way everywhere.

Change: instances with a report of the last 500 ms are compared, and two others at random by their capacity; an old report approaches the usual usage of the service in place of none.

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -71,8 +71,11 @@
 /** Weight of the newest result in the moving share of failures. */
 const FAILURE_WEIGHT = 0.1;
 
-/** Half-life of the weight of a report, in milliseconds. */
-const REPORT_HALF_LIFE_MS = 500;
+/**
+ * Half-life of the weight of a report against the usual usage of the instances,
+ * in milliseconds.
+ */
+const REPORT_HALF_LIFE_MS = 2000;
 
 /**
  * Time for which a failed or suspected instance is avoided, in milliseconds;
@@ -148,24 +151,31 @@
   }
 }
 
+/** What is known of a request, and of the service that is to run it. */
+export interface RequestEstimate {
+  /** Length of the request body and of the expected answer. */
+  readonly bytes?: number;
+  /** Usual share of the slots that are in use at an instance. */
+  readonly usualUsage?: number;
+}
+
 /**
  * Estimates the time that a new request takes at an instance, in milliseconds:
  * the wait for a slot, the work, and penalties for failures and distance.
  *
- * @param bytes Length of the request body and of the expected answer.
- *
  * @example
  * estimateMs({node, isSameDomain: true, load}, performance.now());
  */
 export function estimateMs(
   {load, isSameDomain, expectedMs}: Candidate,
   now: number,
-  bytes = 0,
+  {bytes = 0, usualUsage = 0}: RequestEstimate = {},
 ): number {
   const {slots, meanMs, inFlight, inFlightAtReport} = load;
   const weight = 2 ** ((load.reportedAt - now) / REPORT_HALF_LIFE_MS);
-  const othersBusy = Math.max(0, load.reportedBusy - inFlightAtReport) * weight;
-  const busy = othersBusy + inFlight;
+  const reportedOthers = Math.max(0, load.reportedBusy - inFlightAtReport);
+  const usualBusy = usualUsage * slots;
+  const busy = inFlight + reportedOthers * weight + usualBusy * (1 - weight);
   const queue = Math.max(0, busy + 1 - slots) / slots;
   const usage = busy / slots;
   const workMs = Math.max(expectedMs ?? meanMs, 1);
@@ -209,13 +219,70 @@
   readonly expectedMs?: number;
 }
 
+/**
+ * Age up to which a report tells the load of an instance, in milliseconds: about
+ * the duration of a request or two.
+ */
+const RECENT_REPORT_MS = 500;
+
+/** Instances with older reports that are compared for one request. */
+const SAMPLE_COUNT = 2;
+
+/**
+ * Chooses the instances that are compared for one request: those with a recent
+ * report, and a few others at random, by their capacity.
+ *
+ * In a large fleet most reports are old. If each daemon compared all instances,
+ * all would choose the same few, which were the fastest when they last reported.
+ */
+function sampleCandidates<T extends Candidate>(
+  candidates: readonly T[],
+  now: number,
+  random: () => number,
+): readonly T[] {
+  const compared: T[] = [];
+  const others: T[] = [];
+  for (const candidate of candidates) {
+    const isRecent = now - candidate.load.reportedAt <= RECENT_REPORT_MS;
+    (isRecent ? compared : others).push(candidate);
+  }
+  if (others.length <= SAMPLE_COUNT) return candidates;
+  for (let count = 0; count < SAMPLE_COUNT; count++) {
+    const total = others.reduce((sum, other) => sum + capacityOf(other), 0);
+    let rest = random() * total;
+    const index = others.findIndex(other => (rest -= capacityOf(other)) < 0);
+    compared.push(...others.splice(index, 1));
+  }
+  return compared;
+}
+
+/** Returns how many such requests an instance can run in a millisecond. */
+function capacityOf({load: {slots, meanMs}, expectedMs}: Candidate): number {
+  return slots / Math.max(expectedMs ?? meanMs, 1);
+}
+
+/** Returns the mean usage of the slots by the last reports. */
+function usualUsageOf(candidates: readonly Candidate[]): number {
+  const known = candidates.filter(({load}) => load.reportedAt > 0);
+  const sum = known.reduce(
+    (total, {load}) => total + load.reportedBusy / load.slots,
+    0,
+  );
+  return known.length === 0 ? 0 : sum / known.length;
+}
+
 /**
  * Chooses the instance with the lowest estimate among those that are not
- * avoided; if all are, the one that is avoided for the shortest time.
+ * avoided; if all are, the one that is avoided for the shortest time. Of the
+ * instances whose last report is old, only a few at random are compared, at the
+ * usual usage of their slots.
  *
  * Instances of services without keys differ in speed, utilization and rate
  * limits, and fail independently.
  *
+ * @param bytes Length of the request body and of the expected answer.
+ * @param random Returns a number from 0 to less than 1.
+ *
  * @example
  * chooseInstance(candidates, performance.now())?.node;
  */
@@ -223,14 +290,23 @@
   candidates: readonly T[],
   now: number,
   bytes = 0,
+  random = Math.random,
 ): T | undefined {
+  const isAvoided = ({load}: T) =>
+    Math.max(load.avoidedUntil, load.suspectedUntil) > now;
+  const available = candidates.filter(candidate => !isAvoided(candidate));
+  const compared =
+    available.length > 0
+      ? sampleCandidates(available, now, random)
+      : candidates;
+  const usualUsage = usualUsageOf(candidates);
   let best: T | undefined;
   let bestMs = Infinity;
-  for (const candidate of candidates) {
+  for (const candidate of compared) {
     const {avoidedUntil, suspectedUntil} = candidate.load;
     const until = Math.max(avoidedUntil, suspectedUntil);
     const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
-    const ms = estimateMs(candidate, now, bytes) + penaltyMs;
+    const ms = estimateMs(candidate, now, {bytes, usualUsage}) + penaltyMs;
     if (ms < bestMs) {
       best = candidate;
       bestMs = ms;
--- a/test/relay/spread.test.ts
+++ b/test/relay/spread.test.ts
@@ -38,6 +38,15 @@
   meanMs: 380,
 };
 
+/** 18 daemons that all talk to each instance several times a second. */
+const SMALL: Fleet = {
+  daemons: 18,
+  instances: 4,
+  speeds: [0.6, 1, 1.4],
+  slots: 12,
+  meanMs: 160,
+};
+
 /** The same with look-ups, as many as other requests. */
 const MIXED: Fleet = {...LARGE, meanMs: 900, slots: 13, shortShare: 0.53};
 
@@ -191,7 +200,7 @@
         ),
       }))
       .filter(({index}) => !request.refusedBy.has(index));
-    const chosen = chooseInstance(candidates, now);
+    const chosen = chooseInstance(candidates, now, 0, random);
     if (!chosen) return;
     const {index} = chosen;
     observe(request, index, {kind: 'sent'});
@@ -255,6 +264,22 @@
   };
 }
 
+/** Share of what a daemon achieves that sees each answer. */
+const MIN_SHARE = 0.9;
+
+// Guards against daemons that all choose the same instances by old reports, or by
+// the kind of requests that these run (SHORT).
+for (const [name, fleet] of Object.entries({LARGE, MIXED, FAILING, SMALL})) {
+  for (const share of [0.5, 0.9, 1.2]) {
+    test(`daemons spread requests about as well as if each saw all answers: ${name} at ${share}`, t => {
+      const many = play(fleet, share, 531);
+      const one = play({...fleet, daemons: 1}, share, 531);
+      t.true(many.inTime >= MIN_SHARE * one.inTime);
+      t.true(many.served >= MIN_SHARE * one.served);
+    });
+  }
+}
+
 // Guards against an instance that attracts more requests the more short ones it
 // runs (SHORT).
 test('an instance gets no more than twice its share of the requests', t => {
