Count every part of an answer as a sign of life of its daemon

Cause: a daemon counted as heard with the head of an answer only. While a long answer arrived over a full link, or a channel brought other frames, its silence went on.

Change: each part of a body and each arrival on a channel counts; within 50 ms only once, so that it costs nothing on a quick link.

Tests, which failed before (they need the new callbacks): parts of a response and arrivals on a channel are reported.

--- a/src/channel/client.ts
+++ b/src/channel/client.ts
@@ -43,6 +43,8 @@
   readonly onSilent: (address: Address) => void;
   /** Called when a daemon has accepted a connection for a channel. */
   readonly onConnect?: (address: Address) => void;
+  /** Called when anything has arrived from a daemon on a channel. */
+  readonly onReceive?: (address: Address) => void;
 }
 
 /** Channels to other daemons, opened when they are first needed. */
@@ -155,6 +157,7 @@
         channels = channels.filter(other => other !== channel);
       },
       () => options.onSilent(address),
+      () => options.onReceive?.(address),
     );
     channels = [...channels, channel];
     return channel;
@@ -316,6 +319,7 @@
   clock: () => number,
   onClose: () => void,
   onSilent: () => void,
+  onReceive: () => void,
 ): Channel {
   const write = createFrameWriter(socket);
   const streams = new Map<number, Stream>();
@@ -434,6 +438,7 @@
   socket.setTimeout(0);
   socket.on('data', (bytes: Buffer) => {
     receivedAt = clock();
+    onReceive();
     pingedAt = undefined;
     isSilenceReported = false;
     try {
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -28,6 +28,8 @@
   readonly loads: (node: string) => InstanceLoad;
   readonly observeLoad: (node: string, event: LoadEvent) => void;
   readonly durations: RouteDurations;
+  /** Records that a part of an answer has arrived from a daemon. */
+  readonly recordAnswer: (node: string) => void;
   /** Records when a daemon read a request, by its clock. */
   readonly observeClock: (node: string, reading: ClockReading) => void;
   /**
@@ -158,6 +160,7 @@
       },
       classify: judge,
       addHeaders: onHead,
+      onBodyPart: () => context.recordAnswer(node),
       classifyUnsent: error => {
         if (!silence && !flow.state.stopReason) {
           silence = 'unconnected';
--- a/src/sidecar/probe.ts
+++ b/src/sidecar/probe.ts
@@ -216,6 +216,9 @@
   return outcome.kind === 'answered' ? outcome.value : undefined;
 }
 
+/** Answers of a live daemon within this time are recorded once. */
+const ANSWER_RESOLUTION_MS = 50;
+
 /** Observer of a probe that is judged without comparison with other daemons. */
 const UNCOMPARED = {heard: 0, waiting: 0, isAlone: false};
 
@@ -236,7 +239,7 @@
     node: string,
     others?: Iterable<string>,
   ) => Promise<T | undefined>;
-  /** Records that a daemon has answered a request. */
+  /** Records that a daemon has answered a request, or a part of it. */
   readonly recordAnswer: (node: string) => void;
   /** Records that a daemon has accepted a connection. */
   readonly recordConnection: (node: string) => void;
@@ -342,7 +345,12 @@
       probesInProgress.set(peer, probe);
       return probe;
     },
-    recordAnswer: peer => observe(peer, {kind: 'answer-received'}),
+    recordAnswer: peer => {
+      const {liveness, lastReceivedAt} = historyOf(peer);
+      const sinceMs = performance.now() - lastReceivedAt;
+      if (liveness === 'alive' && sinceMs < ANSWER_RESOLUTION_MS) return;
+      observe(peer, {kind: 'answer-received'});
+    },
     recordConnection: peer => observe(peer, {kind: 'connection-accepted'}),
     stateOf: peer => peerStatusOf(historyOf(peer), performance.now()),
   };
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -464,6 +464,7 @@
     onSilent: address =>
       log(SIDECAR_EVENTS.channelSilent, {peer: formatAddress(address)}),
     onConnect,
+    onReceive: address => recordAnswer(formatAddress(address)),
   });
   const answerLengths = createAnswerLengths();
 
@@ -520,6 +521,7 @@
       return applyLoadEvent(known, {kind: 'reported', ...ownLoad()}, clock());
     },
     observeLoad: loads.observe,
+    recordAnswer,
     observeClock: loads.observeClock,
     durations: createRouteDurations(),
     clockAheadMs: loads.clockAheadMs,
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -577,3 +577,17 @@
   t.is(open, 0);
   server.close();
 });
+
+test('each arrival of bytes shows that the daemon lives', async t => {
+  const server = await startServer((_, response) => {
+    response.writeHead(200, []);
+    response.write(Buffer.from('begin'));
+  });
+  const {transport, receptions, close} = await openChannel(server.address);
+  const before = receptions();
+  const {bytes} = send(transport, {path: '/endless'});
+  while (bytes() === 0) await pause(5);
+  t.true(receptions() > before);
+  close();
+  server.close();
+});
--- a/test/channel/fixture.ts
+++ b/test/channel/fixture.ts
@@ -71,6 +71,8 @@
   readonly fellBack: readonly string[];
   /** How often a channel was reported as silent. */
   readonly silences: () => number;
+  /** Number of times at which bytes arrived. */
+  readonly receptions: () => number;
 }
 
 /**
@@ -82,6 +84,7 @@
 export function createClient(idleTimeoutMs = 10_000): TestClient {
   const fellBack: string[] = [];
   let silences = 0;
+  let receptions = 0;
   const fallback: Transport = {
     dispatch: ({path}, handler) => {
       fellBack.push(path);
@@ -96,8 +99,14 @@
     clock: () => performance.now(),
     fallback: () => fallback,
     onSilent: () => (silences += 1),
+    onReceive: () => (receptions += 1),
   });
-  return {...channels, fellBack, silences: () => silences};
+  return {
+    ...channels,
+    fellBack,
+    silences: () => silences,
+    receptions: () => receptions,
+  };
 }
 
 /**
--- a/test/sidecar/blocked.test.ts
+++ b/test/sidecar/blocked.test.ts
@@ -70,6 +70,7 @@
     observeLoad: () => {},
     observeClock: () => {},
     durations: createRouteDurations(),
+    recordAnswer: () => {},
     clockAheadMs: () => undefined,
     probe: () => {},
     // It becomes unreachable while the event loop is blocked.
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -151,6 +151,7 @@
 async function forwardTo(node: string) {
   const pools = createPools({connectTimeoutMs: 300, keepAliveMs: 1000});
   const state: RequestState = {mayHaveRun: false, isBodyConsumed: false};
+  let parts = 0;
   const context: ForwardContext = {
     clock: () => performance.now(),
     peerPools: pools,
@@ -159,6 +160,7 @@
     observeLoad: () => {},
     observeClock: () => {},
     durations: createRouteDurations(),
+    recordAnswer: () => (parts += 1),
     clockAheadMs: () => undefined,
     probe: () => {},
     peerStatus: () => peerStatusOf(NEVER_PROBED, performance.now()),
@@ -200,7 +202,7 @@
   entry.closeAllConnections();
   entry.close();
   await pools.close();
-  return {attempt, status};
+  return {attempt, status, parts};
 }
 
 test('a response that no handler of a daemon made is not passed on to the caller', async t => {
@@ -225,6 +227,25 @@
   t.is(attempt?.kind, 'answered');
 });
 
+// Guards against a daemon that is taken for lost while a long answer arrives.
+test('each part of a response shows that the daemon lives', async t => {
+  const daemon = http.createServer(async (_, response) => {
+    response.writeHead(200, {[LOAD_HEADER]: '1,4,20', 'Content-Length': 3});
+    for (let part = 0; part < 3; part++) {
+      response.write('.');
+      await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    response.end();
+  });
+  daemon.listen(0, '127.0.0.1');
+  await once(daemon, 'listening');
+  t.teardown(() => daemon.close());
+  const {port} = daemon.address() as net.AddressInfo;
+  const {status, parts} = await forwardTo(`127.0.0.1:${port}`);
+  t.is(status, 200);
+  t.is(parts, 3);
+});
+
 /** Error code of a process that may open no more files. */
 const TOO_MANY_FILES = -constants.errno.EMFILE;
 
