Decide by the deadline before the load when a request is admitted

Cause: a process that reads late is behind, so its intake queued the request with a longest wait below zero. Which came first then was a race: the timer of the deadline (60 ms of grace) or the next turn of the intake, which refused for load. The forwarding daemon records `overloaded` as a refusal for load of that daemon, sends it less for up to 150 ms, and tells the caller to come again in 300 ms; `deadline` says only that no time is left, which is all that is known.

Change: `admissionRefusal` is a pure decision: stopped, then deadline, then load. `admitRequest` asks it before the intake, so that a late request is not queued, while it waits, so that it leaves the queue, and at the end, so that it is not started. (Sending to the instance was checked already, in `canSend` and on arrival in the queue of slots.) It takes the clock with the intake.

--- a/src/relay/forwarded.ts
+++ b/src/relay/forwarded.ts
@@ -119,13 +119,7 @@
   }
   const work = workOf(request, hop, startedAt, caller, body);
   const {deadlineAt} = work;
-  const refusal = await admitRequest(
-    context.intake,
-    flow,
-    0,
-    startedAt,
-    deadlineAt,
-  );
+  const refusal = await admitRequest(context, flow, 0, startedAt, deadlineAt);
   // Until here the request counts as a body in transfer; from here it waits for
   // a slot.
   context.transfers.finish(hop.id, true);
--- a/src/relay/ingress.ts
+++ b/src/relay/ingress.ts
@@ -165,7 +165,7 @@
   const {state} = flow;
   const now = context.clock();
   const refusal = await admitRequest(
-    context.intake,
+    context,
     flow,
     CALLER_RANK,
     now,
--- a/src/relay/intake.ts
+++ b/src/relay/intake.ts
@@ -78,8 +78,8 @@
    * the queue. A queued request is considered from the turn after its arrival,
    * when a disconnect of its caller would have been detected.
    *
-   * @param isAbandoned Tells whether the request was stopped and needs no
-   *     answer.
+   * @param isAbandoned Tells whether the request was stopped or its deadline
+   *     has passed, so that it is taken out of the queue.
    * @returns undefined if admitted immediately; otherwise a promise of the
    *     time after which it may be retried, in milliseconds, if refused, or of
    *     undefined if the request was admitted or abandoned.
--- a/src/relay/work.ts
+++ b/src/relay/work.ts
@@ -170,29 +170,77 @@
  */
 const INTAKE_WAIT_SHARE = 0.3;
 
+/** Dependencies for admitting requests to the process. */
+export interface AdmissionContext {
+  /** Monotonic time in milliseconds. */
+  readonly clock: () => number;
+  readonly intake: Intake;
+}
+
 /**
- * Admits a request to the process, or returns the reason for the refusal.
+ * Admits a request to the process, or returns the reason for the refusal. A
+ * request whose deadline has passed is neither queued nor admitted.
  *
  * @param rank Requests of a lower rank are started first.
  * @param startedAt Arrival of the request, in milliseconds of the clock.
  * @param deadlineAt Deadline, in milliseconds of the clock.
  *
  * @example
- * const refusal = await admitRequest(intake, flow, 0, startedAt, deadlineAt);
+ * const refusal = await admitRequest(context, flow, 0, startedAt, deadlineAt);
  */
 export async function admitRequest(
-  intake: Intake,
-  {state}: Flow,
+  {clock, intake}: AdmissionContext,
+  {state}: Pick<Flow, 'state'>,
   rank: number,
   startedAt: number,
   deadlineAt: number,
 ): Promise<Failure | undefined> {
+  const refusal = (retryMs?: number) => {
+    const {stopReason} = state;
+    return admissionRefusal({stopReason, now: clock(), deadlineAt, retryMs});
+  };
+  const refusedOnArrival = refusal();
+  if (refusedOnArrival) return refusedOnArrival;
   const shareMs = (deadlineAt - startedAt) * INTAKE_WAIT_SHARE;
   const waitMs = Math.min(MAX_INTAKE_WAIT_MS, shareMs);
-  const isAbandoned = () => state.stopReason !== undefined;
-  const admission = intake.admit(rank, deadlineAt, waitMs, isAbandoned);
-  const retryMs = admission && (await admission);
-  if (state.stopReason) return state.stopReason;
+  const isOver = () => refusal() !== undefined;
+  const admission = intake.admit(rank, deadlineAt, waitMs, isOver);
+  return refusal(admission && (await admission));
+}
+
+/** What is known of a request when its admission is decided. */
+export interface AdmissionCase {
+  /** Reason for which the request was stopped, if it was. */
+  readonly stopReason?: Failure;
+  readonly now: number;
+  /** Deadline, in milliseconds of the same clock as `now`. */
+  readonly deadlineAt: number;
+  /**
+   * Time after which the overloaded process may be asked again, in
+   * milliseconds; undefined if the intake has not refused the request.
+   */
+  readonly retryMs?: number;
+}
+
+/**
+ * Returns the reason for which a request is not admitted, if any. The deadline
+ * is decided before the load: a request without time left would be refused
+ * everywhere, and must not count as a sign of overload.
+ *
+ * @example
+ * admissionRefusal({now: 900, deadlineAt: 800, retryMs: 300})?.reason; // 'deadline'
+ */
+export function admissionRefusal({
+  stopReason,
+  now,
+  deadlineAt,
+  retryMs,
+}: AdmissionCase): Failure | undefined {
+  if (stopReason) return stopReason;
+  if (now >= deadlineAt) {
+    const late = 'the deadline passed before the request could be started';
+    return notRun('deadline', late);
+  }
   if (retryMs === undefined) return undefined;
   return notRun(
     'overloaded',
