Divide keys among many instances when busy ones are close together

Cause: a plan moved one piece from each range, and ended at the first holder without another piece. Busy keys are close to one another, so one holder got most requests and had a single range: one move in three seconds. When the mean utilization was above 1, as attempts that are refused count, too, a recipient got up to this mean, which is more than it can execute, and the flood moved on to it.

Change: a holder may give several pieces to several recipients in a plan; one that has none left is passed over; no recipient gets more than it can execute; a piece is cut from that end of a range which moves fewer keys for each request. A plan makes 12 moves in place of 6.

--- a/src/ranges/plan.ts
+++ b/src/ranges/plan.ts
@@ -3,6 +3,7 @@
   LAST_KEY,
   isSameIncarnation,
   type Incarnation,
+  type KeyRange,
   type RangeMap,
   type RangeTerm,
 } from './map.js';
@@ -38,6 +39,12 @@
 /** Minimum rate of a bucket, so that idle keys are distributed as well. */
 const IDLE_BUCKET_RATE = 0.02;
 
+/**
+ * Highest utilization that a plan gives a recipient: what is beyond it would be
+ * refused there, too.
+ */
+const FULL_UTILIZATION = 1;
+
 /** Share of the mean utilization below which a candidate is almost unloaded. */
 const UNLOADED_SHARE = 0.5;
 
@@ -240,10 +247,12 @@
 
 /**
  * Plans moves of load from the candidates with the highest utilization to those
- * with the lowest, in pieces cut from the start of a range.
+ * with the lowest, in pieces cut from either end of a range.
  *
  * Handles instances of different speed, instances that join without keys, and
- * keys that become busy.
+ * keys that become busy. Busy keys may be close to one another, so one holder
+ * may give pieces to many recipients, of which none gets more than it can
+ * execute. A holder whose keys cannot be divided further is left as it is.
  *
  * @param recipients Candidates that may get keys; all may give keys away.
  *
@@ -262,31 +271,36 @@
   const loads = loadsOf(map, rates, candidates);
   const total = totalOf(loads);
   const mean = total.rate / total.capacity;
+  const target = Math.min(mean, FULL_UTILIZATION);
   const isRecipient = ({candidate}: CandidateLoad) =>
     recipients.includes(candidate);
   const moves: Placement[] = [];
-  const movedTerms = new Set<RangeTerm>();
+  let parts = heldParts(map);
+  let givers = loads;
   while (moves.length < settings.maxMoves) {
-    const sorted = [...loads].sort((a, b) => utilization(b) - utilization(a));
-    const hot = sorted[0];
-    const cold = sorted.filter(isRecipient).at(-1);
-    if (!cold || cold === hot) break;
-    if (utilization(hot) < mean * settings.tolerance) break;
+    const hot = busiestOf(givers);
+    const cold = idlestOf(loads.filter(isRecipient));
+    if (!hot || !cold || cold === hot) break;
+    if (utilization(hot) < target * settings.tolerance) break;
     const isLowLoad = utilization(hot) < settings.lowUtilization;
     if (isLowLoad && utilization(cold) >= mean * UNLOADED_SHARE) break;
-    const excess = hot.rate - mean * hot.candidate.capacity;
-    const room = mean * cold.candidate.capacity - cold.rate;
-    const targetRate = Math.min(excess, room);
-    if (targetRate < mean * cold.candidate.capacity * MIN_MOVE_SHARE) break;
-    const piece = choosePiece(
-      map,
-      rates,
-      hot.candidate.incarnation,
-      targetRate,
-      movedTerms,
-    );
-    if (!piece) break;
-    movedTerms.add(piece.term);
+    const excess = hot.rate - target * hot.candidate.capacity;
+    const room = target * cold.candidate.capacity - cold.rate;
+    const minRate = target * cold.candidate.capacity * MIN_MOVE_SHARE;
+    if (room < minRate) break;
+    const piece =
+      excess >= minRate &&
+      choosePiece(
+        parts,
+        rates,
+        hot.candidate.incarnation,
+        Math.min(excess, room),
+      );
+    if (!piece) {
+      givers = givers.filter(load => load !== hot);
+      continue;
+    }
+    parts = parts.flatMap(part => (part === piece.part ? piece.rest : [part]));
     moves.push({
       from: piece.from,
       to: piece.to,
@@ -298,43 +312,86 @@
   return moves;
 }
 
-/** A part of a term that can be moved. */
-interface Piece {
-  readonly term: RangeTerm;
-  readonly from: number;
-  readonly to: number;
+const busiestOf = (loads: readonly CandidateLoad[]) =>
+  maxBy(loads, utilization);
+
+const idlestOf = (loads: readonly CandidateLoad[]) =>
+  maxBy(loads, load => -utilization(load));
+
+function maxBy<T>(
+  values: readonly T[],
+  valueOf: (value: T) => number,
+): T | undefined {
+  return values.reduce<T | undefined>(
+    (best, value) =>
+      best === undefined || valueOf(value) > valueOf(best) ? value : best,
+    undefined,
+  );
+}
+
+/** Keys of a held term that no plan moves yet. */
+type Part = Pick<RangeTerm, 'from' | 'to' | 'holder'>;
+
+const heldParts = ({terms}: RangeMap): readonly Part[] =>
+  terms.filter(({state}) => state === 'held');
+
+/** A piece of a part that can be moved. */
+interface Piece extends KeyRange {
+  readonly part: Part;
   readonly rate: number;
+  /** What is left of the part. */
+  readonly rest: readonly Part[];
 }
 
-/** Chooses the busiest piece of a holder's ranges that fits a target rate. */
+/**
+ * Chooses the busiest piece of a holder's keys that fits a target rate: a whole
+ * part, or one end of it, whichever moves fewer keys for each request.
+ */
 function choosePiece(
-  map: RangeMap,
+  parts: readonly Part[],
   rates: RequestRates,
   holder: Incarnation,
   targetRate: number,
-  movedTerms: ReadonlySet<RangeTerm>,
 ): Piece | undefined {
-  let best: Piece | undefined;
-  for (const term of map.terms) {
-    if (term.state !== 'held' || !isSameIncarnation(term.holder, holder))
-      continue;
-    if (movedTerms.has(term)) continue;
-    const wholeRate = rateOfRange(rates, term.from, term.to);
-    const to =
-      wholeRate <= targetRate
-        ? term.to
-        : findCut(rates, term.from, term.to, targetRate);
-    const piece = {
-      term,
-      from: term.from,
-      to,
-      rate: rateOfRange(rates, term.from, to),
-    };
-    if (piece.rate > targetRate * MAX_PIECE_FACTOR) continue;
-    if (!best || piece.rate > best.rate) best = piece;
-  }
-  return best;
+  const pieces = parts
+    .filter(part => isSameIncarnation(part.holder, holder))
+    .flatMap(part => piecesOf(part, rates, targetRate))
+    .filter(({rate}) => rate <= targetRate * MAX_PIECE_FACTOR);
+  const most = Math.max(0, ...pieces.map(({rate}) => rate));
+  const busy = pieces.filter(({rate}) => rate >= most * SIMILAR_RATE_SHARE);
+  return maxBy(busy, ({from, to, rate}) => rate / (to - from + 1));
+}
+
+function piecesOf(
+  part: Part,
+  rates: RequestRates,
+  targetRate: number,
+): readonly Piece[] {
+  const {from, to, holder} = part;
+  const pieceOf = (range: KeyRange, rest: readonly KeyRange[]): Piece => ({
+    ...range,
+    part,
+    rate: rateOfRange(rates, range.from, range.to),
+    rest: rest.map(({from, to}) => ({from, to, holder})),
+  });
+  const wholeRate = rateOfRange(rates, from, to);
+  if (wholeRate <= targetRate) return [pieceOf({from, to}, [])];
+  const cutAt = (end: number) => [
+    {from, to: end},
+    {from: end + 1, to},
+  ];
+  const [head, afterHead] = cutAt(findCut(rates, from, to, targetRate));
+  const [beforeTail, tail] = cutAt(
+    findCut(rates, from, to, wholeRate - targetRate),
+  );
+  return [
+    ...(head.to < to ? [pieceOf(head, [afterHead])] : []),
+    ...(tail.from <= to ? [pieceOf(tail, [beforeTail])] : []),
+  ];
 }
 
 /** Factor by which the rate of a piece may exceed the target rate. */
 const MAX_PIECE_FACTOR = 1.3;
+
+/** Share of the busiest piece's rate from which another piece is as good. */
+const SIMILAR_RATE_SHARE = 0.7;
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -100,7 +100,7 @@
  * utilization up to which requests hardly wait for one of a few slots. Moves:
  * limit per plan.
  */
-const BALANCE_OPTIONS = {tolerance: 1.2, lowUtilization: 0.55, maxMoves: 6};
+const BALANCE_OPTIONS = {tolerance: 1.2, lowUtilization: 0.55, maxMoves: 12};
 
 /** Daemons of other services that are asked if most members are lost. */
 const WITNESS_COUNT = 9;
--- a/test/ranges/plan.test.ts
+++ b/test/ranges/plan.test.ts
@@ -4,6 +4,8 @@
   LAST_KEY,
   createMap,
   planBalance,
+  rateOfRange,
+  revoke,
   type Candidate,
   type RequestRates,
   type RangeMap,
@@ -81,3 +83,38 @@
   const rates = ratesOf([0.95, 0.9, 0.85, 0.9]);
   t.deepEqual(planBalance(map, rates, [a, b, c, d], SETTINGS), []);
 });
+
+test('one busy holder gives keys to several others, none more than it can execute', t => {
+  const all = [a, b, c, d];
+  const rates = ratesOf([4, 0.3, 0.2, 0.1]);
+  const moves = planBalance(mapOf(all), rates, all, SETTINGS);
+  const others = all.slice(1).map(({incarnation}, index) => {
+    const own = [0.3, 0.2, 0.1][index] * CAPACITY;
+    return moves
+      .filter(({holder}) => holder === incarnation)
+      .reduce((sum, {from, to}) => sum + rateOfRange(rates, from, to), own);
+  });
+  for (const rate of others) {
+    t.true(rate > 0.8 * CAPACITY, `${rate}`);
+    t.true(rate < 1.1 * CAPACITY, `${rate}`);
+  }
+});
+
+test('a holder that cannot give keys does not keep others from giving theirs', t => {
+  const all = [a, b, c, d];
+  const map = revoke(mapOf(all), a.incarnation);
+  const moves = planBalance(map, ratesOf([3, 2, 0.2, 0.2]), all, SETTINGS);
+  t.true(moves.length > 0);
+});
+
+test('the end of a range with the most requests for each key is moved', t => {
+  const rates = Array.from({length: RATE_BUCKETS}, (_, bucket) =>
+    bucket < RATE_BUCKETS / 2 ? bucket / 1000 : 0,
+  );
+  const moves = planBalance(mapOf([a, b]), rates, [a, b], SETTINGS);
+  const middle = (LAST_KEY + 1) / 2;
+  t.deepEqual(
+    moves.map(({to}) => to),
+    [middle - 1],
+  );
+});
