Assume no more than the usual capacity of an instance without requests

Cause: the capacity of an instance that has executed hardly any request was calculated from an assumed mean of 150 ms; the others took 350 to 600 ms. So those without requests seemed three times as fast as those that executed them, and got keys for as many requests. They also raised the total capacity, so that busy holders gave more keys away than they had to.

Change: a daemon reports whether its capacity is assumed, which it is until 20 requests have ended. The planner takes the median of the measured capacities if that is lower. Reports of daemons without the field count as measured, as before.

--- a/src/sidecar/loadmeter.ts
+++ b/src/sidecar/loadmeter.ts
@@ -12,6 +12,12 @@
 /** Number of samples that the initial mean counts for. */
 const INITIAL_SAMPLE_COUNT = 2;
 
+/**
+ * Number of samples from which the mean tells the capacity. Of the first requests
+ * of a busy instance, the short ones end first.
+ */
+const MEASURED_SAMPLES = 20;
+
 const MS_PER_SECOND = 1000;
 
 /** Measures the load of the local instance. */
@@ -21,6 +27,8 @@
   /** Records how long the instance took for a request, in milliseconds. */
   readonly recordDuration: (timeMs: number) => void;
   readonly meanMs: () => number;
+  /** Returns whether the mean is of enough requests to tell the capacity. */
+  readonly isMeasured: () => boolean;
   /**
    * Returns the requests per second of each partition of the key space, without
    * partitions below the reported minimum.
@@ -61,6 +69,7 @@
       meanMs += weight * (timeMs - meanMs);
     },
     meanMs: () => meanMs,
+    isMeasured: () => sampleCount >= INITIAL_SAMPLE_COUNT + MEASURED_SAMPLES,
     heat: () => {
       decay();
       const hot: [number, number][] = [];
--- a/src/sidecar/planner.ts
+++ b/src/sidecar/planner.ts
@@ -50,6 +50,8 @@
   readonly silent: boolean;
   /** Requests per second that the instance can execute. */
   readonly capacity: number;
+  /** The capacity is assumed: the instance has executed too few requests. */
+  readonly isAssumed?: boolean;
   readonly heat: readonly (readonly [number, number])[];
   /**
    * Time until the lease of its keys expires unless it is renewed, in
@@ -179,16 +181,23 @@
     return true;
   };
 
-  const candidatesOf = (members: readonly Member[]): readonly Candidate[] =>
-    members
+  const candidatesOf = (members: readonly Member[]): readonly Candidate[] => {
+    const able = members
       .filter(member => isAcceptingRequests(member) && !isLostMember(member))
       .filter(member => !statuses.get(member.node)?.silent)
       .map(member => {
         const status = statuses.get(member.node);
         const current = status?.id === member.id ? status : undefined;
-        const capacity = current?.capacity ?? DEFAULT_CAPACITY_PER_SECOND;
-        return {incarnation: incarnationOf(member), capacity};
+        return {incarnation: incarnationOf(member), status: current};
       });
+    const typical = typicalCapacity(able.map(({status}) => status));
+    return able.map(({incarnation, status}) => {
+      const reported = status?.capacity ?? DEFAULT_CAPACITY_PER_SECOND;
+      const isMeasured = status && !status.isAssumed;
+      const capacity = isMeasured ? reported : Math.min(reported, typical);
+      return {incarnation, capacity};
+    });
+  };
 
   /** Returns the candidates whose load is known now. */
   const recipientsOf = (candidates: readonly Candidate[]) =>
@@ -502,6 +511,20 @@
   return recent.length > 0 ? recent : candidates;
 }
 
+/**
+ * Returns the median of the measured capacities; infinite if there is none. An
+ * instance without requests would seem faster than those that execute them, and
+ * get more keys than it can serve.
+ */
+function typicalCapacity(
+  statuses: readonly (InstanceStatus | undefined)[],
+): number {
+  const measured = statuses
+    .flatMap(status => (status && !status.isAssumed ? [status.capacity] : []))
+    .sort((a, b) => a - b);
+  return measured.length > 0 ? measured[measured.length >> 1] : Infinity;
+}
+
 function incarnationKey({node, id, born}: Incarnation): string {
   return `${node} ${id} ${born}`;
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -579,6 +579,7 @@
       born,
       silent: instanceManager.isSilent(),
       capacity,
+      isAssumed: !meter.isMeasured(),
       heat: meter.heat(),
       holdLeftMs: instanceManager.leaseLeftMs(),
     };
--- a/test/sidecar/keyload.test.ts
+++ b/test/sidecar/keyload.test.ts
@@ -30,6 +30,12 @@
   t.true(servedShare > 0.78, `served ${servedShare}`);
 });
 
+test('busy keys are divided though overloaded daemons answer no probes', async t => {
+  const traffic = {...TRAFFIC, silentFrom: 3};
+  const {servedShare} = endOf(await playKeyLoad(traffic, SECONDS));
+  t.true(servedShare > 0.9, `served ${servedShare}`);
+});
+
 test('dividing busy keys moves few of them', async t => {
   const seconds = await playKeyLoad(TRAFFIC, SECONDS);
   const moved = seconds.reduce((sum, second) => sum + second.movedShare, 0);
--- a/test/sidecar/keyload.ts
+++ b/test/sidecar/keyload.ts
@@ -137,8 +137,9 @@
     if (load > settings.silentFrom) return undefined;
     const capacity = (SLOTS * 1000) / Math.max(1, meter.meanMs());
     const {id, born} = life;
+    const isAssumed = !meter.isMeasured();
     const heat = meter.heat();
-    return {id, born, silent: false, capacity, heat};
+    return {id, born, silent: false, capacity, isAssumed, heat};
   };
   const planner = createPlanner({
     store: {
--- a/test/sidecar/planner.test.ts
+++ b/test/sidecar/planner.test.ts
@@ -93,7 +93,12 @@
      * Lets a daemon report a rate of requests, spread over a range of keys; it
      * answers no probes without one.
      */
-    report: (node: string, range?: KeyRange, perSecond = 0) => {
+    report: (
+      node: string,
+      range?: KeyRange,
+      perSecond = 0,
+      fields: Partial<InstanceStatus> = {},
+    ) => {
       statuses.delete(node);
       if (!range) return;
       const first = partOf(range.from);
@@ -103,7 +108,8 @@
         (_, part) => [first + part, perSecond / parts] as const,
       );
       const {id, born} = lifeAt(node);
-      statuses.set(node, {id, born, silent: false, capacity: 100, heat});
+      const status = {id, born, silent: false, capacity: 100, heat};
+      statuses.set(node, {...status, ...fields});
     },
     /** Lets the lost daemon answer again. */
     recover: () => (isLost = false),
@@ -112,6 +118,12 @@
       (conflicts = maps),
     states: () =>
       view.maps.get(SERVICE)?.value.terms.map(({state}) => state) ?? [],
+    /** Returns the share of the keys that a daemon holds or will get. */
+    shareOf: (node: string) =>
+      (view.maps.get(SERVICE)?.value.terms ?? [])
+        .filter(({holder, next}) => (next ?? holder).node === node)
+        .reduce((sum, {from, to}) => sum + to - from + 1, 0) /
+      (ALL_KEYS.to + 1),
     holders: () =>
       new Set(
         view.maps.get(SERVICE)?.value.terms.map(term => term.holder.node),
@@ -260,3 +272,13 @@
   await run(5000);
   t.true(states().includes('moving'));
 });
+
+test('an instance of unknown capacity gets no more keys than a measured one would', async t => {
+  const {run, report, shareOf} = createFixture(HELD_BY_OWN, {state: 'left'});
+  report(OWN, ALL_KEYS, 90, {capacity: 50});
+  // Nothing was executed there yet, so its capacity is a guess.
+  report(OTHER, {from: 0, to: 0}, 0, {capacity: 400, isAssumed: true});
+  await run(5000);
+  t.true(shareOf(OTHER) > 0.4, `${shareOf(OTHER)}`);
+  t.true(shareOf(OTHER) < 0.6, `${shareOf(OTHER)}`);
+});
