Gather changes of the fleet for longer while nobody waits for one

Cause: each change ends the watch of every daemon, which asked again after 250 ms, so that changes in series cost each daemon up to 4 calls a second.

Change: the pause is 500 ms while changes come in series, unless work at the daemon waits for one: a request that waits for the holder of its key, or keys that its instance gives or gets or that have no holder. Then, and after a second without changes, it is 250 ms as before. The longest pause is below the 800 ms for which a leaving instance stays open (openDrainMs of 2 s), with 250 ms for the way of the response.

--- a/src/fleet/watch.ts
+++ b/src/fleet/watch.ts
@@ -18,6 +18,8 @@
   readonly changed: (change: Change) => void;
   /** Receives whether the store is reachable and, if it is not, the reason. */
   readonly reachabilityChanged: (isReachable: boolean, reason: string) => void;
+  /** Returns whether work waits for a change; by default none does. */
+  readonly isAwaited?: () => boolean;
 }
 
 /**
@@ -44,7 +46,8 @@
         revision = checkRevision(listing.revision);
       }
       listener.reachabilityChanged(true, '');
-      for await (const change of store.watch(prefix, revision, signal)) {
+      const changes = store.watch(prefix, revision, signal, listener.isAwaited);
+      for await (const change of changes) {
         revision = Math.max(revision, checkRevision(change.version));
         listener.changed(change);
       }
--- a/src/ranges/map.ts
+++ b/src/ranges/map.ts
@@ -183,6 +183,26 @@
   );
 }
 
+/**
+ * Returns whether an incarnation gives or gets keys, or a key has no holder.
+ *
+ * @example
+ * hasTermsInTransit(map, incarnation); // false if all terms are held
+ */
+export function hasTermsInTransit(
+  map: RangeMap,
+  incarnation: Incarnation,
+): boolean {
+  return map.terms.some(({state, holder, next}) => {
+    if (state === 'held') return false;
+    return (
+      state === 'free' ||
+      isSameIncarnation(holder, incarnation) ||
+      isSameIncarnation(next, incarnation)
+    );
+  });
+}
+
 /**
  * Splits the terms at the bounds of a range, so that the range consists of
  * whole terms. Each part keeps all other fields of its term.
--- a/src/sidecar/changesignal.ts
+++ b/src/sidecar/changesignal.ts
@@ -3,6 +3,8 @@
   /** Resolves at the next change. */
   readonly nextChange: () => Promise<void>;
   readonly notify: () => void;
+  /** Returns whether the next change has been waited for since the last one. */
+  readonly isAwaited: () => boolean;
 }
 
 /**
@@ -22,5 +24,6 @@
       promise = undefined;
       resolve();
     },
+    isAwaited: () => promise !== undefined,
   };
 }
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -8,6 +8,7 @@
 import {
   contains,
   expire,
+  hasTermsInTransit,
   isGrantable,
   isHeldByPredecessor,
   isOrderedEarlier,
@@ -135,6 +136,11 @@
    * Resolves at the next possible change of the keys that the instance holds.
    */
   readonly nextChange: () => Promise<void>;
+  /**
+   * Returns whether keys are passed to or from the instance, or have no holder
+   * that it could become, by the locally known map.
+   */
+  readonly hasKeysInTransit: () => boolean;
   /**
    * Brings the grants in line with the map; called when the map of the
    * instance's service may have changed.
@@ -720,6 +726,11 @@
       return own !== undefined && isGrantable(termAt(key), own, isReady);
     },
     nextChange: changes.nextChange,
+    hasKeysInTransit: () => {
+      const own = incarnation();
+      const map = instance && context.view().maps.get(instance.service)?.value;
+      return own !== undefined && !!map && hasTermsInTransit(map, own);
+    },
     reconcile: delivery.reconcile,
     tick,
     isLeavingRecorded: () => {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -742,41 +742,47 @@
     log(SIDECAR_EVENTS.departureRecalled, {id, state});
   };
 
-  const followFleet = () =>
-    watchPrefix(
+  /** Returns whether requests wait for a change, or keys of the local instance move. */
+  const isChangeAwaited = () =>
+    viewChanges.isAwaited() || instanceManager.hasKeysInTransit();
+
+  const followFleet = () => {
+    const listener = followerOf(
+      'fleet',
+      listing => {
+        const era = eraOf(listing.revision);
+        if (isFleetListed && era !== storeEra) {
+          log(SIDECAR_EVENTS.storeRestored, {era, before: storeEra});
+          options.onStoreRestored?.();
+        }
+        storeEra = era;
+        const step = applyListing(view, listing);
+        view = step.view;
+        isFleetListed = true;
+        fleetQuarantine.applyView(view);
+        for (const message of step.problems) {
+          log(SIDECAR_EVENTS.objectMalformed, {message});
+        }
+        viewChanges.notify();
+        recall ??=
+          era > FIRST_ERA
+            ? recallDeparture().catch(reportError)
+            : Promise.resolve();
+        const resumed = recall.then(() => {
+          instanceManager.resume();
+          viewChanges.notify();
+        });
+        runInBackground(resumed);
+      },
+      observeChange,
+    );
+    return watchPrefix(
       store,
       FLEET_PREFIX,
-      followerOf(
-        'fleet',
-        listing => {
-          const era = eraOf(listing.revision);
-          if (isFleetListed && era !== storeEra) {
-            log(SIDECAR_EVENTS.storeRestored, {era, before: storeEra});
-            options.onStoreRestored?.();
-          }
-          storeEra = era;
-          const step = applyListing(view, listing);
-          view = step.view;
-          isFleetListed = true;
-          fleetQuarantine.applyView(view);
-          for (const message of step.problems) {
-            log(SIDECAR_EVENTS.objectMalformed, {message});
-          }
-          viewChanges.notify();
-          recall ??=
-            era > FIRST_ERA
-              ? recallDeparture().catch(reportError)
-              : Promise.resolve();
-          const resumed = recall.then(() => {
-            instanceManager.resume();
-            viewChanges.notify();
-          });
-          runInBackground(resumed);
-        },
-        observeChange,
-      ),
+      {...listener, isAwaited: isChangeAwaited},
       controller.signal,
     );
+  };
 
   const followConfiguration = () =>
     watchPrefix(
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -101,8 +101,10 @@
     put: (key, value, expected) =>
       callInTurn(() => platform.put(key, value, expected)),
     delete: (key, expected) => callInTurn(() => platform.delete(key, expected)),
-    watch: (prefix, from, signal) =>
-      watchInTurn(awaitTurn, () => platform.watch(prefix, from, signal)),
+    watch: (prefix, from, signal, isAwaited) =>
+      watchInTurn(awaitTurn, () =>
+        platform.watch(prefix, from, signal, isAwaited),
+      ),
   };
 }
 
--- a/src/store/counts.ts
+++ b/src/store/counts.ts
@@ -36,9 +36,9 @@
     put: (key, value, expected) =>
       report('put', platform.put(key, value, expected)),
     delete: (key, expected) => report('delete', platform.delete(key, expected)),
-    watch: (prefix, after, signal) => {
+    watch: (prefix, after, signal, isAwaited) => {
       onCall('watch', 'done');
-      return platform.watch(prefix, after, signal);
+      return platform.watch(prefix, after, signal, isAwaited);
     },
   };
 }
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -48,10 +48,15 @@
     expected: number,
   ) => Promise<WriteResult>;
   readonly delete: (key: string, expected: number) => Promise<WriteResult>;
-  /** Yields changes under a prefix that are newer than a revision, until aborted. */
+  /**
+   * Yields changes under a prefix that are newer than a revision, until aborted.
+   * `isAwaited` returns whether work waits for a change; while none does, changes
+   * may be gathered for longer.
+   */
   readonly watch: (
     prefix: string,
     after: number,
     signal: AbortSignal,
+    isAwaited?: () => boolean,
   ) => AsyncIterable<Change>;
 }
--- a/test/ranges/map.test.ts
+++ b/test/ranges/map.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import fc from 'fast-check';
-import {LAST_KEY, parseMap, type RangeMap} from '../../src/ranges/index.js';
+import {
+  LAST_KEY,
+  hasTermsInTransit,
+  parseMap,
+  type RangeMap,
+  type RangeTerm,
+} from '../../src/ranges/index.js';
 
 const INCARNATION = {node: '10.1.0.8:7620', id: 'i-1', born: 1000};
 
@@ -50,3 +56,26 @@
     {numRuns: 1000, seed: 18},
   );
 });
+
+const OTHER = {...INCARNATION, id: 'i-2'};
+const NEXT = {...INCARNATION, id: 'i-3'};
+
+/** Terms, and the incarnations that wait for a change of them. */
+const TRANSITS: readonly (readonly [Partial<RangeTerm>, readonly string[]])[] =
+  [
+    [{state: 'held'}, []],
+    [{state: 'moving', next: NEXT}, ['i-1', 'i-3']],
+    [{state: 'revoked', revocation: 5}, ['i-1']],
+    [{state: 'free'}, ['i-1', 'i-2', 'i-3']],
+  ];
+
+for (const [term, expected] of TRANSITS) {
+  test(`those that wait for a change of a ${term.state} term are known`, t => {
+    const [whole] = map().terms;
+    const changed = {fence: 7, terms: [{...whole, ...term}]};
+    const waiting = [INCARNATION, OTHER, NEXT]
+      .filter(incarnation => hasTermsInTransit(changed, incarnation))
+      .map(({id}) => id);
+    t.deepEqual(waiting, expected);
+  });
+}
