Find the terms of a daemon once for each map

Operators of large fleets paid processor time in each daemon for the terms of all others. Cause: each heartbeat of the local instance and each tick searched the terms of all maps for lives at this daemon, though the maps had not changed; the work grew with the fleet.

Change: termsHeldAt finds them once for each map, which never changes once it is read.

--- a/src/ranges/map.ts
+++ b/src/ranges/map.ts
@@ -183,6 +183,30 @@
   );
 }
 
+/**
+ * Returns the terms of a map whose holders are at a daemon, without `free` ones.
+ * They are found once for each map, since a fleet has many terms and a daemon
+ * needs its own with each heartbeat.
+ *
+ * @example
+ * termsHeldAt(map, '10.1.0.8:7620').map(({holder}) => holder.id);
+ */
+export function termsHeldAt(map: RangeMap, node: string): readonly RangeTerm[] {
+  const found = termsByNode.get(map);
+  if (found?.node === node) return found.terms;
+  const terms = map.terms.filter(
+    ({state, holder}) => state !== 'free' && holder.node === node,
+  );
+  termsByNode.set(map, {node, terms});
+  return terms;
+}
+
+/** Terms that were found last in each map. */
+const termsByNode = new WeakMap<
+  RangeMap,
+  {readonly node: string; readonly terms: readonly RangeTerm[]}
+>();
+
 /**
  * Returns whether an incarnation gives or gets keys, or a key has no holder.
  *
--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -16,6 +16,7 @@
   isSameIncarnation,
   orderOf,
   takeOver,
+  termsHeldAt,
   findTerm,
   type HeldRange,
   type HoldReport,
@@ -330,7 +331,7 @@
     for (const [service, {value: map}] of context.view().maps) {
       const isDue = (term: RangeTerm) =>
         isHeldByPredecessor(term, current) || isOrderedEarlier(term, current);
-      if (!map.terms.some(isDue)) continue;
+      if (!termsHeldAt(map, node).some(isDue)) continue;
       const isSameService = service === instance.service;
       await changeMap(context, service, 'new incarnation', m =>
         isSameIncarnation(incarnation(), current)
@@ -407,13 +408,13 @@
   const knownLives = (): readonly Incarnation[] => {
     const current = incarnation();
     const recorded = registration.recorded();
-    const holders = [...context.view().maps.values()].flatMap(({value}) =>
-      value.terms.filter(({state}) => state !== 'free'),
+    const held = [...context.view().maps.values()].flatMap(({value}) =>
+      termsHeldAt(value, node),
     );
     return [
       ...(current ? [current] : []),
       ...(recorded ? [incarnationOf(recorded)] : []),
-      ...holders.map(({holder}) => holder).filter(h => h.node === node),
+      ...held.map(({holder}) => holder),
     ];
   };
 
--- a/test/sidecar/instancemanager.test.ts
+++ b/test/sidecar/instancemanager.test.ts
@@ -15,6 +15,7 @@
   startMoves,
   type Incarnation,
   type RangeMap,
+  type RangeTerm,
 } from '../../src/ranges/index.js';
 import {
   createHeartbeatDelivery,
@@ -88,6 +89,9 @@
   return {
     manager,
     view: () => view,
+    setView: (next: FleetView) => {
+      view = next;
+    },
     observeChange,
     advance: (timeMs: number) => {
       now += timeMs;
@@ -359,3 +363,26 @@
     t.false(manager.holds(KEPT));
   }
 });
+
+test('heartbeats do not search the terms of a map that has not changed', async t => {
+  let reads = 0;
+  const terms: RangeTerm[] = [
+    {...ALL_KEYS, fence: 1, holder: OTHER, state: 'held', handover: ''},
+  ];
+  const map = {
+    fence: 1,
+    get terms() {
+      reads += 1;
+      return terms;
+    },
+  };
+  const {manager, view, setView} = await createManager();
+  const maps = new Map([['stock', {value: map, version: 9}]]);
+  setView({...view(), maps});
+  const sequences = [2, 3, 4, 5, 6, 7, 8, 9];
+  for (const sequence of sequences) {
+    await manager.handleHeartbeat({...HEARTBEAT, sequence});
+    await manager.tick(0);
+  }
+  t.true(reads <= 1, `searched ${reads} times`);
+});
