--- a/standin/fleet/store.ts
+++ b/standin/fleet/store.ts
@@ -43,6 +43,10 @@
   readonly faults: StoreFaults;
   /** Number of calls received. */
   readonly calls: () => number;
+  /** Number of calls received for a kind of objects. */
+  readonly callsOf: (kind: string) => number;
+  /** Never responds to the watches of a kind that wait now. */
+  readonly loseWatches: (kind: string) => void;
   /** Writes an object unconditionally, as the operator does. */
   readonly write: (kind: string, name: string, spec: unknown) => void;
   readonly read: (kind: string, name: string) => unknown;
@@ -78,6 +82,9 @@
   let waiters: (() => void)[] = [];
   let revision = 1;
   let calls = 0;
+  const callsByKind = new Map<string, number>();
+  /** Watches that wait, by their kind. */
+  const waiting = new Map<{isLost: boolean}, string>();
 
   const writeObject = (kind: string, name: string, spec: unknown) => {
     const key = `${kind}/${name}`;
@@ -135,11 +142,16 @@
     const body = await readJson(request);
     const key = `${kind}/${name}`;
     const known = items.get(key);
+    callsByKind.set(kind, (callsByKind.get(kind) ?? 0) + 1);
     if (method === 'GET' && name === undefined) {
       const from = url.searchParams.get('watch');
       if (from !== null) {
         const waitMs = Number(url.searchParams.get('wait_ms'));
-        return watch(kind, Number(from), waitMs);
+        const state = {isLost: false};
+        waiting.set(state, kind);
+        const page = await watch(kind, Number(from), waitMs);
+        waiting.delete(state);
+        return {...page, ...state};
       }
       const listed = [...items.values()].filter(item => item.kind === kind);
       return {status: 200, body: {items: listed, more: false, at: revision}};
@@ -177,7 +189,9 @@
       response.writeHead(503, {'store-era': String(era)}).end('{}');
       return;
     }
-    void handleRequest(request).then(async ({status, body}) => {
+    void handleRequest(request).then(async answer => {
+      if ('isLost' in answer && answer.isLost) return;
+      const {status, body} = answer;
       if (faults.delayMs > 0) {
         await new Promise(resolve => setTimeout(resolve, faults.delayMs));
       }
@@ -198,6 +212,10 @@
     address: `127.0.0.1:${bound.port}`,
     faults,
     calls: () => calls,
+    callsOf: kind => callsByKind.get(kind) ?? 0,
+    loseWatches: lost => {
+      for (const [state, kind] of waiting) state.isLost ||= kind === lost;
+    },
     write: (kind, name, spec) => void writeObject(kind, name, spec),
     read: (kind, name) => items.get(`${kind}/${name}`)?.spec,
     takeCopy: () => ({
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -38,6 +38,13 @@
   });
 }
 
+/** Returns a handler of errors that are expected once a test has ended. */
+function throwUnlessAborted(signal: AbortSignal) {
+  return (error: Error) => {
+    if (!signal.aborted) throw error;
+  };
+}
+
 /** Seconds for which changes are written, and how many in each. */
 const SECONDS = 4;
 const CHANGES_PER_SECOND = 10;
@@ -70,7 +77,7 @@
         delays.push(performance.now() - (writtenAt.get(key) ?? 0));
       }
     };
-    void follow();
+    follow().catch(throwUnlessAborted(controller.signal));
     const before = standin.calls();
     const count = SECONDS * CHANGES_PER_SECOND;
     for (let index = 0; index < count; index++) {
@@ -89,3 +96,69 @@
 
 /** Time by which timers of a busy process may be late, in milliseconds. */
 const TIMER_TOLERANCE_MS = 100;
+
+/** Watches the configuration and the fleet of a store while the fleet changes. */
+async function watchChangingFleet() {
+  const standin = await startMetadataStore();
+  standin.write('config', 'main', {version: 1});
+  const store = createMetadataStore(standin.address);
+  const controller = new AbortController();
+  const {signal} = controller;
+  const {revision} = await store.list('config/');
+  const seen: number[] = [];
+  const follow = async (prefix: string) => {
+    for await (const {key} of store.watch(prefix, revision, signal)) {
+      if (key === 'config/main') seen.push(performance.now());
+    }
+  };
+  for (const prefix of ['config/', 'fleet/'])
+    follow(prefix).catch(throwUnlessAborted(signal));
+  let count = 0;
+  const writing = setInterval(() => {
+    standin.write('fleet', 'member.a', {count: ++count});
+  }, 150);
+  return {
+    standin,
+    seen,
+    stopWriting: () => clearInterval(writing),
+    close: () => {
+      clearInterval(writing);
+      controller.abort();
+      standin.close();
+    },
+  };
+}
+
+test('the configuration is hardly asked for while the fleet changes', async t => {
+  const {standin, close} = await watchChangingFleet();
+  t.teardown(close);
+  await sleep(2500);
+  const before = standin.callsOf('config');
+  await sleep(8000);
+  t.true(standin.callsOf('config') - before <= 2);
+});
+
+test('a change of the configuration is seen at once while the fleet changes', async t => {
+  const {standin, seen, close} = await watchChangingFleet();
+  t.teardown(close);
+  await sleep(3500);
+  const writtenAt = performance.now();
+  standin.write('config', 'main', {version: 2});
+  await sleep(300);
+  t.true(seen[0] - writtenAt <= 200, `${seen[0] - writtenAt} ms`);
+});
+
+for (const ends of [false, true]) {
+  const when = ends ? 'after the last change of the fleet' : 'meanwhile';
+  test(`a configuration is seen in time though its watch was lost ${when}`, async t => {
+    const {standin, seen, stopWriting, close} = await watchChangingFleet();
+    t.teardown(close);
+    await sleep(3500);
+    standin.loseWatches('config');
+    if (ends) stopWriting();
+    const writtenAt = performance.now();
+    standin.write('config', 'main', {version: 2});
+    await sleep(1500);
+    t.true(seen[0] - writtenAt <= 1200, `${seen[0] - writtenAt} ms`);
+  });
+}
