--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -98,7 +98,7 @@
 const TIMER_TOLERANCE_MS = 100;
 
 /** Watches the configuration and the fleet of a store while the fleet changes. */
-async function watchChangingFleet() {
+async function watchChangingFleet(intervalMs = 150) {
   const standin = await startMetadataStore();
   standin.write('config', 'main', {version: 1});
   const store = createMetadataStore(standin.address);
@@ -116,7 +116,7 @@
   let count = 0;
   const writing = setInterval(() => {
     standin.write('fleet', 'member.a', {count: ++count});
-  }, 150);
+  }, intervalMs);
   return {
     standin,
     seen,
@@ -138,6 +138,19 @@
   t.true(standin.callsOf('config') - before <= 2);
 });
 
+for (const intervalMs of [700, 1000, 60_000]) {
+  test(`changes of the fleet each ${intervalMs} ms cause no calls for the configuration`, async t => {
+    const {standin, close} = await watchChangingFleet(intervalMs);
+    t.teardown(close);
+    await sleep(2500);
+    const before = standin.callsOf('config');
+    await sleep(8200);
+    const calls = standin.callsOf('config') - before;
+    // A call waits for 2 s at least.
+    t.true(calls <= 4, `${calls} calls`);
+  });
+}
+
 test('a change of the configuration is seen at once while the fleet changes', async t => {
   const {standin, seen, close} = await watchChangingFleet();
   t.teardown(close);
