--- a/src/sidecar/instancemanager.ts
+++ b/src/sidecar/instancemanager.ts
@@ -8,6 +8,7 @@
 import {
   contains,
   expire,
+  hasTermsInTransit,
   isGrantable,
   isHeldByPredecessor,
   isOrderedEarlier,
@@ -15,6 +16,7 @@
   isSameIncarnation,
   orderOf,
   takeOver,
+  termsHeldAt,
   findTerm,
   type HeldRange,
   type HoldReport,
@@ -135,6 +137,11 @@
    * Resolves at the next possible change of the keys that the instance holds.
    */
   readonly nextChange: () => Promise<void>;
+  /**
+   * Returns whether keys are passed to or from the instance, or have no holder
+   * that it could become, by the locally known map.
+   */
+  readonly hasKeysInTransit: () => boolean;
   /**
    * Brings the grants in line with the map; called when the map of the
    * instance's service may have changed.
@@ -324,7 +331,7 @@
     for (const [service, {value: map}] of context.view().maps) {
       const isDue = (term: RangeTerm) =>
         isHeldByPredecessor(term, current) || isOrderedEarlier(term, current);
-      if (!map.terms.some(isDue)) continue;
+      if (!termsHeldAt(map, node).some(isDue)) continue;
       const isSameService = service === instance.service;
       await changeMap(context, service, 'new incarnation', m =>
         isSameIncarnation(incarnation(), current)
@@ -401,13 +408,13 @@
   const knownLives = (): readonly Incarnation[] => {
     const current = incarnation();
     const recorded = registration.recorded();
-    const holders = [...context.view().maps.values()].flatMap(({value}) =>
-      value.terms.filter(({state}) => state !== 'free'),
+    const held = [...context.view().maps.values()].flatMap(({value}) =>
+      termsHeldAt(value, node),
     );
     return [
       ...(current ? [current] : []),
       ...(recorded ? [incarnationOf(recorded)] : []),
-      ...holders.map(({holder}) => holder).filter(h => h.node === node),
+      ...held.map(({holder}) => holder),
     ];
   };
 
@@ -720,6 +727,11 @@
       return own !== undefined && isGrantable(termAt(key), own, isReady);
     },
     nextChange: changes.nextChange,
+    hasKeysInTransit: () => {
+      const own = incarnation();
+      const map = instance && context.view().maps.get(instance.service)?.value;
+      return own !== undefined && !!map && hasTermsInTransit(map, own);
+    },
     reconcile: delivery.reconcile,
     tick,
     isLeavingRecorded: () => {
