Prefer instances to which a channel is open, and open others ahead

Cause: the choice among the instances of a service without keys did not know whether a request has to wait for a connection. An instance that was never asked has the lowest estimate, so requests went there first and waited behind queued answers on a full link for longer than their deadline. A channel that was silent for 300 ms since its link was full counted as well as any other; the requests that followed opened connections into the same queue.

Change: an instance without a usable channel costs 150 ms in the estimate; 600 ms if the request has less than 1.5 s left, the last attempt failed or the channel is silent. An instance that would be chosen with a channel gets one opened without a request that waits, one at a time and in an order of each daemon's own, so instances that join get requests and load widens the set. The local instance, long bodies and answers and daemons without the protocol need no channel.

The channel tests are of the new functions.

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -198,13 +198,82 @@
 /** Weight of the usage of the slots while no request has to wait for one. */
 const USAGE_WEIGHT = 0.3;
 
+/** Whether a request to a daemon has to wait for a connection. */
+export type ConnectionState =
+  /** There is a connection, or none is needed. */
+  | 'usable'
+  | 'none'
+  | 'opening'
+  /** The last attempt failed, or the connection has fallen silent. */
+  | 'failed';
+
 /** An instance to which a request may be sent. */
 export interface Candidate {
   readonly node: string;
   readonly isSameDomain: boolean;
+  readonly connection: ConnectionState;
   readonly load: InstanceLoad;
 }
 
+/**
+ * Added for an instance to which there is no connection, in milliseconds: the
+ * wait for one. Opened connections stay in use, and requests go to further
+ * instances once the connected ones have about this much work waiting.
+ */
+const CONNECT_COST_MS = 150;
+
+/**
+ * Added in place of `CONNECT_COST_MS` if the wait could use up the time of a
+ * request, in milliseconds.
+ */
+const TIGHT_CONNECT_COST_MS = 600;
+
+/**
+ * Time left of a request that an attempt to connect without success could use
+ * up, in milliseconds.
+ */
+const TIGHT_LEFT_MS = 1500;
+
+const CONNECTION_COSTS_MS: Readonly<Record<ConnectionState, number>> = {
+  usable: 0,
+  none: CONNECT_COST_MS,
+  opening: CONNECT_COST_MS,
+  failed: TIGHT_CONNECT_COST_MS,
+};
+
+/** Estimates the wait for a connection to an instance, in milliseconds. */
+function connectMs(connection: ConnectionState, leftMs: number): number {
+  const isTight = leftMs < TIGHT_LEFT_MS && connection !== 'usable';
+  return isTight ? TIGHT_CONNECT_COST_MS : CONNECTION_COSTS_MS[connection];
+}
+
+/** Estimates the time that a request takes at a connected instance. */
+function connectedMs(
+  {load, isSameDomain}: Candidate,
+  now: number,
+  bytes: number,
+): number {
+  const until = Math.max(load.avoidedUntil, load.suspectedUntil);
+  const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
+  return estimateMs(load, isSameDomain, now, bytes) + penaltyMs;
+}
+
+/** Returns the first of the items with the lowest finite cost. */
+function cheapest<T>(
+  items: readonly T[],
+  costOf: (item: T) => number,
+): T | undefined {
+  let best: T | undefined;
+  let bestCost = Infinity;
+  for (const item of items) {
+    const cost = costOf(item);
+    if (cost >= bestCost) continue;
+    best = item;
+    bestCost = cost;
+  }
+  return best;
+}
+
 /**
  * Chooses the instance with the lowest estimate among those that are not
  * avoided; if all are, the one that is avoided for the shortest time.
@@ -212,6 +281,8 @@
  * Instances of services without keys differ in speed, utilization and rate
  * limits, and fail independently.
  *
+ * @param leftMs Time until the deadline of the request.
+ *
  * @example
  * chooseInstance(candidates, performance.now())?.node;
  */
@@ -219,20 +290,41 @@
   candidates: readonly T[],
   now: number,
   bytes = 0,
+  leftMs = Infinity,
 ): T | undefined {
-  let best: T | undefined;
-  let bestMs = Infinity;
-  for (const candidate of candidates) {
-    const {load, isSameDomain} = candidate;
-    const until = Math.max(load.avoidedUntil, load.suspectedUntil);
-    const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
-    const ms = estimateMs(load, isSameDomain, now, bytes) + penaltyMs;
-    if (ms < bestMs) {
-      best = candidate;
-      bestMs = ms;
-    }
-  }
-  return best;
+  return cheapest(
+    candidates,
+    candidate =>
+      connectedMs(candidate, now, bytes) +
+      connectMs(candidate.connection, leftMs),
+  );
+}
+
+/**
+ * Chooses an instance to which a connection should be opened before a request
+ * needs it: the one that would be chosen if all were connected. So instances
+ * that join get requests soon, and requests reach more instances under load,
+ * without waiting for connections.
+ *
+ * @returns undefined if the instance is connected, or a connection to it is
+ *     being opened or has just failed.
+ *
+ * @example
+ * const ahead = chooseToConnect(candidates, performance.now());
+ * if (ahead) connectAhead(ahead.node);
+ */
+export function chooseToConnect<T extends Candidate>(
+  candidates: readonly T[],
+  now: number,
+  bytes = 0,
+): T | undefined {
+  const attemptable = candidates.filter(
+    ({connection}) => connection === 'usable' || connection === 'none',
+  );
+  const best = cheapest(attemptable, candidate =>
+    connectedMs(candidate, now, bytes),
+  );
+  return best?.connection === 'none' ? best : undefined;
 }
 
 /**
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -8,7 +8,13 @@
 import {fingerprintOf, type RequestContent} from '../quarantine/index.js';
 import {isSameIncarnation, findTerm, type RangeTerm} from '../ranges/index.js';
 import {lengthOf} from './body.js';
-import {chooseInstance, limitDelayMs} from './choose.js';
+import {
+  chooseInstance,
+  chooseToConnect,
+  limitDelayMs,
+  type Candidate,
+  type ConnectionState,
+} from './choose.js';
 import type {RefusableRequest} from './overload.js';
 import {
   NO_HOLDER_RETRY_MS,
@@ -167,19 +173,23 @@
   if (untried.length > 0 && open.length === 0) {
     return refuseOverloaded(minRetryDelayMs);
   }
-  const candidates = open.map(member => ({
+  const known = open.map(member => ({
     node: member.node,
     isSameDomain: member.domain === context.domain,
+    connection: connectionTo(context, routed, member),
     load: context.loads(member.node),
     member,
   }));
+  const candidates = inConnectionOrder(context.node, known);
   const bytes =
     lengthOf(routed.body) + context.answerLengths.mean(routed.route.name);
   const content = contentOfRouted(routed);
   const isSuspect = context.quarantine.verdict(content).kind !== 'run';
   const choice = isSuspect
     ? chooseForSuspect(candidates, content)
-    : chooseInstance(candidates, now, bytes);
+    : chooseInstance(candidates, now, bytes, routed.deadlineAt - now);
+  const ahead = chooseToConnect(candidates, now, bytes);
+  if (ahead && ahead !== choice) context.connectAhead(ahead.node);
   if (!choice) {
     routed.refusedBy.clear();
     return {kind: 'wait', until: now + REFUSED_RETRY_INTERVAL_MS};
@@ -187,6 +197,31 @@
   return {kind: 'member', member: choice.member};
 }
 
+function connectionTo(
+  context: IngressContext,
+  {route, body}: RoutedRequest,
+  {node}: Member,
+): ConnectionState {
+  // The local instance needs no connection to another daemon.
+  if (node === context.node) return 'usable';
+  return context.connectionTo(node, route.name, body);
+}
+
+/**
+ * Orders candidates by rank while not all are connected, so that daemons which
+ * know equally little about them don't all connect to the same one first.
+ */
+function inConnectionOrder<T extends Candidate>(
+  node: string,
+  candidates: readonly T[],
+): readonly T[] {
+  const areConnected = candidates.every(
+    ({connection}) => connection === 'usable',
+  );
+  if (areConnected) return candidates;
+  return rankByRendezvous(node, candidates, candidate => candidate.node);
+}
+
 /**
  * Chooses an instance for a suspect: the same at each daemon, so that it runs at
  * one at a time.
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -45,6 +45,7 @@
   type InstanceRun,
   type IngressContext,
   type SplitState,
+  type RequestBody,
 } from '../relay/index.js';
 import {formatAddress, parseAddress, type Address} from '../model/index.js';
 import {FIRST_ERA} from '../ranges/index.js';
@@ -465,6 +466,9 @@
     onConnect,
   });
   const answerLengths = createAnswerLengths();
+  const isForChannel = (route: string, body: RequestBody) =>
+    lengthOf(body) <= MAX_CHANNEL_BYTES &&
+    answerLengths.mean(route) <= MAX_CHANNEL_BYTES;
 
   const budgetOf = (service: string) => {
     const share = settings.retryShare * RETRY_SHARE_FRACTION;
@@ -522,15 +526,17 @@
     observeClock: loads.observeClock,
     clockAheadMs: loads.clockAheadMs,
     peerPools,
-    peerTransport: (peer, work) => {
+    peerTransport: (peer, {route, body}) => {
       const address = parseAddress(peer);
-      const isShort =
-        lengthOf(work.body) <= MAX_CHANNEL_BYTES &&
-        answerLengths.mean(work.route) <= MAX_CHANNEL_BYTES;
-      return isShort
+      return isForChannel(route, body)
         ? channels.to(address)
         : peerPools.get(address, PEER_CONNECTIONS);
     },
+    connectionTo: (peer, route, body) =>
+      isForChannel(route, body)
+        ? channels.stateOf(parseAddress(peer))
+        : 'usable',
+    connectAhead: peer => channels.openAhead(parseAddress(peer)),
     callerRetries: createCallerRetries(),
     instanceNotices: createInstanceNotices(() =>
       openDrainMs(settings.drainS * MS_PER_SECOND),
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -377,6 +377,74 @@
   server.close();
 });
 
+test('a channel is opened ahead of the requests that use it', async t => {
+  const server = await startServer(echo);
+  const proxy = await startProxy(server.address);
+  const {to, stateOf, openAhead, fellBack, close} = createClient();
+  t.is(stateOf(proxy.address), 'none');
+  openAhead(proxy.address);
+  t.is(stateOf(proxy.address), 'opening');
+  while (stateOf(proxy.address) !== 'usable') await pause(5);
+  openAhead(proxy.address);
+  const answer = await send(to(proxy.address), {path: '/a'}).received;
+  t.is(answer.body, '/a');
+  t.deepEqual(fellBack, []);
+  t.is(proxy.accepted(), 1);
+  close();
+  proxy.close();
+  server.close();
+});
+
+test('channels are opened ahead one at a time', async t => {
+  const first = await startServer(echo);
+  const second = await startServer(echo);
+  const {stateOf, openAhead, close} = createClient();
+  openAhead(first.address);
+  openAhead(second.address);
+  t.is(stateOf(second.address), 'none');
+  while (stateOf(first.address) !== 'usable') await pause(5);
+  openAhead(second.address);
+  while (stateOf(second.address) !== 'usable') await pause(5);
+  t.is(stateOf(first.address), 'usable');
+  close();
+  first.close();
+  second.close();
+});
+
+test('a daemon to which no channel could be opened counts as failed for a while', async t => {
+  const gone = net.createServer();
+  const address = await listen(gone);
+  gone.close();
+  const {stateOf, openAhead, close} = createClient();
+  openAhead(address);
+  while (stateOf(address) === 'opening') await pause(5);
+  t.is(stateOf(address), 'failed');
+  openAhead(address);
+  t.is(stateOf(address), 'failed');
+  await pause(2100);
+  t.is(stateOf(address), 'none');
+  close();
+});
+
+test('a channel that was late is used again, without another connection', async t => {
+  const server = await startServer(echo);
+  const proxy = await startProxy(server.address);
+  const {transport, stateOf, close} = await openChannel(proxy.address);
+  t.is(stateOf(proxy.address), 'usable');
+  await pause(300);
+  proxy.hold();
+  const late = send(transport, {path: '/late'});
+  await pause(400);
+  t.is(stateOf(proxy.address), 'failed');
+  proxy.release();
+  t.is((await late.received).body, '/late');
+  t.is(stateOf(proxy.address), 'usable');
+  t.is(proxy.accepted(), 1);
+  close();
+  proxy.close();
+  server.close();
+});
+
 test('a server that is only slow keeps its channels and its requests', async t => {
   const server = await startServer((request, response) => {
     const delayMs = request.url === '/open' ? 0 : 900;
