--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -209,11 +209,21 @@
 /** Weight of the usage of the slots while no request has to wait for one. */
 const USAGE_WEIGHT = 0.3;
 
+/** Whether a request to a daemon has to wait for a connection. */
+export type ConnectionState =
+  /** There is a connection, or none is needed. */
+  | 'usable'
+  | 'none'
+  | 'opening'
+  /** The last attempt failed, or the connection has fallen silent. */
+  | 'failed';
+
 /** An instance to which a request may be sent. */
 export interface Candidate {
   readonly node: string;
   /** The instance is in the own failure domain. */
   readonly isSameDomain: boolean;
+  readonly connection: ConnectionState;
   readonly load: InstanceLoad;
   /** Expected duration of the request there, in milliseconds, if known. */
   readonly expectedMs?: number;
@@ -271,6 +281,88 @@
   return known.length === 0 ? 0 : sum / known.length;
 }
 
+/**
+ * Added for an instance to which there is no connection, in milliseconds: the
+ * wait for one. Opened connections stay in use, and requests go to further
+ * instances once the connected ones have about this much work waiting.
+ */
+const CONNECT_COST_MS = 150;
+
+/**
+ * Added in place of `CONNECT_COST_MS` if the wait could use up the time of a
+ * request, in milliseconds.
+ */
+const TIGHT_CONNECT_COST_MS = 600;
+
+/**
+ * Time left of a request that an attempt to connect without success could use
+ * up, in milliseconds.
+ */
+const TIGHT_LEFT_MS = 1500;
+
+const CONNECTION_COSTS_MS: Readonly<Record<ConnectionState, number>> = {
+  usable: 0,
+  none: CONNECT_COST_MS,
+  opening: CONNECT_COST_MS,
+  failed: TIGHT_CONNECT_COST_MS,
+};
+
+/** Estimates the wait for a connection to an instance, in milliseconds. */
+function connectMs(connection: ConnectionState, leftMs: number): number {
+  const isTight = leftMs < TIGHT_LEFT_MS && connection !== 'usable';
+  return isTight ? TIGHT_CONNECT_COST_MS : CONNECTION_COSTS_MS[connection];
+}
+
+/** A request, as far as the choice of an instance depends on it. */
+export interface ChoiceRequest {
+  /** Length of the request body and of the expected answer. */
+  readonly bytes?: number;
+  /** Time until its deadline, in milliseconds. */
+  readonly leftMs?: number;
+}
+
+/** Estimates the time that a request takes at a connected instance. */
+function connectedMs(
+  candidate: Candidate,
+  now: number,
+  estimate: RequestEstimate,
+): number {
+  const {avoidedUntil, suspectedUntil} = candidate.load;
+  const until = Math.max(avoidedUntil, suspectedUntil);
+  const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
+  return estimateMs(candidate, now, estimate) + penaltyMs;
+}
+
+/** Returns the first of the items with the lowest finite cost. */
+function cheapest<T>(
+  items: readonly T[],
+  costOf: (item: T) => number,
+): T | undefined {
+  let best: T | undefined;
+  let bestCost = Infinity;
+  for (const item of items) {
+    const cost = costOf(item);
+    if (cost >= bestCost) continue;
+    best = item;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Chooses those that are compared, of the ones that are not avoided if any. */
+function comparedOf<T extends Candidate>(
+  candidates: readonly T[],
+  now: number,
+  random: () => number,
+): readonly T[] {
+  const available = candidates.filter(
+    ({load}) => Math.max(load.avoidedUntil, load.suspectedUntil) <= now,
+  );
+  return available.length > 0
+    ? sampleCandidates(available, now, random)
+    : candidates;
+}
+
 /**
  * Chooses the instance with the lowest estimate among those that are not
  * avoided; if all are, the one that is avoided for the shortest time. Of the
@@ -280,7 +372,6 @@
  * Instances of services without keys differ in speed, utilization and rate
  * limits, and fail independently.
  *
- * @param bytes Length of the request body and of the expected answer.
  * @param random Returns a number from 0 to less than 1.
  *
  * @example
@@ -289,30 +380,45 @@
 export function chooseInstance<T extends Candidate>(
   candidates: readonly T[],
   now: number,
-  bytes = 0,
+  {bytes = 0, leftMs = Infinity}: ChoiceRequest = {},
   random = Math.random,
 ): T | undefined {
-  const isAvoided = ({load}: T) =>
-    Math.max(load.avoidedUntil, load.suspectedUntil) > now;
-  const available = candidates.filter(candidate => !isAvoided(candidate));
-  const compared =
-    available.length > 0
-      ? sampleCandidates(available, now, random)
-      : candidates;
   const usualUsage = usualUsageOf(candidates);
-  let best: T | undefined;
-  let bestMs = Infinity;
-  for (const candidate of compared) {
-    const {avoidedUntil, suspectedUntil} = candidate.load;
-    const until = Math.max(avoidedUntil, suspectedUntil);
-    const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
-    const ms = estimateMs(candidate, now, {bytes, usualUsage}) + penaltyMs;
-    if (ms < bestMs) {
-      best = candidate;
-      bestMs = ms;
-    }
-  }
-  return best;
+  return cheapest(
+    comparedOf(candidates, now, random),
+    candidate =>
+      connectedMs(candidate, now, {bytes, usualUsage}) +
+      connectMs(candidate.connection, leftMs),
+  );
+}
+
+/**
+ * Chooses an instance to which a connection should be opened before a request
+ * needs it: one that would be chosen if all were connected. So instances that
+ * join get requests soon, and requests reach more instances under load, without
+ * waiting for connections.
+ *
+ * @returns undefined if the instance is connected, or a connection to it is
+ *     being opened or has just failed.
+ *
+ * @example
+ * const ahead = chooseToConnect(candidates, performance.now());
+ * if (ahead) connectAhead(ahead.node);
+ */
+export function chooseToConnect<T extends Candidate>(
+  candidates: readonly T[],
+  now: number,
+  {bytes = 0}: ChoiceRequest = {},
+  random = Math.random,
+): T | undefined {
+  const attemptable = candidates.filter(
+    ({connection}) => connection === 'usable' || connection === 'none',
+  );
+  const usualUsage = usualUsageOf(candidates);
+  const best = cheapest(comparedOf(attemptable, now, random), candidate =>
+    connectedMs(candidate, now, {bytes, usualUsage}),
+  );
+  return best?.connection === 'none' ? best : undefined;
 }
 
 /**
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -8,7 +8,12 @@
 import {fingerprintOf, type RequestContent} from '../quarantine/index.js';
 import {isSameIncarnation, findTerm, type RangeTerm} from '../ranges/index.js';
 import {lengthOf} from './body.js';
-import {chooseInstance, limitDelayMs} from './choose.js';
+import {
+  chooseInstance,
+  chooseToConnect,
+  limitDelayMs,
+  type ConnectionState,
+} from './choose.js';
 import type {RefusableRequest} from './overload.js';
 import {
   NO_HOLDER_RETRY_MS,
@@ -170,17 +175,21 @@
   const candidates = open.map(member => ({
     node: member.node,
     isSameDomain: member.domain === context.domain,
+    connection: connectionTo(context, routed, member),
     load: context.loads(member.node),
     expectedMs: context.durations.expectedMs(member.node, routed.route.name),
     member,
   }));
   const bytes =
     lengthOf(routed.body) + context.answerLengths.mean(routed.route.name);
+  const request = {bytes, leftMs: routed.deadlineAt - now};
   const content = contentOfRouted(routed);
   const isSuspect = context.quarantine.verdict(content).kind !== 'run';
   const choice = isSuspect
     ? chooseForSuspect(candidates, content)
-    : chooseInstance(candidates, now, bytes);
+    : chooseInstance(candidates, now, request);
+  const ahead = chooseToConnect(candidates, now, request);
+  if (ahead && ahead !== choice) context.connectAhead(ahead.node);
   if (!choice) {
     routed.refusedBy.clear();
     return {kind: 'wait', until: now + REFUSED_RETRY_INTERVAL_MS};
@@ -188,6 +197,16 @@
   return {kind: 'member', member: choice.member};
 }
 
+function connectionTo(
+  context: IngressContext,
+  {route, body}: RoutedRequest,
+  {node}: Member,
+): ConnectionState {
+  // The local instance needs no connection to another daemon.
+  if (node === context.node) return 'usable';
+  return context.connectionTo(node, route.name, body);
+}
+
 /**
  * Chooses an instance for a suspect: the same at each daemon, so that it runs at
  * one at a time.
--- a/test/relay/spread.test.ts
+++ b/test/relay/spread.test.ts
@@ -193,6 +193,7 @@
         index,
         node: String(index),
         isSameDomain: true,
+        connection: 'usable' as const,
         load: loadOf(request, index),
         expectedMs: durations[request.daemon].expectedMs(
           String(index),
@@ -200,7 +201,7 @@
         ),
       }))
       .filter(({index}) => !request.refusedBy.has(index));
-    const chosen = chooseInstance(candidates, now, 0, random);
+    const chosen = chooseInstance(candidates, now, {}, random);
     if (!chosen) return;
     const {index} = chosen;
     observe(request, index, {kind: 'sent'});
