--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -647,7 +647,8 @@
 });
 
 test('each arrival of bytes shows that the daemon lives', async t => {
-  const server = await startServer((_, response) => {
+  const server = await startServer((request, response) => {
+    if (request.url === '/open') return echo(request, response);
     response.writeHead(200, []);
     response.write(Buffer.from('begin'));
   });
