--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -1,10 +1,12 @@
 import test from 'ava';
+import {createRandom} from '../../src/load/random.js';
 import {
   UNKNOWN_LOAD,
   applyLoadEvent,
   chooseInstance,
   chooseToConnect,
   chooseService,
+  createRouteDurations,
   estimateMs,
   formatHop,
   parseHop,
@@ -166,3 +168,82 @@
   t.is(parseHop('{}'), undefined);
   t.is(parseHop('no JSON'), undefined);
 });
+
+/** Time at which the reports of `after` are old. */
+const LATER_MS = 700;
+
+/** Returns how many of some requests each instance gets before any answers. */
+function spread(candidates: readonly Candidate[], requests: number): number[] {
+  const random = createRandom(531);
+  const counts = candidates.map(() => 0);
+  let known = candidates;
+  for (let sent = 0; sent < requests; sent++) {
+    const chosen = chooseInstance(known, LATER_MS, {}, random);
+    known = known.map((other, index) => {
+      if (other !== chosen) return other;
+      counts[index] += 1;
+      const load = applyLoadEvent(other.load, {kind: 'sent'}, LATER_MS);
+      return {...other, load};
+    });
+  }
+  return counts;
+}
+
+// Guards against all daemons sending all requests to an instance that joins.
+test('an instance that joins does not get nearly all requests until it answers', t => {
+  const durations = createRouteDurations();
+  const known = Array.from({length: 24}, (_, index) => {
+    const node = `known-${index}`;
+    durations.observe(node, 'orders', 380);
+    return choice(node, after(report(2, 380)));
+  });
+  const candidates = [...known, choice('joined', UNKNOWN_LOAD)].map(other => ({
+    ...other,
+    expectedMs: durations.expectedMs(other.node, 'orders'),
+  }));
+  const [joined] = spread(candidates, 100).slice(-1);
+  t.true(joined > 0);
+  t.true(joined <= 20, `${joined} of 100`);
+});
+
+test('an instance at its rate limit is not chosen while others are free', t => {
+  const limited: LoadEvent = {
+    ...report(1, 380),
+    ...{limitedMs: 3000, intervalMs: 200},
+  } as LoadEvent;
+  const candidates = Array.from({length: 20}, (_, index) =>
+    choice(`${index}`, after(index < 14 ? limited : report(1, 380))),
+  );
+  const counts = spread(candidates, 20);
+  const atLimited = counts.slice(0, 14).reduce((sum, count) => sum + count, 0);
+  t.is(atLimited, 0, `${atLimited} of 20`);
+});
+
+test('instances at which every request fails at once do not attract requests', t => {
+  const failures = Array.from({length: 30}, (): LoadEvent => ({
+    kind: 'ended',
+    failed: true,
+  }));
+  const candidates = Array.from({length: 20}, (_, index) =>
+    choice(
+      `${index}`,
+      index < 2 ? after(...failures, report(0, 4)) : after(report(0, 380)),
+    ),
+  );
+  const [first, second] = spread(candidates, 20);
+  t.true(first + second <= 2, `${first + second} of 20`);
+});
+
+test('instances of equal speed are expected to be equally fast after a route moved to them', t => {
+  const durations = createRouteDurations();
+  for (let round = 0; round < 50; round++) {
+    durations.observe(`before-${round % 10}`, 'orders', 380);
+  }
+  const nodes = Array.from({length: 10}, (_, index) => `after-${index}`);
+  for (const node of nodes) durations.observe(node, 'orders', 20);
+  const expected = nodes.map(
+    node => durations.expectedMs(node, 'orders') ?? NaN,
+  );
+  const ratio = Math.max(...expected) / Math.min(...expected);
+  t.true(ratio <= 2, `${ratio}`);
+});
--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -452,3 +452,21 @@
   );
   t.pass();
 });
+
+test('a probe that found no machine does not count once its connection was accepted', t => {
+  const started = applyObservation(NEVER_PROBED, {kind: 'probe-started'}, 0);
+  // Accepted after the time limit, while another daemon is probed to compare.
+  const accepted = applyObservation(
+    started,
+    {kind: 'connection-accepted'},
+    350,
+  );
+  const reply = {kind: 'unconnected'} as const;
+  const ended = applyObservation(
+    accepted,
+    {kind: 'probe-ended', reply, observer: GOOD},
+    600,
+  );
+  t.is(ended.liveness, 'alive');
+  t.is(ended.lastFailure, undefined);
+});
--- a/test/relay/queue.test.ts
+++ b/test/relay/queue.test.ts
@@ -383,3 +383,21 @@
   t.is(retries.firstAttemptAt(identityOf(0), 10), undefined);
   t.is(retries.firstAttemptAt(identityOf(9999), 10), 0);
 });
+
+test('requests whose objective is their deadline wait in the order of their deadlines under overload', t => {
+  const {state, now} = train(createQueue(2), {view: 100});
+  const full = overload(state, now);
+  const untilDeadline = (deadlineAt: number) => ({
+    ...{arrivedAt: now, objectiveAt: deadlineAt, deadlineAt},
+  });
+  const busy = startsOf(
+    full,
+    [
+      arrival(101, untilDeadline(now + 800)),
+      arrival(102, untilDeadline(now + 900)),
+    ],
+    now,
+  ).state;
+  const ids = busy.running.map(({request: known}) => end(known.id));
+  t.deepEqual(startsOf(busy, ids, now).started, [101, 102]);
+});
