Show a running request that is broken off for a full instance, and more faults

Seen to fail on: a running request at a live daemon that answers no probe gets 502 after another instance, of which nothing is known, refuses it as overloaded; a frozen process whose machine accepts each connection after its probe's time limit stays suspected for 20 s; a request that expires with a late timer does not count as a refusal.

--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -470,3 +470,36 @@
   t.is(ended.liveness, 'alive');
   t.is(ended.lastFailure, undefined);
 });
+
+// Guards against a frozen daemon that is never found, as its machine accepts each
+// connection after the time limit of its probe, and that starts the count again.
+for (const acceptMs of [400, 800, 1100]) {
+  test(`a process that never answers has failed though its machine accepts after ${acceptMs} ms`, t => {
+    let state = NEVER_PROBED;
+    const found: string[] = [];
+    for (let now = 0; now < 20_000;) {
+      state = applyObservation(state, {kind: 'probe-started'}, now);
+      const {connectMs, answerMs} = probeTimeouts(state, undefined, now);
+      const isInTime = acceptMs < connectMs;
+      const accept = (at: number) =>
+        applyObservation(state, {kind: 'connection-accepted'}, at);
+      if (isInTime) state = accept(now + acceptMs);
+      const endedAt = now + (isInTime ? answerMs : connectMs);
+      state = applyObservation(
+        state,
+        {
+          kind: 'probe-ended',
+          reply: {kind: isInTime ? 'unanswered' : 'unconnected'},
+          observer: GOOD,
+        },
+        endedAt,
+      );
+      if (!isInTime) state = accept(now + acceptMs);
+      found.push(state.liveness);
+      now = Math.max(endedAt, now + acceptMs) + 400;
+    }
+    t.true(
+      found.some(liveness => liveness !== 'suspect' && liveness !== 'alive'),
+    );
+  });
+}
--- a/test/relay/queue.test.ts
+++ b/test/relay/queue.test.ts
@@ -401,3 +401,75 @@
   const ids = busy.running.map(({request: known}) => end(known.id));
   t.deepEqual(startsOf(busy, ids, now).started, [101, 102]);
 });
+
+/**
+ * Plays arrivals of two kinds of equal priority and equal work, each as many as
+ * the slots can run, and returns the share of each that was started in time.
+ */
+function playKinds(objectives: Readonly<Record<string, number>>) {
+  const times = {map: 100, history: 100};
+  const trained = train(createQueue(2), times);
+  let {state} = trained;
+  const from = trained.now;
+  const ends: {id: number; at: number}[] = [];
+  const kinds = new Map<number, string>();
+  const started: Record<string, number> = {map: 0, history: 0};
+  const count = 600;
+  let id = 0;
+  const apply = (event: QueueEvent, now: number) => {
+    const step = applyQueueEvent(state, event, now);
+    state = step.state;
+    for (const verdict of step.verdicts) {
+      if (verdict.kind !== 'start') continue;
+      started[kinds.get(verdict.id) ?? ''] += 1;
+      ends.push({id: verdict.id, at: now + 100});
+    }
+  };
+  for (let index = 0; index < count; index++) {
+    const now = from + index * 50;
+    for (;;) {
+      ends.sort((a, b) => a.at - b.at);
+      const endAt = ends[0]?.at ?? Infinity;
+      const tickAt = nextQueueTickAt(state);
+      if (Math.min(endAt, tickAt) > now) break;
+      if (tickAt < endAt) {
+        apply({kind: 'tick'}, tickAt);
+        continue;
+      }
+      const ended = ends.shift() as {id: number; at: number};
+      apply({kind: 'finish', id: ended.id, ran: true}, ended.at);
+    }
+    for (const [kind, ms] of Object.entries(objectives)) {
+      id += 1;
+      kinds.set(id, kind);
+      const fields = {kind, arrivedAt: now, objectiveAt: now + ms};
+      apply(arrival(id, {...fields, deadlineAt: now + 3 * ms}), now);
+    }
+  }
+  return {map: started.map / count, history: started.history / count};
+}
+
+// Guards against a kind of request that is starved by another one (gate, Starved).
+test('under overload neither of two kinds with different objectives is starved', t => {
+  const {map, history} = playKinds({map: 400, history: 3000});
+  const least = (map + history) / 8;
+  t.true(Math.min(map, history) >= least, `${map} and ${history}`);
+});
+
+test('a request that expires unnoticed until a slot is free counts as refused for lack of a slot', t => {
+  const {state, now} = train(createQueue(2), {view: 100});
+  const fields = {arrivedAt: now};
+  const full = startsOf(
+    state,
+    [1, 2, 3].map(id => arrival(id, fields)),
+    now,
+  ).state;
+  // The timer of its expiry is late, and a request ends first.
+  const later = Math.max(...full.waiting.map(({expiresAt}) => expiresAt)) + 50;
+  const step = applyQueueEvent(full, end(1), later);
+  t.deepEqual(
+    step.verdicts.map(({kind, id}) => [kind, id]),
+    [['refuse', 3]],
+  );
+  t.true(step.state.refusedShare > full.refusedShare);
+});
--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -182,6 +182,46 @@
   t.is((await answer).status, 200);
 });
 
+// Guards against a running request that is broken off for an instance that then
+// refuses it (LOST).
+test('a running request is answered though the only other instance would refuse it', async t => {
+  const fleet = await startFleet(['stock']);
+  t.teardown(fleet.close);
+  const silent = {probeDelayMs: 20_000, requestDelayMs: 6000};
+  const peer = await startPeer(fleet.store, 'desk', silent);
+  t.teardown(peer.close);
+  const patient = configuration(2) as {routes: {rows: unknown[][]}};
+  patient.routes.rows[1].splice(3, 2, 'idempotent', 9);
+  fleet.store.write('config', 'main', patient);
+  await pause(PROPAGATION_MS);
+  const [{callers}] = fleet.pairs;
+  const answer = sendRequest(
+    callers,
+    'GET',
+    '/book/x',
+    undefined,
+    undefined,
+    9000,
+  );
+  await pause(500);
+  // It joins while the request runs, and has no free slot.
+  const full = await startPeer(fleet.store, 'desk', {
+    headers: {
+      'vanillaspool-outcome': 'not-run',
+      'vanillaspool-reason': 'overloaded',
+      'vanillaspool-retry-ms': '300',
+      'vanillaspool-load': '9,4,400',
+    },
+  });
+  t.teardown(full.close);
+  const {node} = full;
+  fleet.store.write('fleet', `member.${node}`, {
+    ...{node, domain: 'zone-0', service: 'desk', id: 'i-desk-full'},
+    ...{born: 7, slots: 4, state: 'ready'},
+  });
+  t.is((await answer).status, 200);
+});
+
 test('a request at a holder that goes dark is answered by the next holder of its key', async t => {
   const fleet = await startFleetWithPeer(t, {isUnresponsive: true});
   const [pair] = fleet.pairs;
