--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -452,3 +452,54 @@
   );
   t.pass();
 });
+
+test('a probe that found no machine does not count once its connection was accepted', t => {
+  const started = applyObservation(NEVER_PROBED, {kind: 'probe-started'}, 0);
+  // Accepted after the time limit, while another daemon is probed to compare.
+  const accepted = applyObservation(
+    started,
+    {kind: 'connection-accepted'},
+    350,
+  );
+  const reply = {kind: 'unconnected'} as const;
+  const ended = applyObservation(
+    accepted,
+    {kind: 'probe-ended', reply, observer: GOOD},
+    600,
+  );
+  t.is(ended.liveness, 'alive');
+  t.is(ended.lastFailure, undefined);
+});
+
+// Guards against a frozen daemon that is never found, as its machine accepts each
+// connection after the time limit of its probe, and that starts the count again.
+for (const acceptMs of [400, 800, 1100]) {
+  test(`a process that never answers has failed though its machine accepts after ${acceptMs} ms`, t => {
+    let state = NEVER_PROBED;
+    const found: string[] = [];
+    for (let now = 0; now < 20_000;) {
+      state = applyObservation(state, {kind: 'probe-started'}, now);
+      const {connectMs, answerMs} = probeTimeouts(state, undefined, now);
+      const isInTime = acceptMs < connectMs;
+      const accept = (at: number) =>
+        applyObservation(state, {kind: 'connection-accepted'}, at);
+      if (isInTime) state = accept(now + acceptMs);
+      const endedAt = now + (isInTime ? answerMs : connectMs);
+      state = applyObservation(
+        state,
+        {
+          kind: 'probe-ended',
+          reply: {kind: isInTime ? 'unanswered' : 'unconnected'},
+          observer: GOOD,
+        },
+        endedAt,
+      );
+      if (!isInTime) state = accept(now + acceptMs);
+      found.push(state.liveness);
+      now = Math.max(endedAt, now + acceptMs) + 400;
+    }
+    t.true(
+      found.some(liveness => liveness !== 'suspect' && liveness !== 'alive'),
+    );
+  });
+}
