Take the ports of a demo from below those of outgoing connections

Cause: `findPorts` let the system choose free ports, which are those of outgoing connections, and closed them; the daemons listen 2 to 9 s later there on a busy machine. Meanwhile another connection had got one: the log of rota-display-6 has "listen EADDRINUSE 127.0.0.1:38217" (1004), the only one of its run.

Change: ports are searched from a random one on between 10,000 and 32,767, below the ranges that Linux, macOS and Windows give to outgoing connections.

--- a/demo/ports.ts
+++ b/demo/ports.ts
@@ -1,29 +1,51 @@
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import {createServer} from 'node:net';
 import {LOOPBACK} from '../standin/listen.js';
 
 /**
- * Finds ports of the loopback address that are free for TCP and UDP. Keeps each
- * port bound until the last one is found, so that none is returned twice.
+ * Ports that are searched. They lie below those that systems give to outgoing
+ * connections, which would take a port between the search and its use.
+ */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_767;
+
+/**
+ * Finds ports of the loopback address that are free for TCP and UDP, from a
+ * random one on, so that runs at the same time rarely choose the same.
  *
  * @example
  * const [callers, peers, control] = await findPorts(3);
  */
 export async function findPorts(count: number): Promise<readonly number[]> {
-  const servers: Server[] = [];
+  const searched = LAST_PORT - FIRST_PORT + 1;
+  const start = Math.floor(Math.random() * searched);
   const ports: number[] = [];
-  while (ports.length < count) {
-    const server = createServer().listen(0, LOOPBACK);
-    servers.push(server);
-    await once(server, 'listening');
-    const {port} = server.address() as AddressInfo;
-    if (await isFreeForUdp(port)) ports.push(port);
+  for (let step = 0; step < searched && ports.length < count; step++) {
+    const port = FIRST_PORT + ((start + step) % searched);
+    if ((await isFreeForTcp(port)) && (await isFreeForUdp(port))) {
+      ports.push(port);
+    }
+  }
+  if (ports.length < count) {
+    throw new Error(`only ${ports.length} of ${count} ports are free`);
   }
-  await Promise.all(servers.map(close));
   return ports;
 }
 
+async function isFreeForTcp(port: number): Promise<boolean> {
+  const server = createServer();
+  try {
+    server.listen(port, LOOPBACK);
+    await once(server, 'listening');
+  } catch {
+    return false;
+  }
+  server.close();
+  await once(server, 'close');
+  return true;
+}
+
 async function isFreeForUdp(port: number): Promise<boolean> {
   const socket = createSocket('udp4');
   try {
@@ -36,8 +58,3 @@
     socket.close();
   }
 }
-
-async function close(server: Server): Promise<void> {
-  server.close();
-  await once(server, 'close');
-}
