Let the demo take the platform away after the commands that need it

Cause: the scenarios start at fixed times. The drain began at 15.2 s; its process failed at 25.3 s with "other side closed" on the list of members, which the platform stand-in does only while it is taken away (22.8 to 25.3 s). The command had thus not come to its call for 7.6 s on that machine; how much of it was the start of its process is not known. That the command fails then is right; the demo must not order it so.

Change: a scenario may name those that must have ended before it, and the outage comes after the change of the configuration and the drain. On a machine that keeps up the times are as before (10 s).

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -15,6 +15,7 @@
   type Fleet,
 } from './fleet.js';
 import {createProcesses, type Processes} from './processes.js';
+import {runSchedule} from './schedule.js';
 import {
   SCENARIOS,
   TRAFFIC_S,
@@ -115,17 +116,17 @@
   const results: Result[] = [];
   const options = createLoadOptions(context.fleet, flags);
   const load = runLoad(options, result => results.push(result));
-  const failures: string[] = [];
-  const scenarios = SCENARIOS.map(async ({atMs, name, run}) => {
-    await sleep(atMs);
-    context.printProgress(
-      `${results.length} requests finished; starting: ${name}`,
-    );
-    await run(context).catch((error: Error) => {
-      failures.push(`${name}: ${error.message}`);
-    });
-  });
-  await Promise.all([load, ...scenarios]);
+  const scenarios = runSchedule(
+    SCENARIOS,
+    ({name, run}) => {
+      context.printProgress(
+        `${results.length} requests finished; starting: ${name}`,
+      );
+      return run(context);
+    },
+    sleep,
+  );
+  const [failures] = await Promise.all([scenarios, load]);
   context.printProgress(`${results.length} requests finished`);
   return {results, failures};
 }
--- a/demo/scenarios.ts
+++ b/demo/scenarios.ts
@@ -5,6 +5,7 @@
 import {runTool, setPlatformFaults, waitForExit} from './control.js';
 import {readStatus, type Fleet, type Node} from './fleet.js';
 import type {Processes} from './processes.js';
+import type {ScheduledStep} from './schedule.js';
 
 /** Time for which an instance is frozen. */
 const FREEZE_MS = 2500;
@@ -28,20 +29,26 @@
 }
 
 /** An operation or a fault that is applied to the fleet under traffic. */
-export interface Scenario {
-  /** Start, relative to the start of the traffic. */
-  readonly atMs: number;
-  readonly name: string;
+export interface Scenario extends ScheduledStep {
   readonly run: (context: ScenarioContext) => Promise<void>;
 }
 
-/** Scenarios of one run of the demo. */
+/** Names of the scenarios whose commands need the platform. */
+const CHANGE = 'change the configuration';
+const DRAIN = 'drain an instance';
+
+/** Scenarios of one run of the demo; times are from the start of the traffic. */
 export const SCENARIOS: readonly Scenario[] = [
-  {atMs: 1000, name: 'change the configuration', run: changeConfiguration},
-  {atMs: 2500, name: 'drain an instance', run: drainInstance},
+  {atMs: 1000, name: CHANGE, run: changeConfiguration},
+  {atMs: 2500, name: DRAIN, run: drainInstance},
   {atMs: 4500, name: 'kill an instance', run: killInstance},
   {atMs: 6500, name: 'freeze an instance', run: freezeInstance},
-  {atMs: 10000, name: 'interrupt the platform', run: interruptPlatform},
+  {
+    atMs: 10000,
+    name: 'interrupt the platform',
+    after: [CHANGE, DRAIN],
+    run: interruptPlatform,
+  },
 ];
 
 /** Duration of the traffic. */
