Count each revision once where the fleet's watch tells that the configuration has not changed

Found in reading, not seen in a run: a response to the fleet's watch that names a change after its own revision, or one twice, made up for a revision of the configuration, whose lost watch was then noticed only after 6 s.

Change: only different revisions up to that of the response count. Both tests of test/platform/span "changes ... do not make up for revision 8" fail if the changes are only counted.

--- a/test/platform/span.test.ts
+++ b/test/platform/span.test.ts
@@ -5,11 +5,15 @@
   type WatchedPage,
 } from '../../platform/span.js';
 
-const FIRST = extendSpan(undefined, {era: 1, after: 4, at: 6, changes: 2}, 0);
+const FIRST = extendSpan(
+  undefined,
+  {era: 1, after: 4, at: 6, changes: [5, 6]},
+  0,
+);
 
 /** Returns the span after the first response and another one, 500 ms later. */
 function spanAfter(page: Partial<WatchedPage>) {
-  const next = {era: 1, after: 6, at: 9, changes: 3, ...page};
+  const next = {era: 1, after: 6, at: 9, changes: [7, 8, 9], ...page};
   return extendSpan(FIRST, next, 500);
 }
 
@@ -25,19 +29,28 @@
 });
 
 test('a revision without a change in the response is suspected to be of another kind', t => {
-  const span = spanAfter({changes: 2});
+  const span = spanAfter({changes: [7, 9]});
   t.is(changeOfOthers(span, 1, 8, 500), 'suspected');
   t.is(changeOfOthers(span, 1, 9, 500), 'unchanged');
 });
 
+for (const changes of [
+  [7, 9, 10],
+  [7, 7, 9],
+]) {
+  test(`changes ${changes.join()} do not make up for revision 8`, t => {
+    t.is(changeOfOthers(spanAfter({changes}), 1, 8, 500), 'suspected');
+  });
+}
+
 test('a response that does not follow the last one begins a new span', t => {
-  const span = spanAfter({after: 7, at: 7, changes: 0});
+  const span = spanAfter({after: 7, at: 7, changes: []});
   t.is(changeOfOthers(span, 1, 6, 500), 'suspected');
   t.is(changeOfOthers(span, 1, 7, 500), 'unchanged');
 });
 
 test('a response from before the last one tells nothing of its versions', t => {
-  const span = spanAfter({at: 5, changes: 0});
+  const span = spanAfter({at: 5, changes: []});
   t.is(changeOfOthers(span, 1, 5, 500), 'suspected');
 });
 
@@ -48,13 +61,13 @@
 
 test('responses that are rare tell too little', t => {
   t.is(changeOfOthers(FIRST, 1, 5, 0), 'unknown');
-  const page = {era: 1, after: 6, at: 7, changes: 1};
+  const page = {era: 1, after: 6, at: 7, changes: [7]};
   const rare = extendSpan(FIRST, page, 801);
   t.is(changeOfOthers(rare, 1, 5, 801), 'unknown');
 });
 
 test('revisions of another era tell nothing', t => {
-  const span = spanAfter({era: 2, at: 7, changes: 1});
+  const span = spanAfter({era: 2, at: 7, changes: [7]});
   t.is(changeOfOthers(span, 1, 6, 500), 'unknown');
   t.not(changeOfOthers(span, 2, 5, 500), 'unchanged');
 });
