Let tests wait for a change in series as long as a daemon may take to see it

Two tests of test/sidecar/silence gave requests 200 ms after the second of two changes of the fleet and took for granted that the daemon knew it; "requests for keys of a lost daemon ..." was listed in KNOWN-RED.txt for that wait.

--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -1,4 +1,5 @@
 import test, {type ExecutionContext} from 'ava';
+import {SERIES_PAUSE_MS} from '../../platform/pace.js';
 import {
   SIDECAR_EVENTS,
   STATUS_PATH,
@@ -20,6 +21,9 @@
 /** Time within which the daemons of a test see a registration. */
 const PROPAGATION_MS = 200;
 
+/** Time within which all daemons learn of a change that soon follows another one. */
+const SERIES_PROPAGATION_MS = SERIES_PAUSE_MS + 100;
+
 test('a request at a daemon that is late is answered, not broken off', async t => {
   const fleet = await startFleet(['stock']);
   t.teardown(fleet.close);
@@ -258,7 +262,7 @@
   t.teardown(peer.close);
   await pause(PROPAGATION_MS);
   shareKeys(fleet, peer);
-  await pause(PROPAGATION_MS);
+  await pause(SERIES_PROPAGATION_MS);
   const [{callers}] = fleet.pairs;
   const answers = await Promise.all(
     [1, 2, 3].map(() => sendRequest(callers, 'GET', '/view/x', 65_535)),
@@ -276,7 +280,7 @@
   t.teardown(peer.close);
   await pause(PROPAGATION_MS);
   shareKeys(fleet, peer);
-  await pause(PROPAGATION_MS);
+  await pause(SERIES_PROPAGATION_MS);
   const [{callers}] = fleet.pairs;
   const statuses: number[] = [];
   while (statuses.length < 6 && statuses.at(-1) !== 503) {
