Find a process that never answers though its machine accepts late

And an acceptance that came while another daemon was probed for comparison was dropped.

Change: late acceptances are counted until anything arrives; four of them prove that the process does not answer. An acceptance during a probe is kept, and ends its failure.

--- a/src/relay/detector.ts
+++ b/src/relay/detector.ts
@@ -50,6 +50,11 @@
   readonly lastFailure?: Exclude<ProbeResult['kind'], 'answered'>;
   /** Consecutive probes with this result. */
   readonly failureCount: number;
+  /**
+   * Probes since the last answer whose connection was not accepted in time, while
+   * one was accepted after it.
+   */
+  readonly lateAcceptances: number;
   /**
    * Start of the first failed probe, moved forward by the time in which the
    * observer was unreliable, in milliseconds.
@@ -68,6 +73,7 @@
   probedAt: -Infinity,
   isProbing: false,
   failureCount: 0,
+  lateAcceptances: 0,
   liveness: 'alive',
 };
 
@@ -121,12 +127,19 @@
  */
 const FAILURES_REQUIRED = 2;
 
+/**
+ * Late acceptances without an answer that prove that the process does not answer:
+ * an answer comes soon after its connection, however full the link is.
+ */
+const LATE_ACCEPTANCES_REQUIRED = 4;
+
 /**
  * Applies an observation to the state of a daemon. A failed probe is ignored if
  * an answer has arrived since it started, and one that found no process or no
  * machine also if a connection was accepted since. Such a failure is one of an
  * earlier process, or of a path that works again, once a connection is accepted:
- * the daemon is only suspected until it answers. Two equal failures in a row, of those
+ * the daemon is only suspected until it answers, or until several connections
+ * were accepted without any answer. Two equal failures in a row, of those
  * that count, prove a failure. A timeout counts only if the observer is
  * reliable: its timers are on time, at least as many other daemons answered
  * since the probe as are still to answer, and at least one answered, unless
@@ -171,7 +184,10 @@
       }
       if (state.lastReceivedAt > state.probedAt) return ended;
       const isAcceptedSince = state.acceptedAt > state.probedAt;
-      if (isAcceptedSince && reply.kind !== 'unanswered') return ended;
+      if (isAcceptedSince && reply.kind === 'refused') return ended;
+      if (isAcceptedSince && reply.kind === 'unconnected') {
+        return countLateAcceptance(ended, now);
+      }
       if (reply.kind !== 'refused' && !isReliable(observer)) {
         return discountTime(ended, now);
       }
@@ -192,13 +208,31 @@
 ]);
 
 function markAccepting(state: PeerState, now: number): PeerState {
-  if (!UNACCEPTED.has(state.lastFailure)) return state;
-  return {
+  const {lastFailure} = state;
+  if (!UNACCEPTED.has(lastFailure)) {
+    return state.isProbing ? {...state, acceptedAt: now} : state;
+  }
+  const accepting = {
     ...state,
     acceptedAt: now,
     liveness: 'suspect',
     lastFailure: undefined,
     failureCount: 0,
+  } as const;
+  return lastFailure === 'unconnected'
+    ? countLateAcceptance(accepting, now)
+    : {...accepting, lateAcceptances: 0};
+}
+
+function countLateAcceptance(state: PeerState, now: number): PeerState {
+  const lateAcceptances = state.lateAcceptances + 1;
+  const isProved = lateAcceptances >= LATE_ACCEPTANCES_REQUIRED;
+  return {
+    ...state,
+    lateAcceptances,
+    failingSince: state.failingSince ?? state.probedAt,
+    evaluatedAt: now,
+    liveness: isProved ? 'unresponsive' : state.liveness,
   };
 }
 
