Choose no instance for being unknown, limited or quick to fail

Change: an instance without a report counts as usual; those at their limit are sampled only if all are; failures count in the weight of the sample; the duration that an instance has stated for a route goes before what follows from its other routes.

--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -151,14 +151,16 @@
   }
 }
 
-/** What is known of a request, and of the service that is to run it. */
-export interface RequestEstimate {
-  /** Length of the request body and of the expected answer. */
-  readonly bytes?: number;
-  /** Usual share of the slots that are in use at an instance. */
-  readonly usualUsage?: number;
+/** What the instances of a service have in common, by their last reports. */
+export interface UsualLoad {
+  /** Share of the slots that are in use. */
+  readonly usage: number;
+  readonly slots: number;
+  readonly meanMs: number;
 }
 
+const NO_USUAL_LOAD: UsualLoad = {usage: 0, slots: 1, meanMs: 0};
+
 /**
  * Estimates the time that a new request takes at an instance, in milliseconds:
  * the wait for a slot, the work, and penalties for failures and distance.
@@ -167,18 +169,21 @@
  * estimateMs({node, isSameDomain: true, load}, performance.now());
  */
 export function estimateMs(
-  {load, isSameDomain, expectedMs}: Candidate,
+  candidate: Candidate,
   now: number,
-  {bytes = 0, usualUsage = 0}: RequestEstimate = {},
+  bytes = 0,
+  usual = NO_USUAL_LOAD,
 ): number {
-  const {slots, meanMs, inFlight, inFlightAtReport} = load;
+  const {load, isSameDomain} = candidate;
+  const {inFlight, inFlightAtReport} = load;
+  const {slots, meanMs} = shapeOf(load, usual);
   const weight = 2 ** ((load.reportedAt - now) / REPORT_HALF_LIFE_MS);
   const reportedOthers = Math.max(0, load.reportedBusy - inFlightAtReport);
-  const usualBusy = usualUsage * slots;
+  const usualBusy = usual.usage * slots;
   const busy = inFlight + reportedOthers * weight + usualBusy * (1 - weight);
   const queue = Math.max(0, busy + 1 - slots) / slots;
   const usage = busy / slots;
-  const workMs = Math.max(expectedMs ?? meanMs, 1);
+  const workMs = Math.max(candidate.expectedMs ?? meanMs, 1);
   const failMs = load.failures * FAILURE_COST_MS;
   const kilobytes = bytes / BYTES_PER_KB;
   const farMs = isSameDomain
@@ -192,6 +197,19 @@
   );
 }
 
+/** Tells whether an instance has reported its load. */
+function isReported({meanMs}: InstanceLoad): boolean {
+  return meanMs > 0;
+}
+
+/** Returns the slots and durations of an instance; the usual ones by default. */
+function shapeOf(
+  load: InstanceLoad,
+  usual: UsualLoad,
+): Pick<InstanceLoad, 'slots' | 'meanMs'> {
+  return isReported(load) ? load : usual;
+}
+
 /**
  * Returns the time until the rate limit of an instance allows one more request,
  * in milliseconds, after the requests sent there since its report.
@@ -248,6 +266,7 @@
 function sampleCandidates<T extends Candidate>(
   candidates: readonly T[],
   now: number,
+  usual: UsualLoad,
   random: () => number,
 ): readonly T[] {
   const compared: T[] = [];
@@ -258,27 +277,41 @@
   }
   if (others.length <= SAMPLE_COUNT) return candidates;
   for (let count = 0; count < SAMPLE_COUNT; count++) {
-    const total = others.reduce((sum, other) => sum + capacityOf(other), 0);
+    const total = others.reduce(
+      (sum, other) => sum + capacityOf(other, usual),
+      0,
+    );
     let rest = random() * total;
-    const index = others.findIndex(other => (rest -= capacityOf(other)) < 0);
+    const index = others.findIndex(
+      other => (rest -= capacityOf(other, usual)) < 0,
+    );
     compared.push(...others.splice(index, 1));
   }
   return compared;
 }
 
 /** Returns how many such requests an instance can run in a millisecond. */
-function capacityOf({load: {slots, meanMs}, expectedMs}: Candidate): number {
-  return slots / Math.max(expectedMs ?? meanMs, 1);
+function capacityOf({load, expectedMs}: Candidate, usual: UsualLoad): number {
+  const {slots, meanMs} = shapeOf(load, usual);
+  const failMs = load.failures * FAILURE_COST_MS;
+  return slots / (Math.max(expectedMs ?? meanMs, 1) + failMs);
 }
 
-/** Returns the mean usage of the slots by the last reports. */
-function usualUsageOf(candidates: readonly Candidate[]): number {
-  const known = candidates.filter(({load}) => load.reportedAt > 0);
-  const sum = known.reduce(
-    (total, {load}) => total + load.reportedBusy / load.slots,
-    0,
-  );
-  return known.length === 0 ? 0 : sum / known.length;
+/** Returns the means of the last reports. */
+function usualLoadOf(candidates: readonly Candidate[]): UsualLoad {
+  let count = 0;
+  let usage = 0;
+  let slots = 0;
+  let meanMs = 0;
+  for (const {load} of candidates) {
+    if (!isReported(load)) continue;
+    count += 1;
+    usage += load.reportedBusy / load.slots;
+    slots += load.slots;
+    meanMs += load.meanMs;
+  }
+  if (count === 0) return NO_USUAL_LOAD;
+  return {usage: usage / count, slots: slots / count, meanMs: meanMs / count};
 }
 
 /**
@@ -325,12 +358,13 @@
 function connectedMs(
   candidate: Candidate,
   now: number,
-  estimate: RequestEstimate,
+  bytes: number,
+  usual: UsualLoad,
 ): number {
   const {avoidedUntil, suspectedUntil} = candidate.load;
   const until = Math.max(avoidedUntil, suspectedUntil);
   const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
-  return estimateMs(candidate, now, estimate) + penaltyMs;
+  return estimateMs(candidate, now, bytes, usual) + penaltyMs;
 }
 
 /** Returns the first of the items with the lowest finite cost. */
@@ -349,25 +383,31 @@
   return best;
 }
 
-/** Chooses those that are compared, of the ones that are not avoided if any. */
+/**
+ * Chooses those that are compared: of the ones that are neither avoided nor at
+ * their rate limit, if any.
+ */
 function comparedOf<T extends Candidate>(
   candidates: readonly T[],
   now: number,
+  usual: UsualLoad,
   random: () => number,
 ): readonly T[] {
   const available = candidates.filter(
     ({load}) => Math.max(load.avoidedUntil, load.suspectedUntil) <= now,
   );
-  return available.length > 0
-    ? sampleCandidates(available, now, random)
-    : candidates;
+  if (available.length === 0) return candidates;
+  const free = available.filter(({load}) => limitDelayMs(load, now) === 0);
+  return free.length > 0
+    ? sampleCandidates(free, now, usual, random)
+    : available;
 }
 
 /**
  * Chooses the instance with the lowest estimate among those that are not
  * avoided; if all are, the one that is avoided for the shortest time. Of the
  * instances whose last report is old, only a few at random are compared, at the
- * usual usage of their slots.
+ * usual usage of their slots. One that has not reported yet counts as usual.
  *
  * Instances of services without keys differ in speed, utilization and rate
  * limits, and fail independently.
@@ -383,11 +423,11 @@
   {bytes = 0, leftMs = Infinity}: ChoiceRequest = {},
   random = Math.random,
 ): T | undefined {
-  const usualUsage = usualUsageOf(candidates);
+  const usual = usualLoadOf(candidates);
   return cheapest(
-    comparedOf(candidates, now, random),
+    comparedOf(candidates, now, usual, random),
     candidate =>
-      connectedMs(candidate, now, {bytes, usualUsage}) +
+      connectedMs(candidate, now, bytes, usual) +
       connectMs(candidate.connection, leftMs),
   );
 }
@@ -414,9 +454,10 @@
   const attemptable = candidates.filter(
     ({connection}) => connection === 'usable' || connection === 'none',
   );
-  const usualUsage = usualUsageOf(candidates);
-  const best = cheapest(comparedOf(attemptable, now, random), candidate =>
-    connectedMs(candidate, now, {bytes, usualUsage}),
+  const usual = usualLoadOf(candidates);
+  const best = cheapest(
+    comparedOf(attemptable, now, usual, random),
+    candidate => connectedMs(candidate, now, bytes, usual),
   );
   return best?.connection === 'none' ? best : undefined;
 }
--- a/src/relay/durations.ts
+++ b/src/relay/durations.ts
@@ -16,9 +16,10 @@
 const MEAN_WEIGHT = 0.2;
 
 /**
- * Creates the record of durations. An instance is compared with the others by
- * each route that it runs, since the mean of all its requests tells more about
- * which these are than about its speed.
+ * Creates the record of durations. Of a route that an instance has not run yet,
+ * its duration there follows from the routes that it has run, compared with the
+ * other instances. The mean of all its requests would tell more about which these
+ * are than about its speed.
  *
  * @example
  * const durations = createRouteDurations();
@@ -28,25 +29,38 @@
 export function createRouteDurations(): RouteDurations {
   /** Mean duration of each route at all instances. */
   const means = new Map<string, number>();
-  /** Durations at each instance, relative to those means. */
-  const relative = new Map<string, number>();
+  const instances = new Map<string, InstanceDurations>();
   return {
     observe: (node, route, meanMs) => {
       if (!(meanMs > 0)) return;
       const mean = movingMean(means.get(route), meanMs);
       means.set(route, mean);
-      relative.set(node, movingMean(relative.get(node), meanMs / mean));
+      const {byRoute, relative} = instances.get(node) ?? {byRoute: new Map()};
+      byRoute.set(route, meanMs);
+      const next = movingMean(relative, meanMs / mean);
+      instances.set(node, {byRoute, relative: next});
     },
     expectedMs: (node, route) => {
+      const known = instances.get(node);
+      const stated = known?.byRoute.get(route);
+      if (stated !== undefined) return stated;
       const mean = means.get(route);
-      const factor = relative.get(node);
-      return mean === undefined || factor === undefined
+      const {relative} = known ?? {};
+      return mean === undefined || relative === undefined
         ? undefined
-        : mean * factor;
+        : mean * relative;
     },
   };
 }
 
+/** What an instance has stated. */
+interface InstanceDurations {
+  /** Last stated duration of each route, in milliseconds. */
+  readonly byRoute: Map<string, number>;
+  /** Durations there, relative to the means of all instances. */
+  readonly relative?: number;
+}
+
 function movingMean(previous: number | undefined, newest: number): number {
   return previous === undefined
     ? newest
