--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -391,8 +391,8 @@
   const verdicts = refused.map(({request}) =>
     refuse(request, 'overloaded', afterMs),
   );
-  // With a free slot, it is the rate limit that delays requests.
-  if (state.running.length < state.slots) return {state, verdicts};
+  const isLimited = state.allowance && state.running.length < state.slots;
+  if (isLimited) return {state, verdicts};
   const {length} = refused.filter(hasObjective);
   const refusedShare = state.refusedShare + length * REFUSED_SHARE_GAIN;
   return {state: {...state, refusedShare}, verdicts};
@@ -454,7 +454,8 @@
   if (priorities !== 0) return priorities;
   const lengths = Number(b.isShort) - Number(a.isShort);
   if (lengths !== 0) return lengths;
-  const isByTimeLeft = !a.isShort && (overloaded || !isInTime(a, now));
+  const isByTimeLeft =
+    hasObjective(a) && hasObjective(b) && (overloaded || !isInTime(a, now));
   if (isByTimeLeft && a.objectiveStartAt !== b.objectiveStartAt) {
     return a.objectiveStartAt > b.objectiveStartAt ? -1 : 1;
   }
