Break a running request off only for an instance that has just said it is free

Cause: an instance without a report, or with an old one, counted as free.

Change: for a request that was sent, its report must be of the last second.

--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -284,10 +284,18 @@
   return !isSameIncarnation(incarnationOf(member), term.holder);
 }
 
+/**
+ * Age up to which a report shows that an instance has free capacity for a request
+ * that would be broken off for it, in milliseconds.
+ */
+const FREE_REPORT_MS = 1000;
+
 /**
  * Tells whether a request that a member has not answered could be sent to
  * another instance: the next holder of its key or, without keys, one that
- * appears to answer and to have free capacity.
+ * appears to answer and to have free capacity; one that was sent only to an
+ * instance that has said so recently, as the answer of a late one is worth more
+ * than a refusal.
  *
  * @param isSent The request may have run, so that sending it again draws on the
  *     retry budget.
@@ -317,8 +325,9 @@
     if (id === member.id || sentTo.has(id)) return false;
     // Refusals count for nothing after an attempt that may have run.
     if (!isSent && refusedBy.has(node)) return false;
-    const {avoidedUntil, suspectedUntil} = context.loads(node);
+    const {avoidedUntil, suspectedUntil, reportedAt} = context.loads(node);
     if (Math.max(avoidedUntil, suspectedUntil) > now) return false;
+    if (isSent && now - reportedAt > FREE_REPORT_MS) return false;
     return hasCapacity(context, other, now);
   });
 }
