Avoid a daemon no longer once anything has arrived from it

Cause: late answers and parts of answers reached the failure detector, but not the record by which requests avoid a daemon, until its next probe ended.

Test, committed failing by the review in (test/sidecar/peerloads).

--- a/src/sidecar/peerloads.ts
+++ b/src/sidecar/peerloads.ts
@@ -130,7 +130,13 @@
   };
 
   return {
-    of: loadOf,
+    of: peer => {
+      const isAvoided = loadOf(peer).failedProbes > 0;
+      // Anything else that arrives from it proves as much as an answered probe.
+      if (isAvoided && context.stateOf(peer).liveness === 'alive')
+        observe(peer, {kind: 'reachable'});
+      return loadOf(peer);
+    },
     observe,
     observeClock,
     clockAheadMs: peer =>
