Forecast the starts of waiting requests in one pass

Under overload each arrival forecasts the start of every waiting request; the work ahead is now summed in the same pass and not anew for each. No decision changes: the tests of test/relay (126) passed before and after.

--- a/src/relay/queue.ts
+++ b/src/relay/queue.ts
@@ -349,10 +349,11 @@
   );
   const waiting: WaitingRequest[] = [];
   const refused: WaitingRequest[] = [];
+  let slotMs = nextFinishMs(state);
   let longCount = 0;
   for (const entry of ordered) {
     const limitMs = limitDelayMsOf({allowance, waiting}, now);
-    const startsAt = now + Math.max(limitMs, untilSlotMs(state, waiting));
+    const startsAt = now + Math.max(limitMs, slotMs);
     const isLate = startsAt > entry.objectiveStartAt;
     const isSurplus = longCount >= slots * MAX_LATE_PER_SLOT;
     if (isLate && isSurplus && !entry.isShort) {
@@ -360,6 +361,7 @@
       continue;
     }
     waiting.push(entry);
+    slotMs += entry.expectedMs / Math.max(1, slots);
     if (!entry.isShort) longCount += 1;
   }
   return refuseAll({...state, waiting}, refused, now);
