--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -3,7 +3,7 @@
 import type {Log} from '../telemetry/index.js';
 import type {ResponseHead, Pools, Transport} from '../upstream/index.js';
 import {lengthOf} from './body.js';
-import type {InstanceLoad, LoadEvent} from './choose.js';
+import type {InstanceLoad, LoadEvent} from './load.js';
 import {RELAY_EVENTS} from './events.js';
 import {LOAD_HEADER, readFailure, readLoad} from './hop.js';
 import {failedWithFreeRetry} from './local.js';
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -13,6 +13,7 @@
 export * from './durations.js';
 export * from './ingress.js';
 export * from './routed.js';
+export * from './estimate.js';
 export * from './events.js';
 export * from './forward.js';
 export * from './notices.js';
@@ -20,6 +21,7 @@
 export * from './hop.js';
 export * from './intake.js';
 export * from './lengths.js';
+export * from './load.js';
 export * from './offer.js';
 export * from './local.js';
 
--- a/src/relay/routed.ts
+++ b/src/relay/routed.ts
@@ -1,7 +1,7 @@
 import type {FleetView} from '../fleet/index.js';
 import type {RequestContent} from '../quarantine/index.js';
 import type {RequestBody} from './body.js';
-import type {ConnectionState} from './choose.js';
+import type {ConnectionState} from './estimate.js';
 import type {Route, RoutedConfiguration, RouteTable} from './configuration.js';
 import type {CallerRequest} from './dialect.js';
 import type {ForwardContext} from './forward.js';
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -8,12 +8,9 @@
 import {fingerprintOf, type RequestContent} from '../quarantine/index.js';
 import {isSameIncarnation, findTerm, type RangeTerm} from '../ranges/index.js';
 import {lengthOf} from './body.js';
-import {
-  chooseInstance,
-  chooseToConnect,
-  limitDelayMs,
-  type ConnectionState,
-} from './choose.js';
+import {chooseInstance, chooseToConnect} from './choose.js';
+import type {ConnectionState} from './estimate.js';
+import {limitDelayMs} from './load.js';
 import type {RefusableRequest} from './overload.js';
 import {
   NO_HOLDER_RETRY_MS,
