--- a/src/ranges/plan.ts
+++ b/src/ranges/plan.ts
@@ -247,7 +247,7 @@
 
 /**
  * Plans moves of load from the candidates with the highest utilization to those
- * with the lowest, in pieces cut from the start of a range.
+ * with the lowest, in pieces cut from either end of a range.
  *
  * Handles instances of different speed, instances that join without keys, and
  * keys that become busy. Busy keys may be close to one another, so one holder
@@ -345,7 +345,7 @@
 
 /**
  * Chooses the busiest piece of a holder's keys that fits a target rate: a whole
- * part or its start; of similar ones, that which moves fewer keys for each request.
+ * part, or one end of it, whichever moves fewer keys for each request.
  */
 function choosePiece(
   parts: readonly Part[],
@@ -355,23 +355,39 @@
 ): Piece | undefined {
   const pieces = parts
     .filter(part => isSameIncarnation(part.holder, holder))
-    .map(part => pieceOf(part, rates, targetRate))
+    .flatMap(part => piecesOf(part, rates, targetRate))
     .filter(({rate}) => rate <= targetRate * MAX_PIECE_FACTOR);
   const most = Math.max(0, ...pieces.map(({rate}) => rate));
   const busy = pieces.filter(({rate}) => rate >= most * SIMILAR_RATE_SHARE);
   return maxBy(busy, ({from, to, rate}) => rate / (to - from + 1));
 }
 
-/** Returns a whole part, or its start if that is as much as the target rate. */
-function pieceOf(part: Part, rates: RequestRates, targetRate: number): Piece {
+function piecesOf(
+  part: Part,
+  rates: RequestRates,
+  targetRate: number,
+): readonly Piece[] {
   const {from, to, holder} = part;
+  const pieceOf = (range: KeyRange, rest: readonly KeyRange[]): Piece => ({
+    ...range,
+    part,
+    rate: rateOfRange(rates, range.from, range.to),
+    rest: rest.map(({from, to}) => ({from, to, holder})),
+  });
   const wholeRate = rateOfRange(rates, from, to);
-  if (wholeRate <= targetRate)
-    return {from, to, part, rate: wholeRate, rest: []};
-  const end = findCut(rates, from, to, targetRate);
-  const rate = rateOfRange(rates, from, end);
-  const rest = end < to ? [{from: end + 1, to, holder}] : [];
-  return {from, to: end, part, rate, rest};
+  if (wholeRate <= targetRate) return [pieceOf({from, to}, [])];
+  const cutAt = (end: number) => [
+    {from, to: end},
+    {from: end + 1, to},
+  ];
+  const [head, afterHead] = cutAt(findCut(rates, from, to, targetRate));
+  const [beforeTail, tail] = cutAt(
+    findCut(rates, from, to, wholeRate - targetRate),
+  );
+  return [
+    ...(head.to < to ? [pieceOf(head, [afterHead])] : []),
+    ...(tail.from <= to ? [pieceOf(tail, [beforeTail])] : []),
+  ];
 }
 
 /** Factor by which the rate of a piece may exceed the target rate. */
