Take back the preference for connected instances, and assume new ones to be idle

It failed without the preference, too; cause: an instance that had not reported yet was assumed to be as busy as the others, whose only report was that of the local instance.

--- a/src/channel/client.ts
+++ b/src/channel/client.ts
@@ -47,26 +47,9 @@
   readonly onReceive?: (address: Address) => void;
 }
 
-/** Whether a request to a daemon finds a channel. */
-export type ChannelState =
-  /** A channel is open, or the daemon is known not to speak the protocol. */
-  | 'usable'
-  | 'none'
-  | 'opening'
-  /** The last attempt has just failed, or the channels have fallen silent. */
-  | 'failed';
-
 /** Channels to other daemons, opened when they are first needed. */
 export interface Channels {
   readonly to: (address: Address) => Transport;
-  /** Returns whether a request to a daemon would find a usable channel. */
-  readonly stateOf: (address: Address) => ChannelState;
-  /**
-   * Opens a channel before a request needs it, unless another one is being
-   * opened so: an attempt at a time, since each takes a place in the accept
-   * queue of a daemon.
-   */
-  readonly openAhead: (address: Address) => void;
   /** Closes all channels; open requests fail. */
   readonly close: () => void;
 }
@@ -105,13 +88,6 @@
   'timed-out': 0,
 } as const;
 
-/**
- * Time for which a daemon counts as failed after an attempt without success or
- * after its channels have fallen silent, in milliseconds. A channel that is
- * late since its link is full is heard again meanwhile.
- */
-const FAILED_STATE_MS = 2000;
-
 /** A request on a channel. */
 interface Stream {
   readonly handler: ResponseHandler;
@@ -143,20 +119,12 @@
     for (const peer of peers.values()) peer.closeIdle();
   }, options.idleTimeoutMs / 2);
   sweep.unref();
-  let ahead: Peer | undefined;
-  const peerAt = (address: Address) => {
-    const name = formatAddress(address);
-    let peer = peers.get(name);
-    if (!peer) peers.set(name, (peer = createPeer(address, options)));
-    return peer;
-  };
   return {
-    to: peerAt,
-    stateOf: address => peers.get(formatAddress(address))?.state() ?? 'none',
-    openAhead: address => {
-      if (ahead?.state() === 'opening') return;
-      ahead = peerAt(address);
-      ahead.open();
+    to: address => {
+      const name = formatAddress(address);
+      let peer = peers.get(name);
+      if (!peer) peers.set(name, (peer = createPeer(address, options)));
+      return peer;
     },
     close: () => {
       clearInterval(sweep);
@@ -167,9 +135,6 @@
 }
 
 interface Peer extends Transport {
-  readonly state: () => ChannelState;
-  /** Opens a channel unless one can be used or is being opened. */
-  readonly open: () => void;
   /** Closes the channels that had no request for the idle timeout. */
   readonly closeIdle: () => void;
   readonly close: () => void;
@@ -183,8 +148,6 @@
   let waiting: WaitingCall[] = [];
   let isClosed = false;
   let connectFrom = -Infinity;
-  let lastResult: OpenResult['kind'] | undefined;
-  let lastResultAt = -Infinity;
 
   const addChannel = (socket: Socket) => {
     const channel = createChannel(
@@ -212,8 +175,6 @@
 
   const finishOpening = (result: OpenResult) => {
     opening = undefined;
-    lastResult = result.kind;
-    lastResultAt = clock();
     if (result.kind === 'open' || result.kind === 'refused') {
       options.onConnect?.(address);
     }
@@ -261,23 +222,7 @@
         undefined,
       );
 
-  const state = (): ChannelState => {
-    if (channels.some(channel => channel.isOpen())) return 'usable';
-    const now = clock();
-    if (lastResult === 'refused' && now < connectFrom) return 'usable';
-    if (opening) return 'opening';
-    const failedAt = Math.max(
-      ...channels.map(channel => channel.silentAt()),
-      lastResult === 'open' ? -Infinity : lastResultAt,
-    );
-    return now < failedAt + FAILED_STATE_MS ? 'failed' : 'none';
-  };
-
   return {
-    state,
-    open: () => {
-      if (state() === 'none') connect();
-    },
     dispatch: (call, handler) => {
       const best = findChannel();
       if (!best || best.streamCount() >= CROWDED_STREAMS) connect();
@@ -362,10 +307,6 @@
   readonly send: (call: Call, handler: ResponseHandler) => void;
   /** Returns whether new requests should be sent on it. */
   readonly isUsable: () => boolean;
-  /** Returns the same without closing a silent channel. */
-  readonly isOpen: () => boolean;
-  /** Time at which the channel fell silent, in milliseconds, or -Infinity. */
-  readonly silentAt: () => number;
   /** Number of open requests. */
   readonly streamCount: () => number;
   /** Time of the last request, in milliseconds. */
@@ -517,16 +458,9 @@
     failAll(error, number => !streams.get(number)?.ending);
   });
 
-  const silentAt = () => {
-    if (pingedAt === undefined) return -Infinity;
-    const at = pingedAt + SILENT_AFTER_MS;
-    return clock() < at ? -Infinity : at;
-  };
-
-  const isGone = () => isLeaving || socket.destroyed;
-
   const isSilent = () => {
-    if (silentAt() === -Infinity) return false;
+    if (pingedAt === undefined) return false;
+    if (clock() - pingedAt < SILENT_AFTER_MS) return false;
     if (!isSilenceReported) onSilent();
     isSilenceReported = true;
     return true;
@@ -534,13 +468,11 @@
 
   return {
     isUsable: () => {
-      if (isGone()) return false;
+      if (isLeaving || socket.destroyed) return false;
       if (!isSilent()) return true;
       if (streams.size === 0) close(new Error('the channel is silent'));
       return false;
     },
-    isOpen: () => !isGone() && silentAt() === -Infinity,
-    silentAt,
     streamCount: () => streams.size,
     usedAt: () => usedAt,
     send: (call, handler) => {
--- a/src/relay/choose.ts
+++ b/src/relay/choose.ts
@@ -1,6 +1,5 @@
 import {
   capacityOf,
-  connectMs,
   estimateMs,
   usualLoadOf,
   type Candidate,
@@ -8,19 +7,12 @@
 } from './estimate.js';
 import {limitDelayMs} from './load.js';
 
-/** A request, as far as the choice of an instance depends on it. */
-export interface ChoiceRequest {
-  /** Length of the request body and of the expected answer. */
-  readonly bytes?: number;
-  /** Time until its deadline, in milliseconds. */
-  readonly leftMs?: number;
-}
-
 /**
  * Chooses the instance with the lowest estimate among those that are not
  * avoided; if all are, the one that is avoided for the shortest time. Of the
  * instances whose last report is old, only a few at random are compared, at the
- * usual usage of their slots. One that has not reported yet counts as usual.
+ * usual usage of their slots. One that has not reported yet counts as
+ * usual, but idle.
  *
  * Instances of services without keys differ in speed, utilization and rate
  * limits, and fail independently.
@@ -33,46 +25,22 @@
 export function chooseInstance<T extends Candidate>(
   candidates: readonly T[],
   now: number,
-  {bytes = 0, leftMs = Infinity}: ChoiceRequest = {},
+  bytes = 0,
   random = Math.random,
 ): T | undefined {
   const usual = usualLoadOf(candidates);
-  return cheapest(
-    comparedOf(candidates, now, usual, random),
-    candidate =>
-      connectedMs(candidate, now, bytes, usual) +
-      connectMs(candidate.connection, leftMs),
-  );
-}
-
-/**
- * Chooses an instance to which a connection should be opened before a request
- * needs it: one that would be chosen if all were connected. So instances that
- * join get requests soon, and requests reach more instances under load, without
- * waiting for connections.
- *
- * @returns undefined if the instance is connected, or a connection to it is
- *     being opened or has just failed.
- *
- * @example
- * const ahead = chooseToConnect(candidates, performance.now());
- * if (ahead) connectAhead(ahead.node);
- */
-export function chooseToConnect<T extends Candidate>(
-  candidates: readonly T[],
-  now: number,
-  {bytes = 0}: ChoiceRequest = {},
-  random = Math.random,
-): T | undefined {
-  const attemptable = candidates.filter(
-    ({connection}) => connection === 'usable' || connection === 'none',
-  );
-  const usual = usualLoadOf(candidates);
-  const best = cheapest(
-    comparedOf(attemptable, now, usual, random),
-    candidate => connectedMs(candidate, now, bytes, usual),
-  );
-  return best?.connection === 'none' ? best : undefined;
+  let best: T | undefined;
+  let bestMs = Infinity;
+  for (const candidate of comparedOf(candidates, now, usual, random)) {
+    const {avoidedUntil, suspectedUntil} = candidate.load;
+    const until = Math.max(avoidedUntil, suspectedUntil);
+    const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
+    const ms = estimateMs(candidate, now, bytes, usual) + penaltyMs;
+    if (ms >= bestMs) continue;
+    best = candidate;
+    bestMs = ms;
+  }
+  return best;
 }
 
 /**
@@ -138,36 +106,8 @@
   return compared;
 }
 
-/** Estimates the time that a request takes at a connected instance. */
-function connectedMs(
-  candidate: Candidate,
-  now: number,
-  bytes: number,
-  usual: UsualLoad,
-): number {
-  const {avoidedUntil, suspectedUntil} = candidate.load;
-  const until = Math.max(avoidedUntil, suspectedUntil);
-  const penaltyMs = Math.max(0, until - now) * AVOID_PENALTY;
-  return estimateMs(candidate, now, bytes, usual) + penaltyMs;
-}
-
 /**
  * Cost per millisecond of the remaining avoidance, so that any other reachable
  * instance is preferred.
  */
 const AVOID_PENALTY = 1000;
-/** Returns the first of the items with the lowest finite cost. */
-function cheapest<T>(
-  items: readonly T[],
-  costOf: (item: T) => number,
-): T | undefined {
-  let best: T | undefined;
-  let bestCost = Infinity;
-  for (const item of items) {
-    const cost = costOf(item);
-    if (cost >= bestCost) continue;
-    best = item;
-    bestCost = cost;
-  }
-  return best;
-}
--- a/src/relay/estimate.ts
+++ b/src/relay/estimate.ts
@@ -1,20 +1,10 @@
 import {limitDelayMs, type InstanceLoad} from './load.js';
 
-/** Whether a request to a daemon has to wait for a connection. */
-export type ConnectionState =
-  /** There is a connection, or none is needed. */
-  | 'usable'
-  | 'none'
-  | 'opening'
-  /** The last attempt failed, or the connection has fallen silent. */
-  | 'failed';
-
 /** An instance to which a request may be sent. */
 export interface Candidate {
   readonly node: string;
   /** The instance is in the own failure domain. */
   readonly isSameDomain: boolean;
-  readonly connection: ConnectionState;
   readonly load: InstanceLoad;
   /** Expected duration of the request there, in milliseconds, if known. */
   readonly expectedMs?: number;
@@ -61,45 +51,6 @@
 /** Weight of the usage of the slots while no request has to wait for one. */
 const USAGE_WEIGHT = 0.3;
 
-/**
- * Added for an instance to which there is no connection, in milliseconds: the
- * wait for one. Opened connections stay in use, and requests go to further
- * instances once the connected ones have about this much work waiting.
- */
-const CONNECT_COST_MS = 150;
-
-/**
- * Added in place of `CONNECT_COST_MS` if the wait could use up the time of a
- * request, in milliseconds.
- */
-const TIGHT_CONNECT_COST_MS = 600;
-
-/**
- * Time left of a request that an attempt to connect without success could use
- * up, in milliseconds.
- */
-const TIGHT_LEFT_MS = 1500;
-
-const CONNECTION_COSTS_MS: Readonly<Record<ConnectionState, number>> = {
-  usable: 0,
-  none: CONNECT_COST_MS,
-  opening: CONNECT_COST_MS,
-  failed: TIGHT_CONNECT_COST_MS,
-};
-
-/**
- * Estimates the wait for a connection to an instance, in milliseconds.
- *
- * @param leftMs Time until the deadline of the request.
- *
- * @example
- * connectMs('usable', 800); // 0
- */
-export function connectMs(connection: ConnectionState, leftMs: number): number {
-  const isTight = leftMs < TIGHT_LEFT_MS && connection !== 'usable';
-  return isTight ? TIGHT_CONNECT_COST_MS : CONNECTION_COSTS_MS[connection];
-}
-
 /** Tells whether an instance has reported its load. */
 function isReported({meanMs}: InstanceLoad): boolean {
   return meanMs > 0;
@@ -131,7 +82,7 @@
   const {slots, meanMs} = shapeOf(load, usual);
   const weight = 2 ** ((load.reportedAt - now) / REPORT_HALF_LIFE_MS);
   const reportedOthers = Math.max(0, load.reportedBusy - inFlightAtReport);
-  const usualBusy = usual.usage * slots;
+  const usualBusy = isReported(load) ? usual.usage * slots : 0;
   const busy = inFlight + reportedOthers * weight + usualBusy * (1 - weight);
   const queue = Math.max(0, busy + 1 - slots) / slots;
   const usage = busy / slots;
--- a/src/relay/routed.ts
+++ b/src/relay/routed.ts
@@ -1,7 +1,6 @@
 import type {FleetView} from '../fleet/index.js';
 import type {RequestContent} from '../quarantine/index.js';
 import type {RequestBody} from './body.js';
-import type {ConnectionState} from './estimate.js';
 import type {Route, RoutedConfiguration, RouteTable} from './configuration.js';
 import type {CallerRequest} from './dialect.js';
 import type {ForwardContext} from './forward.js';
@@ -36,14 +35,6 @@
   readonly holderRefusals: HolderRefusals;
   readonly answerLengths: AnswerLengths;
   readonly overloadRefusals: OverloadRefusals;
-  /** Returns whether a request to a daemon has to wait for a connection. */
-  readonly connectionTo: (
-    node: string,
-    route: string,
-    body: RequestBody,
-  ) => ConnectionState;
-  /** Opens a connection to a daemon before a request needs it. */
-  readonly connectAhead: (node: string) => void;
   /**
    * Spends one retry to a service from the retry budget; returns false if none
    * is left.
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -8,8 +8,7 @@
 import {fingerprintOf, type RequestContent} from '../quarantine/index.js';
 import {isSameIncarnation, findTerm, type RangeTerm} from '../ranges/index.js';
 import {lengthOf} from './body.js';
-import {chooseInstance, chooseToConnect} from './choose.js';
-import type {ConnectionState} from './estimate.js';
+import {chooseInstance} from './choose.js';
 import {limitDelayMs} from './load.js';
 import type {RefusableRequest} from './overload.js';
 import {
@@ -172,21 +171,17 @@
   const candidates = open.map(member => ({
     node: member.node,
     isSameDomain: member.domain === context.domain,
-    connection: connectionTo(context, routed, member),
     load: context.loads(member.node),
     expectedMs: context.durations.expectedMs(member.node, routed.route.name),
     member,
   }));
   const bytes =
     lengthOf(routed.body) + context.answerLengths.mean(routed.route.name);
-  const request = {bytes, leftMs: routed.deadlineAt - now};
   const content = contentOfRouted(routed);
   const isSuspect = context.quarantine.verdict(content).kind !== 'run';
   const choice = isSuspect
     ? chooseForSuspect(candidates, content)
-    : chooseInstance(candidates, now, request);
-  const ahead = chooseToConnect(candidates, now, request);
-  if (ahead && ahead !== choice) context.connectAhead(ahead.node);
+    : chooseInstance(candidates, now, bytes);
   if (!choice) {
     routed.refusedBy.clear();
     return {kind: 'wait', until: now + REFUSED_RETRY_INTERVAL_MS};
@@ -194,16 +189,6 @@
   return {kind: 'member', member: choice.member};
 }
 
-function connectionTo(
-  context: IngressContext,
-  {route, body}: RoutedRequest,
-  {node}: Member,
-): ConnectionState {
-  // The local instance needs no connection to another daemon.
-  if (node === context.node) return 'usable';
-  return context.connectionTo(node, route.name, body);
-}
-
 /**
  * Chooses an instance for a suspect: the same at each daemon, so that it runs at
  * one at a time.
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -46,7 +46,6 @@
   type InstanceRun,
   type IngressContext,
   type SplitState,
-  type RequestBody,
 } from '../relay/index.js';
 import {formatAddress, parseAddress, type Address} from '../model/index.js';
 import {FIRST_ERA} from '../ranges/index.js';
@@ -468,9 +467,6 @@
     onReceive: address => recordAnswer(formatAddress(address)),
   });
   const answerLengths = createAnswerLengths();
-  const isForChannel = (route: string, body: RequestBody) =>
-    lengthOf(body) <= MAX_CHANNEL_BYTES &&
-    answerLengths.mean(route) <= MAX_CHANNEL_BYTES;
 
   const budgetOf = (service: string) => {
     const share = settings.retryShare * RETRY_SHARE_FRACTION;
@@ -530,17 +526,15 @@
     durations: createRouteDurations(),
     clockAheadMs: loads.clockAheadMs,
     peerPools,
-    peerTransport: (peer, {route, body}) => {
+    peerTransport: (peer, work) => {
       const address = parseAddress(peer);
-      return isForChannel(route, body)
+      const isShort =
+        lengthOf(work.body) <= MAX_CHANNEL_BYTES &&
+        answerLengths.mean(work.route) <= MAX_CHANNEL_BYTES;
+      return isShort
         ? channels.to(address)
         : peerPools.get(address, PEER_CONNECTIONS);
     },
-    connectionTo: (peer, route, body) =>
-      isForChannel(route, body)
-        ? channels.stateOf(parseAddress(peer))
-        : 'usable',
-    connectAhead: peer => channels.openAhead(parseAddress(peer)),
     callerRetries: createCallerRetries(),
     instanceNotices: createInstanceNotices(() =>
       openDrainMs(settings.drainS * MS_PER_SECOND),
--- a/test/channel/fixture.ts
+++ b/test/channel/fixture.ts
@@ -66,8 +66,6 @@
 /** The channels of a client. */
 export interface TestClient {
   readonly to: Channels['to'];
-  readonly stateOf: Channels['stateOf'];
-  readonly openAhead: Channels['openAhead'];
   readonly close: () => void;
   /** Paths of the requests that took the fallback. */
   readonly fellBack: readonly string[];
@@ -218,10 +216,6 @@
   readonly accepted: () => number;
   /** Passes nothing more on over the connections that are open now. */
   readonly silence: () => void;
-  /** Holds back what arrives on the connections that are open now. */
-  readonly hold: () => void;
-  /** Passes on what was held back. */
-  readonly release: () => void;
   /** Resets the connections that are open now. */
   readonly reset: () => void;
   readonly close: () => void;
@@ -258,18 +252,6 @@
         upstream.unpipe(client).resume();
       }
     },
-    hold: () => {
-      for (const [client, upstream] of open) {
-        client.unpipe(upstream).pause();
-        upstream.unpipe(client).pause();
-      }
-    },
-    release: () => {
-      for (const [client, upstream] of open) {
-        client.pipe(upstream);
-        upstream.pipe(client);
-      }
-    },
     reset: () => {
       for (const [client] of open) client.resetAndDestroy();
     },
--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -4,14 +4,12 @@
   UNKNOWN_LOAD,
   applyLoadEvent,
   chooseInstance,
-  chooseToConnect,
   chooseService,
   createRouteDurations,
   estimateMs,
   formatHop,
   parseHop,
   type Candidate,
-  type ConnectionState,
   type InstanceLoad,
   type LoadEvent,
   type Route,
@@ -33,7 +31,6 @@
 const choice = (node: string, load: InstanceLoad): Candidate => ({
   node,
   isSameDomain: true,
-  connection: 'usable',
   load,
 });
 
@@ -74,55 +71,9 @@
   const far = {...choice('far', after(report(0, 100))), isSameDomain: false};
   const near = choice('near', after(report(3, 180)));
   t.is(chooseInstance([near, far], 0)?.node, 'far');
-  t.is(chooseInstance([near, far], 0, {bytes: upload})?.node, 'near');
+  t.is(chooseInstance([near, far], 0, upload)?.node, 'near');
   const full = choice('near', after(report(9, 180)));
-  t.is(chooseInstance([full, far], 0, {bytes: upload})?.node, 'far');
-});
-
-const unconnected = (
-  node: string,
-  load: InstanceLoad,
-  connection: ConnectionState = 'none',
-): Candidate => ({...choice(node, load), connection});
-
-test('an instance with a connection is preferred until it is full', t => {
-  const idle = unconnected('new', after(report(0)));
-  const connected = (busy: number) => choice('known', after(report(busy)));
-  const chosen = (busy: number) =>
-    chooseInstance([idle, connected(busy)], 0, {leftMs: 6000})?.node;
-  t.is(chosen(0), 'known');
-  t.is(chosen(3), 'known');
-  t.is(chosen(12), 'new');
-  t.is(chooseInstance([idle], 0)?.node, 'new');
-});
-
-test('a request with little time left waits for a slot rather than for a connection', t => {
-  const idle = unconnected('new', UNKNOWN_LOAD);
-  const busy = choice('known', after(report(12)));
-  t.is(chooseInstance([idle, busy], 0, {leftMs: 6000})?.node, 'new');
-  t.is(chooseInstance([idle, busy], 0, {leftMs: 800})?.node, 'known');
-});
-
-test('an instance to which the last connection failed is the last without one', t => {
-  const failed = unconnected('failed', after(report(0)), 'failed');
-  const idle = unconnected('new', after(report(2)));
-  t.is(chooseInstance([failed, idle], 0)?.node, 'new');
-  const lost = after(report(0), {kind: 'unreachable'});
-  t.is(chooseInstance([failed, choice('lost', lost)], 1)?.node, 'failed');
-});
-
-test('a connection is opened to an instance that would be chosen with one', t => {
-  const known = choice('known', after(report(2)));
-  const joined = unconnected('joined', UNKNOWN_LOAD);
-  const busy = unconnected('busy', after(report(9)));
-  const wanted = (...candidates: readonly Candidate[]) =>
-    chooseToConnect(candidates, 0)?.node;
-  t.is(wanted(known, joined, busy), 'joined');
-  t.is(wanted(known, busy), undefined);
-  t.is(wanted(known, unconnected('n', UNKNOWN_LOAD, 'opening')), undefined);
-  t.is(wanted(known, unconnected('n', UNKNOWN_LOAD, 'failed')), undefined);
-  const lost = after(report(0), {kind: 'unreachable'});
-  t.is(wanted(known, unconnected('lost', lost)), undefined);
+  t.is(chooseInstance([full, far], 0, upload)?.node, 'far');
 });
 
 const ROUTE: Route = {
@@ -178,7 +129,7 @@
   const counts = candidates.map(() => 0);
   let known = candidates;
   for (let sent = 0; sent < requests; sent++) {
-    const chosen = chooseInstance(known, LATER_MS, {}, random);
+    const chosen = chooseInstance(known, LATER_MS, 0, random);
     known = known.map((other, index) => {
       if (other !== chosen) return other;
       counts[index] += 1;
--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -335,7 +335,6 @@
   const choice = (node: string, load = UNKNOWN_LOAD) => ({
     node,
     isSameDomain: node === 'suspect',
-    connection: 'usable' as const,
     load,
   });
   const choices = [choice('suspect', late), choice('other')];
--- a/test/relay/limit.test.ts
+++ b/test/relay/limit.test.ts
@@ -241,7 +241,6 @@
         .map(({node}) => ({
           node,
           isSameDomain: true,
-          connection: 'usable' as const,
           load: loads.get(node) ?? UNKNOWN_LOAD,
         }));
       const choice = chooseInstance(choices, now());
--- a/test/relay/spread.test.ts
+++ b/test/relay/spread.test.ts
@@ -193,7 +193,6 @@
         index,
         node: String(index),
         isSameDomain: true,
-        connection: 'usable' as const,
         load: loadOf(request, index),
         expectedMs: durations[request.daemon].expectedMs(
           String(index),
@@ -201,7 +200,7 @@
         ),
       }))
       .filter(({index}) => !request.refusedBy.has(index));
-    const chosen = chooseInstance(candidates, now, {}, random);
+    const chosen = chooseInstance(candidates, now, 0, random);
     if (!chosen) return;
     const {index} = chosen;
     observe(request, index, {kind: 'sent'});
