--- a/test/sidecar/silence.test.ts
+++ b/test/sidecar/silence.test.ts
@@ -163,50 +163,48 @@
   await stopped;
 });
 
-// Guards against a failure in place of the answer of a running request (LOST).
-test('a running request is answered by a daemon that answers no probe for as long', async t => {
+/** Timeout of the requests without keys in the tests below, in seconds. */
+const DESK_TIMEOUT_S = 9;
+
+/** Starts a fleet without an instance of `desk` but a peer, and a patient route. */
+async function startFleetWithDesk(
+  t: ExecutionContext,
+  behaviour: PeerBehaviour,
+): Promise<TestFleet> {
   const fleet = await startFleet(['stock']);
   t.teardown(fleet.close);
-  const silent = {probeDelayMs: 20_000, requestDelayMs: 7000};
-  const peer = await startPeer(fleet.store, 'desk', silent);
+  const peer = await startPeer(fleet.store, 'desk', behaviour);
   t.teardown(peer.close);
   const patient = configuration(2) as {routes: {rows: unknown[][]}};
-  patient.routes.rows[1].splice(3, 2, 'idempotent', 9);
+  patient.routes.rows[1].splice(3, 2, 'idempotent', DESK_TIMEOUT_S);
   fleet.store.write('config', 'main', patient);
   await pause(PROPAGATION_MS);
-  const [{callers}] = fleet.pairs;
-  const answer = sendRequest(
+  return fleet;
+}
+
+const requestDesk = ({pairs: [{callers}]}: TestFleet) =>
+  sendRequest(
     callers,
     'GET',
     '/book/x',
     undefined,
     undefined,
-    9000,
+    DESK_TIMEOUT_S * 1000,
   );
-  t.is((await answer).status, 200);
+
+// Guards against a failure in place of the answer of a running request (LOST).
+test('a running request is answered by a daemon that answers no probe for as long', async t => {
+  const silent = {probeDelayMs: 20_000, requestDelayMs: 7000};
+  const fleet = await startFleetWithDesk(t, silent);
+  t.is((await requestDesk(fleet)).status, 200);
 });
 
 // Guards against a running request that is broken off for an instance that then
 // refuses it (LOST).
 test('a running request is answered though the only other instance would refuse it', async t => {
-  const fleet = await startFleet(['stock']);
-  t.teardown(fleet.close);
   const silent = {probeDelayMs: 20_000, requestDelayMs: 6000};
-  const peer = await startPeer(fleet.store, 'desk', silent);
-  t.teardown(peer.close);
-  const patient = configuration(2) as {routes: {rows: unknown[][]}};
-  patient.routes.rows[1].splice(3, 2, 'idempotent', 9);
-  fleet.store.write('config', 'main', patient);
-  await pause(PROPAGATION_MS);
-  const [{callers}] = fleet.pairs;
-  const answer = sendRequest(
-    callers,
-    'GET',
-    '/book/x',
-    undefined,
-    undefined,
-    9000,
-  );
+  const fleet = await startFleetWithDesk(t, silent);
+  const answer = requestDesk(fleet);
   await pause(500);
   // It joins while the request runs, and has no free slot.
   const full = await startPeer(fleet.store, 'desk', {
