--- a/src/relay/detector.ts
+++ b/src/relay/detector.ts
@@ -512,7 +512,7 @@
  *   than none.
  * - Any other request is aborted when its daemon has failed. One that was sent is
  *   kept while no other instance can run it, as the daemon may be late, its
- *   accept queue full, or its link; until nothing was heard for 10 s.
+ *   accept queue full, or its link; until its probes have failed for 10 s.
  * - If the daemon is suspected, a request that was sent is kept, as its answer
  *   is likelier than that of another attempt. One that was not sent is aborted
  *   after 400 ms without any answer from the daemon if another instance may run
