Let no late answer of an ended process end the verdict on it

Change: these observations carry the start of their attempt and count for nothing if a probe that began later found no process. Acceptances of requests have none and count as before.

Test (relay/detector): the verdict stays refused for an attempt from before, and ends for one from after. It failed before, as the observations had no start.

--- a/src/relay/detector.ts
+++ b/src/relay/detector.ts
@@ -105,10 +105,18 @@
   | {readonly kind: 'probe-started'}
   /** An answer to any request arrived. */
   | {readonly kind: 'answer-received'}
-  /** The answer to a probe arrived after the probe had timed out. */
-  | {readonly kind: 'answered-late'; readonly tookMs: number}
-  /** A new connection was accepted, of a probe or of a request. */
-  | {readonly kind: 'connection-accepted'}
+  /**
+   * The answer to a probe arrived after the probe had timed out.
+   *
+   * @param startedAt Start of that probe, in milliseconds.
+   */
+  | {readonly kind: 'answered-late'; readonly startedAt: number}
+  /**
+   * A new connection was accepted, of a probe or of a request.
+   *
+   * @param startedAt Start of the attempt, in milliseconds, if known.
+   */
+  | {readonly kind: 'connection-accepted'; readonly startedAt?: number}
   | {
       readonly kind: 'probe-ended';
       readonly reply: ProbeResult;
@@ -147,7 +155,7 @@
  *
  * An answer that arrives after its probe has timed out ends every suspicion, and
  * counts for the round-trip time, which would otherwise be that of the answers
- * in time.
+ * in time; unless its process was found to have ended since.
  *
  * On narrow links and slow processors, answers can be delayed as long as those
  * of a failed machine. A busy link or event loop of the observer delays the
@@ -169,12 +177,16 @@
     case 'answer-received':
       return markAlive(state, now);
     case 'answered-late': {
-      const {tookMs} = observation;
+      const {startedAt} = observation;
+      if (isOfEndedProcess(state, startedAt)) return state;
+      const tookMs = now - startedAt;
       const roundTrip = updateRoundTrip(state.roundTrip, tookMs, now);
       return {...markAlive(state, now), roundTrip};
     }
     case 'connection-accepted':
-      return markAccepting(state, now);
+      return isOfEndedProcess(state, observation.startedAt)
+        ? state
+        : markAccepting(state, now);
     case 'probe-ended': {
       const {reply, observer} = observation;
       const ended = {...state, isProbing: false};
@@ -196,6 +208,17 @@
   }
 }
 
+/**
+ * Tells whether an attempt began before a probe that found no process, so that it
+ * shows nothing of the next one.
+ */
+function isOfEndedProcess(
+  {lastFailure, probedAt}: PeerState,
+  startedAt = Infinity,
+): boolean {
+  return lastFailure === 'refused' && startedAt < probedAt;
+}
+
 function markAlive(state: PeerState, now: number): PeerState {
   const {probedAt, isProbing, roundTrip} = state;
   return {...NEVER_PROBED, lastReceivedAt: now, probedAt, isProbing, roundTrip};
--- a/src/sidecar/probe.ts
+++ b/src/sidecar/probe.ts
@@ -56,8 +56,8 @@
 export interface ProbeListener {
   /** Called when the connection was accepted, be it after the time limit. */
   readonly accepted: () => void;
-  /** Called with the time that an answer took which came after the time limit. */
-  readonly answeredLate: (tookMs: number) => void;
+  /** Called when an answer came after the time limit. */
+  readonly answeredLate: () => void;
 }
 
 /**
@@ -131,7 +131,7 @@
       resolve({outcome, lateMs});
       clientRequest.destroy();
       const isAnsweredLate = isLate && outcome.kind === 'answered';
-      if (isAnsweredLate) listener?.answeredLate(outcome.tookMs);
+      if (isAnsweredLate) listener?.answeredLate();
     };
     /** Ends the probe, but not the wait for its answer. */
     const giveUp = (outcome: ProbeOutcome<T>, lateMs: number) => {
@@ -312,9 +312,10 @@
       performance.now(),
     );
     observe(peer, {kind: 'probe-started'});
+    const {probedAt: startedAt} = historyOf(peer);
     const {outcome, lateMs} = await probePeer<T>(peer, STATUS_PATH, limits, {
-      accepted: () => observe(peer, {kind: 'connection-accepted'}),
-      answeredLate: tookMs => observe(peer, {kind: 'answered-late', tookMs}),
+      accepted: () => observe(peer, {kind: 'connection-accepted', startedAt}),
+      answeredLate: () => observe(peer, {kind: 'answered-late', startedAt}),
     });
     const hasNoAnswer =
       outcome.kind !== 'answered' && outcome.kind !== 'refused';
--- a/test/relay/detector.test.ts
+++ b/test/relay/detector.test.ts
@@ -229,7 +229,7 @@
 test('an answer after the timeout of its probe ends the suspicion', t => {
   for (const kind of ['unconnected', 'unanswered'] as const) {
     const {state, now} = probeAll([kind, kind, kind]);
-    const late = {kind: 'answered-late', tookMs: 1500} as const;
+    const late = {kind: 'answered-late', startedAt: now - 1500} as const;
     const back = applyObservation(state, late, now);
     t.is(back.liveness, 'alive');
     t.false(isLost(peerStatusOf(back, now)));
@@ -237,6 +237,20 @@
   }
 });
 
+// Guards against a verdict on an ended process that its own late answer ends.
+test('a late answer or acceptance of a process that has ended does not end the verdict', t => {
+  const first = probeOnce(NEVER_PROBED, 'unconnected', 0);
+  const second = probeOnce(first.state, 'refused', first.now + 1);
+  const {state, now} = probeOnce(second.state, 'refused', second.now + 1);
+  t.is(state.liveness, 'refused');
+  for (const kind of ['answered-late', 'connection-accepted'] as const) {
+    const old = applyObservation(state, {kind, startedAt: 0}, now + 5);
+    t.is(old.liveness, 'refused');
+    const next = applyObservation(state, {kind, startedAt: now + 1}, now + 5);
+    t.not(next.liveness, 'refused');
+  }
+});
+
 test('probe timeouts grow with the round-trip time', t => {
   const quick = updateRoundTrip(undefined, 20, 0);
   t.is(probeTimeouts(NEVER_PROBED, quick, 10).connectMs, 300);
