Let the stated durations of an instance expire

The duration that an instance has stated for a route held until it stated another one; an instance that was slow for a while is sampled and chosen so rarely for it that it might never do so.

Change: statements count for 10 s, as the estimates at the instance do; after that its duration counts as usual.

Test (relay/choose), failed before: 5,000 ms expected for ever, now the usual one after 10 s. test/relay (157) passes, with the bounds of relay/spread unchanged.

--- a/src/relay/durations.ts
+++ b/src/relay/durations.ts
@@ -15,18 +15,26 @@
 /** Weight of the newest statement in the moving means. */
 const MEAN_WEIGHT = 0.2;
 
+/**
+ * Time for which statements of an instance count, in milliseconds. One that was
+ * slow gets hardly any requests, and could not state that it is fast again.
+ */
+const VALID_MS = 10_000;
+
 /**
  * Creates the record of durations. Of a route that an instance has not run yet,
  * its duration there follows from the routes that it has run, compared with the
  * other instances. The mean of all its requests would tell more about which these
- * are than about its speed.
+ * are than about its speed. An instance whose statements are old counts as usual.
+ *
+ * @param clock Returns the time in milliseconds.
  *
  * @example
- * const durations = createRouteDurations();
+ * const durations = createRouteDurations(() => performance.now());
  * durations.observe('10.1.0.8:7620', 'orders', 380);
  * durations.expectedMs('10.1.0.8:7620', 'orders'); // 380
  */
-export function createRouteDurations(): RouteDurations {
+export function createRouteDurations(clock: () => number): RouteDurations {
   /** Mean duration of each route at all instances. */
   const means = new Map<string, number>();
   const instances = new Map<string, InstanceDurations>();
@@ -35,30 +43,47 @@
       if (!(meanMs > 0)) return;
       const mean = movingMean(means.get(route), meanMs);
       means.set(route, mean);
-      const {byRoute, relative} = instances.get(node) ?? {byRoute: new Map()};
-      byRoute.set(route, meanMs);
-      const next = movingMean(relative, meanMs / mean);
-      instances.set(node, {byRoute, relative: next});
+      const now = clock();
+      const known = instances.get(node);
+      const byRoute = known?.byRoute ?? new Map<string, Statement>();
+      byRoute.set(route, {value: meanMs, at: now});
+      const value = movingMean(valueAt(known?.relative, now), meanMs / mean);
+      instances.set(node, {byRoute, relative: {value, at: now}});
     },
     expectedMs: (node, route) => {
       const known = instances.get(node);
-      const stated = known?.byRoute.get(route);
+      if (!known) return undefined;
+      const now = clock();
+      const stated = valueAt(known.byRoute.get(route), now);
       if (stated !== undefined) return stated;
       const mean = means.get(route);
-      const {relative} = known ?? {};
-      return mean === undefined || relative === undefined
-        ? undefined
-        : mean * relative;
+      const relative = valueAt(known.relative, now) ?? 1;
+      return mean === undefined ? undefined : mean * relative;
     },
   };
 }
 
+interface Statement {
+  readonly value: number;
+  /** Time of the statement, in milliseconds. */
+  readonly at: number;
+}
+
 /** What an instance has stated. */
 interface InstanceDurations {
   /** Last stated duration of each route, in milliseconds. */
-  readonly byRoute: Map<string, number>;
+  readonly byRoute: Map<string, Statement>;
   /** Durations there, relative to the means of all instances. */
-  readonly relative?: number;
+  readonly relative: Statement;
+}
+
+function valueAt(
+  statement: Statement | undefined,
+  now: number,
+): number | undefined {
+  return statement && now - statement.at <= VALID_MS
+    ? statement.value
+    : undefined;
 }
 
 function movingMean(previous: number | undefined, newest: number): number {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -523,7 +523,7 @@
     observeLoad: loads.observe,
     recordAnswer,
     observeClock: loads.observeClock,
-    durations: createRouteDurations(),
+    durations: createRouteDurations(clock),
     clockAheadMs: loads.clockAheadMs,
     peerPools,
     peerTransport: (peer, work) => {
--- a/test/relay/choose.test.ts
+++ b/test/relay/choose.test.ts
@@ -142,7 +142,7 @@
 
 // Guards against all daemons sending all requests to an instance that joins.
 test('an instance that joins does not get nearly all requests until it answers', t => {
-  const durations = createRouteDurations();
+  const durations = createRouteDurations(() => 0);
   const known = Array.from({length: 24}, (_, index) => {
     const node = `known-${index}`;
     durations.observe(node, 'orders', 380);
@@ -185,8 +185,25 @@
   t.true(first + second <= 2, `${first + second} of 20`);
 });
 
+// Guards against an instance that is passed by for good since it was slow once.
+test('an instance that was slow is tried again once its statement is old', t => {
+  let now = 0;
+  const durations = createRouteDurations(() => now);
+  for (const node of ['a', 'b', 'c', 'd']) durations.observe(node, 'view', 100);
+  durations.observe('slow', 'view', 5000);
+  t.is(durations.expectedMs('slow', 'view'), 5000);
+  now = 9000;
+  for (let round = 0; round < 40; round++) {
+    durations.observe('a', 'view', 100);
+  }
+  t.is(durations.expectedMs('slow', 'view'), 5000);
+  now = 11_000;
+  const expectedMs = durations.expectedMs('slow', 'view') ?? NaN;
+  t.true(expectedMs < 200, `${expectedMs}`);
+});
+
 test('instances of equal speed are expected to be equally fast after a route moved to them', t => {
-  const durations = createRouteDurations();
+  const durations = createRouteDurations(() => 0);
   for (let round = 0; round < 50; round++) {
     durations.observe(`before-${round % 10}`, 'orders', 380);
   }
--- a/test/relay/spread.test.ts
+++ b/test/relay/spread.test.ts
@@ -92,6 +92,7 @@
 /** Plays requests that arrive at random at a share of the capacity. */
 function play(fleet: Fleet, share: number, seed: number): Tally {
   const random = createRandom(seed);
+  let now = 0;
   const {slots, meanMs, shortShare = 0, errorShare = 0} = fleet;
   const workMs = (isShort: boolean) => (isShort ? meanMs / 15 : meanMs);
   const overallMs =
@@ -104,13 +105,12 @@
   const loads = Array.from({length: fleet.daemons}, () =>
     instances.map(() => UNKNOWN_LOAD),
   );
-  const durations = loads.map(createRouteDurations);
+  const durations = loads.map(() => createRouteDurations(() => now));
   const speedSum = instances.reduce((sum, {speed}) => sum + speed, 0);
   const perMs = (share * speedSum * slots) / overallMs;
   const events: {at: number; run: () => void}[] = [];
   const after = (ms: number, run: () => void) =>
     events.push({at: now + ms, run});
-  let now = 0;
   let id = 0;
   let requests = 0;
   let inTime = 0;
--- a/test/sidecar/blocked.test.ts
+++ b/test/sidecar/blocked.test.ts
@@ -69,7 +69,7 @@
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
     observeClock: () => {},
-    durations: createRouteDurations(),
+    durations: createRouteDurations(() => performance.now()),
     recordAnswer: () => {},
     clockAheadMs: () => undefined,
     probe: () => {},
--- a/test/sidecar/servers.test.ts
+++ b/test/sidecar/servers.test.ts
@@ -159,7 +159,7 @@
     loads: () => UNKNOWN_LOAD,
     observeLoad: () => {},
     observeClock: () => {},
-    durations: createRouteDurations(),
+    durations: createRouteDurations(() => performance.now()),
     recordAnswer: () => (parts += 1),
     clockAheadMs: () => undefined,
     probe: () => {},
