--- a/review/harness-2/fleet.mts
+++ b/review/harness-2/fleet.mts
@@ -60,6 +60,8 @@
   readonly kind: 'idempotent' | 'non_idempotent' | 'upload';
   readonly service: string;
   readonly timeoutS: number;
+  /** Latency objective; a third of the timeout if missing. */
+  readonly targetS?: number;
 }
 
 /** A relay between a daemon and the store. */
@@ -231,13 +233,13 @@
           'max_attempts',
           'service',
         ],
-        rows: list.map(({name, prefix, kind, service, timeoutS}) => [
+        rows: list.map(({name, prefix, kind, service, timeoutS, targetS}) => [
           name,
           HOST,
           prefix,
           kind,
           timeoutS,
-          timeoutS / 3,
+          targetS ?? timeoutS / 3,
           1,
           null,
           2,
