--- a/review/harness-2/store.mts
+++ b/review/harness-2/store.mts
@@ -152,7 +152,10 @@
       ({status, body}) => {
         // The store takes 4 ms for an answer.
         setTimeout(() => {
-          response.writeHead(status, {'content-type': 'application/json'});
+          response.writeHead(status, {
+            'content-type': 'application/json',
+            'store-era': '1',
+          });
           response.end(JSON.stringify(body));
         }, 4);
       },
