--- a/review/harness-2/fleet.mts
+++ b/review/harness-2/fleet.mts
@@ -324,6 +324,9 @@
     process.exit(code);
   };
   setTimeout(() => void end(2, 'the case took too long'), 115_000).unref();
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.on(signal, () => void end(2, `stopped by ${signal}`));
+  }
   process.on('unhandledRejection', error => {
     void end(2, `the case could not run: ${String(error)}`);
   });
